The whole path in thin form

A request goes from a caller through an entry to an executor and back, as separate processes: settings, store and VM list over HTTP, peers over TCP with msgpack frames, profiles by compare-and-swap, spans for each hop. Ownership is by hash of the members seen, which is exact only while all see the same; it is the baseline. test/correctness/WholePath.sh shows the path, with binary bodies and wrong input.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# The commands of the README. Each does its own set-up.
+BUILD ?= build
+JOBS ?= 10
+SOURCES := $(shell git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tools/*.cpp' 'test/*.h' 'test/*.cpp' 'apps/*.cpp')
+
+.PHONY: setup build asan tsan test demo bench lint format format-check
+
+setup:
+	@bash .ci/setup
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+asan: setup
+	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address >/dev/null
+	@cmake --build $(BUILD)-asan -j $(JOBS)
+
+tsan: setup
+	@cmake -S . -B $(BUILD)-tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCICADA_SANITIZER=thread >/dev/null
+	@cmake --build $(BUILD)-tsan -j $(JOBS)
+
+test: build
+	@bash .ci/known-red $(BUILD)
+
+demo: build
+	@bash apps/demo.sh $(BUILD)
+
+bench: build
+	@bash test/performance/run-all $(BUILD)
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check: setup
+	@clang-format --dry-run -Werror $(SOURCES)
+
+lint: build
+	@printf '%s\n' $(filter %.cpp,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
--- /dev/null
+++ b/src/Clock.cpp
@@ -0,0 +1,32 @@
+#include "Clock.h"
+
+#include "absl/time/clock.h"
+
+#include <ctime>
+
+namespace cicada {
+
+Instant SystemClock::now() const
+{
+    timespec spec;
+    clock_gettime(CLOCK_MONOTONIC, &spec);
+    return absl::DurationFromTimespec(spec);
+}
+
+int64_t SystemClock::wallMicros() const { return absl::ToUnixMicros(absl::Now()); }
+
+Instant ManualClock::now() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_now;
+}
+
+int64_t ManualClock::wallMicros() const { return absl::ToInt64Microseconds(now()); }
+
+void ManualClock::advance(absl::Duration by)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_now += by;
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/Clock.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/** \file
+ * The one clock of the runtime. Logic never asks the operating system for the time, so that tests can pause and
+ * advance it. Instants are monotonic and mean something only within one process; they are never sent to a peer.
+ */
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+namespace cicada {
+
+/** A point on the monotonic clock of this process, as time since an arbitrary start. */
+using Instant = absl::Duration;
+
+/** The source of time. Thread-safe. */
+class Clock {
+public:
+    virtual ~Clock() = default;
+    /** Monotonic time since an arbitrary start. */
+    virtual Instant now() const = 0;
+    /** Wall time in microseconds since 1970, for logs and spans only; no decision may rest on it. */
+    virtual int64_t wallMicros() const = 0;
+};
+
+/** The operating system's monotonic clock. */
+class SystemClock final : public Clock {
+public:
+    Instant now() const override;
+    int64_t wallMicros() const override;
+};
+
+/** A clock that stands still until a test advances it. */
+class ManualClock final : public Clock {
+public:
+    Instant now() const override;
+    int64_t wallMicros() const override;
+    /** Moves time forward; `by` must not be negative. */
+    void advance(absl::Duration by);
+
+private:
+    mutable absl::Mutex m_mutex;
+    Instant m_now ABSL_GUARDED_BY(m_mutex) = absl::ZeroDuration();
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/Entry.cpp
@@ -0,0 +1,128 @@
+#include "Entry.h"
+
+#include "ConfigWatch.h"
+#include "Frontend.h"
+#include "HashedOwnership.h"
+#include "HttpStore.h"
+#include "Membership.h"
+#include "ProfileRoutes.h"
+#include "StatusRoutes.h"
+#include "TcpPeerBus.h"
+#include "VmListWatcher.h"
+
+#include <glog/logging.h>
+
+namespace cicada {
+
+namespace {
+
+    constexpr size_t loopCapacity = 65536;
+    constexpr absl::Duration stopPoll = absl::Milliseconds(20);
+
+} // namespace
+
+/** The parts in the order in which they depend on each other. */
+struct Entry::Parts {
+    explicit Parts(Settings given)
+        : settings(std::move(given))
+    {
+    }
+
+    Settings settings;
+    SystemClock clock;
+    Metrics metrics;
+    BackEnds backEnds;
+    Kernel kernel;
+    Loop* loop = nullptr;
+    HttpStore* store = nullptr;
+    TcpPeerBus* peers = nullptr;
+    SpanWriter* spans = nullptr;
+    Frontend* frontend = nullptr;
+    std::unique_ptr<ConfigWatch> watch;
+    std::unique_ptr<Membership> membership;
+    std::unique_ptr<HashedOwnership> ownership;
+    std::unique_ptr<SlotLedger> ledger;
+    std::unique_ptr<Dispatcher> dispatcher;
+    std::unique_ptr<ProfileBook> profiles;
+    std::unique_ptr<RequestHandler> handler;
+};
+
+namespace {
+
+    /** Hands a service to the kernel and keeps a pointer to it. */
+    template <typename T> Result<void> addService(Kernel& kernel, std::unique_ptr<T> service, T*& pointer)
+    {
+        pointer = service.get();
+        return kernel.add(std::move(service));
+    }
+
+} // namespace
+
+Result<std::unique_ptr<Entry>> Entry::create(Settings settings)
+{
+    auto parts = std::make_unique<Parts>(std::move(settings));
+    Parts& p = *parts;
+    const Settings& s = p.settings;
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<SpanWriter>(s.spanOutput, s.name), p.spans));
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Loop>(p.clock, loopCapacity), p.loop));
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpStore>(s.store, *p.loop), p.store));
+    BOOST_OUTCOME_TRY(
+        addService(p.kernel, std::make_unique<TcpPeerBus>(s.name, s.region, s.peers, p.clock, *p.loop), p.peers));
+    VmListWatcher* vmList = nullptr;
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<VmListWatcher>(s.vmList, *p.loop, p.backEnds), vmList));
+    p.watch = std::make_unique<ConfigWatch>(*p.store);
+    p.membership = std::make_unique<Membership>(s, *p.store, *p.peers, *p.watch, p.clock);
+    p.ownership = std::make_unique<HashedOwnership>(s, *p.membership, p.backEnds, p.clock);
+    p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
+    p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
+    p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
+    p.handler = std::make_unique<RequestHandler>(
+        RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
+    addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
+    addStatusRoutes(*p.frontend,
+        { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.dispatcher, *p.profiles, *p.store,
+            *p.peers, p.metrics });
+    p.loop->onTick([&p](Instant now) {
+        p.membership->tick(now);
+        p.dispatcher->tick(now);
+        p.profiles->tick(now);
+        p.frontend->setReady(p.membership->registered() && p.profiles->version() > 0);
+    });
+    return std::unique_ptr<Entry>(new Entry(std::move(parts)));
+}
+
+Entry::Entry(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts))
+{
+}
+
+Entry::~Entry()
+{
+    // The services' threads use the parts, so they end first.
+    m_parts->kernel.stop();
+}
+
+Result<void> Entry::start()
+{
+    Parts& p = *m_parts;
+    BOOST_OUTCOME_TRY(p.kernel.start());
+    p.loop->postMust([&p] {
+        p.watch->start();
+        p.membership->start();
+    });
+    return success();
+}
+
+void Entry::stop()
+{
+    Parts& p = *m_parts;
+    p.frontend->setStopping();
+    const Instant giveUp = p.clock.now() + p.settings.stopTimeout;
+    while (p.frontend->inFlight() > 0 && p.clock.now() < giveUp)
+        absl::SleepFor(stopPoll);
+    LOG(INFO) << "stopping with " << p.frontend->inFlight() << " requests in flight";
+    p.kernel.stop();
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/Loop.cpp
@@ -0,0 +1,86 @@
+#include "Loop.h"
+
+#include "absl/synchronization/notification.h"
+
+#include <glog/logging.h>
+
+namespace cicada {
+
+namespace {
+
+    constexpr absl::Duration fullRingBackoff = absl::Milliseconds(1);
+
+} // namespace
+
+Loop::Loop(const Clock& clock, size_t capacity)
+    : m_clock(clock)
+    , m_ring(capacity)
+{
+}
+
+Loop::~Loop() { stop(); }
+
+Result<void> Loop::start()
+{
+    m_thread = std::thread([this] { run(); });
+    return success();
+}
+
+void Loop::stop()
+{
+    m_ring.close();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+bool Loop::post(Task task) { return m_ring.push(std::move(task)); }
+
+void Loop::postMust(Task task)
+{
+    while (!m_ring.tryPush(task)) {
+        if (m_ring.closed())
+            return;
+        absl::SleepFor(fullRingBackoff);
+    }
+}
+
+void Loop::call(absl::AnyInvocable<void()> task)
+{
+    // Shared, because when the loop closes the task may be dropped unrun, after the wait has ended.
+    auto done = std::make_shared<absl::Notification>();
+    postMust([&task, done] {
+        task();
+        done->Notify();
+    });
+    while (!done->WaitForNotificationWithTimeout(absl::Milliseconds(50))) {
+        if (m_ring.closed() && m_ring.size() == 0 && !m_thread.joinable())
+            return;
+    }
+}
+
+void Loop::onTick(absl::AnyInvocable<void(Instant)> function) { m_ticks.push_back(std::move(function)); }
+
+void Loop::run()
+{
+    m_nextTick = m_clock.now();
+    while (true) {
+        tickIfDue();
+        auto task = m_ring.pop(std::max(m_nextTick - m_clock.now(), absl::ZeroDuration()));
+        if (task)
+            (*task)();
+        else if (m_ring.closed())
+            return;
+    }
+}
+
+void Loop::tickIfDue()
+{
+    const Instant now = m_clock.now();
+    if (now < m_nextTick)
+        return;
+    for (auto& tick : m_ticks)
+        tick(now);
+    m_nextTick = now + tickInterval;
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/Loop.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/** \file
+ * The decision thread. All decisions of an entry are taken here, one at a time, so that the accounting needs no
+ * locks. Other threads hand it work through a bounded ring.
+ */
+
+#include "Clock.h"
+#include "Kernel.h"
+#include "Ring.h"
+
+#include "absl/functional/any_invocable.h"
+
+#include <thread>
+#include <vector>
+
+namespace cicada {
+
+/** Work for the decision thread. */
+using Task = absl::AnyInvocable<void()>;
+
+/** Somewhere to hand work to from any thread. */
+class Poster {
+public:
+    virtual ~Poster() = default;
+    /** Queues `task`; false when there is no room, and then the caller must answer for it. Thread-safe. */
+    virtual bool post(Task task) = 0;
+};
+
+/** The decision thread as a service. */
+class Loop final : public Service, public Poster {
+public:
+    /** `capacity` bounds the queued tasks. `clock` must outlive the loop. */
+    Loop(const Clock& clock, size_t capacity);
+    ~Loop() override;
+
+    absl::string_view name() const override { return "loop"; }
+    Result<void> start() override;
+    void stop() override;
+
+    bool post(Task task) override;
+    /** Posts a task that must not be lost, such as a completion: waits for room. Never call it on the loop. */
+    void postMust(Task task);
+    /** Runs `task` on the loop and waits for its end. Never call it on the loop. */
+    void call(absl::AnyInvocable<void()> task);
+    /** Adds a function called on the loop every `tickInterval`. Call before start(). */
+    void onTick(absl::AnyInvocable<void(Instant)> function);
+
+    static constexpr absl::Duration tickInterval = absl::Milliseconds(5);
+
+private:
+    void run();
+    void tickIfDue();
+
+    const Clock& m_clock;
+    Ring<Task> m_ring;
+    std::vector<absl::AnyInvocable<void(Instant)>> m_ticks;
+    Instant m_nextTick = absl::ZeroDuration();
+    std::thread m_thread;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/Ownership.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/** \file
+ * Who may give work to a back end. Each group of back ends belongs to at most one entry at a time, and only that
+ * entry accounts for its slots and resources.
+ */
+
+#include "Clock.h"
+
+#include "absl/functional/any_invocable.h"
+#include "absl/strings/string_view.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cicada {
+
+/** The right to give work to a group. */
+struct Term {
+    /** Grows with each change of owner; back ends refuse starts under a lower one. */
+    uint64_t epoch = 0;
+    /** On this process's clock; no start may be sent after it. */
+    Instant until = absl::ZeroDuration();
+};
+
+/** Answers who owns a group. Used on the decision thread only. */
+class Ownership {
+public:
+    virtual ~Ownership() = default;
+    /** This entry's right to the group now, or nothing when it has none. */
+    virtual std::optional<Term> term(absl::string_view group) const = 0;
+    /** The name of the entry that owns the group as far as known; empty when unknown. */
+    virtual std::string owner(absl::string_view group) const = 0;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/PeerBus.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/** \file
+ * Messages between entries. A message is addressed to a service by name on a peer by name. Delivery is best
+ * effort: a message may be lost, late or out of order, and whoever sends it must bear that.
+ */
+
+#include "absl/functional/any_invocable.h"
+#include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** Where a peer listens. `address` is an IP number and a port, as in "10.0.0.1:7201". */
+struct PeerAddress {
+    std::string name;
+    std::string address;
+    std::string region;
+};
+
+/** Bytes sent to peers, for the control cost and the paid traffic. */
+struct PeerTraffic {
+    uint64_t messages = 0;
+    uint64_t bytes = 0;
+    uint64_t bytesAcrossRegions = 0;
+    uint64_t refused = 0;
+};
+
+/** The links to all peers. Call it on the decision thread only; handlers run there too. */
+class PeerBus {
+public:
+    /** `from` is the sender's name; `bytes` is only valid during the call. */
+    using Handler = absl::AnyInvocable<void(absl::string_view from, absl::string_view bytes)>;
+
+    virtual ~PeerBus() = default;
+    /** Sets the handler of messages to `service`; one handler a service. */
+    virtual void handle(absl::string_view service, Handler) = 0;
+    /** Sends `bytes`; false when the peer is not known or its link has no room. */
+    virtual bool send(absl::string_view peer, absl::string_view service, std::string bytes) = 0;
+    /** Sets the peers to link to; links to others are closed. */
+    virtual void setPeers(absl::Span<const PeerAddress>) = 0;
+    virtual std::vector<std::string> peerNames() const = 0;
+    virtual PeerTraffic traffic() const = 0;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/PlacementMessages.cpp
@@ -0,0 +1,59 @@
+#include "PlacementMessages.h"
+
+#include "Pack.h"
+
+namespace cicada {
+
+using Internal::packFields;
+using Internal::unpackFields;
+
+std::string encode(const PlaceAsk& m) { return packFields(m.askId, m.requestId, m.service); }
+
+std::string encode(const PlaceReply& m)
+{
+    return packFields(m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch, m.startWithinMicros);
+}
+
+std::string encode(const PlaceDone& m) { return packFields(m.grantId); }
+
+std::string encode(const LoadDigest& m)
+{
+    std::vector<std::tuple<std::string, uint32_t, uint32_t>> services;
+    for (const ServiceLoad& load : m.services)
+        services.emplace_back(load.service, load.freeSlots, load.queued);
+    return packFields(services);
+}
+
+Result<PlaceAsk> decodePlaceAsk(absl::string_view bytes)
+{
+    PlaceAsk m;
+    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-ask", m.askId, m.requestId, m.service));
+    return m;
+}
+
+Result<PlaceReply> decodePlaceReply(absl::string_view bytes)
+{
+    PlaceReply m;
+    BOOST_OUTCOME_TRY(unpackFields(
+        bytes, "place-reply", m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch, m.startWithinMicros));
+    return m;
+}
+
+Result<PlaceDone> decodePlaceDone(absl::string_view bytes)
+{
+    PlaceDone m;
+    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-done", m.grantId));
+    return m;
+}
+
+Result<LoadDigest> decodeLoadDigest(absl::string_view bytes)
+{
+    std::vector<std::tuple<std::string, uint32_t, uint32_t>> services;
+    BOOST_OUTCOME_TRY(unpackFields(bytes, "load-digest", services));
+    LoadDigest m;
+    for (auto& [service, freeSlots, queued] : services)
+        m.services.push_back({ std::move(service), freeSlots, queued });
+    return m;
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/PlacementMessages.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/** \file
+ * What entries say to each other to place requests. Bodies never travel between entries: the entry that took the
+ * request sends it to the executor itself, under a grant from the executor's owner.
+ */
+
+#include "Error.h"
+#include "Settings.h"
+
+#include "absl/strings/string_view.h"
+
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** "May I start this request on one of your executors?" */
+struct PlaceAsk {
+    uint64_t askId = 0;
+    std::string requestId;
+    std::string service;
+};
+
+/** The owner's reply. When granted, the start may be sent within `startWithinMicros` of the ask being sent. */
+struct PlaceReply {
+    uint64_t askId = 0;
+    bool granted = false;
+    uint64_t grantId = 0;
+    std::string executor;
+    std::string address;
+    uint64_t epoch = 0;
+    int64_t startWithinMicros = 0;
+};
+
+/** "The run under this grant has ended, or was never started and never will be." */
+struct PlaceDone {
+    uint64_t grantId = 0;
+};
+
+/** Free slots and queued requests of one service at the sender. */
+struct ServiceLoad {
+    std::string service;
+    uint32_t freeSlots = 0;
+    uint32_t queued = 0;
+};
+
+/** What the sender could take now. */
+struct LoadDigest {
+    std::vector<ServiceLoad> services;
+};
+
+std::string encode(const PlaceAsk&);
+std::string encode(const PlaceReply&);
+std::string encode(const PlaceDone&);
+std::string encode(const LoadDigest&);
+Result<PlaceAsk> decodePlaceAsk(absl::string_view bytes);
+Result<PlaceReply> decodePlaceReply(absl::string_view bytes);
+Result<PlaceDone> decodePlaceDone(absl::string_view bytes);
+Result<LoadDigest> decodeLoadDigest(absl::string_view bytes);
+
+} // namespace cicada
--- /dev/null
+++ b/src/SlotLedger.cpp
@@ -0,0 +1,83 @@
+#include "SlotLedger.h"
+
+namespace cicada {
+
+SlotLedger::SlotLedger(const BackEnds& backEnds, const Ownership& ownership, const Clock& clock)
+    : m_backEnds(backEnds)
+    , m_ownership(ownership)
+    , m_clock(clock)
+{
+}
+
+uint32_t SlotLedger::freeOn(const BackEnd& backEnd) const
+{
+    if (backEnd.leaving || !m_ownership.term(backEnd.group()))
+        return 0;
+    const uint32_t used = inUse(backEnd.name);
+    return used < backEnd.slots ? backEnd.slots - used : 0;
+}
+
+std::optional<SlotGrant> SlotLedger::take(
+    absl::string_view service, absl::string_view requestId, absl::string_view entry)
+{
+    const BackEnd* best = nullptr;
+    uint32_t bestFree = 0;
+    for (const BackEnd& backEnd : m_backEnds.all()) {
+        if (backEnd.kind != BackEndKind::Executor || backEnd.service != service)
+            continue;
+        const uint32_t free = freeOn(backEnd);
+        if (free > bestFree) {
+            best = &backEnd;
+            bestFree = free;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    const Term term = *m_ownership.term(best->group());
+    SlotGrant grant;
+    grant.id = m_nextId++;
+    grant.requestId = std::string(requestId);
+    grant.entry = std::string(entry);
+    grant.executor = best->name;
+    grant.address = best->address;
+    grant.epoch = term.epoch;
+    grant.grantedAt = m_clock.now();
+    grant.startBy = std::min(grant.grantedAt + startValidity, term.until);
+    ++m_inUse[best->name];
+    m_grants[grant.id] = grant;
+    return grant;
+}
+
+bool SlotLedger::release(uint64_t grantId)
+{
+    auto it = m_grants.find(grantId);
+    if (it == m_grants.end())
+        return false;
+    --m_inUse[it->second.executor];
+    m_grants.erase(it);
+    return true;
+}
+
+const SlotGrant* SlotLedger::find(uint64_t grantId) const
+{
+    auto it = m_grants.find(grantId);
+    return it == m_grants.end() ? nullptr : &it->second;
+}
+
+uint32_t SlotLedger::freeSlots(absl::string_view service) const
+{
+    uint32_t free = 0;
+    for (const BackEnd& backEnd : m_backEnds.all()) {
+        if (backEnd.kind == BackEndKind::Executor && backEnd.service == service)
+            free += freeOn(backEnd);
+    }
+    return free;
+}
+
+uint32_t SlotLedger::inUse(absl::string_view executor) const
+{
+    auto it = m_inUse.find(executor);
+    return it == m_inUse.end() ? 0 : it->second;
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/StatusRoutes.cpp
@@ -0,0 +1,78 @@
+#include "StatusRoutes.h"
+
+#include "Json.h"
+
+namespace cicada {
+
+namespace {
+
+    using Internal::Json;
+
+    Json backEndJson(const StatusSources& sources, const BackEnd& backEnd)
+    {
+        const auto term = sources.ownership.term(backEnd.group());
+        return { { "name", backEnd.name }, { "service", backEnd.service }, { "region", backEnd.region },
+            { "owner", sources.ownership.owner(backEnd.group()) }, { "epoch", term ? term->epoch : 0 },
+            { "slots", backEnd.slots }, { "inUse", sources.ledger.inUse(backEnd.name) },
+            { "leaving", backEnd.leaving } };
+    }
+
+    Json statusJson(const StatusSources& sources)
+    {
+        Json members = Json::array();
+        for (const Member& member : sources.membership.members())
+            members.push_back({ { "name", member.name }, { "region", member.region },
+                { "failureDomain", member.failureDomain }, { "address", member.address } });
+        Json backEnds = Json::array();
+        for (const BackEnd& backEnd : sources.backEnds.all())
+            backEnds.push_back(backEndJson(sources, backEnd));
+        const StoreCallCounts calls = sources.store.counts();
+        const PeerTraffic traffic = sources.peers.traffic();
+        return {
+            { "name", sources.settings.name },
+            { "region", sources.settings.region },
+            { "version", CICADA_VERSION },
+            { "profileVersion", sources.profiles.version() },
+            { "queued", sources.dispatcher.queued() },
+            { "members", members },
+            { "backEnds", backEnds },
+            { "store",
+                { { "reads", calls.reads }, { "writes", calls.writes }, { "watches", calls.watches },
+                    { "failures", calls.failures } } },
+            { "peers",
+                { { "messages", traffic.messages }, { "bytes", traffic.bytes },
+                    { "bytesAcrossRegions", traffic.bytesAcrossRegions }, { "refused", traffic.refused } } },
+        };
+    }
+
+    HttpAnswer status(const StatusSources& sources)
+    {
+        Json document;
+        sources.loop.call([&] { document = statusJson(sources); });
+        return { 200, "application/json", document.dump(), {} };
+    }
+
+    HttpAnswer metrics(const StatusSources& sources)
+    {
+        sources.loop.call([&] {
+            const StoreCallCounts calls = sources.store.counts();
+            const PeerTraffic traffic = sources.peers.traffic();
+            sources.metrics.gauge("cicada_queued_requests", static_cast<double>(sources.dispatcher.queued()));
+            sources.metrics.gauge("cicada_store_reads", static_cast<double>(calls.reads));
+            sources.metrics.gauge("cicada_store_writes", static_cast<double>(calls.writes));
+            sources.metrics.gauge("cicada_store_watches", static_cast<double>(calls.watches));
+            sources.metrics.gauge("cicada_peer_bytes", static_cast<double>(traffic.bytes));
+            sources.metrics.gauge("cicada_peer_bytes_across_regions", static_cast<double>(traffic.bytesAcrossRegions));
+        });
+        return { 200, "text/plain; version=0.0.4", sources.metrics.text(), {} };
+    }
+
+} // namespace
+
+void addStatusRoutes(Frontend& frontend, StatusSources sources)
+{
+    frontend.route("GET", "/v1/status", [sources](const HttpQuestion&) { return status(sources); });
+    frontend.route("GET", "/metrics", [sources](const HttpQuestion&) { return metrics(sources); });
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/StatusRoutes.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/** \file
+ * What an entry tells of itself: its status for operators and its metrics for scrapers.
+ */
+
+#include "BackEnds.h"
+#include "Dispatcher.h"
+#include "Frontend.h"
+#include "Loop.h"
+#include "Membership.h"
+#include "Metrics.h"
+#include "Ownership.h"
+#include "ProfileBook.h"
+
+namespace cicada {
+
+/** What the status is drawn from. Everything must outlive the frontend. */
+struct StatusSources {
+    const Settings& settings;
+    Loop& loop;
+    Membership& membership;
+    const Ownership& ownership;
+    const SlotLedger& ledger;
+    const BackEnds& backEnds;
+    const Dispatcher& dispatcher;
+    const ProfileBook& profiles;
+    const Store& store;
+    const PeerBus& peers;
+    Metrics& metrics;
+};
+
+/** Adds GET /v1/status and GET /metrics. */
+void addStatusRoutes(Frontend& frontend, StatusSources sources);
+
+} // namespace cicada
--- /dev/null
+++ b/src/VmListWatcher.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/** \file
+ * Reads the platform's VM list at a fixed interval and hands it to the decision thread.
+ */
+
+#include "BackEnds.h"
+#include "Loop.h"
+
+#include <memory>
+#include <thread>
+
+namespace cicada {
+
+/** The thread that polls the VM list. While the list can't be read, the last one stays in force. */
+class VmListWatcher final : public Service {
+public:
+    /** `loop` and `backEnds` must outlive the watcher. */
+    VmListWatcher(Endpoint server, Loop& loop, BackEnds& backEnds);
+    ~VmListWatcher() override;
+
+    absl::string_view name() const override { return "vm-list"; }
+    Result<void> start() override;
+    void stop() override;
+
+    static constexpr absl::Duration pollInterval = absl::Seconds(1);
+
+private:
+    void run();
+    void poll();
+
+    const Endpoint m_server;
+    Loop& m_loop;
+    BackEnds& m_backEnds;
+    absl::Mutex m_mutex;
+    absl::CondVar m_wake;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::thread m_thread;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/test/standin/Cluster.sh
@@ -0,0 +1,85 @@
+# Sourced by the tests that drive real processes: starts stand-ins and entries on loopback and stops them again.
+# Every process is ended by its id when the test ends, however it ends.
+
+set -u
+build=$1
+out=$(mktemp -d)
+pids=()
+base=${CICADA_BASE_PORT:-21000}
+
+stop_all() {
+    for pid in "${pids[@]}"; do
+        kill -CONT "$pid" 2>/dev/null
+        kill -9 "$pid" 2>/dev/null
+    done
+    wait 2>/dev/null
+    rm -rf "$out"
+}
+trap stop_all EXIT
+
+# run NAME COMMAND...: starts a process in the background; its id is in pid_NAME, its output in $out/NAME.log.
+run() {
+    local name=$1
+    shift
+    "$@" >"$out/$name.log" 2>&1 &
+    pids+=($!)
+    printf -v "pid_${name//-/_}" %s $!
+}
+
+# wait_for SECONDS COMMAND...: waits until the command succeeds.
+wait_for() {
+    local deadline=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ $SECONDS -lt $deadline ] || { echo "timed out: $*"; return 1; }
+        sleep 0.05
+    done
+}
+
+http() { curl -s --max-time 30 "$@"; }
+
+fail() {
+    echo "FAILED: $*"
+    tail -n 20 "$out"/*.log
+    exit 1
+}
+
+# start_platform: the store and the VM list, at $platform; the list is read from $out/vms.json.
+start_platform() {
+    platform=127.0.0.1:$base
+    [ -e "$out/vms.json" ] || echo '[]' >"$out/vms.json"
+    run platform "$build/fake-platform" --listen $platform --vms "$out/vms.json"
+    wait_for 10 http -f http://$platform/control || fail "platform"
+}
+
+# start_executors SERVICE REGION COUNT SLOTS FIRST-PORT: adds executors, also to the VM list.
+start_executors() {
+    local service=$1 region=$2 count=$3 slots=$4 port=$5 i
+    run "executors-$service-$region" "$build/fake-executor" --listen 127.0.0.1:"$port" --count "$count" \
+        --slots "$slots" --prefix "$service-$region"
+    for ((i = 0; i < count; i++)); do
+        echo "{\"name\":\"$service-$region-$i\",\"kind\":\"executor\",\"service\":\"$service\",\"region\":\"$region\",
+            \"failureDomain\":\"$region\",\"address\":\"127.0.0.1:$((port + i))\",\"slots\":$slots,\"state\":\"live\"}"
+    done >>"$out/vm-lines"
+    { echo '['; sed -e 's/^{/,{/' "$out/vm-lines" | sed '1s/^,//'; echo ']'; } >"$out/vms.tmp"
+    mv "$out/vms.tmp" "$out/vms.json"
+    wait_for 10 http -f "http://127.0.0.1:$port/control" || fail "executors"
+}
+
+# start_entry N REGION [DOMAIN [MORE-SETTINGS]]: starts entry-N; callers reach it at 127.0.0.1:$((base + 100 + N)).
+start_entry() {
+    local n=$1 region=$2 domain=${3:-$2} more=${4:-}
+    cat >"$out/entry-$n.json" <<JSON
+{"name": "entry-$n", "region": "$region", "failureDomain": "$domain", "callers": "127.0.0.1:$((base + 100 + n))",
+ "peers": "127.0.0.1:$((base + 200 + n))", "store": "${entry_store:-$platform}", "vmList": "$platform",
+ "spanOutput": "$out/spans-$n.jsonl"$more}
+JSON
+    run "entry-$n" "$build/cicada-entry" --settings "$out/entry-$n.json"
+}
+
+entry() { echo "127.0.0.1:$((base + 100 + $1))"; }
+
+wait_ready() { wait_for "${2:-15}" http -f "http://$(entry "$1")/readyz" || fail "entry-$1 is not ready"; }
+
+# set_profile ENTRY NAME JSON
+set_profile() { echo "$3" | "$build/cicadactl" --entry "$(entry "$1")" profile set "$2" - >/dev/null || fail "profile $2"; }
--- /dev/null
+++ b/tools/cicada-entry.cpp
@@ -0,0 +1,114 @@
+/** \file
+ * The daemon: one entry of cicadaspread. All entries are equal.
+ */
+
+#include "CommandLine.h"
+#include "Entry.h"
+
+#include <glog/logging.h>
+
+#include <csignal>
+#include <getopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace cicada;
+
+constexpr const char* program = "cicada-entry";
+
+constexpr const char* usage = R"(Usage: cicada-entry --settings FILE [--check]
+       cicada-entry --print-schema
+
+One entry of cicadaspread: takes requests and jobs from callers and places them.
+
+  -s, --settings FILE   the settings, in JSON
+  -c, --check           check the settings and exit
+      --print-schema    print the JSON schema of the settings
+  -h, --help            print this text
+  -V, --version         print the version
+
+SIGTERM and SIGINT are a planned stop: what is in flight finishes first.
+Exit codes: 0 stopped as planned, 1 failed, 2 the command line or settings are wrong.
+)";
+
+struct Options {
+    std::string settingsPath;
+    bool checkOnly = false;
+};
+
+/** Blocks the stop signals in every thread, so that main alone takes them. */
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int runEntry(Settings settings)
+{
+    const sigset_t signals = blockStopSignals();
+    const std::string name = settings.name;
+    auto entry = Entry::create(std::move(settings));
+    if (!entry)
+        return reportError(program, entry.error(), exitUsage);
+    auto started = entry.value()->start();
+    if (!started)
+        return reportError(program, started.error(), exitUsage);
+    LOG(INFO) << "entry " << name << " is up";
+    int signal = 0;
+    sigwait(&signals, &signal);
+    LOG(INFO) << "entry " << name << " begins a planned stop";
+    entry.value()->stop();
+    return exitSuccess;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    enum LongOnly { PrintSchema = 256 };
+    const option options[] = { { "settings", required_argument, nullptr, 's' }, { "check", no_argument, nullptr, 'c' },
+        { "print-schema", no_argument, nullptr, PrintSchema }, { "help", no_argument, nullptr, 'h' },
+        { "version", no_argument, nullptr, 'V' }, {} };
+    Options chosen;
+    for (int option; (option = getopt_long(argc, argv, "s:chV", options, nullptr)) != -1;) {
+        switch (option) {
+        case 's':
+            chosen.settingsPath = optarg;
+            break;
+        case 'c':
+            chosen.checkOnly = true;
+            break;
+        case PrintSchema:
+            std::cout << settingsSchema() << "\n";
+            return exitSuccess;
+        case 'h':
+            std::cout << usage;
+            return exitSuccess;
+        case 'V':
+            return printVersion(program);
+        default:
+            std::cerr << usage;
+            return exitUsage;
+        }
+    }
+    if (chosen.settingsPath.empty()) {
+        std::cerr << usage;
+        return exitUsage;
+    }
+    auto settings = loadSettings(chosen.settingsPath);
+    if (!settings)
+        return reportError(program, settings.error(), exitUsage);
+    if (chosen.checkOnly) {
+        std::cout << chosen.settingsPath << ": ok\n";
+        return exitSuccess;
+    }
+    return runEntry(std::move(settings.value()));
+}
