--- a/src/HashedOwnership.cpp
+++ b/src/HashedOwnership.cpp
@@ -52,6 +52,7 @@
 
 void HashedOwnership::recompute()
 {
+    const auto before = std::move(m_owners);
     m_owners.clear();
     for (const BackEnd& backEnd : m_backEnds.all()) {
         const std::string group = backEnd.group();
@@ -60,6 +61,22 @@
             best = heaviest(group, "", m_membership.members());
         m_owners[group] = best;
     }
+    for (uint32_t partition = 0; partition < claimPartitions; ++partition)
+        m_owners[claimGroup(partition)] = heaviest(claimGroup(partition), "", m_membership.members());
+    notify(before);
+}
+
+void HashedOwnership::notify(const absl::flat_hash_map<std::string, std::string>& before)
+{
+    for (const auto& [group, owner] : m_owners) {
+        auto old = before.find(group);
+        const bool wasOwned = old != before.end() && old->second == m_settings.name;
+        const bool owned = owner == m_settings.name;
+        if (owned == wasOwned)
+            continue;
+        for (auto& observer : m_observers)
+            observer(group, 1, owned);
+    }
 }
 
 } // namespace cicada
--- a/src/HashedOwnership.h
+++ b/src/HashedOwnership.h
@@ -21,15 +21,18 @@
 
     std::optional<Term> term(absl::string_view group) const override;
     std::string owner(absl::string_view group) const override;
+    void onChange(Observer observer) override { m_observers.push_back(std::move(observer)); }
 
 private:
     void recompute();
+    void notify(const absl::flat_hash_map<std::string, std::string>& before);
 
     const Settings& m_settings;
     Membership& m_membership;
     BackEnds& m_backEnds;
     const Clock& m_clock;
     absl::flat_hash_map<std::string, std::string> m_owners;
+    std::vector<Observer> m_observers;
 };
 
 } // namespace cicada
--- a/src/Ownership.h
+++ b/src/Ownership.h
@@ -24,6 +24,11 @@
     Instant until = absl::ZeroDuration();
 };
 
+/** Ids of requests that must not run twice are spread over this many partitions; each is a group of its own. */
+constexpr uint32_t claimPartitions = 64;
+/** The group of one claim partition, "claims/0" to "claims/63". */
+std::string claimGroup(uint32_t partition);
+
 /** Answers who owns a group. Used on the decision thread only. */
 class Ownership {
 public:
@@ -32,6 +37,11 @@
     virtual std::optional<Term> term(absl::string_view group) const = 0;
     /** The name of the entry that owns the group as far as known; empty when unknown. */
     virtual std::string owner(absl::string_view group) const = 0;
+
+    /** Called when this entry gains a group, or loses it: whoever uses the group recovers its state under the new
+     * epoch before it gives new work, and forgets it when it is lost. */
+    using Observer = absl::AnyInvocable<void(absl::string_view group, uint64_t epoch, bool owned)>;
+    virtual void onChange(Observer) = 0;
 };
 
 } // namespace cicada
--- /dev/null
+++ b/test/correctness/ProfileBookTest.cpp
@@ -0,0 +1,120 @@
+/** \file
+ * A change of a profile is accepted only when stored, reaches every entry also through a store outage right after the
+ * acceptance, never goes back, and two operators that race see each other's change.
+ */
+
+#include "ProfileBook.h"
+#include "support/FakeWorld.h"
+
+#include "absl/strings/match.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+using Testing::FakeWorld;
+
+namespace {
+
+const char* const waitLong = R"({"maxWaitMs": 9000, "mayRunTwice": false, "whenShort": "wait"})";
+const char* const waitShort = R"({"maxWaitMs": 100, "mayRunTwice": true, "whenShort": "shed"})";
+
+/** One entry, as far as profiles go. */
+struct BookNode {
+    BookNode(FakeWorld& world, const std::string& name)
+        : node(world.addNode(name))
+        , watch(node)
+        , book(node, node, watch, node.clock())
+    {
+        node.onTick([this](Instant now) { book.tick(now); });
+        watch.start();
+    }
+    Testing::Node& node;
+    ConfigWatch watch;
+    ProfileBook book;
+};
+
+} // namespace
+
+TEST_GROUP(ProfileBook)
+{
+    FakeWorld world { 1 };
+    std::vector<std::unique_ptr<BookNode>> nodes;
+
+    void setup() override
+    {
+        std::vector<PeerAddress> peers;
+        for (const char* name : { "a", "b", "c" }) {
+            nodes.push_back(std::make_unique<BookNode>(world, name));
+            peers.push_back({ name, "", "r" });
+        }
+        for (auto& node : nodes)
+            node->node.setPeers(peers);
+    }
+
+    Result<uint64_t> change(size_t node, ProfileChange change, absl::Duration patience = absl::Seconds(10))
+    {
+        Result<uint64_t> result = Error { ErrorKind::Internal, "no answer", "" };
+        nodes[node]->book.change(std::move(change), [&result](Result<uint64_t> r) { result = std::move(r); });
+        world.run(patience);
+        return result;
+    }
+};
+
+TEST(ProfileBook, aChangeHoldsEverywhereAlthoughTheStoreGoesDownRightAfterIt)
+{
+    bool accepted = false;
+    nodes[0]->book.change({ "check", waitLong, std::nullopt, "c1" }, [&](Result<uint64_t> result) {
+        accepted = result.has_value();
+        world.setStoreDown(true);
+    });
+    world.run(absl::Seconds(2));
+    CHECK(accepted);
+    for (auto& node : nodes)
+        CHECK(node->book.find("check") != nullptr);
+}
+
+TEST(ProfileBook, anEntryThatWasCutOffCatchesUpDuringAnOutage)
+{
+    world.cutBoth("a", "c", true);
+    world.cutBoth("b", "c", true);
+    nodes[0]->book.change(
+        { "check", waitLong, std::nullopt, "c1" }, [&](const Result<uint64_t>&) { world.setStoreDown(true); });
+    world.run(absl::Seconds(2));
+    world.cutBoth("b", "c", false);
+    world.run(absl::Seconds(2));
+    CHECK(nodes[2]->book.find("check") != nullptr);
+}
+
+TEST(ProfileBook, aLostReplyIsSettledByReadingBack)
+{
+    world.setLostReplies(1.0);
+    auto result = change(0, { "check", waitLong, std::nullopt, "c1" });
+    CHECK(result.has_value());
+    LONGS_EQUAL(1, nodes[0]->book.version());
+}
+
+TEST(ProfileBook, racingOperatorsSeeBothSides)
+{
+    CHECK(change(0, { "check", waitLong, 0, "c1" }).has_value());
+    auto second = change(1, { "check", waitShort, 0, "c2" });
+    CHECK(second.error().kind == ErrorKind::Conflict);
+    CHECK(absl::StrContains(second.error().message, "9000"));
+    CHECK(absl::StrContains(second.error().message, "100"));
+}
+
+TEST(ProfileBook, anOutageIsReportedAndNothingIsInForce)
+{
+    world.setStoreDown(true);
+    CHECK(change(0, { "check", waitLong, std::nullopt, "c1" }).error().kind == ErrorKind::StoreUnavailable);
+    CHECK(nodes[0]->book.find("check") == nullptr);
+}
+
+TEST(ProfileBook, theVersionNeverGoesBack)
+{
+    CHECK(change(0, { "check", waitLong, std::nullopt, "c1" }).has_value());
+    const std::string old = world.stored().begin()->second.value;
+    CHECK(change(1, { "check", waitShort, std::nullopt, "c2" }).has_value());
+    nodes[1]->node.send("a", "profile-book", old);
+    world.run(absl::Seconds(1));
+    LONGS_EQUAL(2, nodes[0]->book.version());
+}
