--- /dev/null
+++ b/src/Authority.h
@@ -0,0 +1,120 @@
+#pragma once
+
+/** \file
+ * Whether this entry may act at all. It may while it holds an unexpired promise from one of its guardians, or has
+ * written its own record in the store within the last promise time. Both are counted from when they were asked for,
+ * so an entry that was paused or cut off stops by its own clock before anyone may end it.
+ *
+ * It does no I/O of its own and decides only by what the clock, the peers and the store say.
+ */
+
+#include "AuthorityMessages.h"
+#include "Clock.h"
+#include "Membership.h"
+#include "Settings.h"
+#include "Store.h"
+
+#include "absl/container/btree_map.h"
+
+#include <deque>
+#include <optional>
+
+namespace cicada {
+
+/** The holder's side of authority. Used on the decision thread only. */
+class Authority {
+public:
+    /** Gives a number that no other run of any entry has ever had. */
+    using IncarnationSource = absl::AnyInvocable<uint64_t()>;
+
+    /** All arguments must outlive the authority. */
+    Authority(const Settings&, Store&, PeerBus&, Membership&, ConfigWatch&, const Clock&, IncarnationSource);
+
+    void tick(Instant now);
+
+    /** True once this entry has a record that has not ended, as far as it knows. */
+    bool registered() const { return m_record.has_value(); }
+    /** This run, once registered; the incarnation is 0 before. */
+    EntryId self() const { return { m_settings.name, m_record ? m_record->incarnation : 0 }; }
+    /** When the authority ends unless it is renewed, on this process's clock. */
+    Instant until() const;
+    /** True while this entry may act. */
+    bool active() const { return m_clock.now() < until(); }
+    /** True when this entry has been active for at least `duration` without a gap that it noticed. */
+    bool activeFor(absl::Duration duration) const;
+    absl::Span<const EntryId> guardians() const;
+
+    /** Tells all that this entry is stopping; it goes on acting. */
+    void announceStop() { m_stopping = true; }
+    /** Stops acting at once, for good, and ends the own record. */
+    void end();
+    /** True once the own record is known to have ended after end(). */
+    bool ended() const { return m_ended; }
+
+    /** How long the holder counts on a promise or an own write, from when it asked. */
+    static absl::Duration holderTime(const Settings&);
+    /** How long a guardian waits after its promise before it holds it for lapsed. */
+    static absl::Duration guardianTime(const Settings&);
+
+private:
+    /** An own write whose effect is not known yet. It is repeated word for word until it is. */
+    struct PendingWrite {
+        Member content;
+        /** The index that it was based on: once the record has another one, it can't take effect any more. */
+        uint64_t baseIndex = 0;
+        Instant firstSentAt;
+        Instant lastSentAt;
+    };
+    struct SentRenewal {
+        uint64_t sequence = 0;
+        Instant sentAt;
+    };
+
+    void handleMembers();
+    void handleOwnRecord(const Member& record);
+    void handleReply(const StoreReply& reply);
+    void handlePromise(absl::string_view from, absl::string_view bytes);
+    void handleKnownVersion(uint64_t version);
+    void noteActivity(Instant now);
+    void renew(Instant now);
+    void writeIfDue(Instant now);
+    void registerSelf(Instant now);
+    void write(Member content, uint64_t baseIndex, Instant now);
+    void adopt(const Member& record, Instant askedAt);
+    void lose();
+    bool mayRegister() const;
+    bool ownWriteDue(Instant now) const;
+    bool countsPromisesOf(const EntryId& guardian) const;
+    Member nextContent();
+
+    const Settings& m_settings;
+    Store& m_store;
+    PeerBus& m_peers;
+    Membership& m_membership;
+    ConfigWatch& m_watch;
+    const Clock& m_clock;
+    IncarnationSource m_newIncarnation;
+
+    /** The own record as last known for certain; nothing before it is stored and after it has been ended. */
+    std::optional<Member> m_record;
+    std::vector<EntryId> m_wantedGuardians;
+    /** No record of this run can have an index as low as this. */
+    uint64_t m_indexFloor = 0;
+    /** False when the record's index is not known, because a write was confirmed otherwise than by reading. */
+    bool m_indexKnown = false;
+    std::optional<PendingWrite> m_pending;
+    bool m_calling = false;
+    Instant m_nextWrite = absl::ZeroDuration();
+    Instant m_nextRenewal = absl::ZeroDuration();
+    Instant m_nextRefresh = absl::ZeroDuration();
+    Instant m_ownWriteUntil = -absl::InfiniteDuration();
+    absl::btree_map<EntryId, Instant> m_promises;
+    std::deque<SentRenewal> m_renewals;
+    uint64_t m_nextSequence = 1;
+    std::optional<Instant> m_activeSince;
+    bool m_stopping = false;
+    bool m_ending = false;
+    bool m_ended = false;
+};
+
+} // namespace cicada
--- a/src/ConfigWatch.cpp
+++ b/src/ConfigWatch.cpp
@@ -15,8 +15,23 @@
     m_store.watch(configPrefix, [this](absl::Span<const StoreEntry> entries) { deliver(entries); });
 }
 
+void ConfigWatch::refresh()
+{
+    if (m_refreshing)
+        return;
+    m_refreshing = true;
+    m_store.list(configPrefix, [this, before = m_snapshots](const StoreReply& reply) {
+        m_refreshing = false;
+        const bool answered = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Missing;
+        // Had the watch reported meanwhile, this might be older than what it told.
+        if (answered && before == m_snapshots)
+            deliver(reply.entries);
+    });
+}
+
 void ConfigWatch::deliver(absl::Span<const StoreEntry> entries)
 {
+    ++m_snapshots;
     for (auto& [prefix, callback] : m_subscribers) {
         std::vector<StoreEntry> part;
         for (const StoreEntry& entry : entries) {
--- a/src/ConfigWatch.h
+++ b/src/ConfigWatch.h
@@ -30,12 +30,19 @@
     void subscribe(absl::string_view part, Callback callback);
     /** Begins the watch. */
     void start();
+    /** Reads everything once, for whoever must know now and can't wait for the watch; one read at a time. */
+    void refresh();
+    /** How many snapshots have been delivered. Each is of one instant in the store, and all subscribers get their parts
+     * of it in turn. After a refresh one may be older than the one before it. */
+    uint64_t snapshots() const { return m_snapshots; }
 
 private:
     void deliver(absl::Span<const StoreEntry> entries);
 
     Store& m_store;
     std::vector<std::pair<std::string, Callback>> m_subscribers;
+    uint64_t m_snapshots = 0;
+    bool m_refreshing = false;
 };
 
 } // namespace cicada
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -2,14 +2,17 @@
 
 #include "ConfigWatch.h"
 #include "Frontend.h"
-#include "HashedOwnership.h"
+#include "Guardianship.h"
 #include "HttpStore.h"
 #include "Membership.h"
+#include "OwnershipTable.h"
 #include "ProfileRoutes.h"
 #include "StatusRoutes.h"
 #include "TcpPeerBus.h"
 #include "VmListWatcher.h"
 
+#include "absl/random/random.h"
+
 #include <glog/logging.h>
 
 namespace cicada {
@@ -18,6 +21,16 @@
 
     constexpr size_t loopCapacity = 65536;
     constexpr absl::Duration stopPoll = absl::Milliseconds(20);
+    /** How long a planned stop tries to hand over; after that the others end this entry as a dead one. */
+    constexpr absl::Duration handoverTimeout = absl::Seconds(5);
+
+    uint64_t randomIncarnation()
+    {
+        // Any number will do that no other run has; JSON readers keep 53 bits exactly.
+        constexpr uint64_t maxIncarnation = (1ULL << 53) - 1;
+        static absl::BitGen random;
+        return absl::Uniform<uint64_t>(absl::IntervalClosed, random, 1, maxIncarnation);
+    }
 
 } // namespace
 
@@ -40,7 +53,9 @@
     Frontend* frontend = nullptr;
     std::unique_ptr<ConfigWatch> watch;
     std::unique_ptr<Membership> membership;
-    std::unique_ptr<HashedOwnership> ownership;
+    std::unique_ptr<Authority> authority;
+    std::unique_ptr<Guardianship> guardianship;
+    std::unique_ptr<OwnershipTable> ownership;
     std::unique_ptr<SlotLedger> ledger;
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<ProfileBook> profiles;
@@ -71,8 +86,13 @@
     VmListWatcher* vmList = nullptr;
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<VmListWatcher>(s.vmList, *p.loop, p.backEnds), vmList));
     p.watch = std::make_unique<ConfigWatch>(*p.store);
-    p.membership = std::make_unique<Membership>(s, *p.store, *p.peers, *p.watch, p.clock);
-    p.ownership = std::make_unique<HashedOwnership>(s, *p.membership, p.backEnds, p.clock);
+    p.membership = std::make_unique<Membership>(*p.peers, *p.watch);
+    p.authority = std::make_unique<Authority>(
+        s, *p.store, *p.peers, *p.membership, *p.watch, p.clock, [] { return randomIncarnation(); });
+    p.guardianship
+        = std::make_unique<Guardianship>(s, *p.store, *p.peers, *p.membership, *p.watch, p.clock, *p.authority);
+    p.ownership
+        = std::make_unique<OwnershipTable>(s, *p.store, *p.membership, *p.watch, p.backEnds, p.clock, *p.authority);
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
@@ -81,13 +101,15 @@
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
     addStatusRoutes(*p.frontend,
-        { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.dispatcher, *p.profiles, *p.store,
-            *p.peers, p.metrics });
+        { s, *p.loop, *p.membership, *p.authority, p.clock, *p.ownership, *p.ledger, p.backEnds, *p.dispatcher,
+            *p.profiles, *p.store, *p.peers, p.metrics });
     p.loop->onTick([&p](Instant now) {
-        p.membership->tick(now);
+        p.authority->tick(now);
+        p.guardianship->tick(now);
+        p.ownership->tick(now);
         p.dispatcher->tick(now);
         p.profiles->tick(now);
-        p.frontend->setReady(p.membership->registered() && p.profiles->version() > 0);
+        p.frontend->setReady(p.authority->registered() && p.profiles->version() > 0);
     });
     return std::unique_ptr<Entry>(new Entry(std::move(parts)));
 }
@@ -107,10 +129,7 @@
 {
     Parts& p = *m_parts;
     BOOST_OUTCOME_TRY(p.kernel.start());
-    p.loop->postMust([&p] {
-        p.watch->start();
-        p.membership->start();
-    });
+    p.loop->postMust([&p] { p.watch->start(); });
     return success();
 }
 
@@ -122,7 +141,25 @@
     while (p.frontend->inFlight() > 0 && p.clock.now() < giveUp)
         absl::SleepFor(stopPoll);
     LOG(INFO) << "stopping with " << p.frontend->inFlight() << " requests in flight";
+    handOver();
     p.kernel.stop();
 }
 
+void Entry::handOver()
+{
+    Parts& p = *m_parts;
+    p.loop->call([&p] { p.ownership->leave(); });
+    const Instant giveUp = p.clock.now() + handoverTimeout;
+    bool left = false;
+    size_t remaining = 0;
+    while (!left && p.clock.now() < giveUp) {
+        absl::SleepFor(stopPoll);
+        p.loop->call([&] {
+            left = p.ownership->left();
+            remaining = p.ownership->remaining();
+        });
+    }
+    LOG_IF(WARNING, !left) << "stopping with " << remaining << " groups not handed over";
+}
+
 } // namespace cicada
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -22,13 +22,15 @@
 
     /** Binds the addresses and starts all services. */
     Result<void> start();
-    /** A planned stop: takes nothing new, lets what is in flight finish, at most for the settings' stopTimeout. */
+    /** A planned stop: takes nothing new, lets what is in flight finish, at most for the settings' stopTimeout, and
+     * hands what it owns to other entries. */
     void stop();
 
 private:
     struct Parts;
 
     explicit Entry(std::unique_ptr<Parts> parts);
+    void handOver();
 
     std::unique_ptr<Parts> m_parts;
 };
--- /dev/null
+++ b/src/GuardianChoice.cpp
@@ -0,0 +1,91 @@
+#include "GuardianChoice.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    using Chosen = std::vector<const Member*>;
+    using Choices = absl::flat_hash_map<const Member*, Chosen>;
+
+    uint64_t position(const Member& member) { return XXH3_64bits(member.name.data(), member.name.size()); }
+
+    bool contains(const Chosen& list, const Member* member)
+    {
+        return std::find(list.begin(), list.end(), member) != list.end();
+    }
+
+    /** The members that have not ended, in a ring whose order has nothing to do with where they are. */
+    Chosen ringOf(absl::Span<const Member> members)
+    {
+        Chosen ring;
+        for (const Member& member : members) {
+            if (member.state != MemberState::Ended)
+                ring.push_back(&member);
+        }
+        std::sort(ring.begin(), ring.end(), [](const Member* a, const Member* b) {
+            return std::make_pair(position(*a), a->name) < std::make_pair(position(*b), b->name);
+        });
+        return ring;
+    }
+
+    /** How badly `candidate` fits as a further guardian of `holder`; less is better. */
+    int misfit(const Member& holder, const Member& candidate, const Choices& choices, const Chosen& chosen)
+    {
+        auto back = choices.find(&candidate);
+        const bool mutual = back != choices.end() && contains(back->second, &holder);
+        const bool sameDomain = candidate.failureDomain == holder.failureDomain;
+        const bool repeated = std::any_of(chosen.begin(), chosen.end(),
+            [&](const Member* other) { return other->failureDomain == candidate.failureDomain; });
+        return (sameDomain ? 4 : 0) + (mutual ? 2 : 0) + (repeated ? 1 : 0);
+    }
+
+    /** The best fitting one, and of those the next in the ring. */
+    const Member* nextGuardian(const Chosen& ring, size_t holder, const Choices& choices, const Chosen& chosen)
+    {
+        const Member* best = nullptr;
+        int bestMisfit = 0;
+        for (size_t step = 1; step < ring.size(); ++step) {
+            const Member* candidate = ring[(holder + step) % ring.size()];
+            if (candidate->state != MemberState::Live || contains(chosen, candidate))
+                continue;
+            const int itsMisfit = misfit(*ring[holder], *candidate, choices, chosen);
+            if (!best || itsMisfit < bestMisfit) {
+                best = candidate;
+                bestMisfit = itsMisfit;
+            }
+        }
+        return best;
+    }
+
+} // namespace
+
+std::vector<EntryId> chooseGuardians(absl::string_view self, absl::Span<const Member> members)
+{
+    const Chosen ring = ringOf(members);
+    Choices choices;
+    std::vector<EntryId> result;
+    for (size_t i = 0; i < ring.size(); ++i) {
+        Chosen chosen;
+        while (chosen.size() < maxGuardians) {
+            const Member* guardian = nextGuardian(ring, i, choices, chosen);
+            if (!guardian)
+                break;
+            chosen.push_back(guardian);
+        }
+        if (ring[i]->name == self) {
+            for (const Member* guardian : chosen)
+                result.push_back(guardian->id());
+        }
+        choices[ring[i]] = std::move(chosen);
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+} // namespace cicada
--- a/src/HashedOwnership.cpp
+++ b/src/HashedOwnership.cpp
@@ -16,7 +16,8 @@
     {
         const Member* best = nullptr;
         for (const Member& member : members) {
-            if (!region.empty() && member.region != region)
+            const bool outside = !region.empty() && member.region != region;
+            if (outside || member.state == MemberState::Ended)
                 continue;
             if (!best || weight(group, member.name) > weight(group, best->name))
                 best = &member;
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -4,83 +4,127 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 namespace cicada {
 
 namespace {
 
-    constexpr absl::Duration retryDelay = absl::Milliseconds(300);
+    using Internal::Json;
 
-    std::string memberKey(absl::string_view name) { return absl::StrCat(configPrefix, "members/", name); }
+    Json encodeIds(absl::Span<const EntryId> ids)
+    {
+        Json list = Json::array();
+        for (const EntryId& id : ids)
+            list.push_back({ id.name, id.incarnation });
+        return list;
+    }
 
-    std::string encode(const Settings& settings)
+    std::vector<EntryId> decodeIds(const Json& list)
     {
-        return Internal::Json {
-            { "name", settings.name }, { "address", toString(settings.peers) }, { "region", settings.region },
-            { "failureDomain", settings.failureDomain }
-        }.dump();
+        std::vector<EntryId> ids;
+        for (const auto& item : list)
+            ids.push_back({ item.at(0).get<std::string>(), item.at(1).get<uint64_t>() });
+        return ids;
     }
 
-    bool decode(const std::string& text, Member& member)
+    MemberState decodeState(absl::string_view name)
     {
-        const auto document = Internal::Json::parse(text, nullptr, false);
-        if (!document.is_object())
-            return false;
-        member.name = document.value("name", "");
-        member.address = document.value("address", "");
-        member.region = document.value("region", "");
-        member.failureDomain = document.value("failureDomain", "");
-        return !member.name.empty();
+        for (MemberState state : { MemberState::Live, MemberState::Stopping }) {
+            if (memberStateName(state) == name)
+                return state;
+        }
+        return MemberState::Ended;
     }
 
 } // namespace
 
-Membership::Membership(const Settings& settings, Store& store, PeerBus& peers, ConfigWatch& watch, const Clock& clock)
-    : m_settings(settings)
-    , m_store(store)
-    , m_peers(peers)
-    , m_clock(clock)
+absl::string_view memberStateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Live:
+        return "live";
+    case MemberState::Stopping:
+        return "stopping";
+    case MemberState::Ended:
+        return "ended";
+    }
+    return "ended";
+}
+
+std::string memberKey(absl::string_view name) { return absl::StrCat(configPrefix, "members/", name); }
+
+std::string encode(const Member& member)
+{
+    return Json {
+        { "name", member.name }, { "incarnation", member.incarnation }, { "version", member.version },
+        { "state", std::string(memberStateName(member.state)) }, { "guardians", encodeIds(member.guardians) },
+        { "lapses", encodeIds(member.lapses) }, { "address", member.address }, { "region", member.region },
+        { "failureDomain", member.failureDomain }
+    }.dump();
+}
+
+std::optional<Member> decodeMember(absl::string_view text)
+{
+    try {
+        const auto document = Json::parse(text.begin(), text.end());
+        Member member;
+        member.name = document.at("name").get<std::string>();
+        member.incarnation = document.at("incarnation").get<uint64_t>();
+        member.version = document.at("version").get<uint64_t>();
+        member.state = decodeState(document.at("state").get<std::string>());
+        member.guardians = decodeIds(document.at("guardians"));
+        member.lapses = decodeIds(document.at("lapses"));
+        member.address = document.at("address").get<std::string>();
+        member.region = document.at("region").get<std::string>();
+        member.failureDomain = document.at("failureDomain").get<std::string>();
+        return member;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+Membership::Membership(PeerBus& peers, ConfigWatch& watch)
+    : m_peers(peers)
 {
     watch.subscribe("members/", [this](absl::Span<const StoreEntry> entries) { handleEntries(entries); });
 }
 
-void Membership::start() { registerSelf(); }
+const Member* Membership::find(absl::string_view name) const
+{
+    auto it = std::find_if(m_members.begin(), m_members.end(), [name](const Member& m) { return m.name == name; });
+    return it == m_members.end() ? nullptr : &*it;
+}
 
-void Membership::tick(Instant now)
+bool Membership::isGone(const EntryId& id) const
 {
-    if (!m_registered && !m_registering && now >= m_nextAttempt)
-        registerSelf();
+    if (!m_known)
+        return false;
+    const Member* member = find(id.name);
+    return !member || member->incarnation != id.incarnation || member->state == MemberState::Ended;
 }
 
-void Membership::registerSelf()
+size_t Membership::rank(absl::string_view name) const
 {
-    m_registering = true;
-    const std::string key = memberKey(m_settings.name);
-    m_store.get(key, [this, key](const StoreReply& reply) {
-        if (reply.status == StoreStatus::Unavailable) {
-            m_registering = false;
-            m_nextAttempt = m_clock.now() + retryDelay;
-            return;
-        }
-        const uint64_t index = reply.entries.empty() ? 0 : reply.entries[0].index;
-        m_store.put(key, encode(m_settings), index, [this](const StoreReply& written) {
-            m_registering = false;
-            m_registered = written.status == StoreStatus::Ok;
-            m_nextAttempt = m_clock.now() + retryDelay;
-        });
-    });
+    return std::count_if(m_members.begin(), m_members.end(),
+        [name](const Member& m) { return m.state != MemberState::Ended && m.name < name; });
 }
 
 void Membership::handleEntries(absl::Span<const StoreEntry> entries)
 {
+    m_known = true;
     m_members.clear();
     std::vector<PeerAddress> peers;
     for (const StoreEntry& entry : entries) {
-        Member member;
-        if (!decode(entry.value, member))
+        auto member = decodeMember(entry.value);
+        if (!member || memberKey(member->name) != entry.key)
             continue;
-        peers.push_back({ member.name, member.address, member.region });
-        m_members.push_back(std::move(member));
+        member->index = entry.index;
+        if (member->state != MemberState::Ended)
+            peers.push_back({ member->name, member->address, member->region });
+        m_members.push_back(std::move(*member));
     }
+    std::sort(m_members.begin(), m_members.end(), [](const Member& a, const Member& b) { return a.name < b.name; });
     m_peers.setPeers(peers);
     for (auto& observer : m_observers)
         observer();
--- /dev/null
+++ b/src/OwnershipPlan.cpp
@@ -0,0 +1,127 @@
+#include "OwnershipPlan.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    /** Groups of one kind are spread by themselves: "executor", "rack" or "claims". */
+    absl::string_view kindOf(absl::string_view group) { return group.substr(0, group.find('/')); }
+
+    /** How many groups each live entry owns, by kind and in all. */
+    class Loads {
+    public:
+        Loads(const OwnershipRows& rows, const Membership& membership)
+        {
+            for (const Member& member : membership.members()) {
+                if (member.state == MemberState::Live)
+                    m_live[member.id()] = member.region;
+            }
+            for (const auto& [group, row] : rows)
+                add(row.owner, group, 1);
+        }
+
+        void add(const EntryId& owner, absl::string_view group, int by)
+        {
+            m_ofKind[{ owner, std::string(kindOf(group)) }] += by;
+            m_all[owner] += by;
+        }
+
+        /** Fewer of the group's kind first, then fewer in all, then by name. */
+        auto weight(const EntryId& entry, absl::string_view group) const
+        {
+            auto ofKind = m_ofKind.find({ entry, std::string(kindOf(group)) });
+            auto all = m_all.find(entry);
+            return std::make_tuple(
+                ofKind == m_ofKind.end() ? 0 : ofKind->second, all == m_all.end() ? 0 : all->second, entry.name);
+        }
+
+        bool isLive(const EntryId& entry) const { return m_live.contains(entry); }
+        std::string regionOf(const EntryId& entry) const
+        {
+            auto it = m_live.find(entry);
+            return it == m_live.end() ? "" : it->second;
+        }
+
+        bool anyIn(absl::string_view region) const
+        {
+            return std::any_of(
+                m_live.begin(), m_live.end(), [region](const auto& item) { return item.second == region; });
+        }
+
+        /** The least loaded live entry of `region`, or of all regions when none is live there; else null. */
+        const EntryId* leastLoaded(absl::string_view group, absl::string_view region) const
+        {
+            const bool anywhere = region.empty() || !anyIn(region);
+            const EntryId* best = nullptr;
+            for (const auto& [entry, itsRegion] : m_live) {
+                if (!anywhere && itsRegion != region)
+                    continue;
+                if (!best || weight(entry, group) < weight(*best, group))
+                    best = &entry;
+            }
+            return best;
+        }
+
+    private:
+        absl::btree_map<EntryId, std::string> m_live;
+        absl::btree_map<std::pair<EntryId, std::string>, int> m_ofKind;
+        absl::btree_map<EntryId, int> m_all;
+    };
+
+    void moveTo(Loads& loads, OwnershipMoves& moves, const std::string& group, const EntryId& from, const EntryId& to)
+    {
+        loads.add(from, group, -1);
+        loads.add(to, group, 1);
+        moves[group] = to;
+    }
+
+    /** True when `self` should hand the group to `other`, who is the least loaded for it. */
+    bool shouldHandOver(const Loads& loads, const std::string& group, const OwnershipRow& row, const EntryId& other)
+    {
+        if (other == row.owner)
+            return false;
+        if (!loads.isLive(row.owner))
+            return true;
+        const bool misplaced
+            = !row.region.empty() && loads.regionOf(row.owner) != row.region && loads.regionOf(other) == row.region;
+        const int own = std::get<0>(loads.weight(row.owner, group));
+        const int others = std::get<0>(loads.weight(other, group));
+        return misplaced || own - others >= 2;
+    }
+
+} // namespace
+
+OwnershipMoves planOrphans(const OwnershipRows& rows, const GroupRegions& groups, const Membership& membership)
+{
+    Loads loads(rows, membership);
+    OwnershipMoves moves;
+    for (const auto& [group, row] : rows) {
+        const EntryId* heir = membership.isGone(row.owner) ? loads.leastLoaded(group, row.region) : nullptr;
+        if (heir)
+            moveTo(loads, moves, group, row.owner, *heir);
+    }
+    for (const auto& [group, region] : groups) {
+        const EntryId* owner = rows.contains(group) ? nullptr : loads.leastLoaded(group, region);
+        if (owner)
+            moveTo(loads, moves, group, {}, *owner);
+    }
+    return moves;
+}
+
+OwnershipMoves planHandovers(const OwnershipRows& rows, const Membership& membership, const EntryId& self)
+{
+    Loads loads(rows, membership);
+    OwnershipMoves moves;
+    for (const auto& [group, row] : rows) {
+        if (row.owner != self)
+            continue;
+        const EntryId* other = loads.leastLoaded(group, row.region);
+        if (other && shouldHandOver(loads, group, row, *other))
+            moveTo(loads, moves, group, self, *other);
+    }
+    return moves;
+}
+
+} // namespace cicada
--- a/src/StatusRoutes.cpp
+++ b/src/StatusRoutes.cpp
@@ -17,12 +17,28 @@
             { "leaving", backEnd.leaving } };
     }
 
+    Json authorityJson(const StatusSources& sources)
+    {
+        const absl::Duration remaining = sources.authority.until() - sources.clock.now();
+        Json guardians = Json::array();
+        for (const EntryId& guardian : sources.authority.guardians())
+            guardians.push_back(guardian.name);
+        return { { "incarnation", sources.authority.self().incarnation },
+            { "remainingMs", std::max<int64_t>(0, absl::ToInt64Milliseconds(remaining)) }, { "guardians", guardians } };
+    }
+
+    Json memberJson(const Member& member)
+    {
+        return { { "name", member.name }, { "region", member.region }, { "failureDomain", member.failureDomain },
+            { "address", member.address }, { "state", std::string(memberStateName(member.state)) },
+            { "incarnation", member.incarnation }, { "version", member.version } };
+    }
+
     Json statusJson(const StatusSources& sources)
     {
         Json members = Json::array();
         for (const Member& member : sources.membership.members())
-            members.push_back({ { "name", member.name }, { "region", member.region },
-                { "failureDomain", member.failureDomain }, { "address", member.address } });
+            members.push_back(memberJson(member));
         Json backEnds = Json::array();
         for (const BackEnd& backEnd : sources.backEnds.all())
             backEnds.push_back(backEndJson(sources, backEnd));
@@ -34,6 +50,7 @@
             { "version", CICADA_VERSION },
             { "profileVersion", sources.profiles.version() },
             { "queued", sources.dispatcher.queued() },
+            { "authority", authorityJson(sources) },
             { "members", members },
             { "backEnds", backEnds },
             { "store",
--- a/src/StatusRoutes.h
+++ b/src/StatusRoutes.h
@@ -4,6 +4,7 @@
  * What an entry tells of itself: its status for operators and its metrics for scrapers.
  */
 
+#include "Authority.h"
 #include "BackEnds.h"
 #include "Dispatcher.h"
 #include "Frontend.h"
@@ -20,6 +21,8 @@
     const Settings& settings;
     Loop& loop;
     Membership& membership;
+    const Authority& authority;
+    const Clock& clock;
     const Ownership& ownership;
     const SlotLedger& ledger;
     const BackEnds& backEnds;
--- a/test/support/FakeWorld.cpp
+++ b/test/support/FakeWorld.cpp
@@ -138,8 +138,9 @@
         if (absl::StartsWith(key, m_watchPrefix))
             entries.push_back(entry);
     }
-    m_world->scheduleOn(
-        *this, m_world->randomDelay(maxStoreDelay), [this, entries = std::move(entries)] { m_watch(entries); });
+    // One watch is one stream: what it tells never overtakes what it told before.
+    m_watchDue = std::max(m_watchDue, m_world->now() + m_world->randomDelay(maxStoreDelay));
+    m_world->scheduleOn(*this, m_watchDue - m_world->now(), [this, entries = std::move(entries)] { m_watch(entries); });
 }
 
 FakeWorld::FakeWorld(uint64_t seed)
--- a/test/support/FakeWorld.h
+++ b/test/support/FakeWorld.h
@@ -72,6 +72,7 @@
     std::vector<std::string> m_peers;
     std::string m_watchPrefix;
     absl::AnyInvocable<void(absl::Span<const StoreEntry>)> m_watch;
+    absl::Duration m_watchDue = absl::ZeroDuration();
     bool m_paused = false;
     bool m_dead = false;
     std::vector<std::function<void()>> m_held;
