Owners recover, probe and set aside their executors; planned stops

Cause: a slot whose run's end was lost leaked, an heir knew nothing of what ran, and an executor that failed everything went on getting work. The owner now presents its epoch, lists what runs, and frees a slot only when the executor says that the run ended or refuses to start it. Profiles and planned stops share one configuration document: compare-and-swap, change ids, spread by peers.

--- /dev/null
+++ b/src/ConfigDocument.cpp
@@ -0,0 +1,197 @@
+#include "ConfigDocument.h"
+
+#include "Json.h"
+#include "Pack.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    using Internal::Json;
+
+    constexpr absl::Duration retryDelay = absl::Milliseconds(200);
+    /** Changes are recognised when they are sent again, as long as no more than this many came after them. */
+    constexpr size_t rememberedChanges = 256;
+
+} // namespace
+
+/** The document as it is stored. */
+struct ConfigDocument::Content {
+    uint64_t version = 0;
+    std::vector<std::string> recentChanges;
+    std::string body;
+
+    static bool decode(absl::string_view text, Content& content)
+    {
+        const Json document = Json::parse(text.begin(), text.end(), nullptr, false);
+        if (!document.is_object())
+            return false;
+        try {
+            content.version = document.at("version").get<uint64_t>();
+            content.recentChanges = document.at("recentChanges").get<std::vector<std::string>>();
+            content.body = document.at("body").dump();
+        } catch (const Json::exception&) {
+            return false;
+        }
+        return true;
+    }
+
+    std::string encode() const
+    {
+        return Json {
+            { "version", version }, { "recentChanges", recentChanges }, { "body", Json::parse(body) }
+        }.dump();
+    }
+
+    bool includes(const std::string& changeId) const
+    {
+        return std::find(recentChanges.begin(), recentChanges.end(), changeId) != recentChanges.end();
+    }
+
+    void remember(const std::string& changeId)
+    {
+        recentChanges.push_back(changeId);
+        if (recentChanges.size() > rememberedChanges)
+            recentChanges.erase(recentChanges.begin());
+    }
+};
+
+struct ConfigDocument::Pending {
+    std::string changeId;
+    Edit edit;
+    ChangeCallback callback;
+    Instant giveUp;
+    Instant retryAt;
+};
+
+ConfigDocument::ConfigDocument(std::string name, Store& store, PeerBus& peers, ConfigWatch& watch, const Clock& clock)
+    : m_name(std::move(name))
+    , m_key(absl::StrCat(configPrefix, m_name))
+    , m_service(absl::StrCat("config-", m_name))
+    , m_store(store)
+    , m_peers(peers)
+    , m_clock(clock)
+{
+    watch.subscribe(m_name, [this](absl::Span<const StoreEntry> entries) {
+        for (const StoreEntry& entry : entries) {
+            if (entry.key == m_key)
+                adopt(entry.value);
+        }
+    });
+    m_peers.handle(m_service, [this](absl::string_view from, absl::string_view bytes) { handlePeer(from, bytes); });
+}
+
+ConfigDocument::~ConfigDocument() = default;
+
+void ConfigDocument::change(std::string changeId, Edit edit, ChangeCallback callback)
+{
+    auto pending = std::make_shared<Pending>();
+    pending->changeId = std::move(changeId);
+    pending->edit = std::move(edit);
+    pending->callback = std::move(callback);
+    pending->giveUp = m_clock.now() + changeTimeout;
+    attempt(pending);
+}
+
+void ConfigDocument::attempt(const PendingPtr& pending)
+{
+    m_store.get(m_key, [this, pending](const StoreReply& reply) { handleCurrent(pending, reply); });
+}
+
+void ConfigDocument::handleCurrent(const PendingPtr& pending, const StoreReply& reply)
+{
+    if (reply.status == StoreStatus::Unavailable)
+        return retryLater(pending);
+    Content content;
+    uint64_t index = 0;
+    if (!reply.entries.empty()) {
+        index = reply.entries[0].index;
+        if (!Content::decode(reply.entries[0].value, content))
+            return pending->callback(
+                Error { ErrorKind::Internal, absl::StrCat("The value of ", m_key, " in the store can't be read."),
+                    "Restore it from a backup, or delete it to start afresh." });
+        adopt(reply.entries[0].value);
+    }
+    // A change whose reply was lost is found already made.
+    if (content.includes(pending->changeId))
+        return pending->callback(content.version);
+    auto body = pending->edit(content.body, content.version + 1);
+    if (!body)
+        return pending->callback(body.error());
+    ++content.version;
+    content.remember(pending->changeId);
+    content.body = std::move(body.value());
+    const std::string text = content.encode();
+    m_store.put(m_key, text, index, [this, pending, text, version = content.version](const StoreReply& written) {
+        if (written.status != StoreStatus::Ok)
+            return retryLater(pending);
+        adopt(text);
+        for (const std::string& peer : m_peers.peerNames())
+            sendText(peer);
+        pending->callback(version);
+    });
+}
+
+void ConfigDocument::retryLater(const PendingPtr& pending)
+{
+    const Instant now = m_clock.now();
+    if (now >= pending->giveUp) {
+        pending->callback(Error { ErrorKind::StoreUnavailable,
+            "The store did not confirm the change in time; it may or may not have been made.",
+            "Send it again with the same change id: it is then made at most once." });
+        return;
+    }
+    pending->retryAt = now + retryDelay;
+    m_waiting.push_back(pending);
+}
+
+bool ConfigDocument::adopt(absl::string_view text)
+{
+    Content content;
+    if (!Content::decode(text, content) || content.version <= m_version)
+        return false;
+    m_version = content.version;
+    m_text = std::string(text);
+    if (m_observer)
+        m_observer(content.body, m_version);
+    return true;
+}
+
+void ConfigDocument::sendText(absl::string_view peer)
+{
+    m_peers.send(peer, m_service, Internal::packFields(m_version, m_text));
+}
+
+/** A peer sends its version alone as a beacon, and the text as well when it knows that ours is older. */
+void ConfigDocument::handlePeer(absl::string_view from, absl::string_view bytes)
+{
+    uint64_t version = 0;
+    std::string text;
+    if (!Internal::unpackFields(bytes, m_service, version, text))
+        return;
+    if (!text.empty())
+        adopt(text);
+    else if (version < m_version)
+        sendText(from);
+}
+
+void ConfigDocument::tick(Instant now)
+{
+    std::vector<PendingPtr> waiting;
+    waiting.swap(m_waiting);
+    for (auto& pending : waiting) {
+        if (now >= pending->retryAt)
+            attempt(pending);
+        else
+            m_waiting.push_back(pending);
+    }
+    if (now < m_nextSpread)
+        return;
+    m_nextSpread = now + spreadInterval;
+    for (const std::string& peer : m_peers.peerNames())
+        m_peers.send(peer, m_service, Internal::packFields(m_version, std::string()));
+}
+
+} // namespace cicada
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -73,30 +73,36 @@
     pump(service);
 }
 
-void Dispatcher::finished(const StartGrant& grant)
+void Dispatcher::finished(const StartGrant& grant, const RunReport& report)
 {
     if (grant.owner != m_self) {
-        m_peers.send(grant.owner, doneService, encode(PlaceDone { grant.id }));
+        m_peers.send(grant.owner, doneService, encode(PlaceDone { grant.id, report }));
         return;
     }
-    releaseSlot(grant.id);
+    settleSlot(grant.id, report);
 }
 
-void Dispatcher::releaseSlot(uint64_t grantId)
+void Dispatcher::settleSlot(uint64_t grantId, const RunReport& report)
 {
     const SlotGrant* grant = m_ledger.find(grantId);
     if (!grant)
         return;
     const BackEnd* backEnd = m_backEnds.find(grant->executor);
-    m_ledger.release(grantId);
+    m_ledger.finish(grantId, report);
     if (backEnd)
         pump(backEnd->service);
 }
 
+void Dispatcher::pumpAll()
+{
+    for (auto& [service, queue] : m_queues)
+        pump(service);
+}
+
 void Dispatcher::handleDone(absl::string_view bytes)
 {
     if (auto done = decodePlaceDone(bytes))
-        releaseSlot(done.value().grantId);
+        settleSlot(done.value().grantId, done.value().report);
 }
 
 bool Dispatcher::cancel(absl::string_view requestId)
@@ -200,7 +206,7 @@
     auto address = reply.granted ? parseEndpoint(reply.address) : Result<Endpoint>(Endpoint {});
     if (!waiting || waiting->decided || !address) {
         if (reply.granted)
-            m_peers.send(from, doneService, encode(PlaceDone { reply.grantId }));
+            m_peers.send(from, doneService, encode(PlaceDone { reply.grantId, { RunVerdict::NotStarted, {} } }));
         return;
     }
     waiting->askId = 0;
--- a/src/Dispatcher.h
+++ b/src/Dispatcher.h
@@ -49,8 +49,10 @@
 
     /** Queues a request. `decision` is called once: with a grant, or with the reason why there is none. */
     void submit(WorkItem item, Decision decision);
-    /** Gives back a slot whose run ended or was never sent. */
-    void finished(const StartGrant& grant);
+    /** Gives back a slot whose run ended or was never sent, and tells the owner how it went. */
+    void finished(const StartGrant& grant, const RunReport& report);
+    /** Looks for slots again, after something else than a finished run freed some. */
+    void pumpAll();
     /** Takes a request out of the queue; its decision is called with an error. False when it is not queued. */
     bool cancel(absl::string_view requestId);
     void tick(Instant now);
@@ -74,7 +76,7 @@
     void expire(Queue& queue, Instant now);
     void handleDigest(absl::string_view from, absl::string_view bytes);
     void handleDone(absl::string_view bytes);
-    void releaseSlot(uint64_t grantId);
+    void settleSlot(uint64_t grantId, const RunReport& report);
     void handleAsk(absl::string_view from, absl::string_view bytes);
     void handleReply(absl::string_view from, absl::string_view bytes);
     void sendDigest();
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -1,17 +1,21 @@
 #include "Entry.h"
 
 #include "ConfigWatch.h"
+#include "ExecutorHealth.h"
 #include "Frontend.h"
 #include "HashedOwnership.h"
 #include "HttpStore.h"
 #include "Membership.h"
 #include "ProfileRoutes.h"
 #include "StatusRoutes.h"
+#include "StopRoutes.h"
 #include "TcpPeerBus.h"
 #include "VmListWatcher.h"
 
 #include <glog/logging.h>
 
+#include <csignal>
+
 namespace cicada {
 
 namespace {
@@ -37,18 +41,38 @@
     HttpStore* store = nullptr;
     TcpPeerBus* peers = nullptr;
     SpanWriter* spans = nullptr;
+    HttpExecutorProbe* probe = nullptr;
     Frontend* frontend = nullptr;
     std::unique_ptr<ConfigWatch> watch;
     std::unique_ptr<Membership> membership;
     std::unique_ptr<HashedOwnership> ownership;
     std::unique_ptr<SlotLedger> ledger;
+    std::unique_ptr<ExecutorHealth> health;
     std::unique_ptr<Dispatcher> dispatcher;
+    std::unique_ptr<StopBook> stops;
     std::unique_ptr<ProfileBook> profiles;
     std::unique_ptr<RequestHandler> handler;
 };
 
 namespace {
 
+    /** What is in flight for a planned stop, as far as this entry accounts for it. */
+    template <typename Parts> std::optional<uint64_t> remainingWork(const Parts& p, const PlannedStop& stop)
+    {
+        if (stop.kind == StopKind::Entry) {
+            if (stop.target != p.settings.name)
+                return std::nullopt;
+            return p.frontend->inFlight();
+        }
+        std::optional<uint64_t> remaining;
+        for (const BackEnd& backEnd : p.backEnds.all()) {
+            const bool meant = stop.target == (stop.kind == StopKind::Rack ? backEnd.rack : backEnd.name);
+            if (meant && p.ownership->term(backEnd.group()))
+                remaining = remaining.value_or(0) + p.ledger->inUse(backEnd.name);
+        }
+        return remaining;
+    }
+
     /** Hands a service to the kernel and keeps a pointer to it. */
     template <typename T> Result<void> addService(Kernel& kernel, std::unique_ptr<T> service, T*& pointer)
     {
@@ -68,6 +92,7 @@
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpStore>(s.store, *p.loop), p.store));
     BOOST_OUTCOME_TRY(
         addService(p.kernel, std::make_unique<TcpPeerBus>(s.name, s.region, s.peers, p.clock, *p.loop), p.peers));
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpExecutorProbe>(*p.loop), p.probe));
     VmListWatcher* vmList = nullptr;
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<VmListWatcher>(s.vmList, *p.loop, p.backEnds), vmList));
     p.watch = std::make_unique<ConfigWatch>(*p.store);
@@ -75,18 +100,26 @@
     p.ownership = std::make_unique<HashedOwnership>(s, *p.membership, p.backEnds, p.clock);
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
+    p.stops = std::make_unique<StopBook>(StopBook::Parts { s, *p.store, *p.peers, *p.watch, p.backEnds, p.clock,
+        [&p](const PlannedStop& stop) { return remainingWork(p, stop); }, [] { raise(SIGTERM); } });
+    p.health = std::make_unique<ExecutorHealth>(
+        ExecutorHealth::Parts { p.backEnds, *p.ownership, *p.ledger, *p.probe, p.clock,
+            [&p](const BackEnd& backEnd) { return p.stops->isPlanned(backEnd); }, [&p] { p.dispatcher->pumpAll(); } });
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
     p.handler = std::make_unique<RequestHandler>(
         RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
+    addStopRoutes(*p.frontend, *p.loop, *p.stops);
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
     addStatusRoutes(*p.frontend,
-        { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.dispatcher, *p.profiles, *p.store,
-            *p.peers, p.metrics });
+        { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.health, *p.dispatcher, *p.profiles,
+            *p.store, *p.peers, p.metrics });
     p.loop->onTick([&p](Instant now) {
         p.membership->tick(now);
         p.dispatcher->tick(now);
         p.profiles->tick(now);
+        p.stops->tick(now);
+        p.health->tick(now);
         p.frontend->setReady(p.membership->registered() && p.profiles->version() > 0);
     });
     return std::unique_ptr<Entry>(new Entry(std::move(parts)));
--- /dev/null
+++ b/src/ExecutorHealth.h
@@ -0,0 +1,103 @@
+#pragma once
+
+/** \file
+ * What the owner of an executor makes sure of before and while it gives it work: that the executor refuses the former
+ * owner's starts, that what runs there already is accounted for, that a slot whose run's end was lost is freed only
+ * when the executor says so, and that an executor which fails everything, can't be reached or is leaving gets nothing.
+ */
+
+#include "ExecutorProbe.h"
+#include "SlotLedger.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+#include <functional>
+#include <string>
+
+namespace cicada {
+
+/** How an executor stands with its owner. */
+enum class ExecutorPhase {
+    /** Newly owned: what runs there is not known yet. */
+    Recovering,
+    Live,
+    /** It does not answer its owner. */
+    Unreachable,
+    /** It failed nearly everything; it rests before it is tried again. */
+    SetAside,
+    /** After its rest it gets one run at a time until one succeeds. */
+    OnTrial,
+};
+
+/** The phase as operators see it. */
+absl::string_view executorPhaseName(ExecutorPhase);
+
+/** Keeps the health of all own executors. Used on the decision thread only. */
+class ExecutorHealth final : public ExecutorAvailability {
+public:
+    struct Parts {
+        BackEnds& backEnds;
+        Ownership& ownership;
+        SlotLedger& ledger;
+        ExecutorProbe& probe;
+        const Clock& clock;
+        /** Whether an operator planned to stop the back end. */
+        std::function<bool(const BackEnd&)> stopPlanned;
+        /** Called when slots may have come free. */
+        std::function<void()> slotsFreed;
+    };
+
+    /** Everything in `parts` must outlive the health. */
+    explicit ExecutorHealth(Parts parts);
+
+    uint32_t usableSlots(const BackEnd& executor) const override;
+    void report(absl::string_view executor, const RunReport& report) override;
+    /** The phase of an own executor, or nothing when it is not owned here. */
+    std::optional<ExecutorPhase> phase(absl::string_view executor) const;
+    void tick(Instant now);
+
+    static constexpr absl::Duration probeInterval = absl::Seconds(2);
+    static constexpr absl::Duration probeIntervalWhileUnavailable = absl::Milliseconds(300);
+    /** Probes in a row without an answer before the executor counts as unreachable. */
+    static constexpr int maxMissedProbes = 2;
+    /** An executor is set aside when this many of its last `verdictWindow` runs failed. */
+    static constexpr size_t failuresToSetAside = 8;
+    static constexpr size_t verdictWindow = 10;
+    static constexpr absl::Duration firstRest = absl::Seconds(2);
+    static constexpr absl::Duration longestRest = absl::Seconds(60);
+    /** After a start's validity, how long its grant may stand before the executor is asked about it. */
+    static constexpr absl::Duration settleDelay = absl::Seconds(1);
+
+private:
+    struct State {
+        std::string group;
+        uint64_t epoch = 0;
+        ExecutorPhase phase = ExecutorPhase::Recovering;
+        bool probing = false;
+        Instant nextProbe = absl::ZeroDuration();
+        int missedProbes = 0;
+        /** The last verdicts as bits, newest lowest; 1 is a failure. */
+        uint32_t failures = 0;
+        absl::Duration rest = firstRest;
+        Instant restUntil = absl::ZeroDuration();
+    };
+
+    void handleOwnership(absl::string_view group, uint64_t epoch, bool owned);
+    void handleBackEnds();
+    void gain(const BackEnd& executor, uint64_t epoch);
+    void lose(absl::string_view executor);
+    void startProbe(const BackEnd& executor, State& state, Instant now);
+    void handleProbe(const std::string& executor, uint64_t epoch, Instant sentAt, const ProbeReply& reply);
+    void handleMissedProbe(State& state);
+    void recover(const BackEnd& executor, State& state, const ProbeReply& reply);
+    void reconcile(const BackEnd& executor, Instant sentAt, const ProbeReply& reply);
+    void settle(const BackEnd& executor, const SlotGrant& grant);
+    bool mayBeSetAside(absl::string_view executor) const;
+
+    Parts m_parts;
+    absl::flat_hash_map<std::string, State> m_states;
+    absl::flat_hash_set<uint64_t> m_settling;
+};
+
+} // namespace cicada
--- a/src/PlacementMessages.cpp
+++ b/src/PlacementMessages.cpp
@@ -14,7 +14,10 @@
     return packFields(m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch, m.startWithinMicros);
 }
 
-std::string encode(const PlaceDone& m) { return packFields(m.grantId); }
+std::string encode(const PlaceDone& m)
+{
+    return packFields(m.grantId, static_cast<uint8_t>(m.report.verdict), absl::ToInt64Microseconds(m.report.runTime));
+}
 
 std::string encode(const LoadDigest& m)
 {
@@ -42,7 +45,13 @@
 Result<PlaceDone> decodePlaceDone(absl::string_view bytes)
 {
     PlaceDone m;
-    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-done", m.grantId));
+    uint8_t verdict = 0;
+    int64_t runMicros = 0;
+    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-done", m.grantId, verdict, runMicros));
+    if (verdict > static_cast<uint8_t>(RunVerdict::Unsettled))
+        return Error { ErrorKind::MalformedMessage, "A place-done message has an unknown verdict.",
+            "Check that all entries run the same version." };
+    m.report = { static_cast<RunVerdict>(verdict), absl::Microseconds(runMicros) };
     return m;
 }
 
--- a/src/PlacementMessages.h
+++ b/src/PlacementMessages.h
@@ -6,6 +6,7 @@
  */
 
 #include "Error.h"
+#include "RunReport.h"
 #include "Settings.h"
 
 #include "absl/strings/string_view.h"
@@ -36,6 +37,7 @@
 /** "The run under this grant has ended, or was never started and never will be." */
 struct PlaceDone {
     uint64_t grantId = 0;
+    RunReport report;
 };
 
 /** Free slots and queued requests of one service at the sender. */
--- a/src/ProfileBook.h
+++ b/src/ProfileBook.h
@@ -1,19 +1,14 @@
 #pragma once
 
 /** \file
- * All profiles in force, as one book with one growing version. A change is accepted only when it is in the store; it
- * then also travels from peer to peer, so that an outage right after the acceptance holds nothing up.
+ * All profiles in force at this entry, drawn from the shared configuration document of the profiles.
  */
 
-#include "Clock.h"
-#include "ConfigWatch.h"
-#include "PeerBus.h"
+#include "ConfigDocument.h"
 #include "Profile.h"
 
 #include "absl/container/btree_map.h"
-#include "absl/functional/any_invocable.h"
 
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -24,8 +19,6 @@
     Profile profile;
     /** The book's version at this profile's last change; operators see it as the ETag. */
     uint64_t version = 0;
-    /** Names the change, so that one whose reply was lost is recognised when it is sent again. */
-    std::string changeId;
 };
 
 /** A change that an operator asks for. */
@@ -41,46 +34,22 @@
 /** The profiles in force at this entry. Used on the decision thread only. */
 class ProfileBook {
 public:
-    using ChangeCallback = absl::AnyInvocable<void(Result<uint64_t>)>;
-
     /** All arguments must outlive the book. */
     ProfileBook(Store&, PeerBus&, ConfigWatch&, const Clock&);
-    ~ProfileBook();
 
     const ProfileRecord* find(absl::string_view name) const;
     const absl::btree_map<std::string, ProfileRecord>& all() const { return m_profiles; }
     /** Grows with every accepted change and never goes back. */
-    uint64_t version() const { return m_version; }
+    uint64_t version() const { return m_document.version(); }
     /** Asks for a change; calls back with the new version, or with a Conflict that shows both sides. */
-    void change(ProfileChange change, ChangeCallback callback);
-    void tick(Instant now);
-
-    static constexpr absl::Duration spreadInterval = absl::Seconds(1);
-    /** How long a change is tried before its operator is told that the store is out. */
-    static constexpr absl::Duration changeTimeout = absl::Seconds(5);
+    void change(ProfileChange change, ConfigDocument::ChangeCallback callback);
+    void tick(Instant now) { m_document.tick(now); }
 
 private:
-    struct Pending;
-    using PendingPtr = std::shared_ptr<Pending>;
-
-    void attempt(const PendingPtr& pending);
-    void handleCurrent(const PendingPtr& pending, const StoreReply& reply);
-    void handleWritten(const PendingPtr& pending, const std::string& text, const StoreReply& reply);
-    void retryLater(const PendingPtr& pending);
-    Result<void> checkExpected(const Pending& pending) const;
-    bool adopt(absl::string_view text);
-    void spread();
-    void handlePeerBook(absl::string_view bytes);
-    void handlePeerVersion(absl::string_view from, absl::string_view bytes);
+    void adopt(const std::string& body);
 
-    Store& m_store;
-    PeerBus& m_peers;
-    const Clock& m_clock;
+    ConfigDocument m_document;
     absl::btree_map<std::string, ProfileRecord> m_profiles;
-    uint64_t m_version = 0;
-    std::string m_text;
-    std::vector<PendingPtr> m_waiting;
-    Instant m_nextSpread = absl::ZeroDuration();
 };
 
 } // namespace cicada
--- a/src/ProfileRoutes.cpp
+++ b/src/ProfileRoutes.cpp
@@ -1,12 +1,11 @@
 #include "ProfileRoutes.h"
 
 #include "Json.h"
-#include "Uuid.h"
+#include "OperatorCall.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
-#include "absl/synchronization/notification.h"
 
 namespace cicada {
 
@@ -75,25 +74,12 @@
         auto expected = expectedVersion(question);
         if (!expected)
             return problemAnswer(expected.error(), Outcome::NotRun);
-        ProfileChange change { question.matches[0], std::move(json), expected.value(),
-            question.header("Cicada-Change-Id") };
-        if (change.changeId.empty())
-            change.changeId = randomUuid();
-        struct Waiter {
-            absl::Notification done;
-            Result<uint64_t> result = uint64_t { 0 };
-        };
-        auto waiter = std::make_shared<Waiter>();
-        loop.postMust([&book, waiter, change] {
-            book.change(change, [waiter](Result<uint64_t> result) {
-                waiter->result = std::move(result);
-                waiter->done.Notify();
-            });
-        });
-        waiter->done.WaitForNotification();
-        if (!waiter->result)
-            return problemAnswer(waiter->result.error(), Outcome::NotRun);
-        const uint64_t version = waiter->result.value();
+        ProfileChange change { question.matches[0], std::move(json), expected.value(), Internal::changeIdOf(question) };
+        auto result = Internal::waitForChange(
+            loop, [&book, change](ConfigDocument::ChangeCallback done) { book.change(change, std::move(done)); });
+        if (!result)
+            return problemAnswer(result.error(), Outcome::NotRun);
+        const uint64_t version = result.value();
         return { 200, "application/json", Json { { "version", version }, { "changeId", change.changeId } }.dump(),
             { { "ETag", etag(version) } } };
     }
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -41,6 +41,16 @@
         return answer;
     }
 
+    RunVerdict verdictOf(const RunResult& result)
+    {
+        constexpr int firstServerError = 500;
+        if (result.end == RunEnd::Unknown)
+            return RunVerdict::Unsettled;
+        if (result.end == RunEnd::NotStarted)
+            return RunVerdict::NotStarted;
+        return result.status >= firstServerError ? RunVerdict::Failed : RunVerdict::Succeeded;
+    }
+
     Result<std::string> requestId(const CallerRequest& request, const Profile& profile)
     {
         if (request.id.empty() && profile.mayRunTwice)
@@ -100,8 +110,9 @@
         runSpan.attribute("executor", grant.value().executor);
         RunRequest run { grant.value(), item.requestId, request.contentType, toTraceparent(runSpan.context()),
             request.body, item.profile.maxRun };
+        const Instant sentAt = m_parts.clock.now();
         RunResult result = runOnExecutor(run, m_parts.clock);
-        giveBack(grant.value());
+        giveBack(grant.value(), { verdictOf(result), m_parts.clock.now() - sentAt });
         if (result.end == RunEnd::Answered)
             return ran(item.requestId, std::move(result));
         if (result.end == RunEnd::Unknown)
@@ -144,9 +155,9 @@
     return waiter->result;
 }
 
-void RequestHandler::giveBack(const StartGrant& grant)
+void RequestHandler::giveBack(const StartGrant& grant, const RunReport& report)
 {
-    m_parts.loop.postMust([this, grant] { m_parts.dispatcher.finished(grant); });
+    m_parts.loop.postMust([this, grant, report] { m_parts.dispatcher.finished(grant, report); });
 }
 
 } // namespace cicada
--- a/src/RequestHandler.h
+++ b/src/RequestHandler.h
@@ -62,7 +62,7 @@
     Result<Profile> lookUpProfile(const std::string& name);
     Result<StartGrant> place(const WorkItem& item);
     CallerAnswer runPlaced(const CallerRequest&, const WorkItem&, const TraceContext&);
-    void giveBack(const StartGrant& grant);
+    void giveBack(const StartGrant& grant, const RunReport& report);
 
     Parts m_parts;
 };
--- a/src/SlotLedger.cpp
+++ b/src/SlotLedger.cpp
@@ -1,5 +1,7 @@
 #include "SlotLedger.h"
 
+#include "absl/random/random.h"
+
 namespace cicada {
 
 SlotLedger::SlotLedger(const BackEnds& backEnds, const Ownership& ownership, const Clock& clock)
@@ -7,14 +9,18 @@
     , m_ownership(ownership)
     , m_clock(clock)
 {
+    // Random, so that the end of a run under a grant of this entry's former incarnation frees nothing.
+    absl::BitGen generator;
+    m_nextId = absl::Uniform<uint64_t>(generator) >> 1;
 }
 
 uint32_t SlotLedger::freeOn(const BackEnd& backEnd) const
 {
     if (backEnd.leaving || !m_ownership.term(backEnd.group()))
         return 0;
+    const uint32_t usable = m_availability ? m_availability->usableSlots(backEnd) : backEnd.slots;
     const uint32_t used = inUse(backEnd.name);
-    return used < backEnd.slots ? backEnd.slots - used : 0;
+    return used < usable ? usable - used : 0;
 }
 
 std::optional<SlotGrant> SlotLedger::take(
@@ -48,6 +54,40 @@
     return grant;
 }
 
+void SlotLedger::finish(uint64_t grantId, const RunReport& report)
+{
+    auto it = m_grants.find(grantId);
+    if (it == m_grants.end())
+        return;
+    if (m_availability)
+        m_availability->report(it->second.executor, report);
+    if (report.verdict != RunVerdict::Unsettled)
+        release(grantId);
+}
+
+void SlotLedger::adopt(const BackEnd& executor, absl::string_view requestId)
+{
+    for (const auto& [id, grant] : m_grants) {
+        if (grant.executor == executor.name && grant.requestId == requestId)
+            return;
+    }
+    SlotGrant grant;
+    grant.id = m_nextId++;
+    grant.requestId = std::string(requestId);
+    grant.executor = executor.name;
+    grant.address = executor.address;
+    grant.grantedAt = m_clock.now();
+    grant.startBy = grant.grantedAt;
+    ++m_inUse[executor.name];
+    m_grants[grant.id] = grant;
+}
+
+void SlotLedger::forget(absl::string_view executor)
+{
+    absl::erase_if(m_grants, [executor](const auto& item) { return item.second.executor == executor; });
+    m_inUse.erase(executor);
+}
+
 bool SlotLedger::release(uint64_t grantId)
 {
     auto it = m_grants.find(grantId);
--- a/src/SlotLedger.h
+++ b/src/SlotLedger.h
@@ -7,6 +7,7 @@
 
 #include "BackEnds.h"
 #include "Ownership.h"
+#include "RunReport.h"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
@@ -17,11 +18,21 @@
 
 namespace cicada {
 
+/** Says how many slots of an executor may be used at the moment: fewer than it has while it is being recovered, can't
+ * be reached, is set aside or is leaving. Used on the decision thread only. */
+class ExecutorAvailability {
+public:
+    virtual ~ExecutorAvailability() = default;
+    virtual uint32_t usableSlots(const BackEnd& executor) const = 0;
+    /** Takes note of how a run on the executor went. */
+    virtual void report(absl::string_view executor, const RunReport& report) = 0;
+};
+
 /** One granted start on one slot. */
 struct SlotGrant {
     uint64_t id = 0;
     std::string requestId;
-    /** The entry that will send the start. */
+    /** The entry that will send the start; empty for a run that this owner found running when it took over. */
     std::string entry;
     std::string executor;
     Endpoint address;
@@ -39,8 +50,16 @@
 
     /** Takes a slot for a request of `service` on the least loaded executor, or nothing when none is free. */
     std::optional<SlotGrant> take(absl::string_view service, absl::string_view requestId, absl::string_view entry);
+    /** Takes note of the end of a run. The slot is freed, unless it is not known how the run ended. */
+    void finish(uint64_t grantId, const RunReport& report);
     /** Frees the slot; false when the grant is not known (any more). */
     bool release(uint64_t grantId);
+    /** Takes a slot for a run that was found on the executor, unless it is accounted for already. */
+    void adopt(const BackEnd& executor, absl::string_view requestId);
+    /** Forgets all grants on an executor that is no longer this entry's, or is gone. */
+    void forget(absl::string_view executor);
+    /** From now on `availability` limits the slots; it must outlive the ledger. */
+    void limitBy(ExecutorAvailability& availability) { m_availability = &availability; }
     const SlotGrant* find(uint64_t grantId) const;
     /** Free slots of all own executors of a service that may be given work now. */
     uint32_t freeSlots(absl::string_view service) const;
@@ -59,7 +78,8 @@
     const Clock& m_clock;
     absl::flat_hash_map<uint64_t, SlotGrant> m_grants;
     absl::flat_hash_map<std::string, uint32_t> m_inUse;
-    uint64_t m_nextId = 1;
+    ExecutorAvailability* m_availability = nullptr;
+    uint64_t m_nextId;
 };
 
 } // namespace cicada
--- a/src/StatusRoutes.cpp
+++ b/src/StatusRoutes.cpp
@@ -11,10 +11,11 @@
     Json backEndJson(const StatusSources& sources, const BackEnd& backEnd)
     {
         const auto term = sources.ownership.term(backEnd.group());
+        const auto phase = sources.health.phase(backEnd.name);
         return { { "name", backEnd.name }, { "service", backEnd.service }, { "region", backEnd.region },
             { "owner", sources.ownership.owner(backEnd.group()) }, { "epoch", term ? term->epoch : 0 },
-            { "slots", backEnd.slots }, { "inUse", sources.ledger.inUse(backEnd.name) },
-            { "leaving", backEnd.leaving } };
+            { "slots", backEnd.slots }, { "inUse", sources.ledger.inUse(backEnd.name) }, { "leaving", backEnd.leaving },
+            { "phase", phase ? std::string(executorPhaseName(*phase)) : "" } };
     }
 
     Json statusJson(const StatusSources& sources)
--- a/src/StatusRoutes.h
+++ b/src/StatusRoutes.h
@@ -6,6 +6,7 @@
 
 #include "BackEnds.h"
 #include "Dispatcher.h"
+#include "ExecutorHealth.h"
 #include "Frontend.h"
 #include "Loop.h"
 #include "Membership.h"
@@ -23,6 +24,7 @@
     const Ownership& ownership;
     const SlotLedger& ledger;
     const BackEnds& backEnds;
+    const ExecutorHealth& health;
     const Dispatcher& dispatcher;
     const ProfileBook& profiles;
     const Store& store;
--- /dev/null
+++ b/src/StopBook.cpp
@@ -0,0 +1,163 @@
+#include "StopBook.h"
+
+#include "Json.h"
+#include "Pack.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace cicada {
+
+namespace {
+
+    using Internal::Json;
+
+    constexpr absl::string_view progressService = "stop-progress";
+
+    Json parseBody(const std::string& body) { return body.empty() ? Json::object() : Json::parse(body); }
+
+} // namespace
+
+absl::string_view stopKindName(StopKind kind)
+{
+    switch (kind) {
+    case StopKind::BackEnd:
+        return "back-end";
+    case StopKind::Rack:
+        return "rack";
+    case StopKind::Entry:
+        return "entry";
+    }
+    return "back-end";
+}
+
+Result<StopKind> parseStopKind(absl::string_view text)
+{
+    for (const StopKind kind : { StopKind::BackEnd, StopKind::Rack, StopKind::Entry }) {
+        if (text == stopKindName(kind))
+            return kind;
+    }
+    return Error { ErrorKind::InvalidRequest, absl::StrCat("'", text, "' is not a kind of planned stop."),
+        "Use back-end, rack or entry." };
+}
+
+StopBook::StopBook(Parts parts)
+    : m_parts(std::move(parts))
+    , m_document("stops", m_parts.store, m_parts.peers, m_parts.watch, m_parts.clock)
+{
+    m_document.onAdopt([this](const std::string& body, uint64_t) { adopt(body); });
+    m_parts.peers.handle(
+        progressService, [this](absl::string_view, absl::string_view bytes) { handleProgress(bytes); });
+}
+
+void StopBook::plan(PlannedStop stop, ConfigDocument::ChangeCallback callback)
+{
+    auto checked = checkTarget(stop);
+    if (!checked)
+        return callback(checked.error());
+    std::string changeId = stop.id;
+    m_document.change(
+        std::move(changeId),
+        [stop = std::move(stop)](const std::string& body, uint64_t) -> Result<std::string> {
+            Json stops = parseBody(body);
+            stops[stop.id] = { { "kind", std::string(stopKindName(stop.kind)) }, { "target", stop.target } };
+            return stops.dump();
+        },
+        std::move(callback));
+}
+
+void StopBook::cancel(std::string id, std::string changeId, ConfigDocument::ChangeCallback callback)
+{
+    m_document.change(
+        std::move(changeId),
+        [id = std::move(id)](const std::string& body, uint64_t) -> Result<std::string> {
+            Json stops = parseBody(body);
+            if (stops.erase(id) == 0)
+                return Error { ErrorKind::InvalidRequest, absl::StrCat("There is no planned stop '", id, "'."),
+                    "List the planned stops to see their ids." };
+            return stops.dump();
+        },
+        std::move(callback));
+}
+
+/** The VM list lags, so an unknown back end is refused with its remedy rather than planned for nobody. */
+Result<void> StopBook::checkTarget(const PlannedStop& stop) const
+{
+    if (stop.kind == StopKind::Entry)
+        return success();
+    for (const BackEnd& backEnd : m_parts.backEnds.all()) {
+        if (stop.target == (stop.kind == StopKind::Rack ? backEnd.rack : backEnd.name))
+            return success();
+    }
+    return Error { ErrorKind::InvalidRequest,
+        absl::StrCat("No ", stopKindName(stop.kind), " is named '", stop.target, "'."),
+        "See the names with 'cicadactl status'; a new VM is listed after a few seconds." };
+}
+
+StopProgress StopBook::progress(const PlannedStop& stop) const
+{
+    if (const auto own = m_parts.remaining(stop))
+        return { own };
+    auto it = m_toldByPeers.find(stop.id);
+    if (it == m_toldByPeers.end())
+        return {};
+    return { it->second };
+}
+
+bool StopBook::isPlanned(const BackEnd& backEnd) const
+{
+    for (const auto& [id, stop] : m_stops) {
+        if (stop.kind == StopKind::BackEnd && stop.target == backEnd.name)
+            return true;
+        if (stop.kind == StopKind::Rack && !backEnd.rack.empty() && stop.target == backEnd.rack)
+            return true;
+    }
+    return false;
+}
+
+void StopBook::adopt(const std::string& body)
+{
+    m_stops.clear();
+    const Json document = parseBody(body);
+    for (const auto& [id, item] : document.items()) {
+        auto kind = parseStopKind(item.value("kind", ""));
+        if (kind)
+            m_stops[id] = { id, kind.value(), item.value("target", "") };
+    }
+    for (const auto& [id, stop] : m_stops) {
+        if (stop.kind != StopKind::Entry || stop.target != m_parts.settings.name || m_stopsSelf)
+            continue;
+        m_stopsSelf = true;
+        m_parts.stopSelf();
+    }
+}
+
+void StopBook::handleProgress(absl::string_view bytes)
+{
+    std::vector<std::pair<std::string, uint64_t>> told;
+    if (!Internal::unpackFields(bytes, progressService, told))
+        return;
+    for (const auto& [id, remaining] : told) {
+        if (m_stops.contains(id))
+            m_toldByPeers[id] = remaining;
+    }
+}
+
+void StopBook::tick(Instant now)
+{
+    m_document.tick(now);
+    if (now < m_nextProgress)
+        return;
+    m_nextProgress = now + progressInterval;
+    absl::erase_if(m_toldByPeers, [this](const auto& item) { return !m_stops.contains(item.first); });
+    std::vector<std::pair<std::string, uint64_t>> told;
+    for (const auto& [id, stop] : m_stops) {
+        if (const auto remaining = m_parts.remaining(stop))
+            told.emplace_back(id, *remaining);
+    }
+    if (told.empty())
+        return;
+    for (const std::string& peer : m_parts.peers.peerNames())
+        m_parts.peers.send(peer, progressService, Internal::packFields(told));
+}
+
+} // namespace cicada
--- a/test/correctness/ProfileBookTest.cpp
+++ b/test/correctness/ProfileBookTest.cpp
@@ -4,6 +4,7 @@
  */
 
 #include "ProfileBook.h"
+#include "Pack.h"
 #include "support/FakeWorld.h"
 
 #include "absl/strings/match.h"
@@ -114,7 +115,8 @@
     CHECK(change(0, { "check", waitLong, std::nullopt, "c1" }).has_value());
     const std::string old = world.stored().begin()->second.value;
     CHECK(change(1, { "check", waitShort, std::nullopt, "c2" }).has_value());
-    nodes[1]->node.send("a", "profile-book", old);
+    const std::string frame = Internal::packFields(uint64_t { 1 }, old);
+    nodes[1]->node.send("a", "config-profiles", frame);
     world.run(absl::Seconds(1));
     LONGS_EQUAL(2, nodes[0]->book.version());
 }
