--- a/src/StatusRoutes.h
+++ b/src/StatusRoutes.h
@@ -7,6 +7,7 @@
 #include "Authority.h"
 #include "BackEnds.h"
 #include "Dispatcher.h"
+#include "ExecutorHealth.h"
 #include "Frontend.h"
 #include "Loop.h"
 #include "Membership.h"
@@ -26,6 +27,7 @@
     const Ownership& ownership;
     const SlotLedger& ledger;
     const BackEnds& backEnds;
+    const ExecutorHealth& health;
     const Dispatcher& dispatcher;
     const ProfileBook& profiles;
     const Store& store;
