--- a/src/Authority.cpp
+++ b/src/Authority.cpp
@@ -78,6 +78,8 @@
 
 void Authority::tick(Instant now)
 {
+    if (!m_startedAt)
+        m_startedAt = now;
     noteActivity(now);
     renew(now);
     writeIfDue(now);
@@ -200,7 +202,7 @@
     if (!m_record) {
         if (m_stopping)
             m_ended = true;
-        else if (mayRegister())
+        else if (mayRegister(now))
             registerSelf(now);
         return;
     }
@@ -221,11 +223,14 @@
 }
 
 /** A former run under this name must have ended. One that listened at the very address that this process has bound is
- * known to be gone; any other one may be alive somewhere, and is left to its guardians. */
-bool Authority::mayRegister() const
+ * known to be gone, and what it may have been allowed to do when this process started runs out in a promise time. Any
+ * other one may be alive somewhere, and is left to its guardians. */
+bool Authority::mayRegister(Instant now) const
 {
     const Member* former = m_membership.find(m_settings.name);
-    return !former || former->state == MemberState::Ended || former->address == toString(m_settings.peers);
+    if (!former || former->state == MemberState::Ended)
+        return true;
+    return former->address == toString(m_settings.peers) && now - *m_startedAt >= guardianTime(m_settings);
 }
 
 bool Authority::ownWriteDue(Instant now) const
--- a/src/Authority.h
+++ b/src/Authority.h
@@ -82,7 +82,7 @@
     void write(Member content, uint64_t baseIndex, Instant now);
     void adopt(const Member& record, Instant askedAt);
     void lose();
-    bool mayRegister() const;
+    bool mayRegister(Instant now) const;
     bool ownWriteDue(Instant now) const;
     bool countsPromisesOf(const EntryId& guardian) const;
     Member nextContent();
@@ -104,6 +104,7 @@
     bool m_indexKnown = false;
     std::optional<PendingWrite> m_pending;
     bool m_calling = false;
+    std::optional<Instant> m_startedAt;
     Instant m_nextWrite = absl::ZeroDuration();
     Instant m_nextRenewal = absl::ZeroDuration();
     Instant m_nextRefresh = absl::ZeroDuration();
