--- a/src/OwnershipPlan.cpp
+++ b/src/OwnershipPlan.cpp
@@ -50,13 +50,32 @@
                 m_live.begin(), m_live.end(), [region](const auto& item) { return item.second == region; });
         }
 
+        bool mayOwn(absl::string_view itsRegion, absl::string_view region) const
+        {
+            return region.empty() || itsRegion == region || !anyIn(region);
+        }
+
+        /** How many groups of this kind each entry that may own this one would have in a perfect spread, rounded down.
+         */
+        int fairShare(absl::string_view group, absl::string_view region) const
+        {
+            int entries = 0;
+            int groups = 0;
+            for (const auto& [entry, itsRegion] : m_live) {
+                if (!mayOwn(itsRegion, region))
+                    continue;
+                ++entries;
+                groups += std::get<0>(weight(entry, group));
+            }
+            return entries == 0 ? 0 : groups / entries;
+        }
+
         /** The least loaded live entry of `region`, or of all regions when none is live there; else null. */
         const EntryId* leastLoaded(absl::string_view group, absl::string_view region) const
         {
-            const bool anywhere = region.empty() || !anyIn(region);
             const EntryId* best = nullptr;
             for (const auto& [entry, itsRegion] : m_live) {
-                if (!anywhere && itsRegion != region)
+                if (!mayOwn(itsRegion, region))
                     continue;
                 if (!best || weight(entry, group) < weight(*best, group))
                     best = &entry;
@@ -88,7 +107,7 @@
             = !row.region.empty() && loads.regionOf(row.owner) != row.region && loads.regionOf(other) == row.region;
         const int own = std::get<0>(loads.weight(row.owner, group));
         const int others = std::get<0>(loads.weight(other, group));
-        return misplaced || own - others >= 2;
+        return misplaced || (own - others >= 2 && own > loads.fairShare(group, row.region));
     }
 
 } // namespace
--- a/test/failure/AuthorityTest.cpp
+++ b/test/failure/AuthorityTest.cpp
@@ -188,6 +188,7 @@
 enum class Fault {
     Kill,
     Restart,
+    Leave,
     Pause,
     CutOneWay,
     CutOff,
@@ -237,6 +238,9 @@
             m_cluster.kill(target);
             m_cluster.start(target);
             break;
+        case Fault::Leave:
+            m_cluster.run(target).ownership.leave();
+            break;
         case Fault::Pause:
             m_cluster.pause(target);
             break;
@@ -276,6 +280,8 @@
                 world.cut(m_cluster.run(i).settings.name, m_cluster.run(j).settings.name, false);
             if (m_cluster.run(i).paused)
                 m_cluster.resume(i);
+            if (m_cluster.run(i).ownership.left())
+                m_cluster.kill(i);
             if (m_cluster.run(i).dead && pick(2) == 0)
                 m_cluster.start(i);
         }
