A counted load, a demo with a judge, planned stops through processes

Cause of a hang found on the way: raise() sends the signal to the one thread, where it is blocked; kill() sends it to the process. A connection that finds no thread now waits in the listen queue, where its job was dropped before.

--- /dev/null
+++ b/apps/demo.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# A tour in half a minute: both deployments' executors, three entries in three regions, a mixed load with a swing, one
+# entry killed in the middle. Exits non-zero if any promise was broken.
+CICADA_BASE_PORT=${CICADA_BASE_PORT:-27000}
+root=$(cd "$(dirname "$0")/.." && pwd)
+source "$root/test/standin/Cluster.sh"
+
+regions=(khulna-a nadia-a howrah-a)
+start_platform
+for i in 0 1 2; do
+    start_executors order-desk "${regions[i]}" 3 8 $((base + 300 + 10 * i))
+    start_executors design "${regions[i]}" 3 8 $((base + 400 + 10 * i))
+done
+for i in 0 1 2; do start_entry $((i + 1)) "${regions[i]}"; done
+for i in 1 2 3; do wait_for 15 http -f "http://$(entry $i)/healthz" || fail "entry-$i"; done
+for file in "$root"/apps/cooperative/profiles/*.json "$root"/apps/lumen/profiles/*.json; do
+    set_profile 1 "$(basename "$file" .json)" "$(cat "$file")"
+done
+for i in 1 2 3; do wait_ready $i; done
+echo "Three entries are up; the load runs for 8 seconds, and entry-2 is killed in the middle."
+
+entries=(--entry "$(entry 1)" --entry "$(entry 2)" --entry "$(entry 3)")
+for name in cooperative lumen; do
+    "$build/cicada-call" "${entries[@]}" --load "$root/apps/$name/load.json" --verify-echo --concurrency 150 \
+        --record "$out/$name.record" >"$out/$name.table" &
+    eval "load_$name=\$!"
+done
+sleep 4
+kill -9 "$pid_entry_2"
+wait "$load_cooperative" || broken="$broken a caller got another's answer;"
+wait "$load_lumen" || broken="$broken a caller got another's answer;"
+
+echo
+echo "Co-operative:"
+cat "$out/cooperative.table"
+echo "Lumen Works:"
+cat "$out/lumen.table"
+judge_executors
+echo
+echo "Executors: most slots in use on one: $most_in_use of 8; starts beyond the slots: $overfull; ids run twice: $doubled"
+echo "Requests said not to have run that ran: $(count_not_run_that_ran "$out/cooperative.record" "$out/lumen.record")"
+[ "$overfull" = 0 ] && [ "$most_in_use" -le 8 ] || broken="$broken a VM was given more than it holds;"
+[ "$doubled" = 0 ] || broken="$broken an id ran twice;"
+[ "$(count_not_run_that_ran "$out/cooperative.record" "$out/lumen.record")" = 0 ] || broken="$broken not-run was untrue;"
+if [ -n "${broken:-}" ]; then
+    echo "BROKEN:$broken"
+    exit 1
+fi
+echo "Every promise was kept."
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -15,12 +15,15 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <unistd.h>
 
 namespace cicada {
 
 namespace {
 
     constexpr size_t loopCapacity = 65536;
+    /** How long a stopping entry goes on answering, so that the balancer and callers with open connections notice. */
+    constexpr absl::Duration stopNotice = absl::Seconds(1);
     constexpr absl::Duration stopPoll = absl::Milliseconds(20);
 
 } // namespace
@@ -101,7 +104,7 @@
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
     p.stops = std::make_unique<StopBook>(StopBook::Parts { s, *p.store, *p.peers, *p.watch, p.backEnds, p.clock,
-        [&p](const PlannedStop& stop) { return remainingWork(p, stop); }, [] { raise(SIGTERM); } });
+        [&p](const PlannedStop& stop) { return remainingWork(p, stop); }, [] { kill(getpid(), SIGTERM); } });
     p.health = std::make_unique<ExecutorHealth>(
         ExecutorHealth::Parts { p.backEnds, *p.ownership, *p.ledger, *p.probe, p.clock,
             [&p](const BackEnd& backEnd) { return p.stops->isPlanned(backEnd); }, [&p] { p.dispatcher->pumpAll(); } });
@@ -151,8 +154,12 @@
 {
     Parts& p = *m_parts;
     p.frontend->setStopping();
-    const Instant giveUp = p.clock.now() + p.settings.stopTimeout;
-    while (p.frontend->inFlight() > 0 && p.clock.now() < giveUp)
+    const Instant begun = p.clock.now();
+    const auto mustWait = [&] {
+        const absl::Duration passed = p.clock.now() - begun;
+        return passed < stopNotice || (p.frontend->inFlight() > 0 && passed < p.settings.stopTimeout);
+    };
+    while (mustWait())
         absl::SleepFor(stopPoll);
     LOG(INFO) << "stopping with " << p.frontend->inFlight() << " requests in flight";
     p.kernel.stop();
--- a/src/Frontend.cpp
+++ b/src/Frontend.cpp
@@ -57,6 +57,16 @@
         response.set_content(answer.body, answer.contentType);
     }
 
+    /** Tells the caller to go elsewhere, and to open a new connection for it. */
+    void refuseWhileStopping(httplib::Response& response)
+    {
+        writeAnswer(problemAnswer({ ErrorKind::Stopping, "This entry is stopping.",
+                                      "Nothing was run; send it again, to another entry." },
+                        Outcome::NotRun),
+            response);
+        response.set_header("Connection", "close");
+    }
+
     HttpQuestion toQuestion(const httplib::Request& request)
     {
         HttpQuestion question;
@@ -155,10 +165,7 @@
 void Frontend::handleRequest(const httplib::Request& request, httplib::Response& response)
 {
     if (m_stopping)
-        return writeAnswer(problemAnswer({ ErrorKind::Stopping, "This entry is stopping.",
-                                             "Nothing was run; send it again, to another entry." },
-                               Outcome::NotRun),
-            response);
+        return refuseWhileStopping(response);
     ++m_inFlight;
     CallerRequest callerRequest { request.matches[1].str(), request.get_header_value("Cicada-Profile"),
         request.get_header_value("Idempotency-Key"), request.get_header_value("Content-Type"),
@@ -174,6 +181,8 @@
         response.set_content(answer.body, answer.contentType);
     }
     response.set_header("Idempotency-Key", answer.requestId);
+    if (m_stopping)
+        response.set_header("Connection", "close");
     --m_inFlight;
 }
 
--- a/src/HttpThreads.cpp
+++ b/src/HttpThreads.cpp
@@ -6,8 +6,10 @@
 
     constexpr size_t backlogPerThread = 4;
     constexpr absl::Duration idleWait = absl::Seconds(1);
+    constexpr absl::Duration fullBackoff = absl::Milliseconds(5);
     constexpr size_t maxRequestsPerConnection = 1000000;
-    constexpr time_t keepAliveSeconds = 30;
+    /** Also how long an idle connection may hold up the end of a stopping server. */
+    constexpr time_t keepAliveSeconds = 5;
     constexpr time_t transferTimeoutSeconds = 10;
 
 } // namespace
@@ -20,10 +22,12 @@
 
 void HttpThreads::enqueue(std::function<void()> job)
 {
-    // The accepting thread alone enqueues, so the list of threads needs no lock. A connection that finds no room is
-    // dropped with the job, which closes nothing: the peer sees its own time limit.
+    // The accepting thread alone enqueues, so the list of threads needs no lock.
     const size_t waiting = m_jobs.size();
-    m_jobs.push(std::move(job));
+    // A job owns its connection and must not be dropped. While there is no room the accepting thread waits, and
+    // further callers wait in the listen queue.
+    while (!m_jobs.tryPush(job) && !m_jobs.closed())
+        absl::SleepFor(fullBackoff);
     if (m_idle <= waiting && m_threads.size() < m_maxThreads)
         m_threads.emplace_back([this] { run(); });
 }
--- a/test/correctness/WholePath.sh
+++ b/test/correctness/WholePath.sh
@@ -40,5 +40,5 @@
 check 200 "http://$(entry 1)/v1/status"
 
 kill -TERM "$pid_entry_1"
-wait "$pid_entry_1" || fail "the planned stop"
+wait_end 20 "$pid_entry_1" || fail "the planned stop"
 echo "whole path: ok"
--- a/test/standin/Cluster.sh
+++ b/test/standin/Cluster.sh
@@ -5,6 +5,8 @@
 build=$1
 out=$(mktemp -d)
 pids=()
+executor_ports=()
+broken=
 base=${CICADA_BASE_PORT:-21000}
 
 stop_all() {
@@ -58,6 +60,7 @@
     run "executors-$service-$region" "$build/fake-executor" --listen 127.0.0.1:"$port" --count "$count" \
         --slots "$slots" --prefix "$service-$region"
     for ((i = 0; i < count; i++)); do
+        executor_ports+=($((port + i)))
         echo "{\"name\":\"$service-$region-$i\",\"kind\":\"executor\",\"service\":\"$service\",\"region\":\"$region\",
             \"failureDomain\":\"$region\",\"address\":\"127.0.0.1:$((port + i))\",\"slots\":$slots,\"state\":\"live\"}"
     done >>"$out/vm-lines"
@@ -83,3 +86,42 @@
 
 # set_profile ENTRY NAME JSON
 set_profile() { echo "$3" | "$build/cicadactl" --entry "$(entry "$1")" profile set "$2" - >/dev/null || fail "profile $2"; }
+
+# judge_executors: sums up all executors into most_in_use, overfull, doubled, old_epoch, after_leaving and runs.
+judge_executors() {
+    local port reply
+    most_in_use=0 overfull=0 doubled=0 old_epoch=0 after_leaving=0 runs=0
+    for port in "${executor_ports[@]}"; do
+        reply=$(http "http://127.0.0.1:$port/control")
+        local most
+        most=$(field mostInUse "$reply")
+        [ "$most" -gt "$most_in_use" ] && most_in_use=$most
+        overfull=$((overfull + $(field overfull "$reply")))
+        doubled=$((doubled + $(field doubled "$reply")))
+        old_epoch=$((old_epoch + $(field oldEpoch "$reply")))
+        after_leaving=$((after_leaving + $(field afterLeaving "$reply")))
+        runs=$((runs + $(field runs "$reply")))
+    done
+}
+
+# field NAME JSON: a number in a flat JSON object.
+field() { sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p" <<<"$2"; }
+
+# ran_ids: every id that any executor started.
+ran_ids() {
+    local port
+    for port in "${executor_ports[@]}"; do http "http://127.0.0.1:$port/started"; done | sort -u
+}
+
+# count_not_run_that_ran RECORD...: ids that callers were told had not run, and that an executor started.
+count_not_run_that_ran() {
+    ran_ids >"$out/ran-ids"
+    cat "$@" | awk '$3 == "not-run" {print $2}' | sort -u | comm -12 - "$out/ran-ids" | wc -l
+}
+
+# wait_end SECONDS PID: waits until the process has ended by itself, and gives its exit code.
+wait_end() {
+    ended() { ! kill -0 "$1" 2>/dev/null; }
+    wait_for "$1" ended "$2" || return 99
+    wait "$2"
+}
--- a/test/standin/fake-executor.cpp
+++ b/test/standin/fake-executor.cpp
@@ -51,6 +51,7 @@
     void ask(const httplib::Request&, httplib::Response&);
     void stop(const httplib::Request&, httplib::Response&);
     void list(httplib::Response&);
+    void listStarted(httplib::Response&);
     void fence(const httplib::Request&, httplib::Response&);
     void control(const httplib::Request&, httplib::Response&);
     std::string refusal(const std::string& id, uint64_t epoch);
@@ -176,6 +177,16 @@
         Json { { "epoch", m_epoch }, { "slots", m_slots }, { "running", running } }.dump(), "application/json");
 }
 
+/** Every id that was ever started here, one a line, for the judges of the tests. */
+void Executor::listStarted(httplib::Response& response)
+{
+    absl::MutexLock lock(&m_mutex);
+    std::string ids;
+    for (const auto& [id, count] : m_started)
+        absl::StrAppend(&ids, id, "\n");
+    response.set_content(ids, "text/plain");
+}
+
 /** Takes note of a new owner's epoch, so that starts under an older one are refused from now on. */
 void Executor::fence(const httplib::Request& request, httplib::Response& response)
 {
@@ -219,6 +230,7 @@
     server.Delete(runPattern, [this](const auto& request, auto& response) { stop(request, response); });
     server.Get("/v1/runs", [this](const auto&, auto& response) { list(response); });
     server.Put(R"(/v1/epoch/(\d+))", [this](const auto& request, auto& response) { fence(request, response); });
+    server.Get("/started", [this](const auto&, auto& response) { listStarted(response); });
     server.Get("/control", [this](const auto& request, auto& response) { control(request, response); });
     server.Put("/control", [this](const auto& request, auto& response) { control(request, response); });
 }
--- a/tools/cicada-call.cpp
+++ b/tools/cicada-call.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "CommandLine.h"
+#include "LoadRunner.h"
 #include "Settings.h"
 #include "Uuid.h"
 
@@ -10,8 +11,11 @@
 
 #include <httplib.h>
 
+#include <algorithm>
+#include <fstream>
 #include <getopt.h>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -20,30 +24,58 @@
 constexpr const char* program = "cicada-call";
 
 constexpr const char* usage = R"(Usage: cicada-call [options] --service NAME --profile NAME
+       cicada-call [options] --load PLAN
 
-Sends one request and prints the answer's body.
+Sends one request and prints the answer's body; or sends a counted load and prints a summary.
 
-  -e, --entry HOST:PORT   the entry to call (default 127.0.0.1:7100)
+  -e, --entry HOST:PORT   the entry to call (default 127.0.0.1:7100); several, one a --entry, share a load
+
+One request:
   -s, --service NAME      the service to call
   -p, --profile NAME      the profile of the request
   -i, --id UUID           the Idempotency-Key (default: a new one)
   -d, --data TEXT         the body ("@FILE" reads a file, "-" standard input)
   -v, --verbose           print status and outcome to standard error
+
+A load:
+  -l, --load PLAN         the plan, in JSON: kinds, rate, seconds, swing
+  -r, --rate N            requests a second, in place of the plan's
+  -t, --seconds N         how long, in place of the plan's
+  -n, --concurrency N     the most requests under way at once (default 200)
+      --seed N            draws the same load again (default 1)
+      --verify-echo       answers must be the echo of their requests
+      --record FILE       write a line for each request: kind, id, outcome, status, milliseconds, attempts, cut
+  -j, --json              print the summary as JSON
+
   -h, --help              print this text
   -V, --version           print the version
 
-Exit codes: 0 ran, 1 did not run or is unknown, 2 the command line is wrong.
+Exit codes: 0 ran, 1 did not run, is unknown, or (of a load) some answer was wrong, 2 the command line is wrong.
 )";
 
 constexpr time_t timeoutSeconds = 900;
+constexpr int64_t largestNumber = 1000000;
 
 struct Options {
-    Endpoint entry { "127.0.0.1", 7100 };
+    std::vector<Endpoint> entries;
     std::string service;
     std::string profile;
     std::string id;
     std::string data;
     bool verbose = false;
+    std::string planPath;
+    std::optional<int64_t> rate;
+    std::optional<int64_t> seconds;
+    uint64_t seed = 1;
+    std::string recordPath;
+    bool json = false;
+    LoadOptions load;
+};
+
+enum LongOnly {
+    Seed = 256,
+    VerifyEcho,
+    Record,
 };
 
 Result<std::string> readData(const std::string& data)
@@ -57,7 +89,7 @@
 
 int callOnce(const Options& options, const std::string& body)
 {
-    httplib::Client client(options.entry.host, options.entry.port);
+    httplib::Client client(options.entries[0].host, options.entries[0].port);
     client.set_read_timeout(timeoutSeconds);
     client.set_tcp_nodelay(true);
     const std::string id = options.id.empty() ? randomUuid() : options.id;
@@ -76,6 +108,112 @@
     return outcome == "ran" ? exitSuccess : exitFailure;
 }
 
+Result<LoadPlan> readPlan(const Options& options)
+{
+    BOOST_OUTCOME_TRY(text, readFile(options.planPath));
+    BOOST_OUTCOME_TRY(plan, parseLoadPlan(text));
+    if (options.rate)
+        plan.rate = static_cast<double>(*options.rate);
+    if (options.seconds)
+        plan.length = absl::Seconds(*options.seconds);
+    return plan;
+}
+
+void record(const std::string& path, const LoadPlan& plan, absl::Span<const LoadResult> results)
+{
+    std::ofstream file(path);
+    for (const LoadResult& result : results)
+        file << plan.kinds[result.kind].name << " " << result.id << " " << result.outcome << " " << result.status << " "
+             << absl::ToInt64Milliseconds(result.latency) << " " << result.attempts << " " << result.cut << "\n";
+}
+
+int callLoad(Options options)
+{
+    auto plan = readPlan(options);
+    if (!plan)
+        return reportError(program, plan.error(), exitUsage);
+    options.load.entries = options.entries;
+    const auto requests = drawRequests(plan.value(), options.seed);
+    const auto results = runLoad(plan.value(), requests, options.load);
+    if (options.json)
+        std::cout << summarizeAsJson(plan.value(), results) << "\n";
+    else
+        std::cout << summarizeAsTable(plan.value(), results);
+    if (!options.recordPath.empty())
+        record(options.recordPath, plan.value(), results);
+    const bool wrong
+        = std::any_of(results.begin(), results.end(), [](const LoadResult& result) { return result.wrongAnswer; });
+    return wrong ? exitFailure : exitSuccess;
+}
+
+/** Reads a number into `target`; false when it does not fit, and then the reason was printed. */
+template <typename T> bool readNumber(const char* name, const char* value, int64_t least, T& target)
+{
+    auto number = parseNumber(name, value, least, largestNumber);
+    if (number)
+        target = static_cast<T>(number.value());
+    else
+        reportError(program, number.error(), exitUsage);
+    return number.has_value();
+}
+
+bool readEntry(const char* value, Options& options)
+{
+    auto endpoint = parseEndpoint(value);
+    if (endpoint)
+        options.entries.push_back(endpoint.value());
+    else
+        reportError(program, endpoint.error(), exitUsage);
+    return endpoint.has_value();
+}
+
+/** Takes one option; false when it is unknown or its value does not fit, and then the reason was printed. */
+bool readOption(int option, const char* value, Options& options)
+{
+    switch (option) {
+    case 'e':
+        return readEntry(value, options);
+    case 's':
+        options.service = value;
+        return true;
+    case 'p':
+        options.profile = value;
+        return true;
+    case 'i':
+        options.id = value;
+        return true;
+    case 'd':
+        options.data = value;
+        return true;
+    case 'v':
+        options.verbose = true;
+        return true;
+    case 'l':
+        options.planPath = value;
+        return true;
+    case 'r':
+        return readNumber("rate", value, 1, options.rate.emplace());
+    case 't':
+        return readNumber("seconds", value, 1, options.seconds.emplace());
+    case 'n':
+        return readNumber("concurrency", value, 1, options.load.concurrency);
+    case Seed:
+        return readNumber("seed", value, 0, options.seed);
+    case VerifyEcho:
+        options.load.verifyEcho = true;
+        return true;
+    case Record:
+        options.recordPath = value;
+        return true;
+    case 'j':
+        options.json = true;
+        return true;
+    default:
+        std::cerr << usage;
+        return false;
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -84,42 +222,26 @@
         = { { "entry", required_argument, nullptr, 'e' }, { "service", required_argument, nullptr, 's' },
               { "profile", required_argument, nullptr, 'p' }, { "id", required_argument, nullptr, 'i' },
               { "data", required_argument, nullptr, 'd' }, { "verbose", no_argument, nullptr, 'v' },
+              { "load", required_argument, nullptr, 'l' }, { "rate", required_argument, nullptr, 'r' },
+              { "seconds", required_argument, nullptr, 't' }, { "concurrency", required_argument, nullptr, 'n' },
+              { "seed", required_argument, nullptr, Seed }, { "verify-echo", no_argument, nullptr, VerifyEcho },
+              { "record", required_argument, nullptr, Record }, { "json", no_argument, nullptr, 'j' },
               { "help", no_argument, nullptr, 'h' }, { "version", no_argument, nullptr, 'V' }, {} };
     Options chosen;
-    for (int option; (option = getopt_long(argc, argv, "e:s:p:i:d:vhV", options, nullptr)) != -1;) {
-        switch (option) {
-        case 'e': {
-            auto endpoint = parseEndpoint(optarg);
-            if (!endpoint)
-                return reportError(program, endpoint.error(), exitUsage);
-            chosen.entry = endpoint.value();
-            break;
-        }
-        case 's':
-            chosen.service = optarg;
-            break;
-        case 'p':
-            chosen.profile = optarg;
-            break;
-        case 'i':
-            chosen.id = optarg;
-            break;
-        case 'd':
-            chosen.data = optarg;
-            break;
-        case 'v':
-            chosen.verbose = true;
-            break;
-        case 'h':
+    for (int option; (option = getopt_long(argc, argv, "e:s:p:i:d:vl:r:t:n:jhV", options, nullptr)) != -1;) {
+        if (option == 'h') {
             std::cout << usage;
             return exitSuccess;
-        case 'V':
+        }
+        if (option == 'V')
             return printVersion(program);
-        default:
-            std::cerr << usage;
+        if (!readOption(option, optarg, chosen))
             return exitUsage;
-        }
     }
+    if (chosen.entries.empty())
+        chosen.entries.push_back({ "127.0.0.1", 7100 });
+    if (!chosen.planPath.empty())
+        return callLoad(std::move(chosen));
     if (chosen.service.empty() || chosen.profile.empty()) {
         std::cerr << usage;
         return exitUsage;
