--- a/src/Membership.h
+++ b/src/Membership.h
@@ -24,7 +24,14 @@
     std::string name;
     uint64_t incarnation = 0;
 
-    friend auto operator<=>(const EntryId&, const EntryId&) = default;
+    friend bool operator==(const EntryId& a, const EntryId& b)
+    {
+        return a.name == b.name && a.incarnation == b.incarnation;
+    }
+    friend bool operator<(const EntryId& a, const EntryId& b)
+    {
+        return a.name != b.name ? a.name < b.name : a.incarnation < b.incarnation;
+    }
 };
 
 /** Where an entry is in its life. */
