--- a/test/failure/AuthorityTest.cpp
+++ b/test/failure/AuthorityTest.cpp
@@ -46,12 +46,12 @@
         const absl::Duration until = cluster.world.now() + time;
         while (cluster.world.now() < until) {
             cluster.advance(absl::Milliseconds(50));
+            holds(cluster);
             for (size_t i = 0; i < cluster.size(); ++i) {
                 const EntryRun& run = cluster.run(i);
                 CHECK_TEXT(run.dead || run.authority.active(), run.settings.name.c_str());
             }
         }
-        holds(cluster);
     }
 };
 
