--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -152,9 +152,9 @@
 
 TEST(GuardianChoice, prefersOtherDomainsAndAvoidsPairs)
 {
-    std::vector<Member> members;
-    for (int i = 0; i < 8; ++i)
-        members.push_back(member(absl::StrCat("entry-", i), absl::StrCat("domain-", i % 3)));
+    std::vector<Member> members(8);
+    for (size_t i = 0; i < members.size(); ++i)
+        members[i] = member(absl::StrCat("entry-", i), absl::StrCat("domain-", i % 3));
     for (const Member& holder : members) {
         const auto guardians = chooseGuardians(holder.name, members);
         LONGS_EQUAL(2, guardians.size());
--- a/test/failure/AuthorityTest.cpp
+++ b/test/failure/AuthorityTest.cpp
@@ -5,6 +5,7 @@
 
 #include "support/EntryCluster.h"
 
+#include "absl/algorithm/container.h"
 #include "absl/strings/str_cat.h"
 
 #include "CppUTest/TestHarness.h"
@@ -129,6 +130,76 @@
     }
 }
 
+/** Two that can only talk to each other: the one may not keep the other alive once it has lost its own authority. */
+TEST(Authority, twoCutOffFromAllOthersAndTheStore)
+{
+    for (size_t other : { 1, 2, 3, 4, 5 }) {
+        EntryCluster cluster(seed, 3, 6);
+        startAll(cluster, 6);
+        cluster.cutOffPair(0, other);
+        cluster.advance(absl::Seconds(10));
+        holds(cluster);
+        CHECK(!cluster.run(0).authority.active());
+        CHECK(!cluster.run(other).authority.active());
+        CHECK(cluster.allOwned());
+    }
+}
+
+/** The new owners act at once; the old one can't know whether they may, and must not use its groups again. */
+TEST(Authority, aHandoverTakesEffectUnseenByTheOwner)
+{
+    EntryCluster cluster(seed, 3, 6);
+    startAll(cluster, 6);
+    EntryRun& leaving = cluster.run(2);
+    leaving.ownership.leave();
+    const std::string table = absl::StrCat(configPrefix, "owners");
+    const uint64_t before = cluster.world.stored()[table].index;
+    while (cluster.world.stored()[table].index == before)
+        cluster.advance(absl::Milliseconds(1));
+    cluster.world.cutStore(leaving.node, true);
+    cluster.advance(absl::Seconds(10));
+    holds(cluster);
+    CHECK(cluster.allOwned());
+    CHECK(leaving.authority.active());
+    cluster.world.cutStore(leaving.node, false);
+    CHECK(cluster.advanceUntil([&] { return leaving.ownership.left(); }, takeoverLimit).has_value());
+}
+
+/** A holder that doesn't know that it has changed its guardians may not count on one that it had before. */
+TEST(Authority, aChangeOfGuardiansTakesEffectUnseenByTheHolder)
+{
+    EntryCluster cluster(seed, 3, 6);
+    startAll(cluster, 5);
+    cluster.start(5);
+    EntryRun* holder = nullptr;
+    std::string dropped;
+    while (!holder) {
+        cluster.advance(absl::Milliseconds(1));
+        for (size_t i = 0; i < 5 && !holder; ++i) {
+            const auto stored = decodeMember(cluster.world.stored()[memberKey(cluster.run(i).settings.name)].value);
+            for (const EntryId& guardian : cluster.run(i).authority.guardians()) {
+                if (absl::c_linear_search(stored->guardians, guardian))
+                    continue;
+                holder = &cluster.run(i);
+                dropped = guardian.name;
+            }
+        }
+    }
+    cluster.world.cutStore(holder->node, true);
+    for (size_t i = 0; i < 6; ++i) {
+        if (cluster.run(i).settings.name == dropped)
+            cluster.world.cutStore(cluster.run(i).node, true);
+        else
+            cluster.world.cutBoth(holder->settings.name, cluster.run(i).settings.name, true);
+    }
+    cluster.advance(absl::Seconds(10));
+    holds(cluster);
+    CHECK(!holder->authority.active());
+    for (size_t i = 0; i < 6; ++i)
+        cluster.world.cutStore(cluster.run(i).node, false);
+    ownedWithin(cluster, takeoverLimit);
+}
+
 TEST(Authority, allLoseEachOtherAndTheStoreThenComeBack)
 {
     EntryCluster cluster(seed, 3, 6);
@@ -192,7 +263,10 @@
     Pause,
     CutOneWay,
     CutOff,
+    CutOffFromStore,
+    CutOffPair,
     StoreOutage,
+    SlowStore,
     LostReplies,
     Loss,
     SlowLinks,
@@ -251,9 +325,18 @@
             for (size_t i = 0; i < m_cluster.size(); ++i)
                 world.cutBoth(name, m_cluster.run(i).settings.name, true);
             break;
+        case Fault::CutOffFromStore:
+            world.cutStore(m_cluster.run(target).node, true);
+            break;
+        case Fault::CutOffPair:
+            m_cluster.cutOffPair(target, pick(m_cluster.size()));
+            break;
         case Fault::StoreOutage:
             world.setStoreDown(true);
             break;
+        case Fault::SlowStore:
+            world.setMaxStoreDelay(absl::Seconds(1));
+            break;
         case Fault::LostReplies:
             world.setLostReplies(0.7);
             break;
@@ -273,11 +356,13 @@
         FakeWorld& world = m_cluster.world;
         world.setStoreDown(false);
         world.setLostReplies(0);
+        world.setMaxStoreDelay(absl::Milliseconds(5));
         world.setLoss(0);
         world.setMaxDelay(absl::Milliseconds(2));
         for (size_t i = 0; i < m_cluster.size(); ++i) {
             for (size_t j = 0; j < m_cluster.size(); ++j)
                 world.cut(m_cluster.run(i).settings.name, m_cluster.run(j).settings.name, false);
+            world.cutStore(m_cluster.run(i).node, false);
             if (m_cluster.run(i).paused)
                 m_cluster.resume(i);
             if (m_cluster.run(i).ownership.left())
--- a/test/support/EntryCluster.cpp
+++ b/test/support/EntryCluster.cpp
@@ -88,6 +88,17 @@
     world.resume(run(index).node);
 }
 
+void EntryCluster::cutOffPair(size_t a, size_t b)
+{
+    for (size_t inner : { a, b }) {
+        world.cutStore(run(inner).node, true);
+        for (size_t outer = 0; outer < size(); ++outer) {
+            if (outer != a && outer != b)
+                world.cutBoth(run(inner).settings.name, run(outer).settings.name, true);
+        }
+    }
+}
+
 void EntryCluster::advance(absl::Duration by)
 {
     const absl::Duration until = world.now() + by;
--- a/test/support/EntryCluster.h
+++ b/test/support/EntryCluster.h
@@ -45,6 +45,8 @@
     void kill(size_t index);
     void pause(size_t index);
     void resume(size_t index);
+    /** Cuts off two entries from the store and from all others, but not from each other. */
+    void cutOffPair(size_t a, size_t b);
 
     /** Advances the time and checks at every tick; stops early at the first violation. */
     void advance(absl::Duration by);
--- a/test/support/FakeWorld.cpp
+++ b/test/support/FakeWorld.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr absl::Duration maxStoreDelay = absl::Milliseconds(5);
+    constexpr absl::Duration maxWatchDelay = absl::Milliseconds(5);
     constexpr absl::Duration maxClockOffset = absl::Hours(1);
 
 } // namespace
@@ -50,20 +50,20 @@
     }
 }
 
-void Node::call(std::function<StoreReply()> effect, bool isWrite, Callback callback)
+void Node::call(const std::function<StoreReply()>& effect, bool isWrite, Callback callback)
 {
     ++(isWrite ? m_counts.writes : m_counts.reads);
     auto shared = std::make_shared<Callback>(std::move(callback));
-    m_world->schedule(m_world->randomDelay(maxStoreDelay), [this, effect, isWrite, shared] {
+    m_world->schedule(m_world->randomDelay(m_world->m_maxStoreDelay), [this, effect, isWrite, shared] {
         StoreReply reply;
-        const bool down = m_world->m_storeDown;
+        const bool down = m_world->m_storeDown || m_storeCut;
         if (!down)
             reply = effect();
         const bool lost = down || (isWrite && m_world->chance(m_world->m_lostReplies));
         if (lost)
             reply = {};
-        const absl::Duration delay = lost ? FakeWorld::storeTimeout : m_world->randomDelay(maxStoreDelay);
-        m_world->scheduleOn(*this, delay, [shared, reply] { (*shared)(reply); });
+        const absl::Duration delay = lost ? FakeWorld::storeTimeout : m_world->randomDelay(m_world->m_maxStoreDelay);
+        m_world->scheduleOn(*this, delay, [this, shared, reply] { (*shared)(m_storeCut ? StoreReply {} : reply); });
     });
 }
 
@@ -131,7 +131,7 @@
 
 void Node::deliverWatch()
 {
-    if (!m_watch || m_dead || m_world->m_storeDown)
+    if (!m_watch || m_dead || m_world->m_storeDown || m_storeCut)
         return;
     std::vector<StoreEntry> entries;
     for (const auto& [key, entry] : m_world->m_stored) {
@@ -139,8 +139,11 @@
             entries.push_back(entry);
     }
     // One watch is one stream: what it tells never overtakes what it told before.
-    m_watchDue = std::max(m_watchDue, m_world->now() + m_world->randomDelay(maxStoreDelay));
-    m_world->scheduleOn(*this, m_watchDue - m_world->now(), [this, entries = std::move(entries)] { m_watch(entries); });
+    m_watchDue = std::max(m_watchDue, m_world->now() + m_world->randomDelay(maxWatchDelay));
+    m_world->scheduleOn(*this, m_watchDue - m_world->now(), [this, entries = std::move(entries)] {
+        if (!m_storeCut)
+            m_watch(entries);
+    });
 }
 
 FakeWorld::FakeWorld(uint64_t seed)
@@ -211,6 +214,13 @@
     cut(b, a, isCut);
 }
 
+void FakeWorld::cutStore(Node& node, bool isCut)
+{
+    node.m_storeCut = isCut;
+    if (!isCut)
+        node.deliverWatch();
+}
+
 void FakeWorld::setStoreDown(bool down)
 {
     m_storeDown = down;
--- a/test/support/FakeWorld.h
+++ b/test/support/FakeWorld.h
@@ -61,7 +61,7 @@
 private:
     friend class FakeWorld;
     /** Runs `effect` on the store after a delay and brings the reply back after another. */
-    void call(std::function<StoreReply()> effect, bool isWrite, Callback callback);
+    void call(const std::function<StoreReply()>& effect, bool isWrite, Callback callback);
     void deliverWatch();
 
     FakeWorld* m_world = nullptr;
@@ -75,6 +75,7 @@
     absl::Duration m_watchDue = absl::ZeroDuration();
     bool m_paused = false;
     bool m_dead = false;
+    bool m_storeCut = false;
     std::vector<std::function<void()>> m_held;
     PeerTraffic m_traffic;
     StoreCallCounts m_counts;
@@ -103,8 +104,13 @@
     /** Cuts or mends both ways. */
     void cutBoth(const std::string& a, const std::string& b, bool isCut);
 
+    /** Cuts one node off from the store, or mends that: to it alone the store is down, and what is on its way is lost.
+     */
+    void cutStore(Node& node, bool isCut);
     /** Takes the store down: calls are answered Unavailable after a time limit, and watches hear nothing. */
     void setStoreDown(bool down);
+    /** The longest time that a call takes on its way to the store, and its reply on the way back. */
+    void setMaxStoreDelay(absl::Duration delay) { m_maxStoreDelay = delay; }
     /** The share of writes whose reply is lost after the effect, from 0 to 1. */
     void setLostReplies(double share) { m_lostReplies = share; }
     /** The share of peer messages that are lost, from 0 to 1. */
@@ -135,6 +141,7 @@
     absl::btree_map<std::string, StoreEntry> m_stored;
     uint64_t m_index = 0;
     bool m_storeDown = false;
+    absl::Duration m_maxStoreDelay = absl::Milliseconds(5);
     double m_lostReplies = 0;
     double m_loss = 0;
     absl::Duration m_maxDelay = absl::Milliseconds(2);
