--- a/test/failure/AuthorityTest.cpp
+++ b/test/failure/AuthorityTest.cpp
@@ -200,6 +200,26 @@
     ownedWithin(cluster, takeoverLimit);
 }
 
+/** An entry lives by its own writes, whose replies are late; then it loses the store as well. */
+TEST(Authority, lateRepliesGiveNoMoreTime)
+{
+    for (seed = 1; seed <= 5; ++seed) {
+        EntryCluster cluster(seed, 3, 6);
+        startAll(cluster, 4);
+        EntryRun& slow = cluster.run(0);
+        for (size_t other : { 1, 2, 3 })
+            cluster.world.cutBoth("entry-0", cluster.run(other).settings.name, true);
+        cluster.world.setWatchStale(slow.node, true);
+        cluster.world.setMaxStoreDelay(absl::Milliseconds(700));
+        cluster.advance(absl::Seconds(1));
+        const Instant before = slow.authority.until();
+        cluster.advanceUntil([&] { return slow.authority.until() > before; }, absl::Seconds(10));
+        cluster.world.cutStore(slow.node, true);
+        cluster.world.setMaxStoreDelay(absl::Milliseconds(5));
+        ownedWithin(cluster, takeoverLimit);
+    }
+}
+
 TEST(Authority, allLoseEachOtherAndTheStoreThenComeBack)
 {
     EntryCluster cluster(seed, 3, 6);
@@ -267,6 +287,7 @@
     CutOffPair,
     StoreOutage,
     SlowStore,
+    StaleWatch,
     LostReplies,
     Loss,
     SlowLinks,
@@ -337,6 +358,9 @@
         case Fault::SlowStore:
             world.setMaxStoreDelay(absl::Seconds(1));
             break;
+        case Fault::StaleWatch:
+            world.setWatchStale(m_cluster.run(target).node, true);
+            break;
         case Fault::LostReplies:
             world.setLostReplies(0.7);
             break;
@@ -363,6 +387,7 @@
             for (size_t j = 0; j < m_cluster.size(); ++j)
                 world.cut(m_cluster.run(i).settings.name, m_cluster.run(j).settings.name, false);
             world.cutStore(m_cluster.run(i).node, false);
+            world.setWatchStale(m_cluster.run(i).node, false);
             if (m_cluster.run(i).paused)
                 m_cluster.resume(i);
             if (m_cluster.run(i).ownership.left())
--- a/test/support/FakeWorld.cpp
+++ b/test/support/FakeWorld.cpp
@@ -131,7 +131,7 @@
 
 void Node::deliverWatch()
 {
-    if (!m_watch || m_dead || m_world->m_storeDown || m_storeCut)
+    if (!m_watch || m_dead || m_world->m_storeDown || m_storeCut || m_watchStale)
         return;
     std::vector<StoreEntry> entries;
     for (const auto& [key, entry] : m_world->m_stored) {
@@ -141,7 +141,7 @@
     // One watch is one stream: what it tells never overtakes what it told before.
     m_watchDue = std::max(m_watchDue, m_world->now() + m_world->randomDelay(maxWatchDelay));
     m_world->scheduleOn(*this, m_watchDue - m_world->now(), [this, entries = std::move(entries)] {
-        if (!m_storeCut)
+        if (!m_storeCut && !m_watchStale)
             m_watch(entries);
     });
 }
@@ -221,6 +221,13 @@
         node.deliverWatch();
 }
 
+void FakeWorld::setWatchStale(Node& node, bool isStale)
+{
+    node.m_watchStale = isStale;
+    if (!isStale)
+        node.deliverWatch();
+}
+
 void FakeWorld::setStoreDown(bool down)
 {
     m_storeDown = down;
--- a/test/support/FakeWorld.h
+++ b/test/support/FakeWorld.h
@@ -76,6 +76,7 @@
     bool m_paused = false;
     bool m_dead = false;
     bool m_storeCut = false;
+    bool m_watchStale = false;
     std::vector<std::function<void()>> m_held;
     PeerTraffic m_traffic;
     StoreCallCounts m_counts;
@@ -107,6 +108,8 @@
     /** Cuts one node off from the store, or mends that: to it alone the store is down, and what is on its way is lost.
      */
     void cutStore(Node& node, bool isCut);
+    /** Makes one node's watch hear nothing while calls are answered, or mends that. */
+    void setWatchStale(Node& node, bool isStale);
     /** Takes the store down: calls are answered Unavailable after a time limit, and watches hear nothing. */
     void setStoreDown(bool down);
     /** The longest time that a call takes on its way to the store, and its reply on the way back. */
