Stops and traces for operators; command lines tested; two faults mended

cicadactl profile list read a JSON document that was gone already: it printed nothing. Two processes could bind one port, as the HTTP library allows it by default.

--- a/src/HttpThreads.cpp
+++ b/src/HttpThreads.cpp
@@ -57,6 +57,11 @@
 {
     server.new_task_queue = [maxConnections] { return new HttpThreads(maxConnections); };
     server.set_tcp_nodelay(true);
+    // The library's default would let two processes share a port, and each would get some of the other's callers.
+    server.set_socket_options([](socket_t socket) {
+        const int one = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    });
     server.set_keep_alive_max_count(maxRequestsPerConnection);
     server.set_keep_alive_timeout(keepAliveSeconds);
     server.set_read_timeout(transferTimeoutSeconds);
--- a/test/correctness/WholePath.sh
+++ b/test/correctness/WholePath.sh
@@ -39,6 +39,22 @@
 check 200 "http://$(entry 1)/metrics"
 check 200 "http://$(entry 1)/v1/status"
 
+# The operators' commands.
+ctl() { "$build/cicadactl" --entry "$(entry 2)" "$@"; }
+ctl profile get check | grep -q '"maxWaitMs": 2000' || fail "profile get"
+ctl profile list | grep -q '^check ' || fail "profile list"
+ctl status | grep -q '^desk-khulna-a-1 ' || fail "status"
+ctl stop plan back-end desk-khulna-a-1 >/dev/null || fail "stop plan"
+ctl stop list | grep -q 'desk-khulna-a-1' || fail "stop list"
+ctl stop cancel "$(ctl stop list | awk '/desk-khulna-a-1/ {print $1}')" >/dev/null || fail "stop cancel"
+ctl stop plan back-end nowhere 2>/dev/null && fail "a stop of a back end that does not exist"
+
+# One request as a tree, by its id.
+id=123e4567-e89b-42d3-a456-426614174000
+"$build/cicada-call" --entry "$(entry 1)" --service desk --profile check --data x --id $id >/dev/null || fail "call"
+traced() { ctl trace $id "$out"/spans-*.jsonl | grep -q 'back-end (entry-1)'; }
+wait_for 5 traced || fail "trace"
+
 kill -TERM "$pid_entry_1"
 wait_end 20 "$pid_entry_1" || fail "the planned stop"
 echo "whole path: ok"
--- a/test/failure/PlannedStops.sh
+++ b/test/failure/PlannedStops.sh
@@ -24,12 +24,12 @@
 sleep 2
 http -X POST -d '{"kind": "back-end", "target": "desk-khulna-a-1"}' "http://$(entry 1)/v1/stops" >"$out/stop"
 grep -q '"id"' "$out/stop" || fail "the stop was not planned: $(cat "$out/stop")"
-http -X PUT "http://$platform/control?down=1" >/dev/null
+control "$platform" "down=1"
 sleep 3
-http -X PUT "http://127.0.0.1:$((base + 301))/control?leaving=1" >/dev/null
+control "127.0.0.1:$((base + 301))" "leaving=1"
 no_run_left() { [ "$(field inUse "$(http "http://127.0.0.1:$((base + 301))/control")")" = 0 ]; }
 wait_for 5 no_run_left || fail "the leaving executor does not drain"
-http -X PUT "http://$platform/control?down=0" >/dev/null
+control "$platform" "down=0"
 
 # An entry, by its signal.
 kill -TERM "$pid_entry_2"
--- a/test/standin/Cluster.sh
+++ b/test/standin/Cluster.sh
@@ -125,3 +125,6 @@
     wait_for "$1" ended "$2" || return 99
     wait "$2"
 }
+
+# control HOST:PORT SWITCHES: sets switches of a stand-in, as in "down=1&slowMs=20". A PUT needs a body, if an empty one.
+control() { http -f -X PUT -d '' "http://$1/control?$2" >/dev/null || fail "control $1 $2"; }
--- /dev/null
+++ b/tools/TraceCommand.cpp
@@ -0,0 +1,157 @@
+#include "OperatorTool.h"
+
+#include "CommandLine.h"
+#include "Json.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+namespace cicada {
+
+namespace {
+
+    using Internal::Json;
+
+    constexpr int64_t nanosPerMicro = 1000;
+    constexpr size_t indentPerLevel = 2;
+    /** Deeper than any trace of ours; it keeps spans that name each other as parents from going round for ever. */
+    constexpr size_t maxDepth = 32;
+
+    struct ReadSpan {
+        std::string traceId;
+        std::string spanId;
+        std::string parentId;
+        std::string name;
+        std::string process;
+        std::string attributes;
+        std::string requestId;
+        int64_t startMicros = 0;
+        int64_t endMicros = 0;
+    };
+
+    int64_t micros(const Json& span, const char* field)
+    {
+        int64_t nanos = 0;
+        if (!absl::SimpleAtoi(span.value(field, ""), &nanos))
+            return 0;
+        return nanos / nanosPerMicro;
+    }
+
+    ReadSpan readSpan(const Json& span, const std::string& process)
+    {
+        ReadSpan read;
+        read.traceId = span.value("traceId", "");
+        read.spanId = span.value("spanId", "");
+        read.parentId = span.value("parentSpanId", "");
+        read.name = span.value("name", "");
+        read.process = process;
+        read.startMicros = micros(span, "startTimeUnixNano");
+        read.endMicros = micros(span, "endTimeUnixNano");
+        for (const auto& attribute : span["attributes"]) {
+            const std::string key = attribute.value("key", "");
+            const std::string value = attribute["value"].value("stringValue", "");
+            absl::StrAppend(&read.attributes, " ", key, "=", value);
+            if (key == "request.id")
+                read.requestId = value;
+        }
+        return read;
+    }
+
+    /** Adds the spans of one line; a line that is not a span is passed over, as logs may share the file. */
+    void readLine(const std::string& line, std::vector<ReadSpan>& spans)
+    {
+        const Json document = Json::parse(line, nullptr, false);
+        if (!document.is_object() || !document.contains("resourceSpans"))
+            return;
+        try {
+            for (const auto& resource : document["resourceSpans"]) {
+                const std::string process = resource["resource"]["attributes"].at(0)["value"].value("stringValue", "");
+                for (const auto& scope : resource["scopeSpans"]) {
+                    for (const auto& span : scope["spans"])
+                        spans.push_back(readSpan(span, process));
+                }
+            }
+        } catch (const Json::exception&) {
+            return;
+        }
+    }
+
+    using Children = std::multimap<std::string, const ReadSpan*>;
+
+    void printTree(const Children& children, const std::string& parent, size_t depth, int64_t origin)
+    {
+        if (depth > maxDepth)
+            return;
+        const auto [first, last] = children.equal_range(parent);
+        for (auto it = first; it != last; ++it) {
+            const ReadSpan& span = *it->second;
+            std::cout << absl::StrFormat("%9.3f ms %9.3f ms  ", static_cast<double>(span.startMicros - origin) / 1000,
+                static_cast<double>(span.endMicros - span.startMicros) / 1000)
+                      << std::string(depth * indentPerLevel, ' ') << span.name << " (" << span.process << ")"
+                      << span.attributes << "\n";
+            printTree(children, span.spanId, depth + 1, origin);
+        }
+    }
+
+    /** The trace that the id names, directly or by the request it belongs to; empty when there is none. */
+    std::string findTrace(const std::vector<ReadSpan>& spans, const std::string& id)
+    {
+        for (const ReadSpan& span : spans) {
+            if (span.traceId == id || span.requestId == id)
+                return span.traceId;
+        }
+        return "";
+    }
+
+    void printSpans(std::vector<ReadSpan>& spans, const std::string& traceId)
+    {
+        std::sort(spans.begin(), spans.end(),
+            [](const ReadSpan& a, const ReadSpan& b) { return a.startMicros < b.startMicros; });
+        std::map<std::string, bool> known;
+        for (const ReadSpan& span : spans)
+            known[span.spanId] = true;
+        Children children;
+        int64_t origin = 0;
+        for (const ReadSpan& span : spans) {
+            if (span.traceId != traceId)
+                continue;
+            origin = origin == 0 ? span.startMicros : origin;
+            // A span whose parent is the caller's own stands at the root.
+            children.emplace(known.contains(span.parentId) ? span.parentId : "", &span);
+        }
+        std::cout << "trace " << traceId << "\n    start         took\n";
+        printTree(children, "", 0, origin);
+    }
+
+} // namespace
+
+int printTrace(const OperatorOptions& options)
+{
+    std::vector<ReadSpan> spans;
+    for (size_t i = 2; i < options.words.size(); ++i) {
+        std::ifstream file(options.words[i]);
+        if (!file)
+            return reportError("cicadactl",
+                { ErrorKind::InvalidRequest, absl::StrCat("The file '", options.words[i], "' can't be read."),
+                    "Name the entries' spanOutput files." },
+                exitUsage);
+        for (std::string line; std::getline(file, line);)
+            readLine(line, spans);
+    }
+    const std::string traceId = findTrace(spans, options.words[1]);
+    if (traceId.empty())
+        return reportError("cicadactl",
+            { ErrorKind::InvalidRequest, absl::StrCat("No span belongs to '", options.words[1], "'."),
+                "Name the span files of all entries that the request may have passed." },
+            exitFailure);
+    printSpans(spans, traceId);
+    return exitSuccess;
+}
+
+} // namespace cicada
--- a/tools/cicadactl.cpp
+++ b/tools/cicadactl.cpp
@@ -4,6 +4,7 @@
 
 #include "CommandLine.h"
 #include "Json.h"
+#include "OperatorTool.h"
 #include "Settings.h"
 #include "Uuid.h"
 
@@ -29,6 +30,10 @@
   profile get NAME              one profile, as JSON
   profile set NAME FILE         make or change a profile ("-" reads standard input)
   profile delete NAME           delete a profile
+  stop plan KIND TARGET         plan the graceful shutdown of a back-end, a rack or an entry
+  stop list                     the planned stops, and how much still runs there
+  stop cancel ID                cancel a planned stop
+  trace ID FILE...              one request as a tree of its spans; ID is a trace's or a request's
   status                        members, back ends and load, as the entry sees them
 
 Options:
@@ -44,30 +49,13 @@
 
 constexpr time_t timeoutSeconds = 10;
 
-struct Options {
-    Endpoint entry { "127.0.0.1", 7100 };
-    std::string ifMatch;
-    std::string changeId;
-    bool json = false;
-    std::vector<std::string> words;
-};
+using Options = OperatorOptions;
 
 int fail(const std::string& message, const std::string& remedy)
 {
     return reportError(program, { ErrorKind::Internal, message, remedy }, exitFailure);
 }
 
-/** Reports the failure of a call, in the words of the entry when it answered. */
-int failCall(const httplib::Result& response)
-{
-    if (!response)
-        return fail("The entry can't be reached.", "Check --entry, or ask another entry.");
-    const Json problem = Json::parse(response->body, nullptr, false);
-    if (!problem.is_object())
-        return fail(absl::StrCat("The entry answered with status ", response->status, "."), "Check --entry.");
-    return fail(problem.value("detail", ""), problem.value("remedy", ""));
-}
-
 bool succeeded(const httplib::Result& response) { return response && response->status == 200; }
 
 void printStatus(const Json& status)
@@ -94,7 +82,7 @@
 {
     const auto response = client.Get("/v1/status");
     if (!succeeded(response))
-        return failCall(response);
+        return failOperatorCall(response);
     if (options.json)
         std::cout << response->body << "\n";
     else
@@ -106,7 +94,7 @@
 {
     const auto response = client.Get("/v1/profiles");
     if (!succeeded(response))
-        return failCall(response);
+        return failOperatorCall(response);
     if (options.json) {
         std::cout << response->body << "\n";
         return exitSuccess;
@@ -114,7 +102,8 @@
     std::cout << std::left << std::setw(24) << "PROFILE" << std::setw(10) << "VERSION" << std::setw(12) << "MAX WAIT"
               << std::setw(12) << "RUN TWICE"
               << "WHEN SHORT\n";
-    for (const auto& profile : Json::parse(response->body)["profiles"])
+    const Json document = Json::parse(response->body);
+    for (const auto& profile : document["profiles"])
         std::cout << std::setw(24) << profile.value("name", "") << std::setw(10) << profile.value("version", 0)
                   << std::setw(12) << absl::StrCat(profile.value("maxWaitMs", 0), " ms") << std::setw(12)
                   << (profile.value("mayRunTwice", false) ? "may" : "never") << profile.value("whenShort", "") << "\n";
@@ -137,7 +126,7 @@
     const auto response = client.Put(
         absl::StrCat("/v1/profiles/", options.words[2]), changeHeaders(options), text.value(), "application/json");
     if (!succeeded(response))
-        return failCall(response);
+        return failOperatorCall(response);
     std::cout << "profile " << options.words[2] << " is at version " << Json::parse(response->body).value("version", 0)
               << "\n";
     return exitSuccess;
@@ -147,7 +136,7 @@
 {
     const auto response = client.Get(absl::StrCat("/v1/profiles/", options.words[2]));
     if (!succeeded(response))
-        return failCall(response);
+        return failOperatorCall(response);
     std::cout << Json::parse(response->body).dump(2) << "\n";
     return exitSuccess;
 }
@@ -156,7 +145,7 @@
 {
     const auto response = client.Delete(absl::StrCat("/v1/profiles/", options.words[2]), changeHeaders(options));
     if (!succeeded(response))
-        return failCall(response);
+        return failOperatorCall(response);
     std::cout << "profile " << options.words[2] << " is deleted\n";
     return exitSuccess;
 }
@@ -171,6 +160,14 @@
     };
     if (is("status", nullptr, 1))
         return runStatus(client, options);
+    if (is("stop", "plan", 4))
+        return planStop(client, options);
+    if (is("stop", "list", 2))
+        return listStops(client, options);
+    if (is("stop", "cancel", 3))
+        return cancelStop(client, options);
+    if (words.size() >= 3 && words[0] == "trace")
+        return printTrace(options);
     if (is("profile", "list", 2))
         return listProfiles(client, options);
     if (is("profile", "get", 3))
@@ -185,6 +182,16 @@
 
 } // namespace
 
+int cicada::failOperatorCall(const httplib::Result& response)
+{
+    if (!response)
+        return fail("The entry can't be reached.", "Check --entry, or ask another entry.");
+    const Json problem = Json::parse(response->body, nullptr, false);
+    if (!problem.is_object())
+        return fail(absl::StrCat("The entry answered with status ", response->status, "."), "Check --entry.");
+    return fail(problem.value("detail", ""), problem.value("remedy", ""));
+}
+
 int main(int argc, char** argv)
 {
     const option options[]
