Requests are admitted, ordered, reserved for and spilled by their profiles

Cause: the dispatcher served first come first served, asked whichever peer said it had most free, learnt nothing of run times, and a long run could hold every slot. Cancelling walked through all queues, and taking a slot through all back ends. Now, each behind an interface with its baseline beside it and chosen by the settings key "policy": refusal on arrival, urgency classes with a bound on starvation, earliest deadline with shares, a reserve for short work, learnt run times with stragglers told apart, peers of the own region first and other regions only under pressure, digests from a budget of bytes. A grant that came too late is reported as unused, which says nothing of its executor's health.

--- a/src/BackEnds.cpp
+++ b/src/BackEnds.cpp
@@ -83,6 +83,7 @@
     if (sameLists(list, m_list))
         return;
     m_list = std::move(list);
+    ++m_version;
     m_byName.clear();
     for (size_t i = 0; i < m_list.size(); ++i)
         m_byName[m_list[i].name] = i;
--- a/src/BackEnds.h
+++ b/src/BackEnds.h
@@ -63,10 +63,13 @@
     const BackEnd* find(absl::string_view name) const;
     absl::Span<const BackEnd> all() const { return m_list; }
     bool hasService(absl::string_view service) const;
+    /** Grows with each change of the list. */
+    uint64_t version() const { return m_version; }
     void onChange(absl::AnyInvocable<void()> observer) { m_observers.push_back(std::move(observer)); }
 
 private:
     std::vector<BackEnd> m_list;
+    uint64_t m_version = 1;
     absl::flat_hash_map<std::string, size_t> m_byName;
     std::vector<absl::AnyInvocable<void()>> m_observers;
 };
--- a/src/Dispatcher.h
+++ b/src/Dispatcher.h
@@ -2,28 +2,41 @@
 
 /** \file
  * Where waiting requests are matched with free slots. The entry that took a request queues it; a slot comes from
- * this entry's own ledger or, by a grant, from a peer that has one free.
+ * this entry's own ledger or, by a grant, from a peer that has one free. What is decided here follows from profiles,
+ * learnt run times and the peers' loads; how it is decided is chosen by PolicyOptions.
  */
 
 #include "PeerBus.h"
 #include "PlacementMessages.h"
+#include "PolicyOptions.h"
 #include "Profile.h"
+#include "RunTimes.h"
 #include "SlotLedger.h"
+#include "SlotUses.h"
 
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/functional/any_invocable.h"
 
 #include <deque>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace cicada {
 
+class LoadReporter;
+
 /** A request as far as its placement goes. */
 struct WorkItem {
     std::string requestId;
     std::string service;
     Profile profile;
+    /** What it costs to send the request to another region. */
+    uint64_t bodyBytes = 0;
+    /** When it came in, so that its wait is counted from there when it is placed again; zero for now. */
+    Instant arrivedAt = absl::ZeroDuration();
 };
 
 /** Leave to send one start, once. */
@@ -36,6 +49,35 @@
     uint64_t epoch = 0;
     /** On this process's clock; after it the start must not be sent. */
     Instant startBy = absl::ZeroDuration();
+    /** What runs under it. */
+    std::string service {};
+    std::string profile {};
+    bool isLong = false;
+    absl::Duration maxRun = absl::InfiniteDuration();
+};
+
+/** What a dispatcher is told at its start. */
+struct DispatcherOptions {
+    /** Where this entry is. */
+    std::string region;
+    PolicyOptions policy;
+    /** Of the choices among peers. */
+    uint64_t seed = 1;
+};
+
+/** What became of the requests of one dispatcher. */
+struct PlacementCounts {
+    uint64_t submitted = 0;
+    /** Refused on arrival because it could not have started in time, or because the queue was full. */
+    uint64_t refused = 0;
+    uint64_t expired = 0;
+    uint64_t cancelled = 0;
+    uint64_t started = 0;
+    /** Of those started: on a peer's slot, and in another region. */
+    uint64_t onPeers = 0;
+    uint64_t acrossRegions = 0;
+    /** Bodies sent to another region, in bytes. */
+    uint64_t bytesAcrossRegions = 0;
 };
 
 /** Queues requests and finds slots for them. Used on the decision thread only. */
@@ -44,7 +86,8 @@
     using Decision = absl::AnyInvocable<void(Result<StartGrant>)>;
 
     /** All arguments must outlive the dispatcher. `maxQueued` bounds the requests that wait. */
-    Dispatcher(std::string self, const BackEnds&, SlotLedger&, PeerBus&, const Clock&, size_t maxQueued);
+    Dispatcher(std::string self, const BackEnds&, SlotLedger&, PeerBus&, const Clock&, size_t maxQueued,
+        const DispatcherOptions& options = {});
     ~Dispatcher();
 
     /** Queues a request. `decision` is called once: with a grant, or with the reason why there is none. */
@@ -56,43 +99,79 @@
     /** Takes a request out of the queue; its decision is called with an error. False when it is not queued. */
     bool cancel(absl::string_view requestId);
     void tick(Instant now);
-    size_t queued() const { return m_queued; }
+    /** Requests that wait, those included that a peer was asked to take. */
+    size_t queued() const { return m_waiting.size(); }
+    const PlacementCounts& counts() const { return m_counts; }
+    const RunTimes& runTimes() const { return m_runTimes; }
+    /** What was sent to tell peers of this entry's load, in bytes. */
+    uint64_t digestBytes() const;
 
-    static constexpr absl::Duration digestInterval = absl::Milliseconds(250);
+    /** A reply to an ask that comes later is given back. */
     static constexpr absl::Duration askTimeout = absl::Milliseconds(200);
+    /** A request isn't sent to another region when less than this is left of its wait bound. */
+    static constexpr absl::Duration crossingTime = absl::Milliseconds(80);
 
 private:
     struct Waiting;
-    struct Queue;
-    /** What a peer said it could take, and when. */
-    struct PeerLoad {
-        Instant receivedAt;
-        absl::flat_hash_map<std::string, uint32_t> freeSlots;
-    };
-
-    void pump(absl::string_view service);
-    bool placeLocally(Waiting& waiting);
-    bool askPeer(Waiting& waiting);
-    void expire(Queue& queue, Instant now);
+    struct ServiceState;
+    using WaitingPtr = std::unique_ptr<Waiting>;
+
+    Result<void> checkPlaceable(const WorkItem& item) const;
+    Result<void> checkAdmissible(const WorkItem& item, const QueuedRequest& request, ServiceState& state);
+    QueuedRequest describeRequest(const WorkItem& item, ServiceState& state);
+    ServiceState& serviceState(const std::string& service);
+
+    void pump(const std::string& service);
+    bool placeNext(const std::string& service, ServiceState& state);
+    bool placeLocally(uint64_t ticket, ServiceState& state);
+    bool askPeer(uint64_t ticket, ServiceState& state);
+    std::vector<PeerCandidate> peersFor(const Waiting& waiting, const ServiceState& state) const;
+    bool mayStart(absl::string_view service, bool isLong, const ServiceState& state) const;
+
+    uint32_t ownFree(absl::string_view service, bool isLong, const ServiceState& state) const;
+    absl::Duration expectedWaitOf(
+        absl::string_view service, const QueuedRequest& request, const ServiceState& state) const;
+
+    WaitingPtr takeWaiting(uint64_t ticket);
+    void refuseWaiting(uint64_t ticket, const Error& error);
+    void decideGrant(uint64_t ticket, StartGrant grant, bool isAcrossRegions);
+    void expireRequests(Instant now);
+    void expireAsks(Instant now);
+    bool isOtherRegion(absl::string_view executor, absl::string_view owner) const;
+
+    void settleSlot(uint64_t grantId, const RunReport& report);
     void handleDigest(absl::string_view from, absl::string_view bytes);
     void handleDone(absl::string_view bytes);
-    void settleSlot(uint64_t grantId, const RunReport& report);
     void handleAsk(absl::string_view from, absl::string_view bytes);
     void handleReply(absl::string_view from, absl::string_view bytes);
-    void sendDigest();
+    void report(Instant now);
 
     const std::string m_self;
+    const DispatcherOptions m_options;
     const BackEnds& m_backEnds;
     SlotLedger& m_ledger;
     PeerBus& m_peers;
     const Clock& m_clock;
     const size_t m_maxQueued;
-    size_t m_queued = 0;
-    absl::flat_hash_map<std::string, std::unique_ptr<Queue>> m_queues;
-    absl::flat_hash_map<std::string, PeerLoad> m_peerLoads;
-    absl::flat_hash_map<uint64_t, std::shared_ptr<Waiting>> m_asks;
+    std::mt19937_64 m_random;
+    const std::unique_ptr<Admission> m_admission;
+    const std::unique_ptr<PeerChoice> m_choice;
+    RunTimes m_runTimes;
+    SlotUses m_uses;
+    PeerLoads m_loads;
+    std::unique_ptr<LoadReporter> m_reporter;
+    /** Stable while it is walked through, as decisions may come to submit to a new service. */
+    std::map<std::string, std::unique_ptr<ServiceState>> m_services;
+    absl::flat_hash_map<uint64_t, WaitingPtr> m_waiting;
+    absl::flat_hash_map<std::string, uint64_t> m_byRequest;
+    absl::btree_set<std::pair<Instant, uint64_t>> m_deadlines;
+    /** Tickets by ask, and the asks in the order in which they were sent. */
+    absl::flat_hash_map<uint64_t, uint64_t> m_asks;
+    std::deque<std::pair<Instant, uint64_t>> m_sentAsks;
+    uint64_t m_nextTicket = 1;
     uint64_t m_nextAsk = 1;
-    Instant m_nextDigest = absl::ZeroDuration();
+    Instant m_nextSweep = absl::ZeroDuration();
+    PlacementCounts m_counts;
 };
 
 } // namespace cicada
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -99,7 +99,8 @@
     p.membership = std::make_unique<Membership>(s, *p.store, *p.peers, *p.watch, p.clock);
     p.ownership = std::make_unique<HashedOwnership>(s, *p.membership, p.backEnds, p.clock);
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
-    p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
+    p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests,
+        DispatcherOptions { s.region, *policyOptions(s.policy), std::hash<std::string> {}(s.name) });
     p.stops = std::make_unique<StopBook>(StopBook::Parts { s, *p.store, *p.peers, *p.watch, p.backEnds, p.clock,
         [&p](const PlannedStop& stop) { return remainingWork(p, stop); }, [] { raise(SIGTERM); } });
     p.health = std::make_unique<ExecutorHealth>(
--- /dev/null
+++ b/src/LoadReporter.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/** \file
+ * Tells the other entries what this one could take. The traffic is bounded whatever happens: only what changed is
+ * sent, with a least interval and from a budget of bytes; beyond the own region to a random sample of peers.
+ */
+
+#include "PeerBus.h"
+#include "PeerLoads.h"
+
+#include "absl/container/btree_map.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** Sends load digests. Used on the decision thread only. */
+class LoadReporter {
+public:
+    /** All arguments must outlive the reporter. `region` is this entry's own. */
+    LoadReporter(std::string region, PeerBus&, const PeerLoads&, std::mt19937_64&);
+
+    /** Whether there may be something to say. */
+    bool isDue(Instant now) const { return now >= m_nextChange; }
+    /** Sends what has to be said now. */
+    void report(absl::Span<const ServiceLoad> loads, Instant now);
+    uint64_t bytesSent() const { return m_bytesSent; }
+
+    /** Between two digests of changes to the own region. */
+    static constexpr absl::Duration changeInterval = absl::Milliseconds(50);
+    /** Between two whole digests, which also reach other regions. */
+    static constexpr absl::Duration wholeInterval = absl::Seconds(1);
+    static constexpr double bytesPerSecond = 2000;
+    static constexpr double mostBytesAtOnce = 4000;
+    /** The most peers of the own region, and the most beyond it, that one digest goes to. */
+    static constexpr size_t regionSample = 8;
+    static constexpr size_t beyondSample = 8;
+    /** The most services in one digest; of more, a random part is told each time. */
+    static constexpr size_t mostServices = 32;
+
+private:
+    std::vector<ServiceLoad> changed(absl::Span<const ServiceLoad> loads) const;
+    void sendWhole(absl::Span<const ServiceLoad> loads);
+    void send(const LoadDigest& digest, absl::Span<const std::string> peers);
+    void sample(std::vector<std::string>& peers, size_t most);
+    void splitPeers(std::vector<std::string>& inRegion, std::vector<std::string>& beyond) const;
+
+    const std::string m_region;
+    PeerBus& m_peers;
+    const PeerLoads& m_loads;
+    std::mt19937_64& m_random;
+    absl::btree_map<std::string, ServiceLoad> m_told;
+    Instant m_nextChange = absl::ZeroDuration();
+    Instant m_nextWhole = absl::ZeroDuration();
+    double m_budget = mostBytesAtOnce;
+    Instant m_budgetAt = absl::ZeroDuration();
+    uint64_t m_bytesSent = 0;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/OfferedLoad.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/** \file
+ * How many slots a stream of requests needs: its arrival rate times its run time, measured over the last while.
+ */
+
+#include "Clock.h"
+
+namespace cicada {
+
+/** Run time offered in each second, as an exponentially fading average; so also the mean number of busy slots. */
+class OfferedLoad {
+public:
+    explicit OfferedLoad(absl::Duration window)
+        : m_window(window)
+    {
+    }
+
+    /** A request whose run takes about `run` arrived. */
+    void add(absl::Duration run, Instant now);
+    double slots(Instant now) const;
+
+private:
+    absl::Duration m_window;
+    double m_slots = 0;
+    Instant m_at = absl::ZeroDuration();
+};
+
+} // namespace cicada
--- a/src/PlacementMessages.cpp
+++ b/src/PlacementMessages.cpp
@@ -7,11 +7,15 @@
 using Internal::packFields;
 using Internal::unpackFields;
 
-std::string encode(const PlaceAsk& m) { return packFields(m.askId, m.requestId, m.service); }
+std::string encode(const PlaceAsk& m)
+{
+    return packFields(m.askId, m.requestId, m.service, m.profile, m.isLong, m.expectedRunMicros);
+}
 
 std::string encode(const PlaceReply& m)
 {
-    return packFields(m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch, m.startWithinMicros);
+    return packFields(
+        m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch, m.startWithinMicros, m.freeSlots, m.freeForLong);
 }
 
 std::string encode(const PlaceDone& m)
@@ -21,24 +25,25 @@
 
 std::string encode(const LoadDigest& m)
 {
-    std::vector<std::tuple<std::string, uint32_t, uint32_t>> services;
+    std::vector<std::tuple<std::string, uint32_t, uint32_t, uint32_t>> services;
     for (const ServiceLoad& load : m.services)
-        services.emplace_back(load.service, load.freeSlots, load.queued);
-    return packFields(services);
+        services.emplace_back(load.service, load.freeSlots, load.freeForLong, load.queued);
+    return packFields(m.region, m.isWhole, services);
 }
 
 Result<PlaceAsk> decodePlaceAsk(absl::string_view bytes)
 {
     PlaceAsk m;
-    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-ask", m.askId, m.requestId, m.service));
+    BOOST_OUTCOME_TRY(
+        unpackFields(bytes, "place-ask", m.askId, m.requestId, m.service, m.profile, m.isLong, m.expectedRunMicros));
     return m;
 }
 
 Result<PlaceReply> decodePlaceReply(absl::string_view bytes)
 {
     PlaceReply m;
-    BOOST_OUTCOME_TRY(unpackFields(
-        bytes, "place-reply", m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch, m.startWithinMicros));
+    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-reply", m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch,
+        m.startWithinMicros, m.freeSlots, m.freeForLong));
     return m;
 }
 
@@ -48,7 +53,7 @@
     uint8_t verdict = 0;
     int64_t runMicros = 0;
     BOOST_OUTCOME_TRY(unpackFields(bytes, "place-done", m.grantId, verdict, runMicros));
-    if (verdict > static_cast<uint8_t>(RunVerdict::Unsettled))
+    if (verdict > static_cast<uint8_t>(RunVerdict::Unused))
         return Error { ErrorKind::MalformedMessage, "A place-done message has an unknown verdict.",
             "Check that all entries run the same version." };
     m.report = { static_cast<RunVerdict>(verdict), absl::Microseconds(runMicros) };
@@ -57,11 +62,11 @@
 
 Result<LoadDigest> decodeLoadDigest(absl::string_view bytes)
 {
-    std::vector<std::tuple<std::string, uint32_t, uint32_t>> services;
-    BOOST_OUTCOME_TRY(unpackFields(bytes, "load-digest", services));
+    std::vector<std::tuple<std::string, uint32_t, uint32_t, uint32_t>> services;
     LoadDigest m;
-    for (auto& [service, freeSlots, queued] : services)
-        m.services.push_back({ std::move(service), freeSlots, queued });
+    BOOST_OUTCOME_TRY(unpackFields(bytes, "load-digest", m.region, m.isWhole, services));
+    for (auto& [service, freeSlots, freeForLong, queued] : services)
+        m.services.push_back({ std::move(service), freeSlots, freeForLong, queued });
     return m;
 }
 
--- a/src/PlacementMessages.h
+++ b/src/PlacementMessages.h
@@ -21,6 +21,11 @@
     uint64_t askId = 0;
     std::string requestId;
     std::string service;
+    std::string profile;
+    /** Whether the asker knows the work to be long, so that it must keep off the owner's reserve. */
+    bool isLong = false;
+    /** What a run is expected to take. */
+    int64_t expectedRunMicros = 0;
 };
 
 /** The owner's reply. When granted, the start may be sent within `startWithinMicros` of the ask being sent. */
@@ -32,6 +37,9 @@
     std::string address;
     uint64_t epoch = 0;
     int64_t startWithinMicros = 0;
+    /** What is left at the owner. */
+    uint32_t freeSlots = 0;
+    uint32_t freeForLong = 0;
 };
 
 /** "The run under this grant has ended, or was never started and never will be." */
@@ -44,11 +52,17 @@
 struct ServiceLoad {
     std::string service;
     uint32_t freeSlots = 0;
+    /** Those of the free slots that long work may take. */
+    uint32_t freeForLong = 0;
     uint32_t queued = 0;
 };
 
 /** What the sender could take now. */
 struct LoadDigest {
+    /** Where the sender is. */
+    std::string region;
+    /** Whether services that are not named have nothing free; otherwise they are as said before. */
+    bool isWhole = true;
     std::vector<ServiceLoad> services;
 };
 
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -84,8 +84,8 @@
         return refused(request.id, id.error());
     entrySpan.attribute("request.id", id.value());
     const Instant start = m_parts.clock.now();
-    CallerAnswer answer
-        = runPlaced(request, WorkItem { id.value(), request.service, profile.value() }, entrySpan.context());
+    CallerAnswer answer = runPlaced(request,
+        WorkItem { id.value(), request.service, profile.value(), request.body->size(), start }, entrySpan.context());
     const std::string labels
         = absl::StrCat("{profile=\"", request.profile, "\",outcome=\"", outcomeName(answer.outcome), "\"}");
     m_parts.metrics.count(absl::StrCat("cicada_requests_total", labels));
--- a/src/RunReport.h
+++ b/src/RunReport.h
@@ -20,6 +20,8 @@
     NotStarted,
     /** It is not known how it ended; the owner asks the executor before the slot is used again. */
     Unsettled,
+    /** The grant came too late to be used, which says nothing of the executor. */
+    Unused,
 };
 
 /** The end of one run. */
--- /dev/null
+++ b/src/RunTimes.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/** \file
+ * How long runs really take. Declared run times are far off, so each kind of work is judged by what ran: a decaying
+ * histogram for each service and profile, with a fixed number of bytes for each kind and a bounded number of kinds.
+ */
+
+#include "Clock.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace cicada {
+
+/** A histogram of durations from 1 ms to days, whose older entries fade. */
+class DurationHistogram {
+public:
+    void add(absl::Duration value);
+    /** The values that still count. */
+    double count() const { return m_count; }
+    /** The duration that a share `q` of the values does not exceed, within a tenth; zero when there are none. */
+    absl::Duration quantile(double q) const;
+    /** The mean of the values up to the 95th percentile, so without stragglers. */
+    absl::Duration trimmedMean() const;
+
+private:
+    static constexpr size_t bucketCount = 128;
+    /** When this many values count, all are halved. */
+    static constexpr double halveAt = 512;
+
+    static size_t bucketOf(absl::Duration value);
+    static absl::Duration middleOf(size_t bucket);
+    size_t bucketAt(double q) const;
+
+    std::array<float, bucketCount> m_buckets {};
+    double m_count = 0;
+};
+
+/** What is expected of one kind of work. */
+struct RunEstimate {
+    /** What a run takes, stragglers aside. */
+    absl::Duration typical;
+    absl::Duration p95;
+    /** A run that takes longer than this is suspected to be a straggler. */
+    absl::Duration suspectAfter;
+    /** How many runs this rests on; 0 when only the declared time is known. */
+    double runs = 0;
+};
+
+/** Run times by service and profile. Used on the decision thread only. */
+class RunTimes {
+public:
+    /** Takes in a run that ended. */
+    void learn(absl::string_view service, absl::string_view profile, absl::Duration runTime, Instant now);
+    /** The estimate for a kind: the declared time at first, what was learnt after `trustedRuns` runs, and in between
+     * a blend of the two. */
+    RunEstimate estimate(absl::string_view service, absl::string_view profile, absl::Duration declared) const;
+    size_t kinds() const { return m_kinds.size(); }
+
+    static constexpr size_t maxKinds = 1024;
+    static constexpr double trustedRuns = 8;
+    /** A run is suspected to be a straggler when it takes this many times the 95th percentile of its kind. */
+    static constexpr double stragglerFactor = 2;
+
+private:
+    struct Kind {
+        DurationHistogram histogram;
+        Instant lastRun;
+    };
+
+    void forgetOldest();
+
+    absl::flat_hash_map<std::pair<std::string, std::string>, Kind> m_kinds;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/ServiceDemand.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/** \file
+ * What is asked of one service: its kinds of work with their wait bounds, which of them are long, and how many slots
+ * each urgency class needs.
+ */
+
+#include "OfferedLoad.h"
+#include "Profile.h"
+
+#include "absl/container/btree_map.h"
+
+#include <array>
+#include <vector>
+
+namespace cicada {
+
+/** The demand for one service at this entry. Used on the decision thread only. */
+class ServiceDemand {
+public:
+    /** Takes note of a request of the profile, whose run takes about `typicalRun`; true when it is long work: its run
+     * outlasts the shortest wait bound in use, so that whatever waits behind it would be late. Work that may be
+     * preempted gives way like long work. */
+    bool note(const Profile& profile, absl::Duration typicalRun, Instant now);
+    /** Counts an admitted request towards the load of its class. */
+    void admitted(bool isLong, int urgency, absl::Duration run, Instant now);
+    /** Slots that work of the sort needs which is more urgent than `urgency`. */
+    double loadAbove(bool isLong, int urgency, Instant now) const;
+    /** Forgets the wait bounds of profiles that have not been used for `profileLifetime`. */
+    void tick(Instant now);
+
+    static constexpr absl::Duration profileLifetime = absl::Seconds(60);
+
+private:
+    static constexpr size_t urgencyClasses = 10;
+    static constexpr absl::Duration loadWindow = absl::Seconds(1);
+    struct Bound {
+        absl::Duration maxWait;
+        Instant lastUsed;
+    };
+
+    absl::btree_map<std::string, Bound> m_bounds;
+    absl::Duration m_shortestWait = absl::InfiniteDuration();
+    Instant m_nextSweep = absl::ZeroDuration();
+    std::array<std::vector<OfferedLoad>, 2> m_loads { std::vector<OfferedLoad>(urgencyClasses, OfferedLoad(loadWindow)),
+        std::vector<OfferedLoad>(urgencyClasses, OfferedLoad(loadWindow)) };
+};
+
+} // namespace cicada
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -31,6 +31,7 @@
     "maxBodyBytes": {"type": "integer", "minimum": 1024, "maximum": 1073741824},
     "maxCallerConnections": {"type": "integer", "minimum": 8, "maximum": 900},
     "maxQueuedRequests": {"type": "integer", "minimum": 1, "maximum": 1000000},
+    "policy": {"enum": ["standard", "fifo", "no-admission", "no-reserve", "least-loaded", "random", "simple"]},
     "promiseMs": {"type": "integer", "minimum": 100, "maximum": 60000},
     "clockDriftBound": {"type": "number", "minimum": 0, "maximum": 0.2},
     "stopTimeoutSeconds": {"type": "integer", "minimum": 1, "maximum": 86400},
@@ -63,6 +64,7 @@
         settings.maxBodyBytes = document.value("maxBodyBytes", settings.maxBodyBytes);
         settings.maxCallerConnections = document.value("maxCallerConnections", settings.maxCallerConnections);
         settings.maxQueuedRequests = document.value("maxQueuedRequests", settings.maxQueuedRequests);
+        settings.policy = document.value("policy", settings.policy);
         settings.clockDriftBound = document.value("clockDriftBound", settings.clockDriftBound);
         settings.promiseTime
             = absl::Milliseconds(document.value("promiseMs", absl::ToInt64Milliseconds(settings.promiseTime)));
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -40,6 +40,8 @@
     uint64_t maxBodyBytes = 16 << 20;
     uint32_t maxCallerConnections = 600;
     uint32_t maxQueuedRequests = 20000;
+    /** How requests are admitted, ordered and placed: a name that policyOptions() knows. */
+    std::string policy = "standard";
     /** How long a guardian's promise lasts. */
     absl::Duration promiseTime = absl::Milliseconds(1500);
     /** The largest relative error between two machines' monotonic clocks. */
--- a/src/SlotLedger.cpp
+++ b/src/SlotLedger.cpp
@@ -26,16 +26,16 @@
 std::optional<SlotGrant> SlotLedger::take(
     absl::string_view service, absl::string_view requestId, absl::string_view entry)
 {
+    refreshIndex();
+    auto index = m_index.find(service);
+    if (index == m_index.end())
+        return std::nullopt;
     const BackEnd* best = nullptr;
-    uint32_t bestFree = 0;
-    for (const BackEnd& backEnd : m_backEnds.all()) {
-        if (backEnd.kind != BackEndKind::Executor || backEnd.service != service)
-            continue;
-        const uint32_t free = freeOn(backEnd);
-        if (free > bestFree) {
+    const auto& byFree = index->second.byFree;
+    for (auto it = byFree.rbegin(); it != byFree.rend() && it->first > 0 && !best; ++it) {
+        const BackEnd& backEnd = m_backEnds.all()[it->second];
+        if (freeOn(backEnd) > 0)
             best = &backEnd;
-            bestFree = free;
-        }
     }
     if (!best)
         return std::nullopt;
@@ -50,6 +50,7 @@
     grant.grantedAt = m_clock.now();
     grant.startBy = std::min(grant.grantedAt + startValidity, term.until);
     ++m_inUse[best->name];
+    reindex(best->name);
     m_grants[grant.id] = grant;
     return grant;
 }
@@ -59,7 +60,7 @@
     auto it = m_grants.find(grantId);
     if (it == m_grants.end())
         return;
-    if (m_availability)
+    if (m_availability && report.verdict != RunVerdict::Unused)
         m_availability->report(it->second.executor, report);
     if (report.verdict != RunVerdict::Unsettled)
         release(grantId);
@@ -80,12 +81,14 @@
     grant.startBy = grant.grantedAt;
     ++m_inUse[executor.name];
     m_grants[grant.id] = grant;
+    reindex(executor.name);
 }
 
 void SlotLedger::forget(absl::string_view executor)
 {
     absl::erase_if(m_grants, [executor](const auto& item) { return item.second.executor == executor; });
     m_inUse.erase(executor);
+    dropIndex();
 }
 
 bool SlotLedger::release(uint64_t grantId)
@@ -93,11 +96,64 @@
     auto it = m_grants.find(grantId);
     if (it == m_grants.end())
         return false;
-    --m_inUse[it->second.executor];
+    const std::string executor = std::move(it->second.executor);
     m_grants.erase(it);
+    --m_inUse[executor];
+    reindex(executor);
     return true;
 }
 
+void SlotLedger::refreshIndex() const
+{
+    const Instant now = m_clock.now();
+    const auto lifetime = std::max(indexLifetime, indexLifetimeEach * static_cast<double>(m_backEnds.all().size()));
+    if (m_indexedVersion == m_backEnds.version() && now - m_indexedAt < lifetime)
+        return;
+    m_indexedVersion = m_backEnds.version();
+    m_indexedAt = now;
+    m_index.clear();
+    const auto list = m_backEnds.all();
+    for (size_t i = 0; i < list.size(); ++i) {
+        const BackEnd& backEnd = list[i];
+        if (backEnd.kind != BackEndKind::Executor || backEnd.leaving || !m_ownership.term(backEnd.group()))
+            continue;
+        ServiceIndex& index = m_index[backEnd.service];
+        const uint32_t free = freeOn(backEnd);
+        index.totals.slots += m_availability ? m_availability->usableSlots(backEnd) : backEnd.slots;
+        index.totals.free += free;
+        index.free[i] = free;
+        index.byFree.insert({ free, i });
+    }
+}
+
+void SlotLedger::reindex(absl::string_view executor)
+{
+    const BackEnd* backEnd = m_backEnds.find(executor);
+    if (!backEnd || m_indexedVersion != m_backEnds.version())
+        return;
+    auto index = m_index.find(backEnd->service);
+    if (index == m_index.end())
+        return;
+    auto& [byFree, freeByPlace, totals] = index->second;
+    const auto place = static_cast<size_t>(backEnd - m_backEnds.all().data());
+    auto listed = freeByPlace.find(place);
+    if (listed == freeByPlace.end())
+        return;
+    const uint32_t free = freeOn(*backEnd);
+    byFree.erase({ listed->second, place });
+    byFree.insert({ free, place });
+    totals.free += free;
+    totals.free -= listed->second;
+    listed->second = free;
+}
+
+SlotTotals SlotLedger::totals(absl::string_view service) const
+{
+    refreshIndex();
+    auto index = m_index.find(service);
+    return index == m_index.end() ? SlotTotals {} : index->second.totals;
+}
+
 const SlotGrant* SlotLedger::find(uint64_t grantId) const
 {
     auto it = m_grants.find(grantId);
--- a/src/SlotLedger.h
+++ b/src/SlotLedger.h
@@ -9,6 +9,7 @@
 #include "Ownership.h"
 #include "RunReport.h"
 
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
@@ -42,6 +43,12 @@
     Instant startBy = absl::ZeroDuration();
 };
 
+/** All slots of a service at one owner, and the free ones among them. */
+struct SlotTotals {
+    uint32_t slots = 0;
+    uint32_t free = 0;
+};
+
 /** Slots of the executors that this entry owns. Used on the decision thread only. */
 class SlotLedger {
 public:
@@ -59,10 +66,19 @@
     /** Forgets all grants on an executor that is no longer this entry's, or is gone. */
     void forget(absl::string_view executor);
     /** From now on `availability` limits the slots; it must outlive the ledger. */
-    void limitBy(ExecutorAvailability& availability) { m_availability = &availability; }
+    void limitBy(ExecutorAvailability& availability)
+    {
+        m_availability = &availability;
+        dropIndex();
+    }
+    /** Makes a change of the availability known at once, and not only after `indexLifetime`. */
+    void dropIndex() { m_indexedAt = -absl::InfiniteDuration(); }
     const SlotGrant* find(uint64_t grantId) const;
     /** Free slots of all own executors of a service that may be given work now. */
     uint32_t freeSlots(absl::string_view service) const;
+    /** The same and the number of all such slots, from the index: in constant time, but a change of ownership shows
+     * only after `indexLifetime`. */
+    SlotTotals totals(absl::string_view service) const;
     /** Slots in use on one executor. */
     uint32_t inUse(absl::string_view executor) const;
     const absl::flat_hash_map<uint64_t, SlotGrant>& grants() const { return m_grants; }
@@ -70,8 +86,22 @@
     /** How long a granted start may be on its way before it must not be sent. */
     static constexpr absl::Duration startValidity = absl::Milliseconds(500);
 
+    /** How old the index may be; it grows with the number of back ends, so that its upkeep stays cheap. */
+    static constexpr absl::Duration indexLifetime = absl::Milliseconds(50);
+    static constexpr absl::Duration indexLifetimeEach = absl::Microseconds(100);
+
 private:
+    /** The executors of a service that may be given work, by free slots and then by place in the list. */
+    struct ServiceIndex {
+        absl::btree_set<std::pair<uint32_t, size_t>> byFree;
+        /** What `byFree` says of each executor, by its place in the list. */
+        absl::flat_hash_map<size_t, uint32_t> free;
+        SlotTotals totals;
+    };
+
     uint32_t freeOn(const BackEnd&) const;
+    void refreshIndex() const;
+    void reindex(absl::string_view executor);
 
     const BackEnds& m_backEnds;
     const Ownership& m_ownership;
@@ -80,6 +110,10 @@
     absl::flat_hash_map<std::string, uint32_t> m_inUse;
     ExecutorAvailability* m_availability = nullptr;
     uint64_t m_nextId;
+    /** Only speeds up the search: each candidate is checked again by freeOn() before it is taken. */
+    mutable absl::flat_hash_map<std::string, ServiceIndex> m_index;
+    mutable Instant m_indexedAt = -absl::InfiniteDuration();
+    mutable uint64_t m_indexedVersion = 0;
 };
 
 } // namespace cicada
--- /dev/null
+++ b/src/SlotReserve.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/** \file
+ * How many of an owner's slots long work may hold at once. What is left over is the reserve for short work, which
+ * would otherwise wait for a long run to end. The size of the reserve varies, so it is behind an interface.
+ */
+
+#include "OfferedLoad.h"
+
+#include <cstdint>
+
+namespace cicada {
+
+/** The reserve of one service at one owner. Used on the decision thread only. */
+class SlotReserve {
+public:
+    virtual ~SlotReserve() = default;
+    /** A short request arrived whose run takes about `run`. */
+    virtual void noteShort(absl::Duration run, Instant now) = 0;
+    /** The most of `slots` that runs known or suspected to be long may hold. */
+    virtual uint32_t longLimit(uint32_t slots, Instant now) const = 0;
+};
+
+/** Long work may take every slot. */
+class NoReserve final : public SlotReserve {
+public:
+    void noteShort(absl::Duration, Instant) override { }
+    uint32_t longLimit(uint32_t slots, Instant) const override { return slots; }
+};
+
+/** Keeps as many slots as short work needs, with a margin for its bursts. The need follows a rise at once and
+ * forgets it slowly, since a slot given to a long run comes back late. */
+class AdaptiveReserve final : public SlotReserve {
+public:
+    void noteShort(absl::Duration run, Instant now) override;
+    uint32_t longLimit(uint32_t slots, Instant now) const override;
+
+    static constexpr absl::Duration riseWindow = absl::Seconds(1);
+    static constexpr absl::Duration forgetTime = absl::Seconds(60);
+    /** The margin in standard deviations of the number of busy slots, which is about Poisson distributed. */
+    static constexpr double margin = 2;
+    /** The largest part of the slots that may be reserved, so that long work never stops altogether. */
+    static constexpr double largestShare = 0.9;
+
+private:
+    OfferedLoad m_load { riseWindow };
+    double m_peak = 0;
+    Instant m_peakAt = absl::ZeroDuration();
+    double needed(Instant now) const;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/SlotUses.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/** \file
+ * How many own slots are held by long runs. A run may be known to be long when it starts; one that turns out long is
+ * recognised only while it runs, when it has outlasted what its kind takes.
+ */
+
+#include "Clock.h"
+#include "SlotLedger.h"
+
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+
+#include <string>
+
+namespace cicada {
+
+/** The runs on own slots. Used on the decision thread only. */
+class SlotUses {
+public:
+    /** A run began; unless `isLong` already, it is suspected to be long from `suspectAt` on. */
+    void begin(uint64_t grantId, absl::string_view service, bool isLong, Instant suspectAt);
+    void end(uint64_t grantId);
+    /** Slots held by runs known or suspected to be long. */
+    uint32_t longRuns(absl::string_view service) const;
+    void tick(Instant now);
+    /** Forgets runs whose slots the ledger has freed by itself. */
+    void reconcile(const SlotLedger& ledger);
+
+private:
+    struct Use {
+        std::string service;
+        bool isLong = false;
+        Instant suspectAt;
+    };
+
+    absl::flat_hash_map<uint64_t, Use> m_uses;
+    absl::btree_set<std::pair<Instant, uint64_t>> m_suspects;
+    absl::flat_hash_map<std::string, uint32_t> m_longRuns;
+};
+
+} // namespace cicada
--- a/src/StatusRoutes.cpp
+++ b/src/StatusRoutes.cpp
@@ -59,6 +59,13 @@
             const StoreCallCounts calls = sources.store.counts();
             const PeerTraffic traffic = sources.peers.traffic();
             sources.metrics.gauge("cicada_queued_requests", static_cast<double>(sources.dispatcher.queued()));
+            const PlacementCounts& placed = sources.dispatcher.counts();
+            sources.metrics.gauge("cicada_requests_refused_on_arrival", static_cast<double>(placed.refused));
+            sources.metrics.gauge("cicada_requests_expired", static_cast<double>(placed.expired));
+            sources.metrics.gauge("cicada_requests_started", static_cast<double>(placed.started));
+            sources.metrics.gauge("cicada_requests_across_regions", static_cast<double>(placed.acrossRegions));
+            sources.metrics.gauge(
+                "cicada_request_bytes_across_regions", static_cast<double>(placed.bytesAcrossRegions));
             sources.metrics.gauge("cicada_store_reads", static_cast<double>(calls.reads));
             sources.metrics.gauge("cicada_store_writes", static_cast<double>(calls.writes));
             sources.metrics.gauge("cicada_store_watches", static_cast<double>(calls.watches));
