--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -20,8 +20,6 @@
     constexpr absl::string_view doneService = "place-done";
     constexpr absl::string_view loadService = "load";
     constexpr absl::Duration sweepInterval = absl::Seconds(1);
-    /** The part of the slots that a class keeps at least, however much more urgent work there is. */
-    constexpr double leastPart = 1.0 / FairDeadlineQueue::starvationBound;
 
     Error lateError(const WorkItem& item)
     {
@@ -137,7 +135,7 @@
     view.maxWait = request.deadline - now;
     state.gates[request.isLong].note(absl::FDivDuration(view.expectedWait, view.maxWait));
     view.canCross = state.gates[request.isLong].isOpen() && view.maxWait > crossingTime
-        && m_loads.anyFree(item.service, request.isLong, true, now);
+        && m_loads.freeSlots(item.service, request.isLong, true, now) > state.queue->size();
     if (m_admission->admit(item.profile, view))
         return success();
     return Error { ErrorKind::TooBusy,
@@ -158,7 +156,10 @@
     request.share = profile.share;
     request.deadline = item.arrivedAt + profile.maxWait;
     request.expectedRun = estimate.typical;
+    const absl::Duration shortestBefore = state.demand.shortestWait();
     request.isLong = state.demand.note(profile, estimate.typical, now);
+    if (state.demand.shortestWait() < shortestBefore)
+        state.reserve->reset();
     if (!request.isLong)
         state.reserve->noteShort(estimate.typical, now);
     return request;
@@ -196,9 +197,13 @@
         slots = state.reserve->longLimit(totals.slots, now);
     else if (separate)
         slots -= std::min(totals.slots, m_uses.longRuns(service));
-    slots += peersFree + state.runsOnPeers[request.isLong];
-    const double above = state.demand.loadAbove(request.isLong, request.urgency, now);
-    slots = std::max(slots * leastPart, slots - above);
+    // An entry without slots of its own lives on those that it got from peers; what peers have free is for all of
+    // the region's entries.
+    slots = std::max<double>(slots, state.runsOnPeers[request.isLong]);
+    slots += static_cast<double>(peersFree) / static_cast<double>(1 + m_loads.regionSize(now));
+    const double lessUrgent = slots * FairDeadlineQueue::leastShare;
+    slots -= std::min(lessUrgent, state.demand.loadBelow(request.isLong, request.urgency, now));
+    slots = std::max(lessUrgent, slots - state.demand.loadAbove(request.isLong, request.urgency, now));
     const absl::Duration ahead = state.queue->workAhead(request, separate);
     const bool isFree = ahead == absl::ZeroDuration() && ownFree(service, request.isLong, state) + peersFree > 0;
     // When nothing is free, the first slot to come free still has a part of its run before it.
--- a/src/PeerLoads.cpp
+++ b/src/PeerLoads.cpp
@@ -105,6 +105,13 @@
     return sum;
 }
 
+size_t PeerLoads::regionSize(Instant now) const
+{
+    return static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& named) {
+        return named.second.region == m_region && now - named.second.receivedAt <= lifetime;
+    }));
+}
+
 std::string PeerLoads::region(absl::string_view name) const
 {
     auto peer = m_peers.find(name);
--- a/src/PeerLoads.h
+++ b/src/PeerLoads.h
@@ -72,6 +72,8 @@
     bool anyFree(absl::string_view service, bool isLong, bool otherRegions, Instant now) const;
     /** The free slots of all those peers together. */
     uint32_t freeSlots(absl::string_view service, bool isLong, bool otherRegions, Instant now) const;
+    /** The other entries of the own region that were heard of lately. */
+    size_t regionSize(Instant now) const;
     /** The region of a peer; empty when it has not said. */
     std::string region(absl::string_view peer) const;
 
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -47,6 +47,7 @@
     Flow& flow = urgencyClass.flows[request.profile];
     if (flow.requests.empty())
         flow.used = std::max(flow.used, urgencyClass.usedFloor);
+    ++urgencyClass.waiting;
     flow.urgency = request.urgency;
     flow.share = std::max(1, request.share);
     flow.isLong = request.isLong;
@@ -76,32 +77,53 @@
 
 std::optional<uint64_t> FairDeadlineQueue::next(MayStart mayStart)
 {
-    Flow* chosen = nullptr;
-    // A less urgent class comes first only when it was passed over this often, and more often than the one chosen.
-    uint32_t overdueFrom = starvationBound - 1;
     for (auto& [urgency, urgencyClass] : m_classes) {
-        if (chosen && urgencyClass.passedOver < overdueFrom)
+        Flow* chosen = urgencyClass.waiting > 0 ? chooseFlow(urgencyClass, mayStart) : nullptr;
+        if (!chosen)
+            continue;
+        Flow* lessUrgent = m_credit > absl::ZeroDuration() ? chooseLessUrgent(urgency, mayStart) : nullptr;
+        return (lessUrgent ? lessUrgent : chosen)->requests.begin()->first.second;
+    }
+    return std::nullopt;
+}
+
+/** Of the classes below `urgency`, the one that has had the least of their common share. */
+FairDeadlineQueue::Flow* FairDeadlineQueue::chooseLessUrgent(int urgency, MayStart mayStart)
+{
+    Flow* best = nullptr;
+    absl::Duration leastUsed = absl::InfiniteDuration();
+    for (auto it = m_classes.upper_bound(urgency); it != m_classes.end(); ++it) {
+        Class& urgencyClass = it->second;
+        if (urgencyClass.waiting == 0 || urgencyClass.usedCredit >= leastUsed)
             continue;
         Flow* flow = chooseFlow(urgencyClass, mayStart);
         if (!flow)
             continue;
-        chosen = flow;
-        overdueFrom = std::max(overdueFrom, urgencyClass.passedOver + 1);
+        best = flow;
+        leastUsed = urgencyClass.usedCredit;
     }
-    if (!chosen)
-        return std::nullopt;
-    return chosen->requests.begin()->first.second;
+    return best;
 }
 
-void FairDeadlineQueue::notePassedOver(int chosen)
+void FairDeadlineQueue::settleCredit(int urgency, absl::Duration run)
 {
-    for (auto& [urgency, urgencyClass] : m_classes) {
-        const bool isWaiting = std::any_of(urgencyClass.flows.begin(), urgencyClass.flows.end(),
-            [](const auto& named) { return !named.second.requests.empty(); });
-        if (urgency == chosen || !isWaiting)
-            urgencyClass.passedOver = 0;
-        else
-            ++urgencyClass.passedOver;
+    bool moreUrgentWaits = false;
+    bool lessUrgentWaits = false;
+    for (const auto& [other, urgencyClass] : m_classes) {
+        if (urgencyClass.waiting == 0)
+            continue;
+        moreUrgentWaits |= other > urgency;
+        lessUrgentWaits |= other < urgency;
+    }
+    if (moreUrgentWaits) {
+        m_credit -= run;
+        m_classes[urgency].usedCredit += run;
+    } else if (lessUrgentWaits) {
+        m_credit = std::min(mostCredit, m_credit + run * (leastShare / (1 - leastShare)));
+    } else {
+        m_credit = absl::ZeroDuration();
+        for (auto& [other, urgencyClass] : m_classes)
+            urgencyClass.usedCredit = absl::ZeroDuration();
     }
 }
 
@@ -112,13 +134,15 @@
         return;
     Flow& flow = *place->second.flow;
     auto request = flow.requests.find({ place->second.deadline, ticket });
-    flow.work -= request->second;
-    if (starts)
-        flow.used += request->second / flow.share;
+    const absl::Duration run = request->second;
+    flow.work -= run;
     flow.requests.erase(request);
     m_flowOf.erase(place);
-    if (starts)
-        notePassedOver(flow.urgency);
+    --m_classes[flow.urgency].waiting;
+    if (!starts)
+        return;
+    flow.used += run / flow.share;
+    settleCredit(flow.urgency, run);
 }
 
 void FairDeadlineQueue::start(uint64_t ticket) { take(ticket, true); }
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -69,8 +69,9 @@
     absl::Duration m_work;
 };
 
-/** Urgency classes, most urgent first, but a class with waiting requests gets at least one of `starvationBound` starts;
- * within a class the earliest deadline, as long as no profile gets ahead of its share by more than `fairnessSlack`. */
+/** Urgency classes, most urgent first, except that the less urgent ones that wait get `leastShare` of the run time
+ * between them; within a class the earliest deadline, as long as no profile gets ahead of its share by more than
+ * `fairnessSlack`. */
 class FairDeadlineQueue final : public RequestQueue {
 public:
     void push(QueuedRequest request) override;
@@ -80,7 +81,10 @@
     size_t size() const override { return m_flowOf.size(); }
     absl::Duration workAhead(const QueuedRequest& request, bool separate) const override;
 
-    static constexpr uint32_t starvationBound = 20;
+    /** Of the run time that is started, for all classes below the most urgent one that waits. */
+    static constexpr double leastShare = 0.2;
+    /** How much of it may be saved up while a less urgent class waits but can't start. */
+    static constexpr absl::Duration mostCredit = absl::Seconds(2);
     /** In run time for one unit of share. */
     static constexpr absl::Duration fairnessSlack = absl::Seconds(2);
 
@@ -99,8 +103,9 @@
     struct Class {
         /** By profile. The addresses of flows must last. */
         std::map<std::string, Flow, std::less<>> flows;
-        /** Starts of others while this class had a request that could have started. */
-        uint32_t passedOver = 0;
+        size_t waiting = 0;
+        /** Run time that was started out of the share of the less urgent. */
+        absl::Duration usedCredit;
         /** Where a flow begins that had no requests, so that it can't claim the past. */
         absl::Duration usedFloor;
     };
@@ -111,11 +116,14 @@
 
     static Flow* chooseFlow(Class& urgencyClass, MayStart mayStart);
     void take(uint64_t ticket, bool starts);
-    void notePassedOver(int chosen);
+    Flow* chooseLessUrgent(int urgency, MayStart mayStart);
+    void settleCredit(int urgency, absl::Duration run);
 
     /** Most urgent first. */
     std::map<int, Class, std::greater<>> m_classes;
     absl::flat_hash_map<uint64_t, Place> m_flowOf;
+    /** Run time that is due to the less urgent classes; below zero when they had more. */
+    absl::Duration m_credit;
 };
 
 } // namespace cicada
--- a/src/RunTimes.cpp
+++ b/src/RunTimes.cpp
@@ -27,12 +27,16 @@
 
 void DurationHistogram::add(absl::Duration value)
 {
-    m_buckets[bucketOf(value)] += 1;
+    const size_t bucket = bucketOf(value);
+    m_buckets[bucket] += 1;
+    m_sums[bucket] += static_cast<float>(absl::ToDoubleMilliseconds(value));
     m_count += 1;
     if (m_count < halveAt)
         return;
-    for (float& bucket : m_buckets)
-        bucket /= 2;
+    for (float& values : m_buckets)
+        values /= 2;
+    for (float& sum : m_sums)
+        sum /= 2;
     m_count /= 2;
 }
 
@@ -58,12 +62,12 @@
         return absl::ZeroDuration();
     const size_t last = bucketAt(trimAt);
     double weight = 0;
-    absl::Duration sum;
+    double sum = 0;
     for (size_t i = 0; i <= last; ++i) {
         weight += m_buckets[i];
-        sum += middleOf(i) * static_cast<double>(m_buckets[i]);
+        sum += m_sums[i];
     }
-    return sum / weight;
+    return absl::Milliseconds(sum / weight);
 }
 
 void RunTimes::learn(absl::string_view service, absl::string_view profile, absl::Duration runTime, Instant now)
--- a/src/RunTimes.h
+++ b/src/RunTimes.h
@@ -37,6 +37,8 @@
     size_t bucketAt(double q) const;
 
     std::array<float, bucketCount> m_buckets {};
+    /** Of the values in each bucket, in milliseconds; the middle of a bucket would be up to a tenth off. */
+    std::array<float, bucketCount> m_sums {};
     double m_count = 0;
 };
 
--- a/src/ServiceDemand.cpp
+++ b/src/ServiceDemand.cpp
@@ -30,6 +30,14 @@
     return sum;
 }
 
+double ServiceDemand::loadBelow(bool isLong, int urgency, Instant now) const
+{
+    double sum = 0;
+    for (int below = 0; below < urgency; ++below)
+        sum += m_loads[isLong].at(static_cast<size_t>(below)).slots(now);
+    return sum;
+}
+
 void ServiceDemand::tick(Instant now)
 {
     if (now < m_nextSweep)
--- a/src/ServiceDemand.h
+++ b/src/ServiceDemand.h
@@ -22,10 +22,13 @@
      * outlasts the shortest wait bound in use, so that whatever waits behind it would be late. Work that may be
      * preempted gives way like long work. */
     bool note(const Profile& profile, absl::Duration typicalRun, Instant now);
+    /** The shortest wait bound in use; longer runs are long work. */
+    absl::Duration shortestWait() const { return m_shortestWait; }
     /** Counts an admitted request towards the load of its class. */
     void admitted(bool isLong, int urgency, absl::Duration run, Instant now);
-    /** Slots that work of the sort needs which is more urgent than `urgency`. */
+    /** Slots that work of the sort needs which is more urgent than `urgency`, or less. */
     double loadAbove(bool isLong, int urgency, Instant now) const;
+    double loadBelow(bool isLong, int urgency, Instant now) const;
     /** Forgets the wait bounds of profiles that have not been used for `profileLifetime`. */
     void tick(Instant now);
 
--- a/src/SlotReserve.h
+++ b/src/SlotReserve.h
@@ -17,6 +17,8 @@
     virtual ~SlotReserve() = default;
     /** A short request arrived whose run takes about `run`. */
     virtual void noteShort(absl::Duration run, Instant now) = 0;
+    /** Forgets what was noted, because what counts as short has changed. */
+    virtual void reset() = 0;
     /** The most of `slots` that runs known or suspected to be long may hold. */
     virtual uint32_t longLimit(uint32_t slots, Instant now) const = 0;
 };
@@ -25,6 +27,7 @@
 class NoReserve final : public SlotReserve {
 public:
     void noteShort(absl::Duration, Instant) override { }
+    void reset() override { }
     uint32_t longLimit(uint32_t slots, Instant) const override { return slots; }
 };
 
@@ -33,6 +36,7 @@
 class AdaptiveReserve final : public SlotReserve {
 public:
     void noteShort(absl::Duration run, Instant now) override;
+    void reset() override { *this = {}; }
     uint32_t longLimit(uint32_t slots, Instant now) const override;
 
     static constexpr absl::Duration riseWindow = absl::Seconds(1);
