--- a/src/Admission.h
+++ b/src/Admission.h
@@ -41,7 +41,7 @@
     bool admit(const Profile&, const AdmissionView&) const override;
 
     /** The part of the bound that the expected wait may fill; the rest is for what the estimate misses. */
-    static constexpr double usablePart = 0.8;
+    static constexpr double usablePart = 0.7;
 };
 
 /** How long a request waits behind `workAhead` of run time on `slots` slots; zero when one is free. */
--- a/test/performance/policy-bench.cpp
+++ b/test/performance/policy-bench.cpp
@@ -9,10 +9,10 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
-#include <getopt.h>
 #include <atomic>
 #include <cstdio>
 #include <fstream>
+#include <getopt.h>
 #include <iostream>
 #include <thread>
 
@@ -191,8 +191,8 @@
     return { { "mix", trial.mix }, { "scenario", trial.scenario.name }, { "policy", trial.policy }, { "kinds", kinds },
         { "goodput", trial.result.goodput }, { "acrossRegions", trial.result.acrossRegions },
         { "bytesAcrossRegions", trial.result.bytesAcrossRegions },
-        { "digestBytesPerSecond", trial.result.digestBytesPerSecond },
-        { "overcommitted", trial.result.overcommitted }, { "leaked", trial.result.leaked } };
+        { "digestBytesPerSecond", trial.result.digestBytesPerSecond }, { "overcommitted", trial.result.overcommitted },
+        { "leaked", trial.result.leaked } };
 }
 
 void report(const std::vector<Trial>& trials, const Options& options)
@@ -211,10 +211,10 @@
 
 bool readOptions(int argc, char** argv, Options& options)
 {
-    const option known[] = { { "policy", required_argument, nullptr, 'p' },
-        { "scenario", required_argument, nullptr, 's' }, { "mix", required_argument, nullptr, 'm' },
-        { "seed", required_argument, nullptr, 'r' }, { "threads", required_argument, nullptr, 't' },
-        { "json", required_argument, nullptr, 'j' }, {} };
+    const option known[]
+        = { { "policy", required_argument, nullptr, 'p' }, { "scenario", required_argument, nullptr, 's' },
+              { "mix", required_argument, nullptr, 'm' }, { "seed", required_argument, nullptr, 'r' },
+              { "threads", required_argument, nullptr, 't' }, { "json", required_argument, nullptr, 'j' }, {} };
     for (int found; (found = getopt_long(argc, argv, "p:s:m:r:t:j:", known, nullptr)) != -1;) {
         if (found == 'p' && policyOptions(optarg))
             options.policy = optarg;
--- a/test/support/PolicyWorld.cpp
+++ b/test/support/PolicyWorld.cpp
@@ -101,8 +101,7 @@
     Dispatcher dispatcher;
 };
 
-PolicyWorld::PolicyWorld(
-    std::vector<Workload> workloads, Scenario scenario, const PolicyOptions& policy, uint64_t seed)
+PolicyWorld::PolicyWorld(std::vector<Workload> workloads, Scenario scenario, const PolicyOptions& policy, uint64_t seed)
     : m_workloads(std::move(workloads))
     , m_scenario(std::move(scenario))
     , m_world(seed)
@@ -173,8 +172,7 @@
 absl::Duration PolicyWorld::runTime(const Workload& workload)
 {
     std::uniform_real_distribution<double> between(0, 1);
-    const absl::Duration run
-        = workload.shortestRun + (workload.longestRun - workload.shortestRun) * between(m_random);
+    const absl::Duration run = workload.shortestRun + (workload.longestRun - workload.shortestRun) * between(m_random);
     const bool straggles = workload.swings && between(m_random) < m_scenario.stragglers;
     return straggles ? run * stragglerFactor : run;
 }
@@ -307,8 +305,7 @@
         m_result.leaked += entry->ledger.grants().size();
     }
     m_result.acrossRegions = started ? static_cast<double>(across) / static_cast<double>(started) : 0;
-    m_result.digestBytesPerSecond
-        = static_cast<double>(digestBytes) / entries / absl::ToDoubleSeconds(m_world.now());
+    m_result.digestBytesPerSecond = static_cast<double>(digestBytes) / entries / absl::ToDoubleSeconds(m_world.now());
 }
 
 } // namespace cicada::Testing
