--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -111,7 +111,7 @@
         RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addStopRoutes(*p.frontend, *p.loop, *p.stops);
-    addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
+    addProfileRoutes(*p.frontend, *p.loop, *p.profiles, *p.dispatcher);
     addStatusRoutes(*p.frontend,
         { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.health, *p.dispatcher, *p.profiles,
             *p.store, *p.peers, p.metrics });
--- a/src/Profile.cpp
+++ b/src/Profile.cpp
@@ -25,6 +25,8 @@
   }
 })";
 
+    constexpr int mostUrgent = 9;
+
     Result<ShortageAction> parseShortageAction(absl::string_view text)
     {
         if (text == "wait")
@@ -53,6 +55,11 @@
             return Error { ErrorKind::InvalidProfile,
                 absl::StrCat("In profile '", profile.name, "', maxRunMs is shorter than expectedRunMs."),
                 "Raise maxRunMs or lower expectedRunMs." };
+        if (profile.whenShort == ShortageAction::Preempt && profile.urgency == mostUrgent)
+            return Error { ErrorKind::InvalidProfile,
+                absl::StrCat("Profile '", profile.name,
+                    "' gives way to more urgent work, and nothing is more urgent than ", mostUrgent, "."),
+                "Lower urgency, or set whenShort to \"wait\" or \"shed\"." };
         return success();
     }
 
--- /dev/null
+++ b/src/ProfileExplain.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/** \file
+ * A profile in plain sentences: what the system will do with a request of that kind in each case.
+ */
+
+#include "Profile.h"
+#include "RunTimes.h"
+
+#include "absl/types/span.h"
+
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** What was learnt of a profile's runs on one service. */
+struct LearntRuns {
+    std::string service;
+    RunEstimate estimate;
+};
+
+/** The explanation, one case a line. `learnt` may be empty. */
+std::string explainProfile(const Profile& profile, absl::Span<const LearntRuns> learnt);
+
+} // namespace cicada
--- a/src/ProfileRoutes.cpp
+++ b/src/ProfileRoutes.cpp
@@ -2,6 +2,7 @@
 
 #include "Json.h"
 #include "OperatorCall.h"
+#include "ProfileExplain.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -34,21 +35,45 @@
         return { 200, "application/json", document.dump(), {} };
     }
 
-    HttpAnswer get(Loop& loop, ProfileBook& book, const std::string& name)
+    std::optional<ProfileRecord> findRecord(Loop& loop, ProfileBook& book, const std::string& name)
     {
         std::optional<ProfileRecord> record;
         loop.call([&] {
             if (const ProfileRecord* found = book.find(name))
                 record = *found;
         });
-        if (!record) {
-            HttpAnswer answer
-                = problemAnswer({ ErrorKind::UnknownProfile, absl::StrCat("There is no profile '", name, "'."),
-                                    "List the profiles to see their names." },
-                    Outcome::NotRun);
-            answer.status = 404;
-            return answer;
-        }
+        return record;
+    }
+
+    HttpAnswer noSuchProfile(const std::string& name)
+    {
+        HttpAnswer answer
+            = problemAnswer({ ErrorKind::UnknownProfile, absl::StrCat("There is no profile '", name, "'."),
+                                "List the profiles to see their names." },
+                Outcome::NotRun);
+        answer.status = 404;
+        return answer;
+    }
+
+    HttpAnswer explain(Loop& loop, ProfileBook& book, const Dispatcher& dispatcher, const std::string& name)
+    {
+        const auto record = findRecord(loop, book, name);
+        if (!record)
+            return noSuchProfile(name);
+        std::vector<LearntRuns> learnt;
+        loop.call([&] {
+            const RunTimes& times = dispatcher.runTimes();
+            for (const std::string& service : times.servicesOf(name))
+                learnt.push_back({ service, times.estimate(service, name, record->profile.expectedRun) });
+        });
+        return { 200, "text/plain", explainProfile(record->profile, learnt), {} };
+    }
+
+    HttpAnswer get(Loop& loop, ProfileBook& book, const std::string& name)
+    {
+        const auto record = findRecord(loop, book, name);
+        if (!record)
+            return noSuchProfile(name);
         return { 200, "application/json", toJson(*record).dump(), { { "ETag", etag(record->version) } } };
     }
 
@@ -86,11 +111,13 @@
 
 } // namespace
 
-void addProfileRoutes(Frontend& frontend, Loop& loop, ProfileBook& book)
+void addProfileRoutes(Frontend& frontend, Loop& loop, ProfileBook& book, const Dispatcher& dispatcher)
 {
     const std::string one = R"(/v1/profiles/([a-z0-9][a-z0-9.-]*))";
     frontend.route("GET", "/v1/profiles", [&](const HttpQuestion&) { return list(loop, book); });
     frontend.route("GET", one, [&](const HttpQuestion& question) { return get(loop, book, question.matches[0]); });
+    frontend.route("GET", one + "/explain",
+        [&](const HttpQuestion& question) { return explain(loop, book, dispatcher, question.matches[0]); });
     frontend.route(
         "PUT", one, [&](const HttpQuestion& question) { return change(loop, book, question, question.body); });
     frontend.route(
--- a/src/RunTimes.cpp
+++ b/src/RunTimes.cpp
@@ -97,6 +97,17 @@
     return estimate;
 }
 
+std::vector<std::string> RunTimes::servicesOf(absl::string_view profile) const
+{
+    std::vector<std::string> services;
+    for (const auto& [key, kind] : m_kinds) {
+        if (key.second == profile)
+            services.push_back(key.first);
+    }
+    std::sort(services.begin(), services.end());
+    return services;
+}
+
 void RunTimes::forgetOldest()
 {
     const auto oldest = std::min_element(m_kinds.begin(), m_kinds.end(),
--- a/src/RunTimes.h
+++ b/src/RunTimes.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace cicada {
 
@@ -61,6 +62,8 @@
     /** The estimate for a kind: the declared time at first, what was learnt after `trustedRuns` runs, and in between
      * a blend of the two. */
     RunEstimate estimate(absl::string_view service, absl::string_view profile, absl::Duration declared) const;
+    /** The services on which runs of the profile were seen. */
+    std::vector<std::string> servicesOf(absl::string_view profile) const;
     size_t kinds() const { return m_kinds.size(); }
 
     static constexpr size_t maxKinds = 1024;
--- a/tools/cicadactl.cpp
+++ b/tools/cicadactl.cpp
@@ -27,6 +27,7 @@
 Commands:
   profile list                  all profiles in force
   profile get NAME              one profile, as JSON
+  profile explain NAME          what the system does with requests of that kind, in plain sentences
   profile set NAME FILE         make or change a profile ("-" reads standard input)
   profile delete NAME           delete a profile
   status                        members, back ends and load, as the entry sees them
@@ -152,6 +153,15 @@
     return exitSuccess;
 }
 
+int explainProfile(httplib::Client& client, const Options& options)
+{
+    const auto response = client.Get(absl::StrCat("/v1/profiles/", options.words[2], "/explain"));
+    if (!succeeded(response))
+        return failCall(response);
+    std::cout << response->body;
+    return exitSuccess;
+}
+
 int deleteProfile(httplib::Client& client, const Options& options)
 {
     const auto response = client.Delete(absl::StrCat("/v1/profiles/", options.words[2]), changeHeaders(options));
@@ -175,6 +185,8 @@
         return listProfiles(client, options);
     if (is("profile", "get", 3))
         return getProfile(client, options);
+    if (is("profile", "explain", 3))
+        return explainProfile(client, options);
     if (is("profile", "set", 4))
         return setProfile(client, options);
     if (is("profile", "delete", 3))
