--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -90,7 +90,8 @@
     const std::string service = item.service;
     ServiceState& state = serviceState(service);
     QueuedRequest request = describeRequest(item, state);
-    if (auto admissible = checkAdmissible(item, request, state); !admissible) {
+    const AdmissionView view = lookAhead(item, request, state);
+    if (auto admissible = checkAdmissible(item, view); !admissible) {
         ++m_counts.refused;
         return decision(admissible.error());
     }
@@ -105,6 +106,9 @@
     waiting->request = std::move(request);
     const uint64_t ticket = waiting->request.ticket;
     m_waiting[ticket] = std::move(waiting);
+    // A request that has to cross leaves while it has the time for it: at the head of the queue it would not.
+    if (view.canCross && view.expectedWait > view.maxWait * CrossRegionGate::closeAt)
+        askPeer(ticket, state);
     pump(service);
 }
 
@@ -121,21 +125,28 @@
     return success();
 }
 
-Result<void> Dispatcher::checkAdmissible(const WorkItem& item, const QueuedRequest& request, ServiceState& state)
+AdmissionView Dispatcher::lookAhead(const WorkItem& item, const QueuedRequest& request, ServiceState& state) const
 {
     const Instant now = m_clock.now();
+    AdmissionView view;
+    view.expectedWait = expectedWaitOf(item.service, request, state);
+    view.maxWait = request.deadline - now;
+    CrossRegionGate& gate = state.gates[request.isLong];
+    if (view.maxWait > absl::ZeroDuration())
+        gate.note(absl::FDivDuration(view.expectedWait, view.maxWait));
+    view.canCross = gate.isOpen() && view.maxWait > crossingTime
+        && m_loads.freeSlots(item.service, request.isLong, true, now) > state.queue->size();
+    return view;
+}
+
+Result<void> Dispatcher::checkAdmissible(const WorkItem& item, const AdmissionView& view) const
+{
     if (m_waiting.size() >= m_maxQueued)
         return Error { ErrorKind::TooBusy,
             absl::StrCat("This entry holds ", m_waiting.size(), " waiting requests, which is its limit."),
             "Nothing was run; try again later, with growing delays." };
-    if (request.deadline <= now)
+    if (view.maxWait <= absl::ZeroDuration())
         return lateError(item);
-    AdmissionView view;
-    view.expectedWait = expectedWaitOf(item.service, request, state);
-    view.maxWait = request.deadline - now;
-    state.gates[request.isLong].note(absl::FDivDuration(view.expectedWait, view.maxWait));
-    view.canCross = state.gates[request.isLong].isOpen() && view.maxWait > crossingTime
-        && m_loads.freeSlots(item.service, request.isLong, true, now) > state.queue->size();
     if (m_admission->admit(item.profile, view))
         return success();
     return Error { ErrorKind::TooBusy,
--- a/src/Dispatcher.h
+++ b/src/Dispatcher.h
@@ -117,7 +117,8 @@
     using WaitingPtr = std::unique_ptr<Waiting>;
 
     Result<void> checkPlaceable(const WorkItem& item) const;
-    Result<void> checkAdmissible(const WorkItem& item, const QueuedRequest& request, ServiceState& state);
+    AdmissionView lookAhead(const WorkItem& item, const QueuedRequest& request, ServiceState& state) const;
+    Result<void> checkAdmissible(const WorkItem& item, const AdmissionView& view) const;
     QueuedRequest describeRequest(const WorkItem& item, ServiceState& state);
     ServiceState& serviceState(const std::string& service);
 
