--- a/src/PeerLoads.cpp
+++ b/src/PeerLoads.cpp
@@ -4,18 +4,9 @@
 
 namespace cicada {
 
-namespace {
-
-    size_t anyIndex(size_t count, std::mt19937_64& random)
-    {
-        return std::uniform_int_distribution<size_t>(0, count - 1)(random);
-    }
-
-} // namespace
-
 size_t RandomChoice::choose(absl::Span<const PeerCandidate> candidates, std::mt19937_64& random) const
 {
-    return anyIndex(candidates.size(), random);
+    return std::uniform_int_distribution<size_t>(0, candidates.size() - 1)(random);
 }
 
 size_t LeastLoadedChoice::choose(absl::Span<const PeerCandidate> candidates, std::mt19937_64&) const
@@ -25,13 +16,6 @@
     return static_cast<size_t>(best - candidates.begin());
 }
 
-size_t TwoChoices::choose(absl::Span<const PeerCandidate> candidates, std::mt19937_64& random) const
-{
-    const size_t first = anyIndex(candidates.size(), random);
-    const size_t second = anyIndex(candidates.size(), random);
-    return candidates[second].freeSlots > candidates[first].freeSlots ? second : first;
-}
-
 void PeerLoads::update(absl::string_view name, const LoadDigest& digest, Instant now)
 {
     Peer& peer = m_peers[std::string(name)];
--- a/src/PeerLoads.h
+++ b/src/PeerLoads.h
@@ -33,7 +33,7 @@
     virtual size_t choose(absl::Span<const PeerCandidate> candidates, std::mt19937_64& random) const = 0;
 };
 
-/** Any of them. */
+/** Any of them, so that not all entries ask the same peer. */
 class RandomChoice final : public PeerChoice {
 public:
     size_t choose(absl::Span<const PeerCandidate>, std::mt19937_64&) const override;
@@ -45,12 +45,6 @@
     size_t choose(absl::Span<const PeerCandidate>, std::mt19937_64&) const override;
 };
 
-/** The better of two random ones, so that not all entries ask the same peer. */
-class TwoChoices final : public PeerChoice {
-public:
-    size_t choose(absl::Span<const PeerCandidate>, std::mt19937_64&) const override;
-};
-
 /** The loads of all peers. Used on the decision thread only. */
 class PeerLoads {
 public:
--- a/src/PolicyOptions.cpp
+++ b/src/PolicyOptions.cpp
@@ -59,15 +59,9 @@
 
 std::unique_ptr<PeerChoice> makePeerChoice(const PolicyOptions& options)
 {
-    switch (options.spill) {
-    case PolicyOptions::Spill::LeastLoaded:
+    if (options.spill == PolicyOptions::Spill::LeastLoaded)
         return std::make_unique<LeastLoadedChoice>();
-    case PolicyOptions::Spill::Random:
-        return std::make_unique<RandomChoice>();
-    case PolicyOptions::Spill::RegionFirst:
-        break;
-    }
-    return std::make_unique<TwoChoices>();
+    return std::make_unique<RandomChoice>();
 }
 
 } // namespace cicada
--- a/test/correctness/DispatcherTest.cpp
+++ b/test/correctness/DispatcherTest.cpp
@@ -163,7 +163,8 @@
     Profile profile = longProfile("batch");
     profile.whenShort = ShortageAction::Preempt;
     submit(profile);
-    CHECK(errors.at(0).kind == ErrorKind::InvalidProfile);
+    LONGS_EQUAL(1, errors.size());
+    CHECK(errors[0].kind == ErrorKind::InvalidProfile);
     CHECK(absl::StrContains(errors[0].remedy, "mayRunTwice"));
     profile.mayRunTwice = true;
     submit(profile);
--- a/test/performance/policy-bench.cpp
+++ b/test/performance/policy-bench.cpp
@@ -105,6 +105,9 @@
     Scenario swing = steady;
     swing.name = "swing-5x";
     swing.swing = 5;
+    Scenario heavyWave = steady;
+    heavyWave.name = "heavy-wave";
+    heavyWave.heavySwing = 4;
     Scenario stragglers = steady;
     stragglers.name = "stragglers";
     stragglers.stragglers = 0.02;
@@ -117,7 +120,7 @@
     Scenario hot = steady;
     hot.name = "hot-region";
     hot.hotRegion = 2.5;
-    return { steady, light, swing, stragglers, declared, cut, hot };
+    return { steady, light, swing, heavyWave, stragglers, declared, cut, hot };
 }
 
 /** One run to be made, and its result. */
--- a/test/support/PolicyWorld.cpp
+++ b/test/support/PolicyWorld.cpp
@@ -163,10 +163,11 @@
 double PolicyWorld::factor(const Workload& workload) const
 {
     const absl::Duration since = m_world.now() - crestStart;
-    if (!workload.swings || since < absl::ZeroDuration())
+    if (since < absl::ZeroDuration() || (!workload.swings && !workload.isHeavy))
         return 1;
     const double ramp = std::min(1.0, absl::FDivDuration(since, rampTime));
-    return 1 + (m_scenario.swing - 1) * ramp;
+    const double crest = workload.isHeavy ? m_scenario.heavySwing : m_scenario.swing;
+    return 1 + (crest - 1) * ramp;
 }
 
 absl::Duration PolicyWorld::runTime(const Workload& workload)
--- a/test/support/PolicyWorld.h
+++ b/test/support/PolicyWorld.h
@@ -35,6 +35,8 @@
     std::string name;
     /** The factor of the swing at its crest, which it reaches within two seconds. */
     double swing = 1;
+    /** The same for heavy work. */
+    double heavySwing = 1;
     /** The share of the swinging kinds' runs that take fifty times as long. */
     double stragglers = 0;
     /** By what factor short runs are declared too long and heavy ones too short. */
