--- a/tools/cicadactl.cpp
+++ b/tools/cicadactl.cpp
@@ -146,7 +146,7 @@
 {
     const auto response = client.Get(absl::StrCat("/v1/profiles/", options.words[2], "/explain"));
     if (!succeeded(response))
-        return failCall(response);
+        return failOperatorCall(response);
     std::cout << response->body;
     return exitSuccess;
 }
