--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -122,7 +122,8 @@
     p.ownership
         = std::make_unique<OwnershipTable>(s, *p.store, *p.membership, *p.watch, p.backEnds, p.clock, *p.authority);
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
-    p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
+    p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests,
+        DispatcherOptions { s.region, *policyOptions(s.policy), std::hash<std::string> {}(s.name) });
     p.stops = std::make_unique<StopBook>(StopBook::Parts { s, *p.store, *p.peers, *p.watch, p.backEnds, p.clock,
         [&p](const PlannedStop& stop) { return remainingWork(p, stop); }, [] { kill(getpid(), SIGTERM); } });
     p.health = std::make_unique<ExecutorHealth>(
@@ -133,7 +134,7 @@
         RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addStopRoutes(*p.frontend, *p.loop, *p.stops);
-    addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
+    addProfileRoutes(*p.frontend, *p.loop, *p.profiles, *p.dispatcher);
     addStatusRoutes(*p.frontend,
         { s, *p.loop, *p.membership, *p.authority, p.clock, *p.ownership, *p.ledger, p.backEnds, *p.health,
             *p.dispatcher, *p.profiles, *p.store, *p.peers, p.metrics });
