--- a/src/ConfigDocument.cpp
+++ b/src/ConfigDocument.cpp
@@ -25,10 +25,13 @@
 
     static bool decode(absl::string_view text, Content& content)
     {
-        const Json document = Json::parse(text.begin(), text.end(), nullptr, false);
-        if (!document.is_object())
+        const auto parsed = Internal::parseJson(text, "configuration document", ErrorKind::MalformedMessage);
+        if (!parsed)
             return false;
+        const Json& document = parsed.value();
         try {
+            if (!holdsRecords(document.at("body")))
+                return false;
             content.version = document.at("version").get<uint64_t>();
             content.recentChanges = document.at("recentChanges").get<std::vector<std::string>>();
             content.body = document.at("body").dump();
@@ -38,6 +41,13 @@
         return true;
     }
 
+    /** The body is an object with an object for each record; what a record holds is for its reader to check. */
+    static bool holdsRecords(const Json& body)
+    {
+        return body.is_object()
+            && std::all_of(body.begin(), body.end(), [](const Json& record) { return record.is_object(); });
+    }
+
     std::string encode() const
     {
         return Json {
--- a/src/Json.cpp
+++ b/src/Json.cpp
@@ -22,10 +22,32 @@
         return path.empty() ? "the document" : path;
     }
 
+    /** Counts brackets outside strings; text that is not JSON may be judged either way. */
+    bool isTooDeep(absl::string_view text)
+    {
+        size_t depth = 0;
+        bool inString = false;
+        for (size_t i = 0; i < text.size(); ++i) {
+            const char c = text[i];
+            if (inString && c == '\\')
+                ++i;
+            else if (c == '"')
+                inString = !inString;
+            else if (!inString && (c == '[' || c == '{') && ++depth > maxJsonNesting)
+                return true;
+            else if (!inString && (c == ']' || c == '}') && depth > 0)
+                --depth;
+        }
+        return false;
+    }
+
 } // namespace
 
 Result<Json> parseJson(absl::string_view text, absl::string_view what, ErrorKind kind)
 {
+    if (isTooDeep(text))
+        return Error { kind, absl::StrCat("The ", what, " is nested deeper than ", maxJsonNesting, " levels."),
+            "Write it without needless nesting." };
     try {
         return Json::parse(text.begin(), text.end());
     } catch (const Json::parse_error& error) {
--- a/src/ProfileBook.cpp
+++ b/src/ProfileBook.cpp
@@ -29,6 +29,16 @@
             "Look at the one in force, and send the change again with its version." };
     }
 
+    Result<ProfileRecord> readRecord(const std::string& name, const Json& item)
+    {
+        try {
+            BOOST_OUTCOME_TRY(profile, parseProfile(name, item.at("profile").dump()));
+            return ProfileRecord { std::move(profile), item.at("version").get<uint64_t>() };
+        } catch (const Json::exception& error) {
+            return Error { ErrorKind::MalformedMessage, error.what(), "Set the profile again." };
+        }
+    }
+
     Result<std::string> applyChange(const ProfileChange& change, const std::string& body, uint64_t newVersion)
     {
         Json profiles = body.empty() ? Json::object() : Json::parse(body);
@@ -74,12 +84,11 @@
     absl::btree_map<std::string, ProfileRecord> profiles;
     const Json document = Json::parse(body);
     for (const auto& [name, item] : document.items()) {
-        auto profile = parseProfile(name, item["profile"].dump());
-        if (!profile) {
-            LOG(ERROR) << "profile " << name << " in the store is not taken: " << describe(profile.error());
-            continue;
-        }
-        profiles[name] = { std::move(profile.value()), item.value("version", uint64_t { 0 }) };
+        auto record = readRecord(name, item);
+        if (record)
+            profiles[name] = std::move(record.value());
+        else
+            LOG(ERROR) << "profile " << name << " in the store is not taken: " << describe(record.error());
     }
     m_profiles = std::move(profiles);
 }
--- a/src/StopBook.cpp
+++ b/src/StopBook.cpp
@@ -5,6 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <glog/logging.h>
+
 namespace cicada {
 
 namespace {
@@ -15,6 +17,16 @@
 
     Json parseBody(const std::string& body) { return body.empty() ? Json::object() : Json::parse(body); }
 
+    Result<PlannedStop> readStop(const std::string& id, const Json& item)
+    {
+        try {
+            BOOST_OUTCOME_TRY(kind, parseStopKind(item.at("kind").get<std::string>()));
+            return PlannedStop { id, kind, item.at("target").get<std::string>() };
+        } catch (const Json::exception& error) {
+            return Error { ErrorKind::MalformedMessage, error.what(), "Cancel the stop and plan it again." };
+        }
+    }
+
 } // namespace
 
 absl::string_view stopKindName(StopKind kind)
@@ -119,9 +131,11 @@
     m_stops.clear();
     const Json document = parseBody(body);
     for (const auto& [id, item] : document.items()) {
-        auto kind = parseStopKind(item.value("kind", ""));
-        if (kind)
-            m_stops[id] = { id, kind.value(), item.value("target", "") };
+        auto stop = readStop(id, item);
+        if (stop)
+            m_stops[id] = std::move(stop.value());
+        else
+            LOG(ERROR) << "planned stop " << id << " in the store is not taken: " << describe(stop.error());
     }
     for (const auto& [id, stop] : m_stops) {
         if (stop.kind != StopKind::Entry || stop.target != m_parts.settings.name || m_stopsSelf)
