--- a/test/error/FuzzTest.cpp
+++ b/test/error/FuzzTest.cpp
@@ -9,6 +9,7 @@
 #include "Profile.h"
 #include "ProfileBook.h"
 #include "Settings.h"
+#include "StopBook.h"
 #include "Trace.h"
 #include "Wire.h"
 #include "support/FakeWorld.h"
@@ -283,3 +284,22 @@
     sendText(1000, nested(deepNesting));
     CHECK(book.find("check") != nullptr);
 }
+
+TEST(Fuzz, plannedStopsOfAnotherShapeAreNotTaken)
+{
+    FakeWorld world(seed);
+    Testing::Node& node = world.addNode("a");
+    Testing::Node& peer = world.addNode("b");
+    peer.setPeers({ { "a", "", "r" } });
+    ConfigWatch watch(node);
+    const Settings settings = parseSettings(goodSettings).value();
+    const BackEnds backEnds;
+    StopBook stops({ settings, node, node, watch, backEnds, node.clock(),
+        [](const PlannedStop&) { return std::optional<uint64_t>(); }, [] {} });
+    peer.send("a", "config-stops",
+        Internal::packFields(uint64_t { 5 }, std::string(R"({"version": 5, "recentChanges": [], "body":
+            {"s": {"kind": 7, "target": "x"}, "t": {"kind": "rack"}, "u": {"kind": "rack", "target": "r1"}}})")));
+    world.run(absl::Seconds(1));
+    LONGS_EQUAL(1, stops.all().size());
+    CHECK(stops.all().contains("u"));
+}
