--- a/src/StatusRoutes.cpp
+++ b/src/StatusRoutes.cpp
@@ -18,12 +18,28 @@
             { "phase", phase ? std::string(executorPhaseName(*phase)) : "" } };
     }
 
+    Json authorityJson(const StatusSources& sources)
+    {
+        const absl::Duration remaining = sources.authority.until() - sources.clock.now();
+        Json guardians = Json::array();
+        for (const EntryId& guardian : sources.authority.guardians())
+            guardians.push_back(guardian.name);
+        return { { "incarnation", sources.authority.self().incarnation },
+            { "remainingMs", std::max<int64_t>(0, absl::ToInt64Milliseconds(remaining)) }, { "guardians", guardians } };
+    }
+
+    Json memberJson(const Member& member)
+    {
+        return { { "name", member.name }, { "region", member.region }, { "failureDomain", member.failureDomain },
+            { "address", member.address }, { "state", std::string(memberStateName(member.state)) },
+            { "incarnation", member.incarnation }, { "version", member.version } };
+    }
+
     Json statusJson(const StatusSources& sources)
     {
         Json members = Json::array();
         for (const Member& member : sources.membership.members())
-            members.push_back({ { "name", member.name }, { "region", member.region },
-                { "failureDomain", member.failureDomain }, { "address", member.address } });
+            members.push_back(memberJson(member));
         Json backEnds = Json::array();
         for (const BackEnd& backEnd : sources.backEnds.all())
             backEnds.push_back(backEndJson(sources, backEnd));
@@ -35,6 +51,7 @@
             { "version", CICADA_VERSION },
             { "profileVersion", sources.profiles.version() },
             { "queued", sources.dispatcher.queued() },
+            { "authority", authorityJson(sources) },
             { "members", members },
             { "backEnds", backEnds },
             { "store",
@@ -59,6 +76,13 @@
             const StoreCallCounts calls = sources.store.counts();
             const PeerTraffic traffic = sources.peers.traffic();
             sources.metrics.gauge("cicada_queued_requests", static_cast<double>(sources.dispatcher.queued()));
+            const PlacementCounts& placed = sources.dispatcher.counts();
+            sources.metrics.gauge("cicada_requests_refused_on_arrival", static_cast<double>(placed.refused));
+            sources.metrics.gauge("cicada_requests_expired", static_cast<double>(placed.expired));
+            sources.metrics.gauge("cicada_requests_started", static_cast<double>(placed.started));
+            sources.metrics.gauge("cicada_requests_across_regions", static_cast<double>(placed.acrossRegions));
+            sources.metrics.gauge(
+                "cicada_request_bytes_across_regions", static_cast<double>(placed.bytesAcrossRegions));
             sources.metrics.gauge("cicada_store_reads", static_cast<double>(calls.reads));
             sources.metrics.gauge("cicada_store_writes", static_cast<double>(calls.writes));
             sources.metrics.gauge("cicada_store_watches", static_cast<double>(calls.watches));
