--- a/src/ProfileExplain.cpp
+++ b/src/ProfileExplain.cpp
@@ -5,11 +5,13 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <cmath>
+
 namespace cicada {
 
 namespace {
 
-    std::string percent(double part) { return absl::StrCat(static_cast<int>(part * 100 + 0.5), "%"); }
+    std::string percent(double part) { return absl::StrCat(std::lround(part * 100), "%"); }
 
     std::string text(absl::Duration duration)
     {
--- a/src/SlotLedger.h
+++ b/src/SlotLedger.h
@@ -88,7 +88,7 @@
 
     /** How old the index may be; it grows with the number of back ends, so that its upkeep stays cheap. */
     static constexpr absl::Duration indexLifetime = absl::Milliseconds(50);
-    static constexpr absl::Duration indexLifetimeEach = absl::Microseconds(100);
+    static constexpr absl::Duration indexLifetimeEach = absl::Microseconds(400);
 
 private:
     /** The executors of a service that may be given work, by free slots and then by place in the list. */
--- a/test/correctness/DispatcherTest.cpp
+++ b/test/correctness/DispatcherTest.cpp
@@ -92,7 +92,7 @@
 
     std::string submit(const Profile& profile, size_t desk = 0, uint64_t bodyBytes = 0)
     {
-        const std::string id = absl::StrCat("r", nextId++);
+        std::string id = absl::StrCat("r", nextId++);
         desks[desk]->dispatcher.submit({ id, "desk", profile, bodyBytes, {} }, [this](Result<StartGrant> decision) {
             if (decision)
                 grants.push_back(decision.value());
@@ -288,6 +288,7 @@
 {
     start({ "a" }, 100000);
     std::vector<std::string> ids;
+    ids.reserve(20000);
     for (int i = 0; i < 20000; ++i)
         ids.push_back(submit(longProfile("tally")));
     for (size_t i = slotsEach; i < ids.size(); ++i)
--- a/test/correctness/PolicyTest.cpp
+++ b/test/correctness/PolicyTest.cpp
@@ -172,6 +172,7 @@
     Testing::FakeWorld world(1);
     Testing::Node& node = world.addNode("self");
     std::vector<PeerAddress> peers;
+    peers.reserve(300);
     for (int i = 0; i < 300; ++i)
         peers.push_back({ absl::StrCat("peer-", i), "", "" });
     node.setPeers(peers);
@@ -183,6 +184,7 @@
     constexpr int seconds = 60;
     for (int i = 0; i < seconds * 200; ++i) {
         std::vector<ServiceLoad> changing;
+        changing.reserve(50);
         for (int service = 0; service < 50; ++service)
             changing.push_back({ absl::StrCat("service-", service), i % 2 ? 0U : 9U, 0, 0 });
         reporter.report(changing, absl::Milliseconds(5 * i));
--- a/test/performance/decision-bench.cpp
+++ b/test/performance/decision-bench.cpp
@@ -68,7 +68,7 @@
 
     std::string submit()
     {
-        const std::string id = absl::StrCat("r", next++);
+        std::string id = absl::StrCat("r", next++);
         dispatcher.submit({ id, "desk", profile, 0, {} }, [this](const Result<StartGrant>& grant) {
             if (grant)
                 running.push_back(grant.value());
@@ -110,6 +110,7 @@
         bench.clock.advance(absl::Microseconds(500));
     }
     std::vector<std::string> waiting;
+    waiting.reserve(size_t { decisions } + static_cast<size_t>(busy));
     for (int i = 0; i < decisions + busy; ++i)
         waiting.push_back(bench.submit());
     const auto cancelled = std::min<size_t>(decisions, bench.dispatcher.queued());
--- a/test/performance/policy-bench.cpp
+++ b/test/performance/policy-bench.cpp
@@ -152,6 +152,7 @@
 {
     std::atomic<size_t> next { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<size_t>(options.threads));
     for (int i = 0; i < options.threads; ++i) {
         threads.emplace_back([&] {
             for (size_t at = next++; at < trials.size(); at = next++) {
@@ -227,11 +228,12 @@
             options.mix = optarg;
         else if (found == 'j')
             options.json = optarg;
-        else if (found == 'r' && absl::SimpleAtoi(optarg, &options.seed))
-            continue;
-        else if (found == 't' && absl::SimpleAtoi(optarg, &options.threads))
-            continue;
-        else
+        else if (found == 'r' || found == 't') {
+            const bool isRead
+                = found == 'r' ? absl::SimpleAtoi(optarg, &options.seed) : absl::SimpleAtoi(optarg, &options.threads);
+            if (!isRead)
+                return false;
+        } else
             return false;
     }
     return true;
--- a/test/support/PolicyWorld.cpp
+++ b/test/support/PolicyWorld.cpp
@@ -121,6 +121,7 @@
 void PolicyWorld::addEntries(const PolicyOptions& policy, uint64_t seed)
 {
     std::vector<PeerAddress> peers;
+    peers.reserve(entries);
     for (int i = 0; i < entries; ++i)
         peers.push_back({ absl::StrCat("entry-", i), "", regionName(i % regions) });
     const std::vector<BackEnd> list = makeExecutors();
@@ -292,7 +293,7 @@
     while (m_running > 0)
         advanceTo(m_world.now() + absl::Seconds(5));
     advanceTo(m_world.now() + absl::Seconds(1));
-    const absl::Duration capacity = measured * static_cast<int64_t>(executors * slotsEach);
+    const absl::Duration capacity = measured * (int64_t { executors } * slotsEach);
     m_result.goodput = absl::FDivDuration(m_busy, std::min(capacity, m_offered));
     uint64_t started = 0;
     uint64_t across = 0;
