--- a/test/error/FuzzTest.cpp
+++ b/test/error/FuzzTest.cpp
@@ -162,12 +162,14 @@
 
 TEST(Fuzz, placementMessages)
 {
-    fuzz({ encode(PlaceAsk { 7, "id", "order-desk" }) }, ErrorKind::MalformedMessage, decodePlaceAsk);
-    fuzz({ encode(PlaceReply { 7, true, 9, "x1", "127.0.0.1:7301", 3, 250000 }) }, ErrorKind::MalformedMessage,
+    fuzz({ encode(PlaceAsk { 7, "id", "order-desk", "stock-check", true, 20000 }) }, ErrorKind::MalformedMessage,
+        decodePlaceAsk);
+    fuzz({ encode(PlaceReply { 7, true, 9, "x1", "127.0.0.1:7301", 3, 250000, 4, 2 }) }, ErrorKind::MalformedMessage,
         decodePlaceReply);
     fuzz({ encode(PlaceDone { 9, { RunVerdict::Failed, absl::Milliseconds(3) } }) }, ErrorKind::MalformedMessage,
         decodePlaceDone);
-    fuzz({ encode(LoadDigest { { { "order-desk", 8, 2 }, { "design", 0, 90 } } }), encode(LoadDigest {}) },
+    fuzz({ encode(LoadDigest { "khulna-a", false, { { "order-desk", 8, 4, 2 }, { "design", 0, 0, 90 } } }),
+             encode(LoadDigest {}) },
         ErrorKind::MalformedMessage, decodeLoadDigest);
 }
 
