Messages can't reserve more than they hold

Cause: a few bytes that announce an array of 2^32 elements made the decoder reserve 256 GB; found by the fuzz tests under the address sanitizer (out of memory).

--- a/src/Pack.h
+++ b/src/Pack.h
@@ -17,6 +17,9 @@
 
 namespace cicada::Internal {
 
+/** The deepest nesting of a message that is accepted. */
+constexpr size_t maxPackNesting = 16;
+
 /** Encodes the fields, in order, as one msgpack array. */
 template <typename... Fields> std::string packFields(const Fields&... fields)
 {
@@ -32,7 +35,10 @@
     const Error error { ErrorKind::MalformedMessage, absl::StrCat("A ", what, " message can't be decoded."),
         "Check that all entries run the same version." };
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // What a header announces is reserved at once; nothing can have more elements than there are bytes.
+        const msgpack::unpack_limit limit(
+            bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size(), maxPackNesting);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         const auto& object = handle.get();
         if (object.type != msgpack::type::ARRAY || object.via.array.size != sizeof...(Fields))
             return error;
--- a/test/error/FuzzTest.cpp
+++ b/test/error/FuzzTest.cpp
@@ -3,6 +3,7 @@
  * bytes and mutations of valid messages, from fixed seeds.
  */
 
+#include "AuthorityMessages.h"
 #include "BackEnds.h"
 #include "Pack.h"
 #include "PlacementMessages.h"
@@ -167,8 +168,15 @@
         decodePlaceReply);
     fuzz({ encode(PlaceDone { 9, { RunVerdict::Failed, absl::Milliseconds(3) } }) }, ErrorKind::MalformedMessage,
         decodePlaceDone);
-    fuzz({ encode(LoadDigest { { { "order-desk", 8, 2 }, { "design", 0, 90 } } }), encode(LoadDigest {}) },
-        ErrorKind::MalformedMessage, decodeLoadDigest);
+    LoadDigest digest;
+    digest.services = { { "order-desk", 8, 6, 2 }, { "design", 0, 0, 90 } };
+    fuzz({ encode(digest), encode(LoadDigest {}) }, ErrorKind::MalformedMessage, decodeLoadDigest);
+}
+
+TEST(Fuzz, authorityMessages)
+{
+    fuzz({ encode(Renewal { 1, 2, 3, 4 }) }, ErrorKind::MalformedMessage, decodeRenewal);
+    fuzz({ encode(Promise { 1, 2, true, 4, 3 }) }, ErrorKind::MalformedMessage, decodePromise);
 }
 
 TEST(Fuzz, settings) { fuzz({ goodSettings }, ErrorKind::InvalidSettings, parseSettings); }
