--- a/test/error/FuzzTest.cpp
+++ b/test/error/FuzzTest.cpp
@@ -3,6 +3,7 @@
  * bytes and mutations of valid messages, from fixed seeds.
  */
 
+#include "AuthorityMessages.h"
 #include "BackEnds.h"
 #include "Pack.h"
 #include "PlacementMessages.h"
@@ -173,6 +174,12 @@
         ErrorKind::MalformedMessage, decodeLoadDigest);
 }
 
+TEST(Fuzz, authorityMessages)
+{
+    fuzz({ encode(Renewal { 1, 2, 3, 4 }) }, ErrorKind::MalformedMessage, decodeRenewal);
+    fuzz({ encode(Promise { 1, 2, true, 4, 3 }) }, ErrorKind::MalformedMessage, decodePromise);
+}
+
 TEST(Fuzz, settings) { fuzz({ goodSettings }, ErrorKind::InvalidSettings, parseSettings); }
 
 TEST(Fuzz, profiles)
