Jobs and tasks on workers: the logic, with a paused clock

Cause: jobs had no way into the system. A job is stored before it is acknowledged and belongs to the owner of its partition; owners of racks hold room, start what is committed and renew leases; what runs where is kept by the workers. Ruled out: a store write for each task start, and a store lease for each task; both grow with the work. Before: no jobs.

--- /dev/null
+++ b/src/ActiveJob.h
@@ -0,0 +1,116 @@
+#pragma once
+
+/** \file
+ * One job in the hands of its owner: where each task stands, and what follows from each report of a run. All that is
+ * known is either in the stored record or told again by the workers, so that the next owner arrives at the same.
+ */
+
+#include "Job.h"
+#include "JobMessages.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
+
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** Where a task stands. */
+enum class TaskPhase {
+    Waiting,
+    /** An ask for room is out. */
+    Asked,
+    /** Room is held, and the release is being stored or the rest of a gang awaited. */
+    Held,
+    /** Released to start; its run was not reported yet. */
+    Committed,
+    /** Its run was reported as starting or running. */
+    Active,
+    Ended,
+};
+
+/** One task of an active job. */
+struct ActiveTask {
+    TaskPhase phase = TaskPhase::Waiting;
+    /** The number of the current run, or of the next one while it waits. */
+    uint32_t run = 0;
+    /** Whether any run of it was reported to this owner. */
+    bool isSeen = false;
+    std::string worker;
+    std::string rack;
+    RackRecovery recovery;
+    std::string checkpoint;
+    int failures = 0;
+    int losses = 0;
+};
+
+/** A job with its tasks. Not thread-safe. */
+class ActiveJob {
+public:
+    explicit ActiveJob(JobRecord record);
+
+    const JobRecord& record() const { return m_record; }
+    /** Takes what the store holds after a write. */
+    void merge(const JobRecord& stored) { mergeInto(m_record, stored); }
+    const std::vector<ActiveTask>& tasks() const { return m_tasks; }
+    /** The profile in force; the stored one counts when it was deleted. */
+    void setProfile(const Profile& profile) { m_record.profile = profile; }
+    JobOrder order() const;
+    bool hasEnded() const { return m_record.state != JobState::Accepted; }
+    /** Whether every task has its final mark, though the end is not stored yet. */
+    bool isDone() const;
+    bool isGang() const { return m_record.spec.gang; }
+    bool mustNotRunTwice(uint32_t task) const;
+
+    /** Applies one reported run. */
+    void apply(const RunReport& run);
+    /** The current owner of a rack has recovered it and told all that runs there: what was known of it under another
+     * recovery, and was not told again, vanished with its worker. */
+    void noteRackRecovered(const std::string& rack, const RackRecovery& recovery);
+    /** After all reports of a recovery: a task that was released and of which nobody knows anything is unknown. */
+    void finishRecovery();
+
+    std::vector<uint32_t> waitingTasks() const;
+    void noteAsked(uint32_t task) { m_tasks[task].phase = TaskPhase::Asked; }
+    void noteHeld(const HeldTask& held);
+    /** Back to waiting: nothing was started. */
+    void noteReleased(uint32_t task);
+    void noteNotStarted(uint32_t task);
+    void noteCommitted(uint32_t task) { m_tasks[task].phase = TaskPhase::Committed; }
+    /** Counts a release in the record, ahead of storing it. */
+    void markReleased(uint32_t task);
+    /** Gives every task its final mark and the job its end. */
+    void cancel(int64_t nowMicros);
+    void end(int64_t nowMicros);
+
+    /** Runs that have to be stopped: the job has ended, or a later run has replaced them. */
+    std::vector<RunId> runsToStop() const;
+    /** Runs that ended and are no longer needed, since a later run or the stored end took their place. */
+    std::vector<RunId> runsToForget(bool isEndStored) const;
+    void forget(const RunId& id) { m_runs.erase(id); }
+    bool hasRuns() const { return !m_runs.empty(); }
+    /** Resources of all tasks that are asked for, held or running. */
+    Resources used() const;
+    /** Reported runs and whether each is active. */
+    const absl::flat_hash_map<RunId, RunReport>& runs() const { return m_runs; }
+
+    /** The job as callers see it. */
+    std::string toJson() const;
+
+    /** How often a task may fail or be lost before that is its end. */
+    static constexpr int maxFailures = 3;
+    static constexpr int maxLosses = 10;
+
+private:
+    void settleEnded(uint32_t task, const RunStatus& status);
+    void noteVanished(uint32_t task);
+    void runAgain(ActiveTask& task);
+    void setMark(uint32_t task, TaskMark mark);
+
+    JobRecord m_record;
+    std::vector<ActiveTask> m_tasks;
+    absl::flat_hash_map<RunId, RunReport> m_runs;
+};
+
+} // namespace cicada
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -4,12 +4,17 @@
 #include "Frontend.h"
 #include "HashedOwnership.h"
 #include "HttpStore.h"
+#include "HttpWorkerClient.h"
+#include "JobRoutes.h"
+#include "JobService.h"
 #include "Membership.h"
 #include "ProfileRoutes.h"
 #include "StatusRoutes.h"
 #include "TcpPeerBus.h"
 #include "VmListWatcher.h"
 
+#include "absl/random/random.h"
+
 #include <glog/logging.h>
 
 namespace cicada {
@@ -45,6 +50,8 @@
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<ProfileBook> profiles;
     std::unique_ptr<RequestHandler> handler;
+    HttpWorkerClient* workers = nullptr;
+    std::unique_ptr<JobService> jobs;
 };
 
 namespace {
@@ -58,6 +65,19 @@
 
 } // namespace
 
+std::unique_ptr<JobService> Entry::makeJobs(Parts& p)
+{
+    const auto lookUp = [&p](const std::string& name) {
+        const ProfileRecord* record = p.profiles->find(name);
+        return record ? &record->profile : nullptr;
+    };
+    const uint64_t session = absl::Uniform<uint64_t>(absl::BitGen());
+    return std::make_unique<JobService>(
+        JobService::Parts { p.settings.name, *p.store, *p.peers, *p.ownership, p.backEnds, p.clock, *p.watch,
+            *p.workers, p.settings.clockDriftBound, session },
+        lookUp);
+}
+
 Result<std::unique_ptr<Entry>> Entry::create(Settings settings)
 {
     auto parts = std::make_unique<Parts>(std::move(settings));
@@ -76,10 +96,13 @@
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpWorkerClient>(*p.loop), p.workers));
+    p.jobs = makeJobs(p);
     p.handler = std::make_unique<RequestHandler>(
         RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
+    addJobRoutes(*p.frontend, *p.loop, *p.profiles, p.jobs->directory());
     addStatusRoutes(*p.frontend,
         { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.dispatcher, *p.profiles, *p.store,
             *p.peers, p.metrics });
@@ -87,6 +110,7 @@
         p.membership->tick(now);
         p.dispatcher->tick(now);
         p.profiles->tick(now);
+        p.jobs->tick(now);
         p.frontend->setReady(p.membership->registered() && p.profiles->version() > 0);
     });
     return std::unique_ptr<Entry>(new Entry(std::move(parts)));
--- a/src/Entry.h
+++ b/src/Entry.h
@@ -13,6 +13,8 @@
 
 namespace cicada {
 
+class JobService;
+
 /** A whole entry. */
 class Entry {
 public:
@@ -28,6 +30,7 @@
 private:
     struct Parts;
 
+    static std::unique_ptr<JobService> makeJobs(Parts&);
     explicit Entry(std::unique_ptr<Parts> parts);
 
     std::unique_ptr<Parts> m_parts;
--- /dev/null
+++ b/src/JobController.h
@@ -0,0 +1,183 @@
+#pragma once
+
+/** \file
+ * The owner's side of jobs: takes over the partitions that this entry owns, learns what runs from the owners of racks,
+ * asks them for room, releases tasks to start, and brings each job to its end. A partition's jobs are given new room
+ * only after every rack's owner has told what runs there.
+ */
+
+#include "ActiveJob.h"
+#include "JobRecords.h"
+#include "Ownership.h"
+#include "PeerBus.h"
+#include "Quotas.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/functional/any_invocable.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace cicada {
+
+/** Drives the jobs of the owned partitions. Used on the decision thread only. */
+class JobController {
+public:
+    struct Parts {
+        std::string name;
+        PeerBus& peers;
+        Ownership& ownership;
+        BackEnds& backEnds;
+        const Clock& clock;
+        JobRecords& records;
+        Quotas& quotas;
+        uint64_t seed = 1;
+    };
+    /** The profile in force by name, or null. */
+    using ProfileLookUp = absl::AnyInvocable<const Profile*(const std::string&)>;
+    /** The job as JSON, or why there is none. */
+    using AnswerCallback = absl::AnyInvocable<void(Result<std::string>)>;
+
+    /** Everything in `parts` must outlive the controller; the peers also reach this entry itself. */
+    JobController(Parts parts, ProfileLookUp lookUp);
+
+    void tick(Instant now);
+    /** A job was stored; nothing happens unless this entry owns it. */
+    void noteStored(const std::string& id);
+    /** Whether this entry owns the job's partition and has taken it over. */
+    bool isReady(const std::string& id) const;
+    /** The job as JSON, if it is known here. */
+    std::optional<std::string> find(const std::string& id) const;
+    /** Cancels a job that is known here; the cancellation counts once it is stored. */
+    void cancel(const std::string& id, AnswerCallback callback);
+
+    size_t jobCount() const { return m_jobs.size(); }
+    size_t waitingAsks() const { return m_asks.size(); }
+
+    /** How long a record of an ended job is kept. */
+    static constexpr absl::Duration endedRetention = absl::Hours(1);
+
+private:
+    enum class Recovery { Listing, Hearing, Ready };
+    struct Partition {
+        uint64_t epoch = 0;
+        Recovery recovery = Recovery::Listing;
+        bool isListing = false;
+        Instant nextList;
+    };
+    struct Job {
+        std::unique_ptr<ActiveJob> active;
+        /** Its place in m_waiting. */
+        JobOrder order;
+        bool isDirty = true;
+        bool isStoringEnd = false;
+        bool isEndStored = false;
+        Instant nextTry;
+        Instant nextCheck;
+        int refusals = 0;
+        std::vector<AnswerCallback> cancellers;
+        /** Asks of the current round, and the entries asked in it. */
+        absl::btree_set<uint64_t> asks;
+        absl::btree_set<std::string> asked;
+    };
+    struct Ask {
+        std::string entry;
+        std::string job;
+        Instant sentAt;
+        bool isAnswered = false;
+        bool isCommitted = false;
+        uint64_t session = 0;
+        Instant committedAt;
+        std::vector<uint32_t> tasks;
+        std::vector<HeldTask> held;
+    };
+    using RackRecoveries = absl::flat_hash_map<std::string, RackRecovery>;
+    /** What one entry has told of one partition. */
+    struct PartitionView {
+        uint64_t epoch = 0;
+        uint64_t version = 0;
+        std::shared_ptr<const RackRecoveries> racks;
+    };
+    /** What one entry has told. */
+    struct EntryView {
+        uint64_t session = 0;
+        uint64_t sequence = 0;
+        /** Sessions of earlier lives; what arrives late from them is dropped. */
+        absl::flat_hash_set<uint64_t> pastSessions;
+        bool ownsRacks = false;
+        Resources free;
+        Instant heardAt;
+        absl::flat_hash_map<uint32_t, PartitionView> partitions;
+        std::vector<RunId> forget;
+    };
+
+    template <typename T>
+    void handle(absl::string_view service, void (JobController::*handler)(const std::string&, const T&));
+    void handleOwnership(absl::string_view group, uint64_t epoch, bool owned);
+    void gain(uint32_t partition, uint64_t epoch);
+    void lose(uint32_t partition);
+    void listJobs(uint32_t partition);
+    void takeRecord(JobRecord record);
+    void checkRecovered(uint32_t number, Partition& partition);
+    const PartitionView* viewOf(const std::string& entry, uint32_t partition) const;
+    void refreshRacks();
+    std::string rackOwner(const std::string& rack) const;
+    void sendSyncs();
+    void sendTeams();
+    void handleReport(const std::string& from, const JobReport&);
+    void applyPartition(
+        const std::string& from, EntryView&, const PartitionReport&, const std::shared_ptr<const RackRecoveries>&);
+    void applyRun(const std::string& from, EntryView&, const RunReport&);
+    void checkRacks(uint32_t partition);
+    void noteForgotten(EntryView&, const std::vector<RunId>&);
+    void audit(Instant now);
+    void handleHeld(const std::string& from, const HoldReply&);
+    void handleGone(const std::string& from, const HoldGone&);
+    void tickJobs(Instant now);
+    void tickJob(const std::string& id, Job& job, Instant now);
+    void tickAsks(Instant now);
+    void placeWaiting(Instant now);
+    void askNext(Job& job, Instant now);
+    std::string nextEntry(const Job& job) const;
+    std::vector<uint32_t> allowedTasks(const Job& job) const;
+    void sendAsk(Job& job, const std::string& entry, const std::vector<uint32_t>& tasks, Instant now);
+    void finishRound(Job& job, bool madeProgress, Instant now);
+    void release(Job& job, uint64_t askId);
+    void releaseUncommitted(Job& job);
+    void storeAndCommit(Job& job, std::vector<uint64_t> asks);
+    void commit(Job& job, uint64_t askId);
+    void tickAsk(uint64_t askId, Ask& ask, Instant now);
+    void sendCommit(uint64_t askId, const Ask& ask);
+    void dropAsk(uint64_t askId);
+    void refreshProfile(Job& job);
+    void updateWaiting(Job& job);
+    void storeEnd(Job& job);
+    void stopRuns(Job& job, Instant now);
+    void forgetRuns(Job& job);
+    std::optional<uint64_t> epochOf(const std::string& job) const;
+    Job* findJob(const std::string& id);
+
+    Parts m_parts;
+    ProfileLookUp m_lookUp;
+    std::mt19937_64 m_random;
+    absl::btree_map<uint32_t, Partition> m_partitions;
+    absl::btree_map<std::string, Job> m_jobs;
+    /** Jobs with waiting tasks, the most urgent and oldest first. */
+    absl::btree_set<JobOrder> m_waiting;
+    absl::btree_map<uint64_t, Ask> m_asks;
+    uint64_t m_lastAsk = 0;
+    absl::btree_map<std::string, EntryView> m_views;
+    absl::flat_hash_map<std::string, Resources> m_teamUse;
+    /** The racks of all known workers. */
+    std::vector<std::string> m_racks;
+    Instant m_nextTick;
+    Instant m_nextSync;
+    Instant m_nextAudit;
+    uint32_t m_auditCursor = 0;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobDirectory.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/** \file
+ * Jobs as callers reach them at any entry: submitting stores the job and tells its owner; questions and cancellations
+ * go to the owner, and the store answers where the owner can't.
+ */
+
+#include "JobController.h"
+
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** The callers' side of jobs. Used on the decision thread only. */
+class JobDirectory {
+public:
+    struct Parts {
+        std::string name;
+        PeerBus& peers;
+        Ownership& ownership;
+        BackEnds& backEnds;
+        const Clock& clock;
+        JobRecords& records;
+        Quotas& quotas;
+        JobController& controller;
+    };
+    using AnswerCallback = JobController::AnswerCallback;
+
+    /** Everything in `parts` must outlive the directory. */
+    explicit JobDirectory(Parts parts);
+
+    /** Accepts a job: calls back with its id once it is stored. */
+    void submit(JobSpec spec, Profile profile, AnswerCallback callback);
+    void find(const std::string& id, AnswerCallback callback);
+    void cancel(const std::string& id, AnswerCallback callback);
+    void tick(Instant now);
+
+private:
+    struct Query {
+        std::string job;
+        bool cancel = false;
+        Instant giveUp;
+        AnswerCallback callback;
+    };
+    struct Notice {
+        std::string job;
+        Instant nextSend;
+        int sends = 0;
+    };
+
+    void ask(const std::string& id, bool cancel, AnswerCallback callback);
+    void handleQuery(const std::string& from, const JobQuery&);
+    void handleAnswer(const JobAnswer&);
+    void answerFromStore(const std::string& id, bool cancel, AnswerCallback callback);
+    void sendNotice(Notice& notice, Instant now);
+    std::string ownerOf(const std::string& id) const;
+
+    Parts m_parts;
+    absl::btree_map<uint64_t, Query> m_queries;
+    uint64_t m_lastQuery = 0;
+    std::vector<Notice> m_notices;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobPlacing.cpp
@@ -0,0 +1,317 @@
+/** \file
+ * The part of JobController that asks the owners of racks for room and releases tasks to start.
+ */
+
+#include "JobController.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    constexpr absl::Duration askTimeout = absl::Seconds(2);
+    constexpr absl::Duration commitRetry = absl::Milliseconds(500);
+    constexpr absl::Duration firstBackoff = absl::Milliseconds(100);
+    constexpr absl::Duration longestBackoff = absl::Milliseconds(800);
+    constexpr absl::Duration viewLifetime = absl::Seconds(3);
+    constexpr absl::Duration releasePatience = absl::Seconds(5);
+    constexpr size_t maxAsks = 256;
+    constexpr size_t maxTasksPerAsk = 200;
+
+} // namespace
+
+void JobController::placeWaiting(Instant now)
+{
+    std::vector<std::string> due;
+    for (const JobOrder& order : m_waiting) {
+        if (m_asks.size() + due.size() >= maxAsks)
+            break;
+        const Job* job = findJob(order.job);
+        if (job && job->asks.empty() && now >= job->nextTry)
+            due.push_back(order.job);
+    }
+    for (const std::string& id : due) {
+        if (Job* job = findJob(id))
+            askNext(*job, now);
+    }
+}
+
+void JobController::askNext(Job& job, Instant now)
+{
+    const std::vector<uint32_t> tasks = allowedTasks(job);
+    const std::string entry = nextEntry(job);
+    if (tasks.empty() || entry.empty() || job.active->hasEnded() || !epochOf(job.order.job))
+        return finishRound(job, false, now);
+    sendAsk(job, entry, tasks, now);
+}
+
+std::string JobController::nextEntry(const Job& job) const
+{
+    std::string best;
+    int64_t bestFree = -1;
+    for (const auto& [name, view] : m_views) {
+        const bool isHeard = view.ownsRacks && m_parts.clock.now() - view.heardAt < viewLifetime;
+        if (!isHeard || job.asked.contains(name))
+            continue;
+        // Gangs ask in one order of the names, so that two of them can't each wait for what the other holds.
+        if (job.active->isGang())
+            return name;
+        if (view.free.cpuMillis > bestFree) {
+            best = name;
+            bestFree = view.free.cpuMillis;
+        }
+    }
+    return best;
+}
+
+std::vector<uint32_t> JobController::allowedTasks(const Job& job) const
+{
+    std::vector<uint32_t> allowed;
+    const JobSpec& spec = job.active->record().spec;
+    auto used = m_teamUse.find(spec.team);
+    Resources taken = used == m_teamUse.end() ? Resources {} : used->second;
+    const std::vector<uint32_t> waiting = job.active->waitingTasks();
+    for (const uint32_t task : waiting) {
+        if (!m_parts.quotas.allows(spec.team, taken, spec.tasks[task].demand))
+            continue;
+        taken = taken + spec.tasks[task].demand;
+        allowed.push_back(task);
+        if (!spec.gang && allowed.size() == maxTasksPerAsk)
+            break;
+    }
+    if (spec.gang && allowed.size() != waiting.size())
+        return {};
+    const bool isService = !spec.gang && spec.tasks[waiting.empty() ? 0 : waiting[0]].kind == TaskKind::Service;
+    const size_t entries = static_cast<size_t>(std::count_if(m_views.begin(), m_views.end(),
+        [&job](const auto& named) { return named.second.ownsRacks && !job.asked.contains(named.first); }));
+    // Services go to all entries in equal parts, since each entry owns other racks.
+    if (isService && entries > 1 && job.refusals == 0)
+        allowed.resize((allowed.size() + entries - 1) / entries);
+    return allowed;
+}
+
+void JobController::sendAsk(Job& job, const std::string& entry, const std::vector<uint32_t>& tasks, Instant now)
+{
+    const JobSpec& spec = job.active->record().spec;
+    const Profile& profile = job.active->record().profile;
+    HoldAsk message;
+    message.askId = ++m_lastAsk;
+    message.partition = jobPartition(spec.id);
+    message.epoch = *epochOf(spec.id);
+    message.order = job.active->order();
+    message.gang = spec.gang;
+    message.spread = spec.tasks[tasks[0]].kind == TaskKind::Service;
+    message.preemptible = profile.whenShort == ShortageAction::Preempt;
+    for (const uint32_t task : tasks) {
+        message.tasks.push_back({ task, spec.tasks[task].demand });
+        job.active->noteAsked(task);
+        m_teamUse[spec.team] = m_teamUse[spec.team] + spec.tasks[task].demand;
+    }
+    Ask& ask = m_asks[message.askId];
+    ask.entry = entry;
+    ask.job = spec.id;
+    ask.sentAt = now;
+    ask.tasks = tasks;
+    job.asks.insert(message.askId);
+    job.asked.insert(entry);
+    m_parts.peers.send(entry, rackServiceHold, encode(message));
+}
+
+void JobController::handleHeld(const std::string& from, const HoldReply& reply)
+{
+    const Instant now = m_parts.clock.now();
+    auto it = m_asks.find(reply.askId);
+    if (it == m_asks.end() || it->second.entry != from) {
+        m_parts.peers.send(from, rackServiceRelease, encode(HoldRelease { reply.askId }));
+        return;
+    }
+    Ask& ask = it->second;
+    Job* job = findJob(ask.job);
+    if (ask.isAnswered || !job)
+        return;
+    ask.isAnswered = true;
+    ask.session = reply.session;
+    ask.held = reply.held;
+    for (const uint32_t task : ask.tasks)
+        job->active->noteReleased(task);
+    for (const HeldTask& held : ask.held)
+        job->active->noteHeld(held);
+    const bool isWhole = ask.held.size() == ask.tasks.size();
+    const bool isEmpty = ask.held.empty();
+    if (job->active->isGang()) {
+        if (isWhole)
+            return storeAndCommit(*job, { job->asks.begin(), job->asks.end() });
+        return askNext(*job, now);
+    }
+    if (isEmpty)
+        dropAsk(reply.askId);
+    else
+        storeAndCommit(*job, { reply.askId });
+    if (job->active->waitingTasks().empty())
+        return finishRound(*job, true, now);
+    askNext(*job, now);
+}
+
+void JobController::finishRound(Job& job, bool madeProgress, Instant now)
+{
+    // A gang that found no room for all gives back what it held, and waits a random time before it tries again.
+    if (!madeProgress && job.active->isGang())
+        releaseUncommitted(job);
+    job.asked.clear();
+    job.refusals = madeProgress ? 0 : std::min(job.refusals + 1, 10);
+    const absl::Duration backoff = std::min(firstBackoff * (1 << job.refusals), longestBackoff);
+    job.nextTry = madeProgress ? now : now + backoff * std::uniform_real_distribution<double>(0.5, 1)(m_random);
+    job.isDirty = true;
+}
+
+void JobController::release(Job& job, uint64_t askId)
+{
+    auto it = m_asks.find(askId);
+    if (it == m_asks.end() || it->second.isCommitted)
+        return;
+    for (const uint32_t task : it->second.tasks)
+        job.active->noteReleased(task);
+    m_parts.peers.send(it->second.entry, rackServiceRelease, encode(HoldRelease { askId }));
+    dropAsk(askId);
+}
+
+void JobController::releaseUncommitted(Job& job)
+{
+    const auto asks = job.asks;
+    for (const uint64_t askId : asks)
+        release(job, askId);
+}
+
+void JobController::storeAndCommit(Job& job, std::vector<uint64_t> asks)
+{
+    bool mustStore = false;
+    for (const uint64_t askId : asks) {
+        for (const HeldTask& held : m_asks[askId].held) {
+            job.active->markReleased(held.task);
+            mustStore = mustStore || job.active->mustNotRunTwice(held.task);
+        }
+    }
+    const std::string id = job.active->record().spec.id;
+    if (!mustStore) {
+        for (const uint64_t askId : asks)
+            commit(job, askId);
+        return;
+    }
+    m_parts.records.update(
+        job.active->record(), releasePatience, [this, id, asks = std::move(asks)](Result<JobRecord> stored) {
+            Job* job = findJob(id);
+            if (!job)
+                return;
+            if (stored)
+                job->active->merge(stored.value());
+            for (const uint64_t askId : asks) {
+                if (stored && !job->active->hasEnded())
+                    commit(*job, askId);
+                else
+                    release(*job, askId);
+            }
+            // While the store is out, room that can't be used is left to others.
+            if (!stored)
+                job->nextTry = m_parts.clock.now() + releasePatience;
+            job->isDirty = true;
+        });
+}
+
+void JobController::commit(Job& job, uint64_t askId)
+{
+    auto it = m_asks.find(askId);
+    // An ask that is gone belonged to an earlier term of this entry.
+    if (it == m_asks.end())
+        return;
+    if (!epochOf(it->second.job))
+        return release(job, askId);
+    it->second.isCommitted = true;
+    for (const HeldTask& held : it->second.held)
+        job.active->noteCommitted(held.task);
+    sendCommit(askId, it->second);
+}
+
+void JobController::sendCommit(uint64_t askId, const Ask& constAsk)
+{
+    Ask& ask = m_asks[askId];
+    ask.committedAt = m_parts.clock.now();
+    const Job* job = findJob(constAsk.job);
+    const auto epoch = epochOf(constAsk.job);
+    if (!job || !epoch)
+        return;
+    HoldCommit message { askId, jobPartition(ask.job), *epoch, {} };
+    for (const HeldTask& held : ask.held) {
+        const ActiveTask& task = job->active->tasks()[held.task];
+        message.tasks.push_back(
+            { held.task, task.run, job->active->record().spec.tasks[held.task].command, task.checkpoint });
+    }
+    m_parts.peers.send(ask.entry, rackServiceCommit, encode(message));
+}
+
+void JobController::handleGone(const std::string& from, const HoldGone& message)
+{
+    auto it = m_asks.find(message.askId);
+    if (it == m_asks.end() || it->second.entry != from || !it->second.isCommitted)
+        return;
+    // Another life of that entry can't tell what the one before it started; the recovery of its racks will.
+    if (it->second.session != message.session)
+        return;
+    if (Job* job = findJob(it->second.job)) {
+        for (const HeldTask& held : it->second.held) {
+            const ActiveTask& task = job->active->tasks()[held.task];
+            if (task.rack == held.rack && task.recovery == held.recovery)
+                job->active->noteNotStarted(held.task);
+        }
+        job->isDirty = true;
+    }
+    dropAsk(message.askId);
+}
+
+void JobController::tickAsks(Instant now)
+{
+    std::vector<uint64_t> ids;
+    for (const auto& [askId, ask] : m_asks)
+        ids.push_back(askId);
+    for (const uint64_t askId : ids) {
+        auto it = m_asks.find(askId);
+        if (it != m_asks.end())
+            tickAsk(askId, it->second, now);
+    }
+}
+
+void JobController::tickAsk(uint64_t askId, Ask& ask, Instant now)
+{
+    Job* job = findJob(ask.job);
+    if (!job)
+        return dropAsk(askId);
+    if (ask.isCommitted) {
+        const bool isSettled = std::none_of(ask.held.begin(), ask.held.end(), [job](const HeldTask& held) {
+            const ActiveTask& task = job->active->tasks()[held.task];
+            return task.phase == TaskPhase::Committed && task.rack == held.rack && task.recovery == held.recovery;
+        });
+        if (isSettled)
+            return dropAsk(askId);
+        if (now - ask.committedAt > commitRetry)
+            sendCommit(askId, ask);
+        return;
+    }
+    if (!ask.isAnswered && now - ask.sentAt > askTimeout) {
+        release(*job, askId);
+        finishRound(*job, false, now);
+    }
+}
+
+void JobController::dropAsk(uint64_t askId)
+{
+    auto it = m_asks.find(askId);
+    if (it == m_asks.end())
+        return;
+    if (Job* job = findJob(it->second.job)) {
+        job->asks.erase(askId);
+        job->isDirty = true;
+    }
+    m_asks.erase(it);
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobRecords.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/** \file
+ * Jobs in the store. Every write is a compare-and-swap whose outcome is settled by reading back, so that a lost reply
+ * neither loses a job nor doubles one.
+ */
+
+#include "Clock.h"
+#include "Job.h"
+#include "Store.h"
+
+#include "absl/functional/any_invocable.h"
+
+#include <list>
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** Writes and reads jobs. Used on the decision thread only. */
+class JobRecords {
+public:
+    using CreateCallback = absl::AnyInvocable<void(Result<JobRecord>)>;
+    using UpdateCallback = absl::AnyInvocable<void(Result<JobRecord>)>;
+    using ListCallback = absl::AnyInvocable<void(Result<std::vector<JobRecord>>)>;
+
+    /** Both must outlive the object. */
+    JobRecords(Store&, const Clock&);
+
+    /** Stores a new job. The same job stored before counts as stored now; another under its id is a Conflict. With
+     * StoreUnavailable it is not known whether the job is stored, so it has to be sent again under the same id. */
+    void create(JobRecord record, absl::Duration patience, CreateCallback callback);
+    /** Joins `record` into what is stored and calls back with the outcome. Tried for `patience`. */
+    void update(JobRecord record, absl::Duration patience, UpdateCallback callback);
+    void read(const std::string& id, CreateCallback callback);
+    /** All jobs of a partition. */
+    void list(uint32_t partition, ListCallback callback);
+    /** Removes a record that has ended; a failure is left to a later try. */
+    void remove(const std::string& id);
+    void tick(Instant now);
+
+private:
+    struct Write {
+        JobRecord record;
+        bool isNew = false;
+        Instant giveUp;
+        Instant nextTry;
+        bool isInFlight = false;
+        CreateCallback callback;
+    };
+    using WritePtr = std::shared_ptr<Write>;
+
+    void begin(JobRecord record, bool isNew, absl::Duration patience, CreateCallback callback);
+    void attempt(const WritePtr& write);
+    void handleCurrent(const WritePtr& write, const StoreReply& reply);
+    void put(const WritePtr& write, uint64_t index);
+    void retryLater(const WritePtr& write);
+    void finish(const WritePtr& write, Result<JobRecord> result);
+
+    Store& m_store;
+    const Clock& m_clock;
+    std::list<WritePtr> m_writes;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobRoutes.cpp
@@ -0,0 +1,89 @@
+#include "JobRoutes.h"
+
+#include "Json.h"
+#include "Uuid.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
+
+namespace cicada {
+
+namespace {
+
+    using Answer = Result<std::string>;
+
+    /** Runs `ask` on the loop and waits for its callback. */
+    Answer waitFor(Loop& loop, std::function<void(JobDirectory::AnswerCallback)> ask)
+    {
+        struct Waiter {
+            absl::Notification done;
+            Answer answer = Error { ErrorKind::Stopping, "The entry stopped.", "Ask another entry." };
+        };
+        auto waiter = std::make_shared<Waiter>();
+        const bool posted = loop.post([waiter, ask = std::move(ask)] {
+            ask([waiter](Answer answer) {
+                waiter->answer = std::move(answer);
+                waiter->done.Notify();
+            });
+        });
+        if (!posted)
+            return Error { ErrorKind::TooBusy, "This entry has no room for another question.", "Try again later." };
+        waiter->done.WaitForNotification();
+        return waiter->answer;
+    }
+
+    HttpAnswer submit(Loop& loop, ProfileBook& profiles, JobDirectory& directory, const HttpQuestion& question)
+    {
+        std::string id = question.header("Idempotency-Key");
+        if (id.empty())
+            id = randomUuid();
+        if (!isUuid(id))
+            return problemAnswer({ ErrorKind::InvalidRequest, "The Idempotency-Key is not a UUID.",
+                                     "Send it as in 123e4567-e89b-12d3-a456-426614174000." },
+                Outcome::NotRun);
+        auto spec = parseJob(id, question.body);
+        if (!spec)
+            return problemAnswer(spec.error(), Outcome::NotRun);
+        const auto answer = waitFor(loop, [&](JobDirectory::AnswerCallback callback) {
+            const ProfileRecord* profile = profiles.find(spec.value().profile);
+            if (!profile)
+                return callback(Error { ErrorKind::UnknownProfile,
+                    absl::StrCat("There is no profile '", spec.value().profile, "'."),
+                    "Name one of the operators' profiles in 'profile'." });
+            directory.submit(spec.value(), profile->profile, std::move(callback));
+        });
+        if (!answer) {
+            // Without the store's word the job may be stored, and then it will run.
+            const bool isUnknown = answer.error().kind == ErrorKind::StoreUnavailable;
+            return problemAnswer(answer.error(), isUnknown ? Outcome::Unknown : Outcome::NotRun);
+        }
+        return { 202, "application/json", answer.value(), { { "Location", absl::StrCat("/v1/jobs/", id) } } };
+    }
+
+    HttpAnswer reply(const Answer& answer)
+    {
+        if (!answer)
+            return problemAnswer(answer.error(), Outcome::Unknown);
+        return { 200, "application/json", answer.value(), {} };
+    }
+
+} // namespace
+
+void addJobRoutes(Frontend& frontend, Loop& loop, ProfileBook& profiles, JobDirectory& directory)
+{
+    const std::string one = R"(/v1/jobs/([0-9a-fA-F-]{36}))";
+    frontend.route(
+        "POST", "/v1/jobs", [&](const HttpQuestion& question) { return submit(loop, profiles, directory, question); });
+    frontend.route("GET", one, [&](const HttpQuestion& question) {
+        return reply(waitFor(loop, [&directory, id = question.matches[0]](JobDirectory::AnswerCallback callback) {
+            directory.find(id, std::move(callback));
+        }));
+    });
+    frontend.route("DELETE", one, [&](const HttpQuestion& question) {
+        return reply(waitFor(loop, [&directory, id = question.matches[0]](JobDirectory::AnswerCallback callback) {
+            directory.cancel(id, std::move(callback));
+        }));
+    });
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobRoutes.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/** \file
+ * Jobs over HTTP: POST /v1/jobs, GET and DELETE /v1/jobs/{id}.
+ */
+
+#include "Frontend.h"
+#include "JobDirectory.h"
+#include "Loop.h"
+#include "ProfileBook.h"
+
+namespace cicada {
+
+/** Adds the routes. All arguments must outlive the frontend. */
+void addJobRoutes(Frontend& frontend, Loop& loop, ProfileBook& profiles, JobDirectory& directory);
+
+} // namespace cicada
--- /dev/null
+++ b/src/RackController.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/** \file
+ * The side of the rack owner in running jobs: holds room for the owners of jobs, starts what they commit, and reports
+ * what runs. It obeys one owner a partition of jobs, the one with the highest epoch.
+ */
+
+#include "PeerBus.h"
+#include "WorkerFleet.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cicada {
+
+/** Answers the owners of jobs. Used on the decision thread only. */
+class RackController {
+public:
+    /** Everything in `parts`, and `peers`, must outlive the controller; `peers` also reaches this entry itself. */
+    RackController(WorkerFleet::Parts parts, PeerBus& peers, std::unique_ptr<PlacementScore> score);
+
+    void tick(Instant now);
+    WorkerFleet& fleet() { return m_fleet; }
+    /** Tasks for which room is held and not committed yet. */
+    size_t heldTasks() const;
+
+private:
+    struct Partition {
+        std::string owner;
+        uint64_t epoch = 0;
+        uint64_t version = 0;
+        uint64_t reported = 0;
+        /** All runs of the partition with the version of their last change. */
+        absl::flat_hash_map<RunId, uint64_t> runs;
+    };
+    struct HeldRoom {
+        HoldTask task;
+        std::string worker;
+        std::string rack;
+        RackRecovery recovery;
+    };
+    struct Hold {
+        HoldAsk ask;
+        std::vector<HeldRoom> rooms;
+    };
+    /** The owner's name and the ask's number. */
+    using HoldKey = std::pair<std::string, uint64_t>;
+    /** While a turn lasts, only jobs that come before its holder are given room. */
+    struct Turn {
+        JobOrder order;
+        Instant until;
+        Instant notBefore;
+    };
+
+    template <typename T>
+    void handle(absl::string_view service, void (RackController::*handler)(const std::string&, const T&));
+    void handleSync(const std::string& from, const JobSync&);
+    void handleHold(const std::string& from, const HoldAsk&);
+    void handleCommit(const std::string& from, const HoldCommit&);
+    void handleRelease(const std::string& from, const HoldRelease&);
+    void handleStop(const std::string& from, const StopRuns&);
+    void noteRun(const RunReport&, bool isGone);
+    bool obeys(const std::string& from, uint32_t partition, uint64_t epoch) const;
+    bool acceptOwner(const std::string& from, const PartitionSync&);
+    void dropOldHolds(const std::string& from, const JobSync&);
+    std::map<HoldKey, Hold>::iterator release(std::map<HoldKey, Hold>::iterator hold);
+    /** Whether the room's rack is still the one in whose account it was taken. */
+    bool isCurrent(const HeldRoom& room) const { return m_fleet.recovery(room.rack) == room.recovery; }
+    void giveBack(const HeldRoom&);
+    Hold holdRoom(const HoldAsk&);
+    SpreadCounts spreadOf(const HoldAsk&) const;
+    bool mustWait(const JobOrder&, Instant now) const;
+    void updateTurn(const HoldAsk&, bool isWhole, Instant now);
+    void preemptFor(const HoldAsk&, const HoldTask&);
+    bool awaitsPreempted(const std::string& job);
+    PartitionReport reportSince(uint32_t partition, uint64_t since);
+    void sendReport(const std::string& to, std::vector<PartitionReport>, std::vector<RunId> forgotten);
+
+    WorkerFleet::Parts m_parts;
+    PeerBus& m_peers;
+    std::unique_ptr<PlacementScore> m_score;
+    absl::btree_map<uint32_t, Partition> m_partitions;
+    std::map<HoldKey, Hold> m_holds;
+    /** Asks that were committed, so that a repeated commit is known; kept while their owner lists them. */
+    absl::flat_hash_set<HoldKey> m_committed;
+    absl::flat_hash_map<std::string, std::vector<RunId>> m_preempted;
+    Turn m_turn;
+    uint64_t m_sequence = 0;
+    WorkerFleet m_fleet;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/TaskPlacement.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/** \file
+ * Which worker takes a task: an exact ledger of what each worker holds, and interchangeable scores of how well a task
+ * fits. A worker is never given more than it was declared to hold, whatever its tasks are said to use.
+ */
+
+#include "BackEnds.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** How well a task fits on a worker. */
+class PlacementScore {
+public:
+    virtual ~PlacementScore() = default;
+    virtual absl::string_view name() const = 0;
+    /** Lower is better; of equal scores the first worker is taken. `demand` fits into `free`. */
+    virtual double score(const Resources& free, const Resources& capacity, const Resources& demand) = 0;
+};
+
+/** The scores by name: "best-fit", and as baselines "first-fit", "worst-fit" and "random". Null for another name. */
+std::unique_ptr<PlacementScore> makePlacementScore(absl::string_view name, uint64_t seed = 1);
+
+/** What a worker holds. */
+struct WorkerRoom {
+    std::string name;
+    std::string rack;
+    std::string failureDomain;
+    Resources capacity;
+    Resources used;
+    /** Workers that leave, are set aside or are not heard take no new tasks. */
+    bool usable = false;
+};
+
+/** Counts of a job's tasks by worker, rack and failure domain, for spreading them. */
+struct SpreadCounts {
+    absl::flat_hash_map<std::string, int> workers;
+    absl::flat_hash_map<std::string, int> racks;
+    absl::flat_hash_map<std::string, int> failureDomains;
+
+    void add(const WorkerRoom& worker);
+};
+
+/** The exact account of all workers of this entry. Not thread-safe. */
+class WorkerLedger {
+public:
+    /** Adds a worker, or updates all of it but what it holds. */
+    void upsert(const WorkerRoom& worker);
+    void remove(absl::string_view name);
+    const WorkerRoom* find(absl::string_view name) const;
+    void setUsable(absl::string_view name, bool usable);
+    /** Takes room, whether or not it fits: recovered tasks run already. */
+    void take(absl::string_view name, const Resources& demand);
+    void give(absl::string_view name, const Resources& demand);
+    /** The best worker with room for `demand`, or null. `spread` is null for tasks that need no spreading. */
+    const WorkerRoom* choose(const Resources& demand, PlacementScore& score, const SpreadCounts* spread) const;
+    /** Free room of all usable workers together. */
+    Resources freeTotal() const;
+    const std::vector<WorkerRoom>& all() const { return m_workers; }
+
+private:
+    std::vector<WorkerRoom> m_workers;
+    absl::flat_hash_map<std::string, size_t> m_byName;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/WorkerFleet.h
@@ -0,0 +1,135 @@
+#pragma once
+
+/** \file
+ * The workers of the racks that this entry owns: presents the epoch, recovers what runs there, keeps leases renewed,
+ * starts and stops runs, and keeps the exact account of their room. A run counts as gone only when its worker said so
+ * or its lease has surely run out.
+ */
+
+#include "Clock.h"
+#include "JobMessages.h"
+#include "Ownership.h"
+#include "TaskPlacement.h"
+#include "WorkerClient.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/functional/any_invocable.h"
+
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** The workers of the owned racks. Used on the decision thread only. */
+class WorkerFleet {
+public:
+    struct Parts {
+        Ownership& ownership;
+        BackEnds& backEnds;
+        const Clock& clock;
+        WorkerClient& client;
+        /** The largest relative error between two machines' clocks. */
+        double clockDriftBound = 0.01;
+        /** Differs for each life of this entry, and begins the numbers that name recoveries. */
+        uint64_t session = 1;
+    };
+    /** Told of each change of a run; `isGone` when this entry has no more to do with it. */
+    using RunObserver = absl::AnyInvocable<void(const RunReport&, bool isGone)>;
+
+    /** Everything in `parts` must outlive the fleet. */
+    WorkerFleet(Parts parts, RunObserver observer);
+
+    void tick(Instant now);
+    /** The owned racks of which every worker was heard or can run nothing any more. */
+    std::vector<RackView> recoveredRacks() const;
+    /** The recovery of a rack that is owned now; an empty one for others. */
+    RackRecovery recovery(absl::string_view rack) const;
+    WorkerLedger& ledger() { return m_ledger; }
+    const WorkerLedger& ledger() const { return m_ledger; }
+
+    /** Starts a run whose room on `worker` is already taken in the ledger. The epoch and ticket are filled in. */
+    void startRun(const std::string& worker, WorkerStart start);
+    /** Stops a run, at a checkpoint if asked; repeated until the worker confirms. */
+    void stopRun(const RunId& id, bool checkpoint);
+    /** Forgets a run that has ended. */
+    void forgetRun(const RunId& id);
+    const RunReport* find(const RunId& id) const;
+    /** Active runs on a worker that may be stopped for work more urgent than theirs. */
+    std::vector<RunStatus> preemptible(const std::string& worker, int urgency) const;
+
+    /** After this long without a fresh ticket nothing runs on a worker any more. */
+    absl::Duration lapseTime() const;
+
+private:
+    struct Run {
+        RunReport report;
+        WorkerStart start;
+        bool startSent = false;
+        Instant startSentAt;
+        Instant runningSince;
+        bool stopWanted = false;
+        bool atCheckpoint = false;
+        bool stopInFlight = false;
+        Instant nextStop;
+    };
+    struct Worker {
+        BackEnd info;
+        bool isListed = true;
+        bool isRecovered = false;
+        std::string ticket;
+        /** When the newest ticket came, or when the rack was gained. */
+        Instant heardAt;
+        bool isSyncing = false;
+        uint64_t syncNumber = 0;
+        Instant syncSentAt;
+        Instant nextSync;
+        absl::flat_hash_set<RunId> runs;
+        std::vector<RunId> forget;
+        int failuresInRow = 0;
+        Instant asideUntil;
+        absl::Duration asideTime;
+    };
+    struct Rack {
+        uint64_t epoch = 0;
+        RackRecovery recovery;
+        std::vector<std::string> workers;
+    };
+
+    void handleOwnership(absl::string_view group, uint64_t epoch, bool owned);
+    void reconcile();
+    void gain(const std::string& rack, uint64_t epoch);
+    void lose(const std::string& rack);
+    void refreshWorkers();
+    void removeGone();
+    void tickWorker(Worker& worker, const Term& term, Instant now);
+    void sendSync(Worker& worker, uint64_t epoch, Instant now);
+    void handleView(
+        const std::string& name, const RackRecovery& recovery, uint64_t number, Instant sentAt, Result<WorkerView>);
+    void adopt(Worker& worker, const RunStatus& status);
+    void checkUnlisted(Worker& worker, const absl::flat_hash_set<RunId>& listed, Instant sentAt);
+    void lapse(Worker& worker, Instant now);
+    void sendStarts(Instant now);
+    void sendStops(Instant now);
+    bool sendStart(Run& run, Instant now);
+    void setState(Run& run, RunState state, const std::string& checkpoint = "");
+    void noteEnd(Worker& worker, RunState state);
+    void updateUsable(Worker& worker, Instant now);
+    size_t setAsideCount(Instant now) const;
+    std::optional<Term> currentTerm(const std::string& rack) const;
+    Worker* workerOf(const Run& run);
+
+    Parts m_parts;
+    RunObserver m_observer;
+    WorkerLedger m_ledger;
+    absl::btree_map<std::string, Rack> m_racks;
+    absl::btree_map<std::string, Worker> m_workers;
+    absl::flat_hash_map<RunId, Run> m_runs;
+    std::vector<RunId> m_toStart;
+    std::vector<RunId> m_toStop;
+    uint64_t m_recoveries = 0;
+    Instant m_nextTick;
+};
+
+} // namespace cicada
