An index of workers by free processors

Cause: a scan of all workers took 3.4 ms at p99 with 17,000 workers. Workers are kept in 256 steps of free processors, and a score that knows a lower bound ends the search early; spreading goes by numbers instead of names.

--- a/src/TaskPlacement.cpp
+++ b/src/TaskPlacement.cpp
@@ -49,6 +49,11 @@
             const bool wastes = demand.accelerators == 0 && free.accelerators > 0;
             return left.sum + left.imbalance + (wastes ? acceleratorPenalty : 0);
         }
+        std::optional<double> atLeast(double cpuLeft) const override
+        {
+            // The sum and the imbalance are together twice the larger of the two shares.
+            return 2 * cpuLeft;
+        }
     };
 
     class WorstFit final : public PlacementScore {
@@ -82,6 +87,24 @@
         return it == counts.end() ? 0 : it->second;
     }
 
+    uint32_t numberOf(absl::flat_hash_map<std::string, uint32_t>& numbers, const std::string& name)
+    {
+        return numbers.try_emplace(name, static_cast<uint32_t>(numbers.size())).first->second;
+    }
+
+    /** A penalty for each number, from the counts by name. */
+    std::vector<double> penaltyTable(const absl::flat_hash_map<std::string, uint32_t>& numbers,
+        const absl::flat_hash_map<std::string, int>& counts, double penalty)
+    {
+        std::vector<double> table(numbers.size());
+        for (const auto& [name, count] : counts) {
+            auto it = numbers.find(name);
+            if (it != numbers.end())
+                table[it->second] = penalty * count;
+        }
+        return table;
+    }
+
 } // namespace
 
 std::unique_ptr<PlacementScore> makePlacementScore(absl::string_view name, uint64_t seed)
@@ -107,14 +130,22 @@
 void WorkerLedger::upsert(const WorkerRoom& worker)
 {
     auto [it, isNew] = m_byName.try_emplace(worker.name, m_workers.size());
+    const size_t index = it->second;
     if (isNew) {
         m_workers.push_back(worker);
-        return;
+        m_rows.emplace_back();
+        m_rows[index].place = m_buckets[0].size();
+        m_buckets[0].push_back(static_cast<uint32_t>(index));
+    } else {
+        const Resources used = m_workers[index].used;
+        m_workers[index] = worker;
+        m_workers[index].used = used;
     }
-    WorkerRoom& known = m_workers[it->second];
-    const Resources used = known.used;
-    known = worker;
-    known.used = used;
+    m_rows[index].rack = numberOf(m_rackNumbers, worker.rack);
+    m_rows[index].failureDomain = numberOf(m_failureDomainNumbers, worker.failureDomain);
+    m_largestCpu = std::max(m_largestCpu, worker.capacity.cpuMillis);
+    m_smallestCpu = std::min(m_smallestCpu, std::max<int64_t>(worker.capacity.cpuMillis, 1));
+    refreshRow(index);
 }
 
 void WorkerLedger::remove(absl::string_view name)
@@ -123,12 +154,43 @@
     if (it == m_byName.end())
         return;
     const size_t index = it->second;
+    const size_t last = m_workers.size() - 1;
     m_byName.erase(it);
-    if (index + 1 < m_workers.size()) {
-        m_workers[index] = std::move(m_workers.back());
+    leaveBucket(index);
+    if (index != last) {
+        m_workers[index] = std::move(m_workers[last]);
+        m_rows[index] = m_rows[last];
+        m_buckets[m_rows[index].bucket][m_rows[index].place] = static_cast<uint32_t>(index);
         m_byName[m_workers[index].name] = index;
     }
     m_workers.pop_back();
+    m_rows.pop_back();
+}
+
+void WorkerLedger::leaveBucket(size_t index)
+{
+    auto& bucket = m_buckets[m_rows[index].bucket];
+    const size_t place = m_rows[index].place;
+    bucket[place] = bucket.back();
+    m_rows[bucket[place]].place = place;
+    bucket.pop_back();
+}
+
+void WorkerLedger::refreshRow(size_t index)
+{
+    const WorkerRoom& worker = m_workers[index];
+    Row& row = m_rows[index];
+    row.free = worker.capacity - worker.used;
+    row.capacity = worker.capacity;
+    row.usable = worker.usable;
+    const double freeShare = std::clamp(share(row.free.cpuMillis, row.capacity.cpuMillis), 0.0, 1.0);
+    const size_t bucket = std::min(bucketCount - 1, static_cast<size_t>(freeShare * bucketCount));
+    if (bucket == row.bucket)
+        return;
+    leaveBucket(index);
+    row.bucket = bucket;
+    row.place = m_buckets[bucket].size();
+    m_buckets[bucket].push_back(static_cast<uint32_t>(index));
 }
 
 const WorkerRoom* WorkerLedger::find(absl::string_view name) const
@@ -140,53 +202,85 @@
 void WorkerLedger::setUsable(absl::string_view name, bool usable)
 {
     auto it = m_byName.find(name);
-    if (it != m_byName.end())
-        m_workers[it->second].usable = usable;
+    if (it == m_byName.end())
+        return;
+    m_workers[it->second].usable = usable;
+    m_rows[it->second].usable = usable;
 }
 
 void WorkerLedger::take(absl::string_view name, const Resources& demand)
 {
     auto it = m_byName.find(name);
-    if (it != m_byName.end())
-        m_workers[it->second].used = m_workers[it->second].used + demand;
+    if (it == m_byName.end())
+        return;
+    m_workers[it->second].used = m_workers[it->second].used + demand;
+    refreshRow(it->second);
 }
 
 void WorkerLedger::give(absl::string_view name, const Resources& demand)
 {
     auto it = m_byName.find(name);
-    if (it != m_byName.end())
-        m_workers[it->second].used = m_workers[it->second].used - demand;
+    if (it == m_byName.end())
+        return;
+    m_workers[it->second].used = m_workers[it->second].used - demand;
+    refreshRow(it->second);
+}
+
+WorkerLedger::Penalties WorkerLedger::penaltiesOf(const SpreadCounts& counts) const
+{
+    return { counts, penaltyTable(m_rackNumbers, counts.racks, rackPenalty),
+        penaltyTable(m_failureDomainNumbers, counts.failureDomains, failureDomainPenalty) };
+}
+
+void WorkerLedger::consider(
+    size_t index, const Resources& demand, PlacementScore& score, const Penalties* penalties, Best& best) const
+{
+    const Row& row = m_rows[index];
+    if (!row.usable || !fits(demand, row.free))
+        return;
+    double value = score.score(row.free, row.capacity, demand);
+    if (penalties)
+        value += penalties->racks[row.rack] + penalties->failureDomains[row.failureDomain];
+    if (best.worker && value >= best.score)
+        return;
+    // Looking up a name takes longer than all before it, so it is done only for a worker that is ahead.
+    if (penalties)
+        value += workerPenalty * countOf(penalties->counts.workers, m_workers[index].name);
+    if (!best.worker || value < best.score)
+        best = { &m_workers[index], value };
 }
 
 const WorkerRoom* WorkerLedger::choose(const Resources& demand, PlacementScore& score, const SpreadCounts* spread) const
 {
-    const WorkerRoom* best = nullptr;
-    double bestScore = std::numeric_limits<double>::infinity();
-    for (const WorkerRoom& worker : m_workers) {
-        if (!worker.usable)
-            continue;
-        const Resources free = worker.capacity - worker.used;
-        if (!fits(demand, free))
-            continue;
-        double value = score.score(free, worker.capacity, demand);
-        if (spread)
-            value += workerPenalty * countOf(spread->workers, worker.name)
-                + rackPenalty * countOf(spread->racks, worker.rack)
-                + failureDomainPenalty * countOf(spread->failureDomains, worker.failureDomain);
-        if (value < bestScore) {
-            best = &worker;
-            bestScore = value;
-        }
+    std::optional<Penalties> penalties;
+    if (spread)
+        penalties.emplace(penaltiesOf(*spread));
+    const Penalties* const added = penalties ? &*penalties : nullptr;
+    Best best;
+    if (!score.atLeast(0)) {
+        for (size_t i = 0; i < m_rows.size(); ++i)
+            consider(i, demand, score, added, best);
+        return best.worker;
+    }
+    // The demand takes the least share of the largest worker, and the most of the smallest.
+    const double leastShare = std::min(share(demand.cpuMillis, m_largestCpu), 1.0);
+    const double mostShare = share(demand.cpuMillis, m_smallestCpu);
+    for (auto b = static_cast<size_t>(leastShare * (bucketCount - 1)); b < bucketCount; ++b) {
+        for (const uint32_t index : m_buckets[b])
+            consider(index, demand, score, added, best);
+        const double nextFree = static_cast<double>(b + 1) / bucketCount;
+        if (best.worker && *score.atLeast(nextFree - mostShare) > best.score)
+            break;
     }
-    return best;
+    return best.worker;
 }
 
 Resources WorkerLedger::freeTotal() const
 {
     Resources total;
-    for (const WorkerRoom& worker : m_workers) {
-        if (worker.usable)
-            total = total + (worker.capacity - worker.used);
+    for (const Row& row : m_rows) {
+        if (row.usable)
+            total = total + row.free;
     }
     return total;
 }
