--- a/src/ActiveJob.cpp
+++ b/src/ActiveJob.cpp
@@ -62,7 +62,7 @@
     return !m_record.releases.empty() && m_record.spec.tasks[task].kind == TaskKind::Batch;
 }
 
-void ActiveJob::apply(const RunReport& run)
+void ActiveJob::apply(const TaskRunReport& run)
 {
     const uint32_t index = run.status.id.task;
     if (index >= m_tasks.size())
--- a/src/ActiveJob.h
+++ b/src/ActiveJob.h
@@ -64,7 +64,7 @@
     bool mustNotRunTwice(uint32_t task) const;
 
     /** Applies one reported run. */
-    void apply(const RunReport& run);
+    void apply(const TaskRunReport& run);
     /** The current owner of a rack has recovered it and told all that runs there: what was known of it under another
      * recovery, and was not told again, vanished with its worker. */
     void noteRackRecovered(const std::string& rack, const RackRecovery& recovery);
@@ -93,7 +93,7 @@
     /** Resources of all tasks that are asked for, held or running. */
     Resources used() const;
     /** Reported runs and whether each is active. */
-    const absl::flat_hash_map<RunId, RunReport>& runs() const { return m_runs; }
+    const absl::flat_hash_map<RunId, TaskRunReport>& runs() const { return m_runs; }
 
     /** The job as callers see it. */
     std::string toJson() const;
@@ -110,7 +110,7 @@
 
     JobRecord m_record;
     std::vector<ActiveTask> m_tasks;
-    absl::flat_hash_map<RunId, RunReport> m_runs;
+    absl::flat_hash_map<RunId, TaskRunReport> m_runs;
 };
 
 } // namespace cicada
--- a/src/JobController.cpp
+++ b/src/JobController.cpp
@@ -369,13 +369,13 @@
     // After a gap the next sync asks for all that is missing.
     if (report.since > seen.version)
         return;
-    for (const RunReport& run : report.runs)
+    for (const TaskRunReport& run : report.runs)
         applyRun(from, view, run);
     seen.version = report.version;
     seen.racks = racks;
 }
 
-void JobController::applyRun(const std::string& from, EntryView& view, const RunReport& run)
+void JobController::applyRun(const std::string& from, EntryView& view, const TaskRunReport& run)
 {
     const RunId& id = run.status.id;
     if (Job* job = findJob(id.job)) {
@@ -444,7 +444,7 @@
     if (job.active->hasEnded() && !job.isEndStored)
         storeEnd(job);
     updateWaiting(job);
-    stopRuns(job, now);
+    stopRuns(job);
     forgetRuns(job);
     const int64_t age = m_parts.clock.wallMicros() - job.active->record().endedMicros;
     if (job.isEndStored && !job.active->hasRuns() && age > absl::ToInt64Microseconds(endedRetention)) {
@@ -467,19 +467,37 @@
         m_waiting.insert(job.order);
 }
 
-void JobController::stopRuns(Job& job, Instant)
+void JobController::stopRuns(Job& job)
 {
     const std::string& id = job.active->record().spec.id;
     const auto epoch = epochOf(id);
     if (!epoch || (job.active->hasEnded() && !job.isEndStored))
         return;
     absl::btree_map<std::string, std::vector<RunId>> byEntry;
-    for (const RunId& run : job.active->runsToStop())
+    std::vector<RunId> due = job.active->runsToStop();
+    const std::vector<RunId> moving = servicesToMove(job);
+    due.insert(due.end(), moving.begin(), moving.end());
+    for (const RunId& run : due)
         byEntry[rackOwner(job.active->runs().at(run).rack)].push_back(run);
     for (auto& [entry, runs] : byEntry)
         m_parts.peers.send(entry, rackServiceStop, encode(StopRuns { jobPartition(id), *epoch, std::move(runs) }));
 }
 
+std::vector<RunId> JobController::servicesToMove(const Job& job) const
+{
+    std::vector<RunId> moving;
+    const auto& specs = job.active->record().spec.tasks;
+    const auto& tasks = job.active->tasks();
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (specs[i].kind != TaskKind::Service || tasks[i].phase != TaskPhase::Active)
+            continue;
+        const BackEnd* worker = m_parts.backEnds.find(tasks[i].worker);
+        if (worker && (worker->leaving || m_parts.isStopping(*worker)))
+            moving.push_back({ job.active->record().spec.id, i, tasks[i].run });
+    }
+    return moving;
+}
+
 void JobController::forgetRuns(Job& job)
 {
     for (const RunId& run : job.active->runsToForget(job.isEndStored)) {
--- a/src/JobController.h
+++ b/src/JobController.h
@@ -17,6 +17,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/functional/any_invocable.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -35,6 +36,8 @@
         const Clock& clock;
         JobRecords& records;
         Quotas& quotas;
+        /** Whether operators plan to stop the back end. */
+        std::function<bool(const BackEnd&)> isStopping;
         uint64_t seed = 1;
     };
     /** The profile in force by name, or null. */
@@ -131,7 +134,7 @@
     void handleReport(const std::string& from, const JobReport&);
     void applyPartition(
         const std::string& from, EntryView&, const PartitionReport&, const std::shared_ptr<const RackRecoveries>&);
-    void applyRun(const std::string& from, EntryView&, const RunReport&);
+    void applyRun(const std::string& from, EntryView&, const TaskRunReport&);
     void checkRacks(uint32_t partition);
     void noteForgotten(EntryView&, const std::vector<RunId>&);
     void audit(Instant now);
@@ -156,7 +159,9 @@
     void refreshProfile(Job& job);
     void updateWaiting(Job& job);
     void storeEnd(Job& job);
-    void stopRuns(Job& job, Instant now);
+    void stopRuns(Job& job);
+    /** Active runs of services on workers that leave: they never end by themselves and are started elsewhere. */
+    std::vector<RunId> servicesToMove(const Job& job) const;
     void forgetRuns(Job& job);
     std::optional<uint64_t> epochOf(const std::string& job) const;
     Job* findJob(const std::string& id);
--- a/src/JobMessages.cpp
+++ b/src/JobMessages.cpp
@@ -17,7 +17,7 @@
     {
         return std::tie(m.id, m.state, m.demand, m.urgency, m.preemptible, m.checkpoint, m.worker);
     }
-    auto fields(RunReport& m) { return std::tie(m.status, m.rack, m.recovery); }
+    auto fields(TaskRunReport& m) { return std::tie(m.status, m.rack, m.recovery); }
     auto fields(PartitionReport& m) { return std::tie(m.partition, m.epoch, m.since, m.version, m.runs); }
     auto fields(JobReport& m) { return std::tie(m.session, m.sequence, m.racks, m.partitions, m.free, m.forgotten); }
     auto fields(JobOrder& m) { return std::tie(m.urgency, m.acceptedMicros, m.job); }
--- a/src/JobMessages.h
+++ b/src/JobMessages.h
@@ -75,7 +75,7 @@
 };
 
 /** A run with the rack where it runs. */
-struct RunReport {
+struct TaskRunReport {
     RunStatus status;
     std::string rack;
     RackRecovery recovery;
@@ -87,7 +87,7 @@
     uint64_t epoch = 0;
     uint64_t since = 0;
     uint64_t version = 0;
-    std::vector<RunReport> runs;
+    std::vector<TaskRunReport> runs;
 };
 
 /** The owner of racks tells what runs there. */
--- a/src/JobService.h
+++ b/src/JobService.h
@@ -9,6 +9,7 @@
 #include "LoopbackBus.h"
 #include "RackController.h"
 
+#include <functional>
 #include <memory>
 
 namespace cicada {
@@ -30,6 +31,8 @@
         uint64_t session = 1;
         /** One of the names that makePlacementScore knows. */
         std::string score = "best-fit";
+        /** Whether operators plan to stop the back end. */
+        std::function<bool(const BackEnd&)> isStopping = [](const BackEnd&) { return false; };
     };
 
     /** Everything in `parts` must outlive the service. */
@@ -37,10 +40,11 @@
         : m_peers(parts.name, parts.peers)
         , m_records(parts.store, parts.clock)
         , m_quotas(parts.watch)
-        , m_racks({ parts.ownership, parts.backEnds, parts.clock, parts.workers, parts.clockDriftBound, parts.session },
+        , m_racks({ parts.ownership, parts.backEnds, parts.clock, parts.workers, parts.clockDriftBound, parts.session,
+                      parts.isStopping },
               m_peers, makePlacementScore(parts.score, parts.session))
-        , m_controller(
-              { parts.name, m_peers, parts.ownership, parts.backEnds, parts.clock, m_records, m_quotas, parts.session },
+        , m_controller({ parts.name, m_peers, parts.ownership, parts.backEnds, parts.clock, m_records, m_quotas,
+                           parts.isStopping, parts.session },
               std::move(lookUp))
         , m_directory(
               { parts.name, m_peers, parts.ownership, parts.backEnds, parts.clock, m_records, m_quotas, m_controller })
--- a/src/RackController.cpp
+++ b/src/RackController.cpp
@@ -19,7 +19,7 @@
     , m_peers(peers)
     , m_score(std::move(score))
     , m_turn { {}, -absl::InfiniteDuration(), -absl::InfiniteDuration() }
-    , m_fleet(parts, [this](const RunReport& run, bool isGone) { noteRun(run, isGone); })
+    , m_fleet(parts, [this](const TaskRunReport& run, bool isGone) { noteRun(run, isGone); })
 {
     handle(rackServiceSync, &RackController::handleSync);
     handle(rackServiceHold, &RackController::handleHold);
@@ -59,7 +59,7 @@
     return tasks;
 }
 
-void RackController::noteRun(const RunReport& run, bool isGone)
+void RackController::noteRun(const TaskRunReport& run, bool isGone)
 {
     Partition& partition = m_partitions[jobPartition(run.status.id.job)];
     if (isGone) {
@@ -172,7 +172,7 @@
     if (partition == m_partitions.end())
         return counts;
     for (const auto& [id, version] : partition->second.runs) {
-        const RunReport* run = id.job == ask.order.job ? m_fleet.find(id) : nullptr;
+        const TaskRunReport* run = id.job == ask.order.job ? m_fleet.find(id) : nullptr;
         if (!run || !isActive(run->status.state))
             continue;
         if (const WorkerRoom* worker = m_fleet.ledger().find(run->status.worker))
@@ -211,7 +211,7 @@
     if (it == m_preempted.end())
         return false;
     const bool waits = std::any_of(it->second.begin(), it->second.end(), [this](const RunId& id) {
-        const RunReport* run = m_fleet.find(id);
+        const TaskRunReport* run = m_fleet.find(id);
         return run && isActive(run->status.state);
     });
     if (!waits)
@@ -300,7 +300,7 @@
     for (const auto& [id, version] : partition.runs) {
         if (version <= since)
             continue;
-        if (const RunReport* run = m_fleet.find(id))
+        if (const TaskRunReport* run = m_fleet.find(id))
             report.runs.push_back(*run);
     }
     return report;
--- a/src/RackController.h
+++ b/src/RackController.h
@@ -60,7 +60,7 @@
     void handleCommit(const std::string& from, const HoldCommit&);
     void handleRelease(const std::string& from, const HoldRelease&);
     void handleStop(const std::string& from, const StopRuns&);
-    void noteRun(const RunReport&, bool isGone);
+    void noteRun(const TaskRunReport&, bool isGone);
     bool obeys(const std::string& from, uint32_t partition, uint64_t epoch) const;
     bool acceptOwner(const std::string& from, const PartitionSync&);
     void dropOldHolds(const std::string& from, const JobSync&);
--- a/src/WorkerFleet.cpp
+++ b/src/WorkerFleet.cpp
@@ -158,6 +158,8 @@
             if (term)
                 tickWorker(worker, *term, now);
             updateUsable(worker, now);
+            if (isLeaving(worker))
+                clearLeaving(worker);
         }
     }
     removeGone();
@@ -165,6 +167,13 @@
     sendStops(now);
 }
 
+void WorkerFleet::clearLeaving(const Worker& worker)
+{
+    constexpr int aboveAllUrgencies = 10;
+    for (const RunStatus& run : preemptible(worker.info.name, aboveAllUrgencies))
+        stopRun(run.id, true);
+}
+
 void WorkerFleet::removeGone()
 {
     for (auto it = m_workers.begin(); it != m_workers.end();) {
@@ -402,7 +411,7 @@
     m_runs.erase(it);
 }
 
-const RunReport* WorkerFleet::find(const RunId& id) const
+const TaskRunReport* WorkerFleet::find(const RunId& id) const
 {
     auto it = m_runs.find(id);
     return it == m_runs.end() ? nullptr : &it->second.report;
@@ -423,6 +432,15 @@
     return runs;
 }
 
+size_t WorkerFleet::activeRuns(const std::string& worker) const
+{
+    auto it = m_workers.find(worker);
+    if (it == m_workers.end())
+        return 0;
+    return static_cast<size_t>(std::count_if(it->second.runs.begin(), it->second.runs.end(),
+        [this](const RunId& id) { return isActive(m_runs.at(id).report.status.state); }));
+}
+
 void WorkerFleet::setState(Run& run, RunState state, const std::string& checkpoint)
 {
     RunStatus& status = run.report.status;
@@ -470,7 +488,7 @@
 {
     const bool heard = worker.isRecovered && !worker.ticket.empty() && now - worker.heardAt < ticketValidity;
     const bool aside = worker.asideTime > absl::ZeroDuration() && worker.asideUntil > now;
-    m_ledger.setUsable(worker.info.name, heard && worker.isListed && !worker.info.leaving && !aside);
+    m_ledger.setUsable(worker.info.name, heard && worker.isListed && !isLeaving(worker) && !aside);
 }
 
 WorkerFleet::Worker* WorkerFleet::workerOf(const Run& run)
--- a/src/WorkerFleet.h
+++ b/src/WorkerFleet.h
@@ -17,6 +17,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/functional/any_invocable.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -34,9 +35,11 @@
         double clockDriftBound = 0.01;
         /** Differs for each life of this entry, and begins the numbers that name recoveries. */
         uint64_t session = 1;
+        /** Whether operators plan to stop the back end. */
+        std::function<bool(const BackEnd&)> isStopping = [](const BackEnd&) { return false; };
     };
     /** Told of each change of a run; `isGone` when this entry has no more to do with it. */
-    using RunObserver = absl::AnyInvocable<void(const RunReport&, bool isGone)>;
+    using RunObserver = absl::AnyInvocable<void(const TaskRunReport&, bool isGone)>;
 
     /** Everything in `parts` must outlive the fleet. */
     WorkerFleet(Parts parts, RunObserver observer);
@@ -55,16 +58,18 @@
     void stopRun(const RunId& id, bool checkpoint);
     /** Forgets a run that has ended. */
     void forgetRun(const RunId& id);
-    const RunReport* find(const RunId& id) const;
+    const TaskRunReport* find(const RunId& id) const;
     /** Active runs on a worker that may be stopped for work more urgent than theirs. */
     std::vector<RunStatus> preemptible(const std::string& worker, int urgency) const;
+    /** Runs that are active on a worker. */
+    size_t activeRuns(const std::string& worker) const;
 
     /** After this long without a fresh ticket nothing runs on a worker any more. */
     absl::Duration lapseTime() const;
 
 private:
     struct Run {
-        RunReport report;
+        TaskRunReport report;
         WorkerStart start;
         bool startSent = false;
         Instant startSentAt;
@@ -102,6 +107,9 @@
     void gain(const std::string& rack, uint64_t epoch);
     void lose(const std::string& rack);
     void refreshWorkers();
+    bool isLeaving(const Worker& worker) const { return worker.info.leaving || m_parts.isStopping(worker.info); }
+    /** Stops at a checkpoint what may be stopped on a worker that leaves; the rest finishes there. */
+    void clearLeaving(const Worker& worker);
     void removeGone();
     void tickWorker(Worker& worker, const Term& term, Instant now);
     void sendSync(Worker& worker, uint64_t epoch, Instant now);
--- a/test/failure/JobsTest.cpp
+++ b/test/failure/JobsTest.cpp
@@ -225,6 +225,22 @@
     }
 }
 
+TEST(Jobs, everythingChangesHandsWithMessagesInFlight)
+{
+    for (uint64_t seed = 1; seed <= seeds(60); ++seed) {
+        Scene scene(seed);
+        scene.jobs.world().setMaxDelay(absl::Milliseconds(seed % 2 ? 1500 : 700));
+        scene.acceptMix();
+        scene.jobs.world().run(scene.randomTime(absl::Seconds(4)));
+        scene.jobs.moveAll(0, 1);
+        scene.jobs.world().run(scene.randomTime(absl::Seconds(4)));
+        scene.jobs.moveAll(1, 2);
+        scene.jobs.world().run(absl::Seconds(20));
+        scene.jobs.world().setMaxDelay(absl::Milliseconds(2));
+        scene.check(absl::Seconds(200));
+    }
+}
+
 TEST(Jobs, storeIsOutAfterTheAcceptance)
 {
     for (uint64_t seed = 1; seed <= seeds(10); ++seed) {
