Jobs shed by their profile are truly not run; a leaving worker's services move

After: it ends as not-run if no owner before could have released it, with a test that no task of it started; a leaving worker's services run elsewhere within 3 s. Both tests are new with the rule. A job that changed owners while it waited is not given up, since its new owner can't know that nothing ran.

--- a/src/ActiveJob.cpp
+++ b/src/ActiveJob.cpp
@@ -36,6 +36,8 @@
             return "failed";
         case TaskMark::Cancelled:
             return "cancelled";
+        case TaskMark::NotRun:
+            return "not-run";
         default:
             return "unknown";
         }
@@ -200,16 +202,26 @@
     m_tasks[index].run = m_record.releases[index] - 1;
 }
 
-void ActiveJob::cancel(int64_t nowMicros)
+void ActiveJob::cancel(int64_t nowMicros) { endAll(TaskMark::Cancelled, JobState::Cancelled, nowMicros); }
+
+void ActiveJob::giveUp(int64_t nowMicros) { endAll(TaskMark::NotRun, JobState::NotRun, nowMicros); }
+
+void ActiveJob::endAll(TaskMark mark, JobState state, int64_t nowMicros)
 {
     for (uint32_t i = 0; i < m_tasks.size(); ++i) {
         if (!isFinal(m_record.marks[i]))
-            setMark(i, TaskMark::Cancelled);
+            setMark(i, mark);
     }
-    m_record.state = JobState::Cancelled;
+    m_record.state = state;
     m_record.endedMicros = nowMicros;
 }
 
+bool ActiveJob::isUntouched() const
+{
+    return std::all_of(m_tasks.begin(), m_tasks.end(),
+        [](const ActiveTask& task) { return task.phase == TaskPhase::Waiting && task.run == 0 && !task.isSeen; });
+}
+
 void ActiveJob::end(int64_t nowMicros)
 {
     m_record.state = endState(m_record.marks);
--- a/src/ActiveJob.h
+++ b/src/ActiveJob.h
@@ -82,6 +82,10 @@
     void markReleased(uint32_t task);
     /** Gives every task its final mark and the job its end. */
     void cancel(int64_t nowMicros);
+    /** Gives the job up; nothing of it was released. */
+    void giveUp(int64_t nowMicros);
+    /** Whether all tasks still wait for their first release. */
+    bool isUntouched() const;
     void end(int64_t nowMicros);
 
     /** Runs that have to be stopped: the job has ended, or a later run has replaced them. */
@@ -107,6 +111,7 @@
     void noteVanished(uint32_t task);
     void runAgain(ActiveTask& task);
     void setMark(uint32_t task, TaskMark mark);
+    void endAll(TaskMark mark, JobState state, int64_t nowMicros);
 
     JobRecord m_record;
     std::vector<ActiveTask> m_tasks;
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -140,6 +140,8 @@
         return JobState::Unknown;
     if (any(TaskMark::Failed))
         return JobState::Failed;
+    if (any(TaskMark::NotRun))
+        return JobState::NotRun;
     return any(TaskMark::Cancelled) ? JobState::Cancelled : JobState::Finished;
 }
 
@@ -154,6 +156,8 @@
         return "failed";
     case JobState::Cancelled:
         return "cancelled";
+    case JobState::NotRun:
+        return "not-run";
     case JobState::Unknown:
         return "unknown";
     }
@@ -202,8 +206,8 @@
         for (const char mark : document.at("marks").get<std::string>())
             record.marks.push_back(static_cast<TaskMark>(mark));
         const auto state = document.at("state").get<std::string>();
-        for (const JobState candidate :
-            { JobState::Accepted, JobState::Finished, JobState::Failed, JobState::Cancelled, JobState::Unknown }) {
+        for (const JobState candidate : { JobState::Accepted, JobState::Finished, JobState::Failed, JobState::Cancelled,
+                 JobState::NotRun, JobState::Unknown }) {
             if (state == jobStateName(candidate))
                 record.state = candidate;
         }
--- a/src/Job.h
+++ b/src/Job.h
@@ -52,12 +52,14 @@
     Finished = 'f',
     Failed = 'x',
     Cancelled = 'c',
+    /** Its job was given up before any of its tasks was released. */
+    NotRun = 'n',
     /** It may have run, and it will not be run again. */
     Unknown = 'u',
 };
 
 /** A job's state as callers see it. */
-enum class JobState { Accepted, Finished, Failed, Cancelled, Unknown };
+enum class JobState { Accepted, Finished, Failed, Cancelled, NotRun, Unknown };
 
 /** A job as stored. */
 struct JobRecord {
--- a/src/JobController.cpp
+++ b/src/JobController.cpp
@@ -137,6 +137,8 @@
     job.isEndStored = record.state != JobState::Accepted;
     job.active = std::make_unique<ActiveJob>(std::move(record));
     job.order = job.active->order();
+    job.isFresh = partition->second.recovery == Recovery::Ready;
+    job.takenAt = m_parts.clock.now();
     job.nextTry = -absl::InfiniteDuration();
     job.nextCheck = -absl::InfiniteDuration();
     if (partition->second.recovery == Recovery::Ready)
@@ -439,6 +441,7 @@
     job.isDirty = false;
     job.nextCheck = now + checkInterval;
     refreshProfile(job);
+    shedIfLate(job, now);
     if (job.active->isDone() && !job.active->hasEnded())
         job.active->end(m_parts.clock.wallMicros());
     if (job.active->hasEnded() && !job.isEndStored)
@@ -453,6 +456,14 @@
     }
 }
 
+void JobController::shedIfLate(Job& job, Instant now)
+{
+    const Profile& profile = job.active->record().profile;
+    const bool isLate = profile.whenShort == ShortageAction::Shed && now - job.takenAt > profile.maxWait;
+    if (isLate && job.isFresh && job.asks.empty() && !job.active->hasEnded() && job.active->isUntouched())
+        job.active->giveUp(m_parts.clock.wallMicros());
+}
+
 void JobController::refreshProfile(Job& job)
 {
     if (const Profile* profile = m_lookUp(job.active->record().spec.profile))
--- a/src/JobController.h
+++ b/src/JobController.h
@@ -79,6 +79,9 @@
         bool isDirty = true;
         bool isStoringEnd = false;
         bool isEndStored = false;
+        /** Nobody owned the job before, so what this owner has not released was never released. */
+        bool isFresh = false;
+        Instant takenAt;
         Instant nextTry;
         Instant nextCheck;
         int refusals = 0;
@@ -156,6 +159,8 @@
     void tickAsk(uint64_t askId, Ask& ask, Instant now);
     void sendCommit(uint64_t askId, const Ask& ask);
     void dropAsk(uint64_t askId);
+    /** Gives up a job that has waited longer than its profile allows, where the profile says so. */
+    void shedIfLate(Job& job, Instant now);
     void refreshProfile(Job& job);
     void updateWaiting(Job& job);
     void storeEnd(Job& job);
--- a/src/WorkerMessages.h
+++ b/src/WorkerMessages.h
@@ -33,6 +33,8 @@
     {
         return a.job == b.job && a.task == b.task && a.run == b.run;
     }
+    // Abseil finds the function by this name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     template <typename H> friend H AbslHashValue(H h, const RunId& id)
     {
         return H::combine(std::move(h), id.job, id.task, id.run);
--- a/test/correctness/JobTest.cpp
+++ b/test/correctness/JobTest.cpp
@@ -193,6 +193,35 @@
     CHECK(jobs.world().now() - submitted < absl::Seconds(18));
 }
 
+TEST(Job, aProfileThatShedsGivesUpAJobThatWaitedTooLongAndNeverRanIt)
+{
+    accept(0, jobIdIn(13), tasksJson(4, 8000, "work-ms=30000"), twice);
+    jobs.world().run(absl::Seconds(2));
+    Profile shed = profileNamed("shed", true);
+    shed.whenShort = ShortageAction::Shed;
+    shed.maxWait = absl::Seconds(3);
+    const std::string id = jobIdIn(14);
+    accept(0, id, R"({"profile": "shed", "tasks": [{"cpuMillis": 8000, "memoryMiB": 100, "count": 2}]})", shed);
+    CHECK(jobs.runUntilEnded(id, absl::Seconds(6)));
+    CHECK(jobs.stored(id).state == JobState::NotRun);
+    jobs.world().run(absl::Seconds(60));
+    CHECK_EQUAL(0, jobs.startsOf(id, 0) + jobs.startsOf(id, 1));
+}
+
+TEST(Job, aPlannedStopMovesServicesAndGivesNothingNew)
+{
+    const std::string id = jobIdIn(15);
+    accept(0, id,
+        R"({"profile": "p", "tasks": [{"kind": "service", "cpuMillis": 500, "memoryMiB": 100,
+        "command": "work-ms=500000", "count": 4}]})",
+        twice);
+    jobs.world().run(absl::Seconds(3));
+    jobs.setLeaving(0);
+    jobs.world().run(absl::Seconds(3));
+    CHECK_EQUAL(0, jobs.worker(0).model->running());
+    CHECK_EQUAL(4, jobs.runningOf(id));
+}
+
 TEST(Job, quotasHoldAJobBackOrRefuseIt)
 {
     jobs.world().stored()["cicada/config/quotas"]
--- a/test/failure/JobsTest.cpp
+++ b/test/failure/JobsTest.cpp
@@ -211,6 +211,21 @@
     }
 }
 
+TEST(Jobs, heirCanNotReachTheWorkersAtFirst)
+{
+    for (uint64_t seed = 1; seed <= seeds(20); ++seed) {
+        Scene scene(seed);
+        scene.accept(twice, 1, 10, "work-ms=20000");
+        scene.accept(once, 2, 6, "work-ms=20000");
+        scene.jobs.world().run(scene.randomTime(absl::Seconds(2)));
+        scene.jobs.world().cutBoth("e1", "w0", true);
+        scene.jobs.killEntry(0);
+        scene.jobs.world().run(scene.randomTime(absl::Seconds(30)));
+        scene.jobs.world().cutBoth("e1", "w0", false);
+        scene.check(absl::Seconds(200));
+    }
+}
+
 TEST(Jobs, messagesArriveVeryLate)
 {
     for (uint64_t seed = 1; seed <= seeds(20); ++seed) {
@@ -241,6 +256,30 @@
     }
 }
 
+TEST(Jobs, rackOwnersRefuseAnEarlierOwnerOfAPartition)
+{
+    Scene scene(1);
+    JobWorld& jobs = scene.jobs;
+    RackController& racks = jobs.entry(1).jobs.racks();
+    const auto sendHold = [&jobs](uint64_t ask) {
+        HoldAsk message { ask, 0, 1, { 5, 0, "j" }, false, false, false, { { 0, { 1000, 100, 0 } } } };
+        jobs.entry(0).node.send("e1", rackServiceHold, encode(message));
+        jobs.world().run(absl::Milliseconds(10));
+    };
+    sendHold(1);
+    CHECK_EQUAL(1, racks.heldTasks());
+    jobs.moveAll(0, 2);
+    jobs.world().run(absl::Seconds(3));
+    // What the earlier owner held is free, and neither its asks nor its presenting itself again count.
+    CHECK_EQUAL(0, racks.heldTasks());
+    sendHold(2);
+    CHECK_EQUAL(0, racks.heldTasks());
+    jobs.entry(0).node.send("e1", rackServiceSync, encode(JobSync { { { 0, 1, 0, 0 } }, 0, {}, {} }));
+    jobs.world().run(absl::Milliseconds(10));
+    sendHold(3);
+    CHECK_EQUAL(0, racks.heldTasks());
+}
+
 TEST(Jobs, storeIsOutAfterTheAcceptance)
 {
     for (uint64_t seed = 1; seed <= seeds(10); ++seed) {
--- a/test/support/JobWorld.cpp
+++ b/test/support/JobWorld.cpp
@@ -245,6 +245,12 @@
         workers.erase(std::remove(workers.begin(), workers.end(), m_workers[i].model->name()), workers.end());
 }
 
+void JobWorld::setLeaving(size_t i)
+{
+    m_list[i].leaving = true;
+    publishWorkers();
+}
+
 void JobWorld::judge(const RunId& id, bool started, const std::string& worker)
 {
     auto& workers = m_running[{ id.job, id.task }];
--- a/test/support/JobWorld.h
+++ b/test/support/JobWorld.h
@@ -103,6 +103,8 @@
     /** Kills an entry; what it owned goes to the next living entry after `takeOver`. */
     void killEntry(size_t i, absl::Duration takeOver = absl::Seconds(3));
     void killWorker(size_t i);
+    /** The VM list shows the worker as leaving from now on. */
+    void setLeaving(size_t i);
     /** Moves everything from one entry to another without ending it, as when it is paused past its terms. */
     void moveAll(size_t from, size_t to);
 
