--- a/test/failure/JobsTest.cpp
+++ b/test/failure/JobsTest.cpp
@@ -261,9 +261,14 @@
     Scene scene(1);
     JobWorld& jobs = scene.jobs;
     RackController& racks = jobs.entry(1).jobs.racks();
-    const auto sendHold = [&jobs](uint64_t ask) {
-        HoldAsk message { ask, 0, 1, { 5, 0, "j" }, false, false, false, { { 0, { 1000, 100, 0 } } } };
-        jobs.entry(0).node.send("e1", rackServiceHold, encode(message));
+    // Without the replies the earlier owner does not release by itself what it can't know of.
+    jobs.world().cut("e1", "e0", true);
+    const auto sendHold = [&jobs](uint64_t askId) {
+        HoldAsk ask;
+        ask.askId = askId;
+        ask.epoch = 1;
+        ask.tasks.push_back({ 0, { 1000, 100, 0 } });
+        jobs.entry(0).node.send("e1", rackServiceHold, encode(ask));
         jobs.world().run(absl::Milliseconds(10));
     };
     sendHold(1);
