--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -5,6 +5,9 @@
 #include "Frontend.h"
 #include "Guardianship.h"
 #include "HttpStore.h"
+#include "HttpWorkerClient.h"
+#include "JobRoutes.h"
+#include "JobService.h"
 #include "Membership.h"
 #include "OwnershipTable.h"
 #include "ProfileRoutes.h"
@@ -70,6 +73,8 @@
     std::unique_ptr<StopBook> stops;
     std::unique_ptr<ProfileBook> profiles;
     std::unique_ptr<RequestHandler> handler;
+    HttpWorkerClient* workers = nullptr;
+    std::unique_ptr<JobService> jobs;
 };
 
 namespace {
@@ -86,7 +91,8 @@
         for (const BackEnd& backEnd : p.backEnds.all()) {
             const bool meant = stop.target == (stop.kind == StopKind::Rack ? backEnd.rack : backEnd.name);
             if (meant && p.ownership->term(backEnd.group()))
-                remaining = remaining.value_or(0) + p.ledger->inUse(backEnd.name);
+                remaining = remaining.value_or(0) + p.ledger->inUse(backEnd.name)
+                    + p.jobs->racks().fleet().activeRuns(backEnd.name);
         }
         return remaining;
     }
@@ -100,6 +106,20 @@
 
 } // namespace
 
+std::unique_ptr<JobService> Entry::makeJobs(Parts& p)
+{
+    const auto lookUp = [&p](const std::string& name) {
+        const ProfileRecord* record = p.profiles->find(name);
+        return record ? &record->profile : nullptr;
+    };
+    const uint64_t session = absl::Uniform<uint64_t>(absl::BitGen());
+    return std::make_unique<JobService>(
+        JobService::Parts { p.settings.name, *p.store, *p.peers, *p.ownership, p.backEnds, p.clock, *p.watch,
+            *p.workers, p.settings.clockDriftBound, session, "best-fit",
+            [&p](const BackEnd& backEnd) { return p.stops->isPlanned(backEnd); } },
+        lookUp);
+}
+
 Result<std::unique_ptr<Entry>> Entry::create(Settings settings)
 {
     auto parts = std::make_unique<Parts>(std::move(settings));
@@ -130,11 +150,14 @@
         ExecutorHealth::Parts { p.backEnds, *p.ownership, *p.ledger, *p.probe, p.clock,
             [&p](const BackEnd& backEnd) { return p.stops->isPlanned(backEnd); }, [&p] { p.dispatcher->pumpAll(); } });
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpWorkerClient>(*p.loop), p.workers));
+    p.jobs = makeJobs(p);
     p.handler = std::make_unique<RequestHandler>(
         RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addStopRoutes(*p.frontend, *p.loop, *p.stops);
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles, *p.dispatcher);
+    addJobRoutes(*p.frontend, *p.loop, *p.profiles, p.jobs->directory());
     addStatusRoutes(*p.frontend,
         { s, *p.loop, *p.membership, *p.authority, p.clock, *p.ownership, *p.ledger, p.backEnds, *p.health,
             *p.dispatcher, *p.profiles, *p.store, *p.peers, p.metrics });
@@ -146,6 +169,7 @@
         p.profiles->tick(now);
         p.stops->tick(now);
         p.health->tick(now);
+        p.jobs->tick(now);
         p.frontend->setReady(p.authority->registered() && p.profiles->version() > 0);
     });
     return std::unique_ptr<Entry>(new Entry(std::move(parts)));
