--- a/src/WorkerFleet.cpp
+++ b/src/WorkerFleet.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 WorkerFleet::WorkerFleet(Parts parts, RunObserver observer)
-    : m_parts(parts)
+    : m_parts(std::move(parts))
     , m_observer(std::move(observer))
     , m_nextTick(-absl::InfiniteDuration())
 {
--- a/test/support/JobWorld.cpp
+++ b/test/support/JobWorld.cpp
@@ -340,7 +340,7 @@
 std::string jobIdIn(uint32_t partition, int salt)
 {
     for (uint32_t i = 0;; ++i) {
-        const std::string id = absl::StrFormat("00000000-0000-4000-8000-%04x%08x", salt, i);
+        std::string id = absl::StrFormat("00000000-0000-4000-8000-%04x%08x", salt, i);
         if (jobPartition(id) == partition)
             return id;
     }
