--- /dev/null
+++ b/src/ClaimsHome.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/** \file
+ * The home of the ids in the claim partitions that this entry owns: it gives leave to run an id to one attempt at a
+ * time, and only once that is in the store. docs/design/claims.md has the protocol and why it is safe.
+ */
+
+#include "ClaimsMessages.h"
+#include "Journal.h"
+#include "Ownership.h"
+#include "PeerBus.h"
+#include "Store.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <string>
+#include <vector>
+
+namespace cicada {
+
+/** The claim partition of an id. */
+uint32_t claimPartition(absl::string_view id);
+
+/** Grants claims. Used on the decision thread only. */
+class ClaimsHome {
+public:
+    /** All arguments must outlive the home. A claim is remembered for `retention`. */
+    ClaimsHome(Store&, Journal&, Ownership&, const Clock&, absl::Duration retention);
+
+    /** Called with each reply: to the claimer's name, now or once the claim is stored. */
+    using Reply = absl::AnyInvocable<void(const std::string& claimer, const ClaimReply&)>;
+    void onReply(Reply reply) { m_reply = std::move(reply); }
+
+    void handleAsk(const std::string& claimer, const ClaimAsk& ask);
+    void tick(Instant now);
+    /** Claims in memory. */
+    size_t size() const;
+
+    /** Added to a claimer's time, for the difference between two clocks and rounding. */
+    static constexpr double clockMargin = 0.05;
+    static constexpr absl::Duration roundingMargin = absl::Milliseconds(20);
+    static constexpr absl::Duration retryDelay = absl::Milliseconds(300);
+    static constexpr absl::Duration purgeInterval = absl::Seconds(5);
+
+private:
+    struct Claim {
+        ClaimRecord record;
+        bool stored = false;
+        /** When this home first knew of it; the claim itself may be older when it was read from the store. */
+        Instant knownSince;
+        bool readFromStore = false;
+        /** When the claimer's leave to send starts was last counted from. */
+        Instant extendedAt;
+    };
+    struct Partition {
+        uint64_t epoch = 0;
+        /** True once all earlier claims are known. */
+        bool ready = false;
+        absl::flat_hash_map<std::string, Claim> claims;
+    };
+    /** Another entry's segment, as it was when first seen. */
+    struct SeenSegment {
+        uint64_t index = 0;
+        Instant seenAt;
+    };
+
+    /** The partition if this entry may answer for it now, or null. */
+    Partition* ownPartition(uint32_t partition);
+    /** The claimer said that the attempt still lives. */
+    void extend(Claim&);
+    void record(Partition&, const std::string& claimer, const ClaimAsk&, uint32_t version);
+    void stored(uint32_t partition, const ClaimRecord&, int64_t stamp);
+    void replyHeld(const Claim&, const std::string& claimer, const ClaimAsk&);
+    void startRecovery();
+    void recover(const std::vector<StoreEntry>& entries, const std::vector<uint32_t>& partitions);
+    void noteSegments(const std::vector<StoreEntry>& entries);
+    void removeOldSegments(Instant now);
+    void forgetOldClaims(Instant now);
+
+    Store& m_store;
+    Journal& m_journal;
+    Ownership& m_ownership;
+    const Clock& m_clock;
+    const absl::Duration m_retention;
+    Reply m_reply;
+    absl::flat_hash_map<uint32_t, Partition> m_partitions;
+    absl::flat_hash_map<std::string, SeenSegment> m_seenSegments;
+    bool m_recovering = false;
+    Instant m_nextRecovery = absl::ZeroDuration();
+    Instant m_nextPurge = absl::ZeroDuration();
+};
+
+} // namespace cicada
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -8,8 +8,11 @@
 #include "ProfileRoutes.h"
 #include "StatusRoutes.h"
 #include "TcpPeerBus.h"
+#include "Uuid.h"
 #include "VmListWatcher.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <glog/logging.h>
 
 namespace cicada {
@@ -44,6 +47,11 @@
     std::unique_ptr<SlotLedger> ledger;
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<ProfileBook> profiles;
+    std::unique_ptr<Journal> journal;
+    std::unique_ptr<ClaimsHome> claimsHome;
+    std::unique_ptr<ClaimsClient> claims;
+    std::unique_ptr<ClaimsExecutors> executors;
+    LostRuns* lostRuns = nullptr;
     std::unique_ptr<RequestHandler> handler;
 };
 
@@ -56,6 +64,24 @@
         return kernel.add(std::move(service));
     }
 
+    /** What requests that must not run twice need. */
+    template <typename Parts> Result<void> addClaims(Parts& p)
+    {
+        const Settings& s = p.settings;
+        const std::string incarnation = randomUuid();
+        p.journal = std::make_unique<Journal>(
+            *p.store, p.clock, absl::StrCat(s.name, "-", incarnation), s.claimRetention);
+        p.claimsHome
+            = std::make_unique<ClaimsHome>(*p.store, *p.journal, *p.ownership, p.clock, s.claimRetention);
+        p.claims = std::make_unique<ClaimsClient>(s.name, std::hash<std::string>()(incarnation), *p.claimsHome,
+            *p.peers, *p.ownership, p.clock, s.claimRetention);
+        p.executors = std::make_unique<ClaimsExecutors>(p.backEnds, p.clock, s.claimRetention);
+        const auto ended = [&p](const StartGrant& grant) {
+            p.loop->postMust([&p, grant] { p.dispatcher->finished(grant); });
+        };
+        return addService(p.kernel, std::make_unique<LostRuns>(p.clock, ended), p.lostRuns);
+    }
+
 } // namespace
 
 Result<std::unique_ptr<Entry>> Entry::create(Settings settings)
@@ -76,8 +102,9 @@
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
-    p.handler = std::make_unique<RequestHandler>(
-        RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
+    BOOST_OUTCOME_TRY(addClaims(p));
+    p.handler = std::make_unique<RequestHandler>(RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher,
+        *p.spans, p.metrics, *p.claims, *p.executors, *p.lostRuns });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
     addStatusRoutes(*p.frontend,
@@ -87,6 +114,9 @@
         p.membership->tick(now);
         p.dispatcher->tick(now);
         p.profiles->tick(now);
+        p.journal->tick(now);
+        p.claimsHome->tick(now);
+        p.claims->tick(now);
         p.frontend->setReady(p.membership->registered() && p.profiles->version() > 0);
     });
     return std::unique_ptr<Entry>(new Entry(std::move(parts)));
--- a/src/ExecutorClient.cpp
+++ b/src/ExecutorClient.cpp
@@ -4,6 +4,9 @@
 
 #include <httplib.h>
 
+#include <atomic>
+#include <thread>
+
 namespace cicada {
 
 namespace {
@@ -12,33 +15,154 @@
     /** A run's connection without a byte for this long is checked on by asking for the id on a new one. */
     constexpr absl::Duration silenceBound = absl::Seconds(3);
     constexpr absl::Duration askTimeout = absl::Seconds(1);
-    constexpr absl::Duration askInterval = absl::Milliseconds(100);
+    /** Between two questions a twentieth of the time that the run took so far passes, within these bounds. */
+    constexpr absl::Duration leastAskInterval = absl::Milliseconds(20);
+    constexpr absl::Duration mostAskInterval = absl::Seconds(2);
+    /** An executor that gave no answer for this long counts as gone. */
+    constexpr absl::Duration goneAfter = absl::Seconds(5);
+    /** How long a run that was told to stop may take to do so. */
+    constexpr absl::Duration stopPatience = absl::Seconds(5);
+    constexpr size_t searchThreads = 8;
+
+    constexpr const char* goneReason = "The executor can't be reached and may have run it.";
 
-    void setTimeouts(httplib::Client& client, absl::Duration connect, absl::Duration reply)
+    void setTimeouts(httplib::Client& client, absl::Duration reply)
     {
         client.set_tcp_nodelay(true);
-        client.set_connection_timeout(0, absl::ToInt64Microseconds(connect));
+        client.set_connection_timeout(0, absl::ToInt64Microseconds(connectTimeout));
         client.set_read_timeout(absl::ToInt64Seconds(reply), absl::ToInt64Microseconds(reply) % 1000000);
         client.set_write_timeout(absl::ToInt64Seconds(reply), absl::ToInt64Microseconds(reply) % 1000000);
     }
 
-    RunResult answered(const httplib::Response& response)
+    RunResult failed(RunEnd end, std::string reason) { return { end, 0, {}, {}, std::move(reason) }; }
+
+    /** One reply about a run. `state` is "done", "running", "stopping", "never", "stopped", "refused", or "forgotten"
+     * from an executor that has started anew since; empty when there was no reply. */
+    struct RunState {
+        std::string state;
+        RunResult answer;
+    };
+
+    RunState readState(const httplib::Result& response)
     {
-        return { RunEnd::Answered, response.status, response.get_header_value("Content-Type"), response.body, {} };
+        RunState result;
+        if (!response)
+            return result;
+        result.state = response->get_header_value("Cicada-Run");
+        result.answer = { RunEnd::Answered, response->status, response->get_header_value("Content-Type"),
+            response->body, {} };
+        return result;
     }
 
-    RunResult notStarted(std::string reason) { return { RunEnd::NotStarted, 0, {}, {}, std::move(reason) }; }
-
-    /** What the executor says of the run: "done", "running", "never", "stopped" or "refused". */
-    std::string runState(const httplib::Response& response) { return response.get_header_value("Cicada-Run"); }
+    enum class Question {
+        Ask,
+        StopUnstarted,
+        Stop,
+    };
 
-    /** Stops a run that has not started; true when the executor confirmed that it never will. */
-    bool stopUnstarted(const Endpoint& executor, const std::string& requestId)
+    /** Puts one question on a connection of its own. */
+    RunState askOnce(const Endpoint& executor, const std::string& runId, absl::Duration age, Question question)
     {
         httplib::Client client(executor.host, executor.port);
-        setTimeouts(client, connectTimeout, askTimeout);
-        const auto response = client.Delete(absl::StrCat("/v1/runs/", requestId, "?only=unstarted"));
-        return response && runState(*response) == "stopped";
+        setTimeouts(client, askTimeout);
+        const std::string path = absl::StrCat("/v1/runs/", runId);
+        const httplib::Headers headers { { "Cicada-Age-Ms", absl::StrCat(absl::ToInt64Milliseconds(age) + 1) } };
+        if (question == Question::Ask)
+            return readState(client.Get(path, headers));
+        const char* parameters = question == Question::StopUnstarted ? "?only=unstarted" : "";
+        return readState(client.Delete(absl::StrCat(path, parameters), headers));
+    }
+
+    absl::Duration askInterval(absl::Duration elapsed)
+    {
+        return std::clamp(elapsed / 20, leastAskInterval, mostAskInterval);
+    }
+
+    /** Asks for the run until it ended. With `own`, a run that did not start is refused for good, and one that takes
+     * too long is stopped. */
+    class Follower {
+    public:
+        Follower(const Endpoint& executor, const std::string& runId, Instant startedAt, absl::Duration patience,
+            bool own, const Clock& clock)
+            : m_executor(executor)
+            , m_runId(runId)
+            , m_startedAt(startedAt)
+            , m_stopAt(clock.now() + patience)
+            , m_own(own)
+            , m_clock(clock)
+        {
+        }
+
+        RunResult follow()
+        {
+            Instant heardAt = m_clock.now();
+            while (true) {
+                const Instant now = m_clock.now();
+                const RunState reply = askOnce(m_executor, m_runId, now - m_startedAt, nextQuestion(now));
+                if (auto end = endOf(reply))
+                    return *end;
+                if (!reply.state.empty())
+                    heardAt = now;
+                if (now - heardAt > goneAfter)
+                    return failed(RunEnd::Unknown, goneReason);
+                if (now > m_stopAt + stopPatience)
+                    return failed(RunEnd::Unknown, "It took longer than it may and did not stop.");
+                absl::SleepFor(askInterval(now - m_startedAt));
+            }
+        }
+
+    private:
+        Question nextQuestion(Instant now) const
+        {
+            if (!m_own)
+                return Question::Ask;
+            return now > m_stopAt ? Question::Stop : m_stopUnstarted ? Question::StopUnstarted : Question::Ask;
+        }
+
+        std::optional<RunResult> endOf(const RunState& reply)
+        {
+            if (reply.state == "done")
+                return wholeAnswer(reply);
+            if (reply.state == "forgotten")
+                return failed(RunEnd::Unknown, "The executor started anew and does not know whether it ran.");
+            if (reply.state == "stopped")
+                return failed(m_stopUnstarted ? RunEnd::NotStarted : RunEnd::Refused, "The executor will not start it.");
+            if (reply.state != "never")
+                return std::nullopt;
+            if (!m_own)
+                return failed(RunEnd::NotStarted, "The executor has not started it.");
+            m_stopUnstarted = true;
+            return std::nullopt;
+        }
+
+        /** A stop's reply tells the state only; the answer itself is asked for. */
+        std::optional<RunResult> wholeAnswer(const RunState& reply)
+        {
+            if (nextQuestion(m_clock.now()) == Question::Ask)
+                return reply.answer;
+            const RunState whole
+                = askOnce(m_executor, m_runId, m_clock.now() - m_startedAt, Question::Ask);
+            return whole.state == "done" ? std::optional<RunResult>(whole.answer) : std::nullopt;
+        }
+
+        const Endpoint m_executor;
+        const std::string m_runId;
+        const Instant m_startedAt;
+        const Instant m_stopAt;
+        const bool m_own;
+        const Clock& m_clock;
+        bool m_stopUnstarted = false;
+    };
+
+    RunResult afterRefusal(const RunRequest& request, const RunState& refusal, Instant sentAt, const Clock& clock)
+    {
+        const Endpoint& address = request.grant.address;
+        const RunState known = askOnce(address, request.requestId, clock.now() - sentAt, Question::Ask);
+        if (known.state == "never")
+            return failed(RunEnd::NotStarted, refusal.answer.body);
+        if (known.state == "stopped")
+            return failed(RunEnd::Refused, refusal.answer.body);
+        return joinRun(address, request.requestId, clock.now() - sentAt, request.maxRun, clock);
     }
 
 } // namespace
@@ -47,10 +171,11 @@
 {
     const Endpoint& address = request.grant.address;
     httplib::Client client(address.host, address.port);
-    setTimeouts(client, connectTimeout, silenceBound);
-    const absl::Duration validity = request.grant.startBy - clock.now();
+    setTimeouts(client, silenceBound);
+    const Instant sentAt = clock.now();
+    const absl::Duration validity = request.grant.startBy - sentAt;
     if (validity <= absl::ZeroDuration())
-        return notStarted("The grant ran out before the start could be sent.");
+        return failed(RunEnd::NotStarted, "The leave to start it ran out before it could be sent.");
     const httplib::Headers headers {
         { "Cicada-Epoch", absl::StrCat(request.grant.epoch) },
         { "Cicada-Valid-Ms", absl::StrCat(std::max<int64_t>(1, absl::ToInt64Milliseconds(validity))) },
@@ -58,39 +183,50 @@
     };
     const auto response
         = client.Put(absl::StrCat("/v1/runs/", request.requestId), headers, *request.body, request.contentType.c_str());
-    if (response) {
-        if (runState(*response) == "done")
-            return answered(*response);
-        if (runState(*response) == "refused")
-            return notStarted(response->body);
-    } else if (response.error() == httplib::Error::Connection) {
-        return notStarted("The executor can't be reached.");
-    }
-    return settleRun(address, request.requestId, request.maxRun, clock);
+    if (!response && response.error() == httplib::Error::Connection)
+        return failed(RunEnd::NotStarted, "The executor can't be reached.");
+    const RunState state = readState(response);
+    if (state.state == "done")
+        return state.answer;
+    if (state.state == "refused")
+        return afterRefusal(request, state, sentAt, clock);
+    return Follower(address, request.requestId, sentAt, request.maxRun, true, clock).follow();
 }
 
-RunResult settleRun(const Endpoint& executor, const std::string& requestId, absl::Duration patience, const Clock& clock)
+RunResult joinRun(const Endpoint& executor, const std::string& runId, absl::Duration age, absl::Duration patience,
+    const Clock& clock)
 {
-    const Instant giveUp = clock.now() + patience;
-    RunResult result;
-    result.reason = "The executor can't be reached and may have run it.";
-    int unreachable = 0;
-    constexpr int maxUnreachable = 10;
-    while (clock.now() < giveUp && unreachable < maxUnreachable) {
-        httplib::Client client(executor.host, executor.port);
-        setTimeouts(client, connectTimeout, askTimeout);
-        const auto response = client.Get(absl::StrCat("/v1/runs/", requestId));
-        const std::string state = response ? runState(*response) : "";
-        if (state == "done")
-            return answered(*response);
-        if (state == "stopped")
-            return notStarted("The run was stopped before it started.");
-        if (state == "never" && stopUnstarted(executor, requestId))
-            return notStarted("The executor never started it and will not.");
-        unreachable = state.empty() ? unreachable + 1 : 0;
-        absl::SleepFor(askInterval);
+    return Follower(executor, runId, clock.now() - age, patience, false, clock).follow();
+}
+
+RunSearch searchRun(absl::Span<const Endpoint> executors, const std::string& runId, absl::Duration age)
+{
+    std::atomic<size_t> next { 0 };
+    std::vector<std::string> states(executors.size());
+    const auto work = [&] {
+        for (size_t i = next++; i < executors.size(); i = next++)
+            states[i] = askOnce(executors[i], runId, age, Question::StopUnstarted).state;
+    };
+    std::vector<std::thread> threads;
+    for (size_t i = 0; i < std::min(searchThreads, executors.size()); ++i)
+        threads.emplace_back(work);
+    for (std::thread& thread : threads)
+        thread.join();
+    RunSearch result;
+    for (size_t i = 0; i < executors.size(); ++i) {
+        if (states[i] == "running" || states[i] == "done" || states[i] == "stopping")
+            result.found = executors[i];
+        else if (states[i] != "stopped")
+            ++result.unsettled;
     }
     return result;
 }
 
+bool runIsOver(const Endpoint& executor, const std::string& runId, absl::Duration age)
+{
+    // An executor that started anew runs nothing of before.
+    const std::string state = askOnce(executor, runId, age, Question::StopUnstarted).state;
+    return state == "done" || state == "stopped" || state == "forgotten";
+}
+
 } // namespace cicada
--- a/src/ExecutorClient.h
+++ b/src/ExecutorClient.h
@@ -8,6 +8,9 @@
 #include "Clock.h"
 #include "Dispatcher.h"
 
+#include "absl/types/span.h"
+
+#include <optional>
 #include <string>
 
 namespace cicada {
@@ -16,9 +19,11 @@
 enum class RunEnd {
     /** The executor answered in full. */
     Answered,
-    /** The executor refused or stopped it before it started, and will not start it later. */
+    /** The executor did not start it, and will not start it later. */
     NotStarted,
-    /** The executor can't be reached and may have run it. */
+    /** As NotStarted, because somebody had asked the executor to refuse this run. */
+    Refused,
+    /** It may have run, and its answer can't be had. */
     Unknown,
 };
 
@@ -35,6 +40,7 @@
 /** One run to be started. The views must stay valid during the call. */
 struct RunRequest {
     StartGrant grant;
+    /** The id under which the executor is to know the run. */
     std::string requestId;
     std::string contentType;
     std::string traceparent;
@@ -42,11 +48,27 @@
     absl::Duration maxRun = absl::Seconds(600);
 };
 
-/** Sends one run and waits for its end. Blocks; thread-safe. Nothing is sent after the grant's startBy. */
+/** Sends one run and waits for its end. Blocks; thread-safe. Nothing is sent after the grant's startBy. A run that
+ * goes on for longer than maxRun is stopped. */
 RunResult runOnExecutor(const RunRequest& request, const Clock& clock);
 
-/** Asks for a run by id on a new connection, waiting until it ends, at most `patience`. A run that the executor has
- * not started is stopped there first, so that NotStarted is final. */
-RunResult settleRun(const Endpoint& executor, const std::string& requestId, absl::Duration patience, const Clock&);
+/** Waits for a run that somebody else started `age` ago at most, for `patience`; starts and stops nothing. */
+RunResult joinRun(const Endpoint& executor, const std::string& runId, absl::Duration age, absl::Duration patience,
+    const Clock& clock);
+
+/** What one sweep found. */
+struct RunSearch {
+    /** Set when an executor runs it or ran it. */
+    std::optional<Endpoint> found;
+    /** Executors that could not say. */
+    size_t unsettled = 0;
+};
+
+/** Asks every executor for a run that began `age` ago at most, and has those that do not know it refuse it from now
+ * on. Blocks for some seconds at most; thread-safe. */
+RunSearch searchRun(absl::Span<const Endpoint> executors, const std::string& runId, absl::Duration age);
+
+/** Whether the executor, asked once, confirms that the run is over or will never start. Blocks; thread-safe. */
+bool runIsOver(const Endpoint& executor, const std::string& runId, absl::Duration age);
 
 } // namespace cicada
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -2,18 +2,17 @@
 
 #include "Uuid.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
 
 #include <glog/logging.h>
+#include <xxhash.h>
 
 namespace cicada {
 
 namespace {
 
-    /** How often a request that surely did not start is placed again. */
-    constexpr int maxPlacements = 3;
-
     CallerAnswer refused(const std::string& id, Error error)
     {
         CallerAnswer answer;
@@ -22,22 +21,15 @@
         return answer;
     }
 
-    CallerAnswer unknown(const std::string& id, const std::string& reason)
-    {
-        CallerAnswer answer = refused(id,
-            Error { ErrorKind::BackEndFailed, reason, "It is not run again; check its effects before you repeat it." });
-        answer.outcome = Outcome::Unknown;
-        return answer;
-    }
-
-    CallerAnswer ran(const std::string& id, RunResult result)
+    CallerAnswer toAnswer(const std::string& id, const Verdict& verdict)
     {
         CallerAnswer answer;
-        answer.outcome = Outcome::Ran;
         answer.requestId = id;
-        answer.status = result.status;
-        answer.contentType = std::move(result.contentType);
-        answer.body = std::move(result.body);
+        answer.outcome = verdict.outcome;
+        answer.error = verdict.error;
+        answer.status = verdict.answer.status;
+        answer.contentType = verdict.answer.contentType;
+        answer.body = verdict.answer.body;
         return answer;
     }
 
@@ -52,11 +44,29 @@
         if (!isUuid(request.id))
             return Error { ErrorKind::InvalidRequest, "The Idempotency-Key is not a UUID.",
                 "Send it as in 123e4567-e89b-12d3-a456-426614174000." };
-        return request.id;
+        return absl::AsciiStrToLower(request.id);
+    }
+
+    uint64_t fingerprint(const WorkItem& item)
+    {
+        const std::string text = absl::StrCat(item.service, "/", item.profile.name);
+        return XXH3_64bits(text.data(), text.size());
     }
 
+    /** Waits for one answer from the decision thread. */
+    template <typename T> struct Answer {
+        absl::Notification done;
+        T value;
+    };
+
 } // namespace
 
+struct RequestHandler::Running {
+    uint64_t fingerprint = 0;
+    absl::Notification done;
+    CallerAnswer answer;
+};
+
 RequestHandler::RequestHandler(Parts parts)
     : m_parts(parts)
 {
@@ -75,7 +85,7 @@
     entrySpan.attribute("request.id", id.value());
     const Instant start = m_parts.clock.now();
     CallerAnswer answer
-        = runPlaced(request, WorkItem { id.value(), request.service, profile.value() }, entrySpan.context());
+        = handleOnce(request, WorkItem { id.value(), request.service, profile.value() }, entrySpan.context());
     const std::string labels
         = absl::StrCat("{profile=\"", request.profile, "\",outcome=\"", outcomeName(answer.outcome), "\"}");
     m_parts.metrics.count(absl::StrCat("cicada_requests_total", labels));
@@ -87,61 +97,208 @@
     return answer;
 }
 
-CallerAnswer RequestHandler::runPlaced(const CallerRequest& request, const WorkItem& item, const TraceContext& parent)
+CallerAnswer RequestHandler::handleOnce(
+    const CallerRequest& request, const WorkItem& item, const TraceContext& parent)
 {
-    std::string reason;
-    for (int attempt = 0; attempt < maxPlacements; ++attempt) {
-        SpanTimer queueSpan(m_parts.spans, m_parts.clock, parent, "queue");
-        auto grant = place(item);
-        queueSpan.end();
-        if (!grant)
-            return refused(item.requestId, grant.error());
-        SpanTimer runSpan(m_parts.spans, m_parts.clock, parent, "back-end");
-        runSpan.attribute("executor", grant.value().executor);
-        RunRequest run { grant.value(), item.requestId, request.contentType, toTraceparent(runSpan.context()),
-            request.body, item.profile.maxRun };
-        RunResult result = runOnExecutor(run, m_parts.clock);
-        giveBack(grant.value());
-        if (result.end == RunEnd::Answered)
-            return ran(item.requestId, std::move(result));
-        if (result.end == RunEnd::Unknown)
-            return unknown(item.requestId, result.reason);
-        reason = result.reason;
+    auto mine = std::make_shared<Running>();
+    mine->fingerprint = fingerprint(item);
+    std::shared_ptr<Running> first;
+    {
+        absl::MutexLock lock(&m_mutex);
+        first = m_running.try_emplace(item.requestId, mine).first->second;
+    }
+    if (first != mine && first->fingerprint != mine->fingerprint) {
+        CallerAnswer answer = refused(item.requestId,
+            { ErrorKind::DuplicateRequest, "The id belongs to another request, which may have run.",
+                "Use a new UUID for each request, and the same one only for its retries." });
+        answer.outcome = Outcome::Unknown;
+        return answer;
+    }
+    if (first != mine) {
+        SpanTimer joinSpan(m_parts.spans, m_parts.clock, parent, "join");
+        first->done.WaitForNotification();
+        return first->answer;
     }
-    return refused(item.requestId,
-        Error { ErrorKind::BackEndFailed, absl::StrCat("No executor started it: ", reason),
-            "Nothing was run; try again later, and check the service's executors." });
+    mine->answer = settle(request, item, parent);
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_running.erase(item.requestId);
+    }
+    mine->done.Notify();
+    return mine->answer;
 }
 
-Result<Profile> RequestHandler::lookUpProfile(const std::string& name)
+CallerAnswer RequestHandler::settle(const CallerRequest& request, const WorkItem& item, const TraceContext& parent)
 {
-    Result<Profile> result = Error { ErrorKind::UnknownProfile, absl::StrCat("There is no profile '", name, "'."),
-        "Name one of the operators' profiles in the Cicada-Profile header." };
-    m_parts.loop.call([&] {
-        if (const ProfileRecord* record = m_parts.profiles.find(name))
-            result = record->profile;
+    Settlement settlement(item.requestId, item.profile, m_parts.clock.now());
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_budget.firstAttempt(m_parts.clock.now());
+    }
+    Flow flow { request, item, parent, settlement };
+    while (settlement.step().kind != StepKind::Done)
+        carryOut(flow);
+    finish(settlement);
+    return toAnswer(item.requestId, settlement.verdict());
+}
+
+void RequestHandler::carryOut(Flow& flow)
+{
+    switch (flow.settlement.step().kind) {
+    case StepKind::Claim:
+        return claim(flow);
+    case StepKind::Locate:
+        return locate(flow);
+    case StepKind::Place:
+        return place(flow);
+    case StepKind::Run:
+        return run(flow);
+    case StepKind::Join:
+        return join(flow);
+    case StepKind::Sweep:
+        return sweep(flow);
+    case StepKind::Wait:
+        absl::SleepFor(flow.settlement.step().until - m_parts.clock.now());
+        return flow.settlement.waited(m_parts.clock.now());
+    case StepKind::Done:
+        return;
+    }
+}
+
+void RequestHandler::claim(Flow& flow)
+{
+    SpanTimer span(m_parts.spans, m_parts.clock, flow.parent, "claim");
+    auto answer = std::make_shared<Answer<ClaimVerdict>>();
+    const Step& step = flow.settlement.step();
+    ClaimWish wish { flow.item.requestId, fingerprint(flow.item), step.supersedes, step.until,
+        flow.item.profile.maxWait };
+    m_parts.loop.postMust([this, answer, wish] {
+        m_parts.claims.claim(wish, [answer](const ClaimVerdict& verdict) {
+            answer->value = verdict;
+            answer->done.Notify();
+        });
     });
-    return result;
+    answer->done.WaitForNotification();
+    flow.settlement.claimed(answer->value, m_parts.clock.now());
 }
 
-Result<StartGrant> RequestHandler::place(const WorkItem& item)
+void RequestHandler::locate(Flow& flow)
 {
-    struct Waiter {
-        absl::Notification done;
-        Result<StartGrant> result = Error { ErrorKind::Internal, "The entry stopped.", "Send it again." };
+    auto answer = std::make_shared<Answer<Location>>();
+    const HeldClaim held = flow.settlement.step().held;
+    m_parts.loop.postMust([this, answer, held, id = flow.item.requestId] {
+        m_parts.claims.locate(id, held, [answer](const Location& location) {
+            answer->value = location;
+            answer->done.Notify();
+        });
+    });
+    answer->done.WaitForNotification();
+    flow.settlement.located(answer->value, m_parts.clock.now());
+}
+
+void RequestHandler::place(Flow& flow)
+{
+    SpanTimer span(m_parts.spans, m_parts.clock, flow.parent, "queue");
+    struct Placement {
+        Result<StartGrant> grant = Error { ErrorKind::Internal, "The entry stopped.", "Send it again." };
+        Instant startUntil = absl::InfiniteDuration();
     };
-    auto waiter = std::make_shared<Waiter>();
-    const bool posted = m_parts.loop.post([this, waiter, item] {
-        m_parts.dispatcher.submit(item, [waiter](Result<StartGrant> decision) {
-            waiter->result = std::move(decision);
-            waiter->done.Notify();
+    auto answer = std::make_shared<Answer<Placement>>();
+    const uint64_t token = flow.settlement.token();
+    WorkItem item = flow.item;
+    item.profile.maxWait = std::max(flow.settlement.step().until - m_parts.clock.now(), absl::ZeroDuration());
+    const bool posted = m_parts.loop.post([this, answer, token, item] {
+        m_parts.dispatcher.submit(item, [this, answer, token](Result<StartGrant> decision) {
+            if (decision && token != 0) {
+                m_parts.claims.placed(token, decision.value().address);
+                answer->value.startUntil = m_parts.claims.startUntil(token);
+            }
+            answer->value.grant = std::move(decision);
+            answer->done.Notify();
         });
     });
-    if (!posted)
-        return Error { ErrorKind::TooBusy, "This entry has no room for another request.",
+    if (!posted) {
+        answer->value.grant = Error { ErrorKind::TooBusy, "This entry has no room for another request.",
             "Nothing was run; try again later, with growing delays." };
-    waiter->done.WaitForNotification();
-    return waiter->result;
+        answer->done.Notify();
+    }
+    answer->done.WaitForNotification();
+    flow.settlement.placed(answer->value.grant, answer->value.startUntil);
+}
+
+void RequestHandler::run(Flow& flow)
+{
+    SpanTimer span(m_parts.spans, m_parts.clock, flow.parent, "back-end");
+    const Step step = flow.settlement.step();
+    span.attribute("executor", step.grant.executor);
+    const RunRequest request { step.grant, step.runId, flow.request.contentType, toTraceparent(span.context()),
+        flow.request.body, flow.item.profile.maxRun };
+    RunResult result = runOnExecutor(request, m_parts.clock);
+    if (result.end == RunEnd::Unknown)
+        m_parts.lostRuns.add(step.grant, step.runId);
+    else
+        giveBack(step.grant);
+    const uint64_t token = flow.settlement.token();
+    if (token != 0 && result.end == RunEnd::NotStarted)
+        m_parts.loop.postMust([this, token] { m_parts.claims.notStarted(token); });
+    const Instant now = m_parts.clock.now();
+    bool mayRetry = false;
+    if (result.end == RunEnd::NotStarted || result.end == RunEnd::Refused) {
+        absl::MutexLock lock(&m_mutex);
+        mayRetry = m_budget.takeRetry(now);
+    }
+    flow.settlement.ran(std::move(result), mayRetry, now);
+}
+
+void RequestHandler::join(Flow& flow)
+{
+    SpanTimer span(m_parts.spans, m_parts.clock, flow.parent, "join");
+    const Step step = flow.settlement.step();
+    const Instant now = m_parts.clock.now();
+    RunResult result
+        = joinRun(step.address, step.runId, now - step.held.beganAfter, flow.item.profile.maxRun, m_parts.clock);
+    flow.settlement.joined(std::move(result), m_parts.clock.now());
+}
+
+void RequestHandler::sweep(Flow& flow)
+{
+    SpanTimer span(m_parts.spans, m_parts.clock, flow.parent, "sweep");
+    const Step step = flow.settlement.step();
+    const Instant startedAt = m_parts.clock.now();
+    std::vector<Endpoint> executors;
+    m_parts.loop.call([&] { executors = m_parts.executors.of(flow.item.service); });
+    const RunSearch search = searchRun(executors, step.runId, startedAt - step.held.beganAfter);
+    SweepResult result;
+    if (search.found)
+        result = { SweepResult::Kind::Found, *search.found };
+    else if (search.unsettled == 0 && !executors.empty())
+        result.kind = SweepResult::Kind::NeverStarts;
+    flow.settlement.swept(result, startedAt, m_parts.clock.now());
+}
+
+void RequestHandler::finish(const Settlement& settlement)
+{
+    const uint64_t token = settlement.token();
+    if (token == 0)
+        return;
+    const bool isClosed = settlement.verdict().outcome == Outcome::NotRun;
+    m_parts.loop.postMust([this, token, isClosed] {
+        if (isClosed)
+            m_parts.claims.closed(token);
+        else
+            m_parts.claims.ended(token);
+    });
+}
+
+Result<Profile> RequestHandler::lookUpProfile(const std::string& name)
+{
+    Result<Profile> result = Error { ErrorKind::UnknownProfile, absl::StrCat("There is no profile '", name, "'."),
+        "Name one of the operators' profiles in the Cicada-Profile header." };
+    m_parts.loop.call([&] {
+        if (const ProfileRecord* record = m_parts.profiles.find(name))
+            result = record->profile;
+    });
+    return result;
 }
 
 void RequestHandler::giveBack(const StartGrant& grant)
--- a/src/RequestHandler.h
+++ b/src/RequestHandler.h
@@ -1,18 +1,24 @@
 #pragma once
 
 /** \file
- * The way of one request through this entry, step by step on the thread of its caller's connection: profile, place,
- * run, outcome.
+ * The way of one request through this entry, on the thread of its caller's connection: it carries out the steps that
+ * the Settlement decides, and traces them.
  */
 
+#include "ClaimsClient.h"
+#include "ClaimsExecutors.h"
 #include "Dispatcher.h"
 #include "ExecutorClient.h"
+#include "LostRuns.h"
 #include "Loop.h"
 #include "Metrics.h"
 #include "Outcome.h"
 #include "ProfileBook.h"
+#include "RetryBudget.h"
+#include "Settlement.h"
 #include "Trace.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -51,6 +57,9 @@
         Dispatcher& dispatcher;
         SpanWriter& spans;
         Metrics& metrics;
+        ClaimsClient& claims;
+        const ClaimsExecutors& executors;
+        LostRuns& lostRuns;
     };
 
     /** Everything in `parts` must outlive the handler. */
@@ -59,12 +68,33 @@
     CallerAnswer handle(const CallerRequest& request);
 
 private:
+    /** What the steps of one request need. */
+    struct Flow {
+        const CallerRequest& request;
+        const WorkItem& item;
+        const TraceContext& parent;
+        Settlement& settlement;
+    };
+    /** A request that is under way here, for those with the same id to join. */
+    struct Running;
+
     Result<Profile> lookUpProfile(const std::string& name);
-    Result<StartGrant> place(const WorkItem& item);
-    CallerAnswer runPlaced(const CallerRequest&, const WorkItem&, const TraceContext&);
+    CallerAnswer handleOnce(const CallerRequest&, const WorkItem&, const TraceContext&);
+    CallerAnswer settle(const CallerRequest&, const WorkItem&, const TraceContext&);
+    void carryOut(Flow& flow);
+    void claim(Flow& flow);
+    void locate(Flow& flow);
+    void place(Flow& flow);
+    void run(Flow& flow);
+    void join(Flow& flow);
+    void sweep(Flow& flow);
+    void finish(const Settlement&);
     void giveBack(const StartGrant& grant);
 
     Parts m_parts;
+    absl::Mutex m_mutex;
+    absl::flat_hash_map<std::string, std::shared_ptr<Running>> m_running ABSL_GUARDED_BY(m_mutex);
+    RetryBudget m_budget ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace cicada
--- /dev/null
+++ b/src/Settlement.cpp
@@ -0,0 +1,187 @@
+#include "Settlement.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace cicada {
+
+std::string runIdOf(absl::string_view requestId, uint32_t version)
+{
+    return version <= 1 ? std::string(requestId) : absl::StrCat(requestId, ".", version);
+}
+
+Settlement::Settlement(std::string requestId, const Profile& profile, Instant now)
+    : m_requestId(std::move(requestId))
+    , m_profile(profile)
+    , m_deadline(now + profile.maxWait)
+    , m_runId(m_requestId)
+{
+    if (m_profile.mayRunTwice)
+        place();
+    else
+        claim(0);
+}
+
+void Settlement::claim(uint64_t supersedes)
+{
+    m_step = {};
+    m_step.kind = StepKind::Claim;
+    m_step.supersedes = supersedes;
+    m_step.until = m_deadline;
+}
+
+void Settlement::locate()
+{
+    m_step = {};
+    m_step.kind = StepKind::Locate;
+    m_step.held = m_held;
+}
+
+void Settlement::place()
+{
+    ++m_placements;
+    m_step = {};
+    m_step.kind = StepKind::Place;
+    m_step.runId = m_runId;
+    m_step.until = m_deadline;
+}
+
+void Settlement::sweep(Instant now)
+{
+    if (now >= m_deadline)
+        return unknown(ErrorKind::DuplicateRequest, "An earlier attempt with this id could not be settled in time.");
+    m_step = {};
+    m_step.kind = StepKind::Sweep;
+    m_step.held = m_held;
+    m_step.runId = runIdOf(m_requestId, m_held.version);
+}
+
+void Settlement::waitUntil(Instant until, StepKind then, Instant now)
+{
+    if (now >= m_deadline)
+        return unknown(ErrorKind::DuplicateRequest, "An earlier attempt with this id is not settled yet.");
+    m_step = {};
+    m_step.kind = StepKind::Wait;
+    m_step.until = std::min(until, m_deadline);
+    m_afterWait = then;
+}
+
+void Settlement::notRun(Error error)
+{
+    m_step = {};
+    m_verdict.outcome = Outcome::NotRun;
+    m_verdict.error = std::move(error);
+}
+
+void Settlement::unknown(ErrorKind kind, std::string reason)
+{
+    m_step = {};
+    m_verdict.outcome = Outcome::Unknown;
+    m_verdict.error = Error { kind, std::move(reason),
+        "It is not run again. Ask again with the same id to have it settled, or check its effects." };
+}
+
+void Settlement::claimed(const ClaimVerdict& verdict, Instant now)
+{
+    switch (verdict.kind) {
+    case ClaimVerdict::Kind::Granted:
+        m_token = verdict.token;
+        m_runId = runIdOf(m_requestId, verdict.version);
+        return place();
+    case ClaimVerdict::Kind::Held:
+        m_held = verdict.held;
+        return locate();
+    case ClaimVerdict::Kind::Mismatch:
+        return unknown(ErrorKind::DuplicateRequest, "The id belongs to another request, which may have run.");
+    case ClaimVerdict::Kind::NotStored:
+        return notRun({ ErrorKind::StoreUnavailable, "The id could not be recorded in the store in time.",
+            "Nothing was run; send it again later with the same id." });
+    case ClaimVerdict::Kind::Unreachable:
+        return unknown(
+            ErrorKind::NoAuthority, "Whether an earlier attempt with this id ran can't be found out at present.");
+    }
+    waitUntil(now, StepKind::Locate, now);
+}
+
+void Settlement::located(const Location& location, Instant now)
+{
+    switch (location.phase) {
+    case AttemptPhase::Closed:
+        return claim(m_held.token);
+    case AttemptPhase::Waiting:
+        return waitUntil(now + locateInterval, StepKind::Locate, now);
+    case AttemptPhase::Placed:
+        m_step = {};
+        m_step.kind = StepKind::Join;
+        m_step.held = m_held;
+        m_step.runId = runIdOf(m_requestId, m_held.version);
+        m_step.address = location.address;
+        return;
+    case AttemptPhase::NotHeld:
+        return sweep(now);
+    }
+}
+
+void Settlement::placed(const Result<StartGrant>& grant, Instant startUntil)
+{
+    if (!grant)
+        return notRun(grant.error());
+    m_step = {};
+    m_step.kind = StepKind::Run;
+    m_step.runId = m_runId;
+    m_step.grant = grant.value();
+    m_step.grant.startBy = std::min(m_step.grant.startBy, startUntil);
+}
+
+void Settlement::ran(RunResult result, bool mayRetry, Instant now)
+{
+    if (result.end == RunEnd::Answered) {
+        m_step = {};
+        m_verdict.outcome = Outcome::Ran;
+        m_verdict.answer = std::move(result);
+        return;
+    }
+    if (result.end == RunEnd::Unknown)
+        return unknown(ErrorKind::BackEndFailed, std::move(result.reason));
+    const std::string& executor = m_step.grant.executor;
+    if (result.end == RunEnd::Refused && !m_notStartedOn.contains(executor))
+        return unknown(ErrorKind::DuplicateRequest, "A later attempt with this id took its place.");
+    m_notStartedOn.insert(executor);
+    if (m_placements < maxPlacements && now < m_deadline && mayRetry)
+        return place();
+    notRun({ ErrorKind::BackEndFailed, absl::StrCat("No executor started it: ", result.reason),
+        "Nothing was run; try again later, and check the service's executors." });
+}
+
+void Settlement::joined(RunResult result, Instant now)
+{
+    if (result.end == RunEnd::Answered || result.end == RunEnd::Unknown)
+        return ran(std::move(result), false, now);
+    waitUntil(now + locateInterval, StepKind::Locate, now);
+}
+
+void Settlement::swept(const SweepResult& result, Instant startedAt, Instant now)
+{
+    if (result.kind == SweepResult::Kind::Found) {
+        m_step = {};
+        m_step.kind = StepKind::Join;
+        m_step.held = m_held;
+        m_step.runId = runIdOf(m_requestId, m_held.version);
+        m_step.address = result.address;
+        return;
+    }
+    if (result.kind == SweepResult::Kind::Unsettled)
+        return waitUntil(now + sweepInterval, StepKind::Sweep, now);
+    // Until then its claimer may still send a start to an executor that this sweep did not know of.
+    if (startedAt < m_held.mayStartUntil)
+        return waitUntil(m_held.mayStartUntil, StepKind::Sweep, now);
+    claim(m_held.token);
+}
+
+void Settlement::waited(Instant now)
+{
+    if (m_afterWait == StepKind::Sweep)
+        return sweep(now);
+    locate();
+}
+
+} // namespace cicada
--- a/test/standin/fake-executor.cpp
+++ b/test/standin/fake-executor.cpp
@@ -54,9 +54,12 @@
     void fence(const httplib::Request&, httplib::Response&);
     void control(const httplib::Request&, httplib::Response&);
     std::string refusal(const std::string& id, uint64_t epoch);
+    /** True, and answered so, when the id is not known but may be from before this process started. */
+    bool forgotten(const httplib::Request&, httplib::Response&);
 
     const std::string m_name;
     const uint32_t m_slots;
+    const absl::Time m_startedAt = absl::Now();
     absl::Mutex m_mutex;
     absl::CondVar m_changed;
     absl::flat_hash_map<std::string, Run> m_runs;
@@ -133,9 +136,23 @@
     response.set_content(run.body, run.contentType);
 }
 
+bool Executor::forgotten(const httplib::Request& request, httplib::Response& response)
+{
+    int64_t ageMs = 0;
+    if (m_runs.contains(request.matches[1].str())
+        || !absl::SimpleAtoi(request.get_header_value("Cicada-Age-Ms"), &ageMs)
+        || absl::Now() - m_startedAt >= absl::Milliseconds(ageMs))
+        return false;
+    response.status = 404;
+    response.set_header("Cicada-Run", "forgotten");
+    return true;
+}
+
 void Executor::ask(const httplib::Request& request, httplib::Response& response)
 {
     absl::MutexLock lock(&m_mutex);
+    if (forgotten(request, response))
+        return;
     auto it = m_runs.find(request.matches[1].str());
     if (it == m_runs.end()) {
         response.status = 404;
@@ -155,6 +172,8 @@
 {
     const std::string id = request.matches[1];
     absl::MutexLock lock(&m_mutex);
+    if (forgotten(request, response))
+        return;
     Run& run = m_runs[id];
     if (run.state.empty())
         run.state = "stopped";
