--- /dev/null
+++ b/test/failure/ClaimsTest.cpp
@@ -0,0 +1,280 @@
+/** \file
+ * At most once, and truthful outcomes, while entries die, links and replies are lost and the store goes down.
+ */
+
+#include "support/ClaimsWorld.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+using Testing::ClaimsWorld;
+
+namespace {
+
+/** An id whose home is the given entry of three. */
+std::string idAt(size_t entry)
+{
+    for (int i = 0;; ++i) {
+        std::string id = absl::StrCat("id", i);
+        if (claimPartition(id) % 3 == entry)
+            return id;
+    }
+}
+
+bool isOutcome(const std::shared_ptr<Testing::ClaimedRequest>& request, Outcome outcome)
+{
+    return request->verdict && request->verdict->outcome == outcome;
+}
+
+} // namespace
+
+TEST_GROUP(ClaimsFailure)
+{
+    ClaimsWorld all { 1 };
+
+    void teardown() override { STRCMP_EQUAL("", all.violations().c_str()); }
+};
+
+TEST(ClaimsFailure, aStoreOutageEndsInATrueNotRunAndTheRetryRuns)
+{
+    all.run(absl::Seconds(1));
+    all.profile.maxWait = absl::Seconds(2);
+    all.world.setStoreDown(true);
+    const std::string id = idAt(1);
+    auto first = all.send(0, id);
+    all.run(absl::Seconds(3));
+    CHECK(isOutcome(first, Outcome::NotRun));
+    CHECK(first->verdict->error->kind == ErrorKind::StoreUnavailable);
+    all.world.setStoreDown(false);
+    all.run(absl::Seconds(3));
+    LONGS_EQUAL(0, all.starts(id));
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(3));
+    CHECK(isOutcome(retry, Outcome::Ran));
+}
+
+TEST(ClaimsFailure, anOutageShorterThanTheWaitOnlyDelays)
+{
+    all.run(absl::Seconds(1));
+    all.world.setStoreDown(true);
+    auto request = all.send(0, idAt(0));
+    all.run(absl::Seconds(4));
+    all.world.setStoreDown(false);
+    all.run(absl::Seconds(4));
+    CHECK(isOutcome(request, Outcome::Ran));
+}
+
+TEST(ClaimsFailure, aLostReplyOfTheStoreIsSettledByReadingBack)
+{
+    all.world.setLostReplies(1);
+    auto request = all.send(0, idAt(1));
+    all.run(absl::Seconds(4));
+    CHECK(isOutcome(request, Outcome::Ran));
+    uint64_t writes = 0;
+    for (auto& entry : all.entries)
+        writes += entry->node().counts().writes;
+    LONGS_EQUAL(1, writes);
+}
+
+TEST(ClaimsFailure, whenTheHomeDiesAfterTheRunTheHeirStillKnows)
+{
+    const std::string id = idAt(1);
+    auto first = all.send(0, id);
+    all.run(absl::Seconds(2));
+    all.killEntry(1, 2);
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(5));
+    CHECK(isOutcome(first, Outcome::Ran));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, whenTheHomeDiesBeforeItGrantedTheHeirGrants)
+{
+    const std::string id = idAt(1);
+    auto first = all.send(0, id);
+    all.killEntry(1, 2);
+    all.run(absl::Seconds(5));
+    CHECK(isOutcome(first, Outcome::Ran));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, theHeirGrantsNothingBeforeItHasReadTheJournal)
+{
+    const std::string id = idAt(1);
+    all.send(0, id);
+    all.run(absl::Seconds(2));
+    all.world.setStoreDown(true);
+    all.killEntry(1, 2);
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(12));
+    CHECK(isOutcome(retry, Outcome::Unknown));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, afterTheClaimersDeathARunIsFoundAndItsAnswerReplayed)
+{
+    const std::string id = idAt(1);
+    all.runTime = absl::Seconds(1);
+    all.send(0, id);
+    all.run(absl::Milliseconds(500));
+    LONGS_EQUAL(1, all.starts(id));
+    all.killEntry(0, 2, absl::ZeroDuration());
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(5));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, afterTheClaimersDeathBeforeAnyStartTheIdIsClaimedAnew)
+{
+    const std::string id = idAt(1);
+    all.entries[0]->maxQueueing = absl::Hours(1);
+    all.send(0, id);
+    all.run(absl::Milliseconds(500));
+    all.killEntry(0, 2, absl::ZeroDuration());
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(5));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, whileAnExecutorCantBeAskedTheOutcomeIsUnknownAndLaterSettled)
+{
+    const std::string id = idAt(1);
+    all.profile.maxWait = absl::Seconds(4);
+    all.entries[0]->maxQueueing = absl::Hours(1);
+    all.send(0, id);
+    all.run(absl::Milliseconds(500));
+    all.killEntry(0, 2, absl::ZeroDuration());
+    all.world.cutBoth("e2", "x1", true);
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(5));
+    CHECK(isOutcome(retry, Outcome::Unknown));
+    LONGS_EQUAL(0, all.starts(id));
+    all.world.cutBoth("e2", "x1", false);
+    auto again = all.send(2, id);
+    all.run(absl::Seconds(5));
+    CHECK(isOutcome(again, Outcome::Ran));
+}
+
+TEST(ClaimsFailure, aClaimerThatWasOnlyPausedStartsNothingOnceAnotherTookOver)
+{
+    const std::string id = idAt(1);
+    auto first = all.send(0, id);
+    all.run(absl::Milliseconds(30));
+    all.world.pause(all.entries[0]->node());
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(8));
+    all.world.resume(all.entries[0]->node());
+    all.run(absl::Seconds(8));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    CHECK(first->verdict.has_value());
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, anOldHomesLateWriteGrantsNothing)
+{
+    const std::string id = idAt(1);
+    auto first = all.send(0, id);
+    all.run(absl::Milliseconds(3));
+    // The write may be under way; the home loses its claims before the reply.
+    all.moveClaims("e1", "e2");
+    auto second = all.send(2, id);
+    all.run(absl::Seconds(10));
+    CHECK(first->verdict && second->verdict);
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+namespace {
+
+constexpr size_t scheduleEntries = 4;
+constexpr size_t scheduleExecutors = 3;
+
+/** One fault, or the end of some. */
+void injectFault(ClaimsWorld& all)
+{
+    auto& random = all.world.random();
+    const std::string entry = absl::StrCat("e", random() % scheduleEntries);
+    const std::string executor = absl::StrCat("x", random() % scheduleExecutors);
+    const size_t victim = 2 + random() % 2;
+    switch (random() % 14) {
+    case 0:
+        if (!all.entries[victim]->dead)
+            all.killEntry(victim, random() % 2, absl::Milliseconds(random() % 2500));
+        break;
+    case 1:
+        all.world.setStoreDown(true);
+        break;
+    case 2:
+    case 3:
+        all.world.setStoreDown(false);
+        break;
+    case 4:
+        all.world.pause(all.entries[random() % scheduleEntries]->node());
+        break;
+    case 5:
+    case 6:
+        for (auto& each : all.entries)
+            all.world.resume(each->node());
+        break;
+    case 7:
+        all.moveClaims(entry, absl::StrCat("e", random() % 2));
+        break;
+    case 8:
+        all.world.cut(entry, executor, random() % 2 == 0);
+        break;
+    case 9:
+        all.world.cut(executor, entry, random() % 2 == 0);
+        break;
+    default:
+        break;
+    }
+}
+
+/** One schedule of random faults; the text of what went wrong, or empty. */
+std::string runSchedule(uint64_t seed, size_t (&outcomes)[3])
+{
+    ClaimsWorld all(seed, scheduleEntries, scheduleExecutors);
+    auto& random = all.world.random();
+    all.profile.maxWait = absl::Seconds(3 + random() % 5);
+    all.runTime = absl::Milliseconds(10 + random() % 400);
+    all.world.setMaxDelay(absl::Milliseconds(1 + random() % 300));
+    all.world.setLoss(static_cast<double>(random() % 10) / 100);
+    all.world.setLostReplies(static_cast<double>(random() % 30) / 100);
+    for (auto& entry : all.entries)
+        entry->maxQueueing = absl::Milliseconds(random() % 3000);
+    for (int round = 0; round < 25; ++round) {
+        all.send(random() % scheduleEntries, absl::StrCat("id", random() % 8));
+        injectFault(all);
+        all.run(absl::Milliseconds(random() % 900));
+    }
+    all.world.setStoreDown(false);
+    for (auto& entry : all.entries)
+        all.world.resume(entry->node());
+    all.run(absl::Seconds(25));
+    outcomes[0] += all.count(Outcome::Ran);
+    outcomes[1] += all.count(Outcome::NotRun);
+    outcomes[2] += all.count(Outcome::Unknown);
+    return all.violations();
+}
+
+} // namespace
+
+TEST(ClaimsFailure, noScheduleOfFaultsStartsAnIdTwiceOrOneThatWasToldNotRun)
+{
+    size_t outcomes[3] = {};
+    constexpr uint64_t schedules = 400;
+    for (uint64_t seed = 1; seed <= schedules; ++seed) {
+        const std::string violations = runSchedule(seed, outcomes);
+        if (!violations.empty())
+            FAIL(absl::StrCat("seed ", seed, ": ", violations).c_str());
+    }
+    // The faults must not keep the requests from running at all, or nothing would be shown.
+    CHECK(outcomes[0] > schedules * 3);
+    CHECK(outcomes[1] > 0);
+    CHECK(outcomes[2] > 0);
+    UT_PRINT(absl::StrCat("ran ", outcomes[0], ", not-run ", outcomes[1], ", unknown ", outcomes[2]).c_str());
+}
