--- a/test/failure/ClaimsTest.cpp
+++ b/test/failure/ClaimsTest.cpp
@@ -131,7 +131,7 @@
 TEST(ClaimsFailure, afterTheClaimersDeathBeforeAnyStartTheIdIsClaimedAnew)
 {
     const std::string id = idAt(1);
-    all.entries[0]->maxQueueing = absl::Hours(1);
+    all.entries[0]->queueing = absl::Hours(1);
     all.send(0, id);
     all.run(absl::Milliseconds(500));
     all.killEntry(0, 2, absl::ZeroDuration());
@@ -145,7 +145,7 @@
 {
     const std::string id = idAt(1);
     all.profile.maxWait = absl::Seconds(4);
-    all.entries[0]->maxQueueing = absl::Hours(1);
+    all.entries[0]->queueing = absl::Hours(1);
     all.send(0, id);
     all.run(absl::Milliseconds(500));
     all.killEntry(0, 2, absl::ZeroDuration());
@@ -177,14 +177,60 @@
 
 TEST(ClaimsFailure, anOldHomesLateWriteGrantsNothing)
 {
+    // Many executors, so that a second start would not meet the first one's mark.
+    ClaimsWorld many(1, 3, 30);
+    many.run(absl::Seconds(1));
     const std::string id = idAt(1);
+    many.send(1, id + "-before");
+    many.send(1, idAt(1) + "other");
+    many.run(absl::Milliseconds(10));
+    many.send(0, id);
+    many.run(absl::Milliseconds(6));
+    // The home holds the claim back, as it has just written; it stops here, and loses its claims.
+    many.world.pause(many.entries[1]->node());
+    many.world.cutBoth("e0", "e2", true);
+    many.moveClaims("e1", "e2");
+    auto second = many.send(2, id);
+    many.run(absl::Milliseconds(500));
+    CHECK(isOutcome(second, Outcome::Ran));
+    many.world.resume(many.entries[1]->node());
+    many.run(absl::Seconds(10));
+    LONGS_EQUAL(1, many.starts(id));
+}
+
+TEST(ClaimsFailure, anExecutorThatTheSweepDidNotKnowIsSweptOnceTheClaimerMayNoLongerStart)
+{
+    const std::string id = idAt(1);
+    all.entries[0]->known = { 2 };
+    all.entries[2]->known = { 0, 1 };
+    all.entries[0]->maxQueueing = absl::Milliseconds(1500);
+    all.send(0, id);
+    all.run(absl::Milliseconds(100));
+    all.world.cutBoth("e0", "e1", true);
+    all.world.cutBoth("e0", "e2", true);
+    auto retry = all.send(2, id);
+    all.run(absl::Milliseconds(1900));
+    LONGS_EQUAL(1, all.starts(id));
+    all.entries[2]->known = { 0, 1, 2 };
+    all.run(absl::Seconds(8));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, aClaimerThatWaitedForTooLongUnheardStartsNothing)
+{
+    const std::string id = idAt(1);
+    all.entries[0]->known = { 2 };
+    all.entries[2]->known = { 0, 1 };
+    all.entries[0]->queueing = absl::Seconds(5);
     auto first = all.send(0, id);
-    all.run(absl::Milliseconds(3));
-    // The write may be under way; the home loses its claims before the reply.
-    all.moveClaims("e1", "e2");
-    auto second = all.send(2, id);
-    all.run(absl::Seconds(10));
-    CHECK(first->verdict && second->verdict);
+    all.run(absl::Milliseconds(100));
+    all.world.cutBoth("e0", "e1", true);
+    all.world.cutBoth("e0", "e2", true);
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(12));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    CHECK(first->verdict.has_value());
     LONGS_EQUAL(1, all.starts(id));
 }
 
--- a/test/standin/fake-executor.cpp
+++ b/test/standin/fake-executor.cpp
@@ -53,6 +53,7 @@
     void list(httplib::Response&);
     void fence(const httplib::Request&, httplib::Response&);
     void control(const httplib::Request&, httplib::Response&);
+    void listStarted(httplib::Response&);
     std::string refusal(const std::string& id, uint64_t epoch);
     /** True, and answered so, when the id is not known but may be from before this process started. */
     bool forgotten(const httplib::Request&, httplib::Response&);
@@ -73,6 +74,8 @@
     int64_t m_failAll = 0;
     int64_t m_hang = 0;
     int64_t m_leaving = 0;
+    /** Lets a test pretend that this process has run for longer. */
+    int64_t m_upMs = 0;
 };
 
 int64_t workMillis(const std::string& body)
@@ -141,7 +144,7 @@
     int64_t ageMs = 0;
     if (m_runs.contains(request.matches[1].str())
         || !absl::SimpleAtoi(request.get_header_value("Cicada-Age-Ms"), &ageMs)
-        || absl::Now() - m_startedAt >= absl::Milliseconds(ageMs))
+        || absl::Now() - m_startedAt + absl::Milliseconds(m_upMs) >= absl::Milliseconds(ageMs))
         return false;
     response.status = 404;
     response.set_header("Cicada-Run", "forgotten");
@@ -211,7 +214,7 @@
 {
     absl::MutexLock lock(&m_mutex);
     const std::pair<const char*, int64_t*> switches[]
-        = { { "failAll", &m_failAll }, { "hang", &m_hang }, { "leaving", &m_leaving } };
+        = { { "failAll", &m_failAll }, { "hang", &m_hang }, { "leaving", &m_leaving }, { "upMs", &m_upMs } };
     for (const auto& [name, value] : switches) {
         if (request.has_param(name) && !absl::SimpleAtoi(request.get_param_value(name), value))
             response.status = 400;
@@ -230,6 +233,18 @@
         "application/json");
 }
 
+/** Every id that was ever started here, one a line and once for each start. */
+void Executor::listStarted(httplib::Response& response)
+{
+    absl::MutexLock lock(&m_mutex);
+    std::string lines;
+    for (const auto& [id, count] : m_started) {
+        for (uint32_t i = 0; i < count; ++i)
+            absl::StrAppend(&lines, id, "\n");
+    }
+    response.set_content(lines, "text/plain");
+}
+
 void Executor::addRoutes(httplib::Server& server)
 {
     const std::string runPattern = R"(/v1/runs/([^/]+))";
@@ -238,6 +253,7 @@
     server.Delete(runPattern, [this](const auto& request, auto& response) { stop(request, response); });
     server.Get("/v1/runs", [this](const auto&, auto& response) { list(response); });
     server.Put(R"(/v1/epoch/(\d+))", [this](const auto& request, auto& response) { fence(request, response); });
+    server.Get("/control/started", [this](const auto&, auto& response) { listStarted(response); });
     server.Get("/control", [this](const auto& request, auto& response) { control(request, response); });
     server.Put("/control", [this](const auto& request, auto& response) { control(request, response); });
 }
--- a/test/support/ClaimsWorld.cpp
+++ b/test/support/ClaimsWorld.cpp
@@ -54,6 +54,8 @@
         callback(parts[1]);
     });
     m_node.onTick([this](Instant now) { tick(now); });
+    for (size_t i = 0; i < world.executors.size(); ++i)
+        known.push_back(i);
 }
 
 void ClaimsEntry::tick(Instant now)
@@ -94,6 +96,18 @@
     step(request);
 }
 
+void ClaimsEntry::claimOnly(const std::string& id, std::function<void()> granted)
+{
+    const Instant giveUp = m_node.clock().now() + m_world.profile.maxWait;
+    m_client.claim({ id, requestFingerprint, 0, giveUp, m_world.profile.maxWait },
+        [this, granted = std::move(granted)](const ClaimVerdict& verdict) {
+            if (verdict.kind != ClaimVerdict::Kind::Granted)
+                return;
+            m_client.closed(verdict.token);
+            granted();
+        });
+}
+
 void ClaimsEntry::step(const RequestPtr& request)
 {
     Settlement& settlement = *request->settlement;
@@ -146,8 +160,8 @@
 {
     auto& random = m_world.world.random();
     const auto wait = absl::Microseconds(random() % static_cast<uint64_t>(absl::ToInt64Microseconds(maxQueueing) + 1));
-    later(wait, [this, request, &random] {
-        const size_t executor = random() % m_world.executors.size();
+    later(queueing + wait, [this, request, &random] {
+        const size_t executor = known[random() % known.size()];
         StartGrant grant;
         grant.executor = absl::StrCat("x", executor);
         grant.address = { "10.0.0.1", static_cast<uint16_t>(executor + 1) };
@@ -214,9 +228,9 @@
         std::optional<Endpoint> found;
     };
     auto sweep = std::make_shared<Sweep>();
-    sweep->open = m_world.executors.size();
+    sweep->open = known.size();
     const Instant startedAt = m_node.clock().now();
-    for (size_t i = 0; i < m_world.executors.size(); ++i) {
+    for (const size_t i : known) {
         ask(absl::StrCat("x", i), absl::StrCat("stop|", request->settlement->step().runId),
             [=, this](const std::string& state) {
                 if (state == "running" || state == "done")
--- a/test/support/ClaimsWorld.h
+++ b/test/support/ClaimsWorld.h
@@ -56,12 +56,17 @@
     ClaimsEntry(ClaimsWorld& world, const std::string& name, uint64_t incarnation, double rate);
 
     void begin(const std::shared_ptr<ClaimedRequest>& request, const Profile& profile);
+    /** Only claims the id, and gives the claim up once it is granted; then `granted` is called. */
+    void claimOnly(const std::string& id, std::function<void()> granted);
     Node& node() { return m_node; }
     ClaimsHome& home() { return m_home; }
     TableOwnership& ownership() { return m_ownership; }
 
-    /** How long a request waits for a slot, at most. */
+    /** How long a request waits for a slot: this, and a random time up to the second. */
+    absl::Duration queueing = absl::ZeroDuration();
     absl::Duration maxQueueing = absl::Milliseconds(100);
+    /** The executors that this entry knows, by number. */
+    std::vector<size_t> known;
     bool dead = false;
 
 private:
--- a/test/support/FakeWorld.cpp
+++ b/test/support/FakeWorld.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr absl::Duration maxStoreDelay = absl::Milliseconds(5);
     constexpr absl::Duration maxClockOffset = absl::Hours(1);
 
 } // namespace
@@ -54,7 +53,7 @@
 {
     ++(isWrite ? m_counts.writes : m_counts.reads);
     auto shared = std::make_shared<Callback>(std::move(callback));
-    m_world->schedule(m_world->randomDelay(maxStoreDelay), [this, effect, isWrite, shared] {
+    m_world->schedule(m_world->randomDelay(m_world->m_maxStoreDelay), [this, effect, isWrite, shared] {
         StoreReply reply;
         const bool down = m_world->m_storeDown;
         if (!down)
@@ -62,7 +61,7 @@
         const bool lost = down || (isWrite && m_world->chance(m_world->m_lostReplies));
         if (lost)
             reply = {};
-        const absl::Duration delay = lost ? FakeWorld::storeTimeout : m_world->randomDelay(maxStoreDelay);
+        const absl::Duration delay = lost ? FakeWorld::storeTimeout : m_world->randomDelay(m_world->m_maxStoreDelay);
         m_world->scheduleOn(*this, delay, [shared, reply] { (*shared)(reply); });
     });
 }
@@ -139,7 +138,7 @@
             entries.push_back(entry);
     }
     m_world->scheduleOn(
-        *this, m_world->randomDelay(maxStoreDelay), [this, entries = std::move(entries)] { m_watch(entries); });
+        *this, m_world->randomDelay(m_world->m_maxStoreDelay), [this, entries = std::move(entries)] { m_watch(entries); });
 }
 
 FakeWorld::FakeWorld(uint64_t seed)
--- a/test/support/FakeWorld.h
+++ b/test/support/FakeWorld.h
@@ -110,6 +110,8 @@
     void setLoss(double share) { m_loss = share; }
     /** The longest delay of a peer message; each takes a random time up to it. */
     void setMaxDelay(absl::Duration delay) { m_maxDelay = delay; }
+    /** The longest delay of a store call, each way; each takes a random time up to it. */
+    void setMaxStoreDelay(absl::Duration delay) { m_maxStoreDelay = delay; }
     /** What the store holds; tests may look, and set up what was there before. */
     absl::btree_map<std::string, StoreEntry>& stored() { return m_stored; }
     uint64_t nextIndex() { return ++m_index; }
@@ -137,6 +139,7 @@
     double m_lostReplies = 0;
     double m_loss = 0;
     absl::Duration m_maxDelay = absl::Milliseconds(2);
+    absl::Duration m_maxStoreDelay = absl::Milliseconds(5);
     absl::flat_hash_set<std::pair<std::string, std::string>> m_cuts;
 };
 
