--- a/src/ClaimsClient.cpp
+++ b/src/ClaimsClient.cpp
@@ -97,8 +97,8 @@
     case ClaimAnswer::Held:
         verdict.kind = ClaimVerdict::Kind::Held;
         const Instant now = m_clock.now();
-        verdict.held = { reply.holder, reply.holderToken, reply.version,
-            now + absl::Milliseconds(reply.mayStartForMs), now - absl::Milliseconds(reply.ageMs) };
+        verdict.held = { reply.holder, reply.holderToken, reply.version, now + absl::Milliseconds(reply.mayStartForMs),
+            now - absl::Milliseconds(reply.ageMs) };
         break;
     }
     decide(attempt, verdict);
--- a/src/ClaimsExecutors.cpp
+++ b/src/ClaimsExecutors.cpp
@@ -23,9 +23,8 @@
         if (backEnd.kind == BackEndKind::Executor)
             m_known[toString(backEnd.address)] = { backEnd.service, backEnd.address, now, true };
     }
-    absl::erase_if(m_known, [&](const auto& item) {
-        return !item.second.listed && now - item.second.lastListedAt > m_retention;
-    });
+    absl::erase_if(
+        m_known, [&](const auto& item) { return !item.second.listed && now - item.second.lastListedAt > m_retention; });
 }
 
 std::vector<Endpoint> ClaimsExecutors::of(absl::string_view service) const
--- a/src/ClaimsHome.cpp
+++ b/src/ClaimsHome.cpp
@@ -100,7 +100,7 @@
     if (!claim.stored || now - claim.knownSince < m_retention / 2)
         return;
     // The attempt lives on, so the store is told again before the record there is too old to count.
-    if (m_journal.append(claim.record, [] { }))
+    if (m_journal.append(claim.record, [] {}))
         claim.knownSince = now;
 }
 
@@ -111,7 +111,8 @@
     ClaimReply reply { ask.id, ask.token, ClaimAnswer::Pending, version, "", 0, 0, 0, ask.stamp };
     const uint32_t number = claimPartition(ask.id);
     // A full journal is left to the claimer's next ask.
-    const bool queued = m_journal.append(record, [this, number, record, stamp = ask.stamp] { stored(number, record, stamp); });
+    const bool queued
+        = m_journal.append(record, [this, number, record, stamp = ask.stamp] { stored(number, record, stamp); });
     if (queued) {
         const Instant now = m_clock.now();
         partition.claims[ask.id] = Claim { record, false, now, false, now };
@@ -229,7 +230,7 @@
             continue;
         }
         if (m_ownership.term(claimGroup(claimPartition(it->first)))) {
-            m_store.remove(it->first, it->second.index, [](const StoreReply&) { });
+            m_store.remove(it->first, it->second.index, [](const StoreReply&) {});
             ++removals;
         }
         m_seenSegments.erase(it++);
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -69,16 +69,14 @@
     {
         const Settings& s = p.settings;
         const std::string incarnation = randomUuid();
-        p.journal = std::make_unique<Journal>(
-            *p.store, p.clock, absl::StrCat(s.name, "-", incarnation), s.claimRetention);
-        p.claimsHome
-            = std::make_unique<ClaimsHome>(*p.store, *p.journal, *p.ownership, p.clock, s.claimRetention);
+        p.journal
+            = std::make_unique<Journal>(*p.store, p.clock, absl::StrCat(s.name, "-", incarnation), s.claimRetention);
+        p.claimsHome = std::make_unique<ClaimsHome>(*p.store, *p.journal, *p.ownership, p.clock, s.claimRetention);
         p.claims = std::make_unique<ClaimsClient>(s.name, std::hash<std::string>()(incarnation), *p.claimsHome,
             *p.peers, *p.ownership, p.clock, s.claimRetention);
         p.executors = std::make_unique<ClaimsExecutors>(p.backEnds, p.clock, s.claimRetention);
-        const auto ended = [&p](const StartGrant& grant) {
-            p.loop->postMust([&p, grant] { p.dispatcher->finished(grant); });
-        };
+        const auto ended
+            = [&p](const StartGrant& grant) { p.loop->postMust([&p, grant] { p.dispatcher->finished(grant); }); };
         return addService(p.kernel, std::make_unique<LostRuns>(p.clock, ended), p.lostRuns);
     }
 
@@ -103,8 +101,8 @@
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
     BOOST_OUTCOME_TRY(addClaims(p));
-    p.handler = std::make_unique<RequestHandler>(RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher,
-        *p.spans, p.metrics, *p.claims, *p.executors, *p.lostRuns });
+    p.handler = std::make_unique<RequestHandler>(RequestHandler::Parts {
+        *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics, *p.claims, *p.executors, *p.lostRuns });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
     addStatusRoutes(*p.frontend,
--- a/src/ExecutorClient.cpp
+++ b/src/ExecutorClient.cpp
@@ -49,8 +49,8 @@
         if (!response)
             return result;
         result.state = response->get_header_value("Cicada-Run");
-        result.answer = { RunEnd::Answered, response->status, response->get_header_value("Content-Type"),
-            response->body, {} };
+        result.answer
+            = { RunEnd::Answered, response->status, response->get_header_value("Content-Type"), response->body, {} };
         return result;
     }
 
@@ -126,7 +126,8 @@
             if (reply.state == "forgotten")
                 return failed(RunEnd::Unknown, "The executor started anew and does not know whether it ran.");
             if (reply.state == "stopped")
-                return failed(m_stopUnstarted ? RunEnd::NotStarted : RunEnd::Refused, "The executor will not start it.");
+                return failed(
+                    m_stopUnstarted ? RunEnd::NotStarted : RunEnd::Refused, "The executor will not start it.");
             if (reply.state != "never")
                 return std::nullopt;
             if (!m_own)
@@ -140,8 +141,7 @@
         {
             if (nextQuestion(m_clock.now()) == Question::Ask)
                 return reply.answer;
-            const RunState whole
-                = askOnce(m_executor, m_runId, m_clock.now() - m_startedAt, Question::Ask);
+            const RunState whole = askOnce(m_executor, m_runId, m_clock.now() - m_startedAt, Question::Ask);
             return whole.state == "done" ? std::optional<RunResult>(whole.answer) : std::nullopt;
         }
 
@@ -193,8 +193,8 @@
     return Follower(address, request.requestId, sentAt, request.maxRun, true, clock).follow();
 }
 
-RunResult joinRun(const Endpoint& executor, const std::string& runId, absl::Duration age, absl::Duration patience,
-    const Clock& clock)
+RunResult joinRun(
+    const Endpoint& executor, const std::string& runId, absl::Duration age, absl::Duration patience, const Clock& clock)
 {
     return Follower(executor, runId, clock.now() - age, patience, false, clock).follow();
 }
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -97,8 +97,7 @@
     return answer;
 }
 
-CallerAnswer RequestHandler::handleOnce(
-    const CallerRequest& request, const WorkItem& item, const TraceContext& parent)
+CallerAnswer RequestHandler::handleOnce(const CallerRequest& request, const WorkItem& item, const TraceContext& parent)
 {
     auto mine = std::make_shared<Running>();
     mine->fingerprint = fingerprint(item);
--- a/test/failure/ClaimsTest.cpp
+++ b/test/failure/ClaimsTest.cpp
@@ -234,6 +234,99 @@
     LONGS_EQUAL(1, all.starts(id));
 }
 
+TEST(ClaimsFailure, aGrantThatWasHeldUpGivesNoMoreTimeToStart)
+{
+    const std::string id = idAt(1);
+    all.entries[0]->known = { 2 };
+    all.entries[2]->known = { 0, 1 };
+    all.send(0, id);
+    all.run(absl::Milliseconds(1));
+    all.world.pause(all.entries[0]->node());
+    all.run(absl::Milliseconds(100));
+    auto retry = all.send(2, id);
+    all.run(absl::Seconds(6));
+    CHECK(isOutcome(retry, Outcome::Ran));
+    all.world.resume(all.entries[0]->node());
+    all.run(absl::Seconds(8));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, ofTwoRecordsOfOneIdThatOfTheLaterHomeCounts)
+{
+    const std::string id = idAt(1);
+    const ClaimRecord late { id, 1, 11, "e0", 7, 1000, 1 };
+    const ClaimRecord granted { id, 1, 22, "e2", 7, 1000, 2 };
+    for (const bool lateFirst : { true, false }) {
+        ClaimsWorld world(1);
+        const std::string keys[] = { "cicada/journal/a/0", "cicada/journal/b/0" };
+        world.world.stored()[keys[lateFirst ? 0 : 1]]
+            = { keys[lateFirst ? 0 : 1], encodeClaims({ late }), world.world.nextIndex() };
+        world.world.stored()[keys[lateFirst ? 1 : 0]]
+            = { keys[lateFirst ? 1 : 0], encodeClaims({ granted }), world.world.nextIndex() };
+        world.run(absl::Seconds(1));
+        std::optional<ClaimReply> reply;
+        world.entries[1]->home().onReply([&](const std::string&, const ClaimReply& r) { reply = r; });
+        world.entries[1]->home().handleAsk("e0", { id, 99, 7, 1000, 0, 0 });
+        CHECK(reply && reply->answer == ClaimAnswer::Held);
+        LONGS_EQUAL(22, reply->holderToken);
+    }
+}
+
+TEST(ClaimsFailure, aReadingOfTheJournalFromBeforeAnotherHomesTimeDoesNotCount)
+{
+    ClaimsWorld many(1, 3, 30);
+    many.run(absl::Seconds(1));
+    const std::string id = idAt(1);
+    many.moveClaims("e1", "e2");
+    many.run(absl::Milliseconds(6));
+    many.world.pause(many.entries[2]->node());
+    many.run(absl::Milliseconds(50));
+    many.moveClaims("e2", "e0");
+    auto first = many.send(0, id);
+    many.run(absl::Seconds(1));
+    CHECK(isOutcome(first, Outcome::Ran));
+    many.moveClaims("e0", "e2");
+    many.world.cutBoth("e0", "e2", true);
+    many.world.resume(many.entries[2]->node());
+    auto second = many.send(2, id);
+    many.run(absl::Seconds(5));
+    CHECK(isOutcome(second, Outcome::Ran));
+    LONGS_EQUAL(1, many.starts(id));
+}
+
+TEST(ClaimsFailure, aRunLongerThanTheRetentionKeepsItsClaim)
+{
+    const std::string id = idAt(1);
+    all.runTime = 5 * all.retention;
+    all.send(0, id);
+    all.run(all.retention);
+    all.runTime = absl::Milliseconds(10);
+    // The home writes over its oldest segments.
+    for (int i = 0; i < 30; ++i) {
+        all.send(1, idAt(1) + absl::StrCat("-", i));
+        all.run(absl::Seconds(2));
+    }
+    all.killEntry(1, 2, absl::Seconds(1));
+    all.world.kill(all.entries[0]->node());
+    auto retry = all.send(2, id);
+    all.run(5 * all.retention);
+    CHECK(isOutcome(retry, Outcome::Ran));
+    LONGS_EQUAL(1, all.starts(id));
+}
+
+TEST(ClaimsFailure, whatIsOlderThanTheRetentionTakesNoRoom)
+{
+    for (int i = 0; i < 240; ++i) {
+        all.send(static_cast<size_t>(i) % 3, absl::StrCat("id", i));
+        all.run(absl::Seconds(1));
+    }
+    size_t remembered = 0;
+    for (auto& entry : all.entries)
+        remembered += entry->home().size();
+    CHECK(remembered >= 55 && remembered <= 75);
+    CHECK(all.world.stored().size() <= 75);
+}
+
 namespace {
 
 constexpr size_t scheduleEntries = 4;
--- a/test/performance/BenchClaims.cpp
+++ b/test/performance/BenchClaims.cpp
@@ -78,8 +78,9 @@
 
 int main()
 {
-    std::cout << "Claims, " << entryCount << " entries, store of up to 3 ms each way, 20 s each\n"
-              << "claims/s  granted   p50 ms   p99 ms   max ms  writes/s/entry  bytes/claim  us/claim  us/claim to read\n";
+    std::cout
+        << "Claims, " << entryCount << " entries, store of up to 3 ms each way, 20 s each\n"
+        << "claims/s  granted   p50 ms   p99 ms   max ms  writes/s/entry  bytes/claim  us/claim  us/claim to read\n";
     for (const int rate : { 10, 100, 1000, 2000 })
         measure(rate);
     return 0;
--- a/test/support/ClaimsWorld.cpp
+++ b/test/support/ClaimsWorld.cpp
@@ -202,7 +202,8 @@
         if (state.empty() && now - since > goneAfter)
             return ended(request, RunEnd::Unknown, own);
         const Instant heard = state.empty() ? since : now;
-        later(askInterval, [=, this] { follow(request, executor, runId, own, heard, stopUnstarted || state == "never"); });
+        later(askInterval,
+            [=, this] { follow(request, executor, runId, own, heard, stopUnstarted || state == "never"); });
     });
 }
 
--- a/test/support/FakeWorld.cpp
+++ b/test/support/FakeWorld.cpp
@@ -137,8 +137,8 @@
         if (absl::StartsWith(key, m_watchPrefix))
             entries.push_back(entry);
     }
-    m_world->scheduleOn(
-        *this, m_world->randomDelay(m_world->m_maxStoreDelay), [this, entries = std::move(entries)] { m_watch(entries); });
+    m_world->scheduleOn(*this, m_world->randomDelay(m_world->m_maxStoreDelay),
+        [this, entries = std::move(entries)] { m_watch(entries); });
 }
 
 FakeWorld::FakeWorld(uint64_t seed)
