Merge main: owners that probe their executors settle lost slots

LostRuns is dropped, as ExecutorHealth does the same at the owner. Slots are accounted for under the run id that the executors know, so that an owner finds later attempts too.

--- a/src/ClaimsClient.cpp
+++ b/src/ClaimsClient.cpp
@@ -110,7 +110,7 @@
     attempt.startUntil = std::max(attempt.startUntil, until);
 }
 
-void ClaimsClient::decide(Attempt& attempt, ClaimVerdict verdict)
+void ClaimsClient::decide(Attempt& attempt, const ClaimVerdict& verdict)
 {
     if (attempt.granted || !attempt.callback)
         return;
--- a/src/ClaimsClient.h
+++ b/src/ClaimsClient.h
@@ -128,7 +128,7 @@
     void sendAsk(Attempt&);
     void extend(Attempt&, const ClaimReply&);
     void handleReply(const ClaimReply&);
-    void decide(Attempt&, ClaimVerdict);
+    void decide(Attempt&, const ClaimVerdict&);
     Location locateHere(uint64_t token) const;
     void handleLocate(absl::string_view from, absl::string_view bytes);
     void handleLocated(absl::string_view bytes);
--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -1,12 +1,14 @@
 #include "Entry.h"
 
 #include "ConfigWatch.h"
+#include "ExecutorHealth.h"
 #include "Frontend.h"
 #include "HashedOwnership.h"
 #include "HttpStore.h"
 #include "Membership.h"
 #include "ProfileRoutes.h"
 #include "StatusRoutes.h"
+#include "StopRoutes.h"
 #include "TcpPeerBus.h"
 #include "Uuid.h"
 #include "VmListWatcher.h"
@@ -15,6 +17,8 @@
 
 #include <glog/logging.h>
 
+#include <csignal>
+
 namespace cicada {
 
 namespace {
@@ -40,23 +44,42 @@
     HttpStore* store = nullptr;
     TcpPeerBus* peers = nullptr;
     SpanWriter* spans = nullptr;
+    HttpExecutorProbe* probe = nullptr;
     Frontend* frontend = nullptr;
     std::unique_ptr<ConfigWatch> watch;
     std::unique_ptr<Membership> membership;
     std::unique_ptr<HashedOwnership> ownership;
     std::unique_ptr<SlotLedger> ledger;
+    std::unique_ptr<ExecutorHealth> health;
     std::unique_ptr<Dispatcher> dispatcher;
+    std::unique_ptr<StopBook> stops;
     std::unique_ptr<ProfileBook> profiles;
     std::unique_ptr<Journal> journal;
     std::unique_ptr<ClaimsHome> claimsHome;
     std::unique_ptr<ClaimsClient> claims;
     std::unique_ptr<ClaimsExecutors> executors;
-    LostRuns* lostRuns = nullptr;
     std::unique_ptr<RequestHandler> handler;
 };
 
 namespace {
 
+    /** What is in flight for a planned stop, as far as this entry accounts for it. */
+    template <typename Parts> std::optional<uint64_t> remainingWork(const Parts& p, const PlannedStop& stop)
+    {
+        if (stop.kind == StopKind::Entry) {
+            if (stop.target != p.settings.name)
+                return std::nullopt;
+            return p.frontend->inFlight();
+        }
+        std::optional<uint64_t> remaining;
+        for (const BackEnd& backEnd : p.backEnds.all()) {
+            const bool meant = stop.target == (stop.kind == StopKind::Rack ? backEnd.rack : backEnd.name);
+            if (meant && p.ownership->term(backEnd.group()))
+                remaining = remaining.value_or(0) + p.ledger->inUse(backEnd.name);
+        }
+        return remaining;
+    }
+
     /** Hands a service to the kernel and keeps a pointer to it. */
     template <typename T> Result<void> addService(Kernel& kernel, std::unique_ptr<T> service, T*& pointer)
     {
@@ -65,7 +88,7 @@
     }
 
     /** What requests that must not run twice need. */
-    template <typename Parts> Result<void> addClaims(Parts& p)
+    template <typename Parts> void addClaims(Parts& p)
     {
         const Settings& s = p.settings;
         const std::string incarnation = randomUuid();
@@ -75,9 +98,6 @@
         p.claims = std::make_unique<ClaimsClient>(s.name, std::hash<std::string>()(incarnation), *p.claimsHome,
             *p.peers, *p.ownership, p.clock, s.claimRetention);
         p.executors = std::make_unique<ClaimsExecutors>(p.backEnds, p.clock, s.claimRetention);
-        const auto ended
-            = [&p](const StartGrant& grant) { p.loop->postMust([&p, grant] { p.dispatcher->finished(grant); }); };
-        return addService(p.kernel, std::make_unique<LostRuns>(p.clock, ended), p.lostRuns);
     }
 
 } // namespace
@@ -92,6 +112,7 @@
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpStore>(s.store, *p.loop), p.store));
     BOOST_OUTCOME_TRY(
         addService(p.kernel, std::make_unique<TcpPeerBus>(s.name, s.region, s.peers, p.clock, *p.loop), p.peers));
+    BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpExecutorProbe>(*p.loop), p.probe));
     VmListWatcher* vmList = nullptr;
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<VmListWatcher>(s.vmList, *p.loop, p.backEnds), vmList));
     p.watch = std::make_unique<ConfigWatch>(*p.store);
@@ -99,15 +120,21 @@
     p.ownership = std::make_unique<HashedOwnership>(s, *p.membership, p.backEnds, p.clock);
     p.ledger = std::make_unique<SlotLedger>(p.backEnds, *p.ownership, p.clock);
     p.dispatcher = std::make_unique<Dispatcher>(s.name, p.backEnds, *p.ledger, *p.peers, p.clock, s.maxQueuedRequests);
+    p.stops = std::make_unique<StopBook>(StopBook::Parts { s, *p.store, *p.peers, *p.watch, p.backEnds, p.clock,
+        [&p](const PlannedStop& stop) { return remainingWork(p, stop); }, [] { raise(SIGTERM); } });
+    p.health = std::make_unique<ExecutorHealth>(
+        ExecutorHealth::Parts { p.backEnds, *p.ownership, *p.ledger, *p.probe, p.clock,
+            [&p](const BackEnd& backEnd) { return p.stops->isPlanned(backEnd); }, [&p] { p.dispatcher->pumpAll(); } });
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
-    BOOST_OUTCOME_TRY(addClaims(p));
+    addClaims(p);
     p.handler = std::make_unique<RequestHandler>(RequestHandler::Parts {
-        *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics, *p.claims, *p.executors, *p.lostRuns });
+        *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics, *p.claims, *p.executors });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
+    addStopRoutes(*p.frontend, *p.loop, *p.stops);
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles);
     addStatusRoutes(*p.frontend,
-        { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.dispatcher, *p.profiles, *p.store,
-            *p.peers, p.metrics });
+        { s, *p.loop, *p.membership, *p.ownership, *p.ledger, p.backEnds, *p.health, *p.dispatcher, *p.profiles,
+            *p.store, *p.peers, p.metrics });
     p.loop->onTick([&p](Instant now) {
         p.membership->tick(now);
         p.dispatcher->tick(now);
@@ -115,6 +142,8 @@
         p.journal->tick(now);
         p.claimsHome->tick(now);
         p.claims->tick(now);
+        p.stops->tick(now);
+        p.health->tick(now);
         p.frontend->setReady(p.membership->registered() && p.profiles->version() > 0);
     });
     return std::unique_ptr<Entry>(new Entry(std::move(parts)));
--- a/src/ExecutorClient.cpp
+++ b/src/ExecutorClient.cpp
@@ -222,11 +222,4 @@
     return result;
 }
 
-bool runIsOver(const Endpoint& executor, const std::string& runId, absl::Duration age)
-{
-    // An executor that started anew runs nothing of before.
-    const std::string state = askOnce(executor, runId, age, Question::StopUnstarted).state;
-    return state == "done" || state == "stopped" || state == "forgotten";
-}
-
 } // namespace cicada
--- a/src/ExecutorClient.h
+++ b/src/ExecutorClient.h
@@ -68,7 +68,4 @@
  * on. Blocks for some seconds at most; thread-safe. */
 RunSearch searchRun(absl::Span<const Endpoint> executors, const std::string& runId, absl::Duration age);
 
-/** Whether the executor, asked once, confirms that the run is over or will never start. Blocks; thread-safe. */
-bool runIsOver(const Endpoint& executor, const std::string& runId, absl::Duration age);
-
 } // namespace cicada
--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -33,6 +33,16 @@
         return answer;
     }
 
+    RunVerdict verdictOf(const RunResult& result)
+    {
+        constexpr int firstServerError = 500;
+        if (result.end == RunEnd::Unknown)
+            return RunVerdict::Unsettled;
+        if (result.end != RunEnd::Answered)
+            return RunVerdict::NotStarted;
+        return result.status >= firstServerError ? RunVerdict::Failed : RunVerdict::Succeeded;
+    }
+
     Result<std::string> requestId(const CallerRequest& request, const Profile& profile)
     {
         if (request.id.empty() && profile.mayRunTwice)
@@ -205,6 +215,8 @@
     auto answer = std::make_shared<Answer<Placement>>();
     const uint64_t token = flow.settlement.token();
     WorkItem item = flow.item;
+    // Owners account for runs under the id that the executors know.
+    item.requestId = flow.settlement.step().runId;
     item.profile.maxWait = std::max(flow.settlement.step().until - m_parts.clock.now(), absl::ZeroDuration());
     const bool posted = m_parts.loop.post([this, answer, token, item] {
         m_parts.dispatcher.submit(item, [this, answer, token](Result<StartGrant> decision) {
@@ -232,11 +244,9 @@
     span.attribute("executor", step.grant.executor);
     const RunRequest request { step.grant, step.runId, flow.request.contentType, toTraceparent(span.context()),
         flow.request.body, flow.item.profile.maxRun };
+    const Instant sentAt = m_parts.clock.now();
     RunResult result = runOnExecutor(request, m_parts.clock);
-    if (result.end == RunEnd::Unknown)
-        m_parts.lostRuns.add(step.grant, step.runId);
-    else
-        giveBack(step.grant);
+    giveBack(step.grant, { verdictOf(result), m_parts.clock.now() - sentAt });
     const uint64_t token = flow.settlement.token();
     if (token != 0 && result.end == RunEnd::NotStarted)
         m_parts.loop.postMust([this, token] { m_parts.claims.notStarted(token); });
@@ -300,9 +310,9 @@
     return result;
 }
 
-void RequestHandler::giveBack(const StartGrant& grant)
+void RequestHandler::giveBack(const StartGrant& grant, const RunReport& report)
 {
-    m_parts.loop.postMust([this, grant] { m_parts.dispatcher.finished(grant); });
+    m_parts.loop.postMust([this, grant, report] { m_parts.dispatcher.finished(grant, report); });
 }
 
 } // namespace cicada
--- a/src/RequestHandler.h
+++ b/src/RequestHandler.h
@@ -10,7 +10,6 @@
 #include "Dispatcher.h"
 #include "ExecutorClient.h"
 #include "Loop.h"
-#include "LostRuns.h"
 #include "Metrics.h"
 #include "Outcome.h"
 #include "ProfileBook.h"
@@ -59,7 +58,6 @@
         Metrics& metrics;
         ClaimsClient& claims;
         const ClaimsExecutors& executors;
-        LostRuns& lostRuns;
     };
 
     /** Everything in `parts` must outlive the handler. */
@@ -89,7 +87,7 @@
     void join(Flow& flow);
     void sweep(Flow& flow);
     void finish(const Settlement&);
-    void giveBack(const StartGrant& grant);
+    void giveBack(const StartGrant& grant, const RunReport& report);
 
     Parts m_parts;
     absl::Mutex m_mutex;
--- a/src/Settlement.cpp
+++ b/src/Settlement.cpp
@@ -144,7 +144,8 @@
         return unknown(ErrorKind::BackEndFailed, std::move(result.reason));
     const std::string& executor = m_step.grant.executor;
     if (result.end == RunEnd::Refused && !m_notStartedOn.contains(executor))
-        return unknown(ErrorKind::DuplicateRequest, "A later attempt with this id took its place.");
+        return unknown(ErrorKind::DuplicateRequest,
+            "The executor was told to refuse this attempt; a later one with the same id may have taken its place.");
     m_notStartedOn.insert(executor);
     if (m_placements < maxPlacements && now < m_deadline && mayRetry)
         return place();
