--- a/test/support/ClaimsWorld.cpp
+++ b/test/support/ClaimsWorld.cpp
@@ -251,7 +251,7 @@
     }
 }
 
-ClaimsExecutor::ClaimsExecutor(ClaimsWorld& world, const std::string& name, Endpoint)
+ClaimsExecutor::ClaimsExecutor(ClaimsWorld& world, const std::string& name)
     : m_world(world)
     , m_node(world.world.addNode(name))
 {
@@ -286,10 +286,10 @@
 {
     profile.name = "tally";
     for (size_t i = 0; i < executorCount; ++i)
-        executors.push_back(
-            std::make_unique<ClaimsExecutor>(*this, absl::StrCat("x", i), Endpoint { "10.0.0.1", uint16_t(i + 1) }));
+        executors.push_back(std::make_unique<ClaimsExecutor>(*this, absl::StrCat("x", i)));
     for (size_t i = 0; i < entryCount; ++i)
-        entries.push_back(std::make_unique<ClaimsEntry>(*this, absl::StrCat("e", i), seed * 100 + i, 1.0));
+        entries.push_back(std::make_unique<ClaimsEntry>(
+            *this, absl::StrCat("e", i), seed * 100 + i, 0.99 + 0.01 * static_cast<double>(i % 3)));
     for (uint32_t partition = 0; partition < claimPartitions; ++partition) {
         const size_t owner = partition % entryCount;
         table[claimGroup(partition)] = { entries[owner]->node().name(), m_epoch };
--- a/test/support/ClaimsWorld.h
+++ b/test/support/ClaimsWorld.h
@@ -99,7 +99,7 @@
 /** An executor: runs by run id, and refuses ids that it knows. */
 class ClaimsExecutor {
 public:
-    ClaimsExecutor(ClaimsWorld& world, const std::string& name, Endpoint address);
+    ClaimsExecutor(ClaimsWorld& world, const std::string& name);
     Node& node() { return m_node; }
 
 private:
--- a/test/support/FakeWorld.cpp
+++ b/test/support/FakeWorld.cpp
@@ -53,17 +53,19 @@
 {
     ++(isWrite ? m_counts.writes : m_counts.reads);
     auto shared = std::make_shared<Callback>(std::move(callback));
-    m_world->schedule(m_world->randomDelay(m_world->m_maxStoreDelay), [this, effect, isWrite, shared] {
-        StoreReply reply;
-        const bool down = m_world->m_storeDown;
-        if (!down)
-            reply = effect();
-        const bool lost = down || (isWrite && m_world->chance(m_world->m_lostReplies));
-        if (lost)
-            reply = {};
-        const absl::Duration delay = lost ? FakeWorld::storeTimeout : m_world->randomDelay(m_world->m_maxStoreDelay);
-        m_world->scheduleOn(*this, delay, [shared, reply] { (*shared)(reply); });
-    });
+    m_world->schedule(
+        m_world->randomDelay(m_world->m_maxStoreDelay), [this, effect = std::move(effect), isWrite, shared] {
+            StoreReply reply;
+            const bool down = m_world->m_storeDown;
+            if (!down)
+                reply = effect();
+            const bool lost = down || (isWrite && m_world->chance(m_world->m_lostReplies));
+            if (lost)
+                reply = {};
+            const absl::Duration delay
+                = lost ? FakeWorld::storeTimeout : m_world->randomDelay(m_world->m_maxStoreDelay);
+            m_world->scheduleOn(*this, delay, [shared, reply] { (*shared)(reply); });
+        });
 }
 
 void Node::get(absl::string_view key, Callback callback)
--- a/tools/LoadPlan.cpp
+++ b/tools/LoadPlan.cpp
@@ -1,8 +1,7 @@
 #include "LoadPlan.h"
 
 #include "Json.h"
-
-#include "absl/strings/str_format.h"
+#include "Uuid.h"
 
 #include <random>
 
@@ -67,14 +66,6 @@
         return kind;
     }
 
-    std::string drawId(std::mt19937_64& random)
-    {
-        const uint64_t high = random();
-        const uint64_t low = random();
-        return absl::StrFormat("%08x-%04x-4%03x-8%03x-%012x", high >> 32, (high >> 16) & 0xffff, high & 0xfff,
-            low >> 52, low & 0xffffffffffff);
-    }
-
 } // namespace
 
 Result<LoadPlan> parseLoadPlan(absl::string_view json)
@@ -109,7 +100,8 @@
         at += absl::Seconds(std::exponential_distribution<double>(rate)(random));
         if (at >= plan.length)
             return requests;
-        PlannedRequest request { at, drawKind(random), 0, drawId(random) };
+        // Ids are new in each load: two loads of one seed must not repeat each other's requests.
+        PlannedRequest request { at, drawKind(random), 0, randomUuid() };
         const LoadKind& kind = plan.kinds[request.kind];
         const bool straggles = std::bernoulli_distribution(kind.stragglerShare)(random);
         request.workMs = kind.workMs * (straggles ? kind.stragglerFactor : 1);
