--- a/src/ClaimsClient.h
+++ b/src/ClaimsClient.h
@@ -11,8 +11,9 @@
 #include "PeerBus.h"
 #include "Settings.h"
 
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/flat_hash_set.h"
 
 #include <deque>
 #include <memory>
@@ -147,10 +148,10 @@
     uint64_t m_nextToken;
     uint64_t m_nextLocate = 1;
     absl::flat_hash_map<uint64_t, std::unique_ptr<Attempt>> m_attempts;
-    absl::flat_hash_set<uint64_t> m_live;
+    absl::btree_set<uint64_t> m_live;
     /** Ended attempts, oldest first. */
     std::deque<std::pair<Instant, uint64_t>> m_ended;
-    absl::flat_hash_map<uint64_t, Locating> m_locating;
+    absl::btree_map<uint64_t, Locating> m_locating;
 };
 
 } // namespace cicada
--- a/src/ClaimsHome.cpp
+++ b/src/ClaimsHome.cpp
@@ -233,7 +233,7 @@
             m_store.remove(it->first, it->second.index, [](const StoreReply&) {});
             ++removals;
         }
-        m_seenSegments.erase(it++);
+        it = m_seenSegments.erase(it);
     }
 }
 
--- a/src/ClaimsHome.h
+++ b/src/ClaimsHome.h
@@ -11,6 +11,7 @@
 #include "PeerBus.h"
 #include "Store.h"
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 
 #include <string>
@@ -83,8 +84,8 @@
     const Clock& m_clock;
     const absl::Duration m_retention;
     Reply m_reply;
-    absl::flat_hash_map<uint32_t, Partition> m_partitions;
-    absl::flat_hash_map<std::string, SeenSegment> m_seenSegments;
+    absl::btree_map<uint32_t, Partition> m_partitions;
+    absl::btree_map<std::string, SeenSegment> m_seenSegments;
     bool m_recovering = false;
     Instant m_nextRecovery = absl::ZeroDuration();
     Instant m_nextPurge = absl::ZeroDuration();
