--- a/src/RequestHandler.cpp
+++ b/src/RequestHandler.cpp
@@ -94,8 +94,8 @@
         return refused(request.id, id.error());
     entrySpan.attribute("request.id", id.value());
     const Instant start = m_parts.clock.now();
-    CallerAnswer answer
-        = handleOnce(request, WorkItem { id.value(), request.service, profile.value() }, entrySpan.context());
+    CallerAnswer answer = handleOnce(request,
+        WorkItem { id.value(), request.service, profile.value(), request.body->size(), start }, entrySpan.context());
     const std::string labels
         = absl::StrCat("{profile=\"", request.profile, "\",outcome=\"", outcomeName(answer.outcome), "\"}");
     m_parts.metrics.count(absl::StrCat("cicada_requests_total", labels));
@@ -217,7 +217,6 @@
     WorkItem item = flow.item;
     // Owners account for runs under the id that the executors know.
     item.requestId = flow.settlement.step().runId;
-    item.profile.maxWait = std::max(flow.settlement.step().until - m_parts.clock.now(), absl::ZeroDuration());
     const bool posted = m_parts.loop.post([this, answer, token, item] {
         m_parts.dispatcher.submit(item, [this, answer, token](Result<StartGrant> decision) {
             if (decision && token != 0) {
