--- a/src/Entry.cpp
+++ b/src/Entry.cpp
@@ -14,9 +14,11 @@
 #include "StatusRoutes.h"
 #include "StopRoutes.h"
 #include "TcpPeerBus.h"
+#include "Uuid.h"
 #include "VmListWatcher.h"
 
 #include "absl/random/random.h"
+#include "absl/strings/str_cat.h"
 
 #include <glog/logging.h>
 
@@ -72,6 +74,10 @@
     std::unique_ptr<Dispatcher> dispatcher;
     std::unique_ptr<StopBook> stops;
     std::unique_ptr<ProfileBook> profiles;
+    std::unique_ptr<Journal> journal;
+    std::unique_ptr<ClaimsHome> claimsHome;
+    std::unique_ptr<ClaimsClient> claims;
+    std::unique_ptr<ClaimsExecutors> executors;
     std::unique_ptr<RequestHandler> handler;
     HttpWorkerClient* workers = nullptr;
     std::unique_ptr<JobService> jobs;
@@ -104,6 +110,19 @@
         return kernel.add(std::move(service));
     }
 
+    /** What requests that must not run twice need. */
+    template <typename Parts> void addClaims(Parts& p)
+    {
+        const Settings& s = p.settings;
+        const std::string incarnation = randomUuid();
+        p.journal
+            = std::make_unique<Journal>(*p.store, p.clock, absl::StrCat(s.name, "-", incarnation), s.claimRetention);
+        p.claimsHome = std::make_unique<ClaimsHome>(*p.store, *p.journal, *p.ownership, p.clock, s.claimRetention);
+        p.claims = std::make_unique<ClaimsClient>(s.name, std::hash<std::string>()(incarnation), *p.claimsHome,
+            *p.peers, *p.ownership, p.clock, s.claimRetention);
+        p.executors = std::make_unique<ClaimsExecutors>(p.backEnds, p.clock, s.claimRetention);
+    }
+
 } // namespace
 
 std::unique_ptr<JobService> Entry::makeJobs(Parts& p)
@@ -152,8 +171,9 @@
     p.profiles = std::make_unique<ProfileBook>(*p.store, *p.peers, *p.watch, p.clock);
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<HttpWorkerClient>(*p.loop), p.workers));
     p.jobs = makeJobs(p);
-    p.handler = std::make_unique<RequestHandler>(
-        RequestHandler::Parts { *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics });
+    addClaims(p);
+    p.handler = std::make_unique<RequestHandler>(RequestHandler::Parts {
+        *p.loop, p.clock, *p.profiles, *p.dispatcher, *p.spans, p.metrics, *p.claims, *p.executors });
     BOOST_OUTCOME_TRY(addService(p.kernel, std::make_unique<Frontend>(s, *p.handler), p.frontend));
     addStopRoutes(*p.frontend, *p.loop, *p.stops);
     addProfileRoutes(*p.frontend, *p.loop, *p.profiles, *p.dispatcher);
@@ -167,6 +187,9 @@
         p.ownership->tick(now);
         p.dispatcher->tick(now);
         p.profiles->tick(now);
+        p.journal->tick(now);
+        p.claimsHome->tick(now);
+        p.claims->tick(now);
         p.stops->tick(now);
         p.health->tick(now);
         p.jobs->tick(now);
--- a/test/support/JobWorld.cpp
+++ b/test/support/JobWorld.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-std::optional<Term> TableOwnership::term(absl::string_view group) const
+std::optional<Term> JobOwnership::term(absl::string_view group) const
 {
     auto it = m_seen.owners.find(std::string(group));
     if (it == m_seen.owners.end() || it->second != m_name || m_until <= m_clock.now())
@@ -38,13 +38,13 @@
     return Term { m_seen.epochs.at(std::string(group)), m_until };
 }
 
-std::string TableOwnership::owner(absl::string_view group) const
+std::string JobOwnership::owner(absl::string_view group) const
 {
     auto it = m_seen.owners.find(std::string(group));
     return it == m_seen.owners.end() ? "" : it->second;
 }
 
-void TableOwnership::refresh()
+void JobOwnership::refresh()
 {
     m_until = m_clock.now() + termTime;
     if (m_seen.version == m_table.version)
--- a/test/support/JobWorld.h
+++ b/test/support/JobWorld.h
@@ -26,9 +26,9 @@
 };
 
 /** An entry's view of the owner table. */
-class TableOwnership final : public Ownership {
+class JobOwnership final : public Ownership {
 public:
-    TableOwnership(std::string name, OwnerTable& table, const Clock& clock)
+    JobOwnership(std::string name, OwnerTable& table, const Clock& clock)
         : m_name(std::move(name))
         , m_table(table)
         , m_clock(clock)
@@ -80,7 +80,7 @@
         Entry(JobWorld& world, const std::string& name, uint64_t session);
         Node& node;
         BackEnds backEnds;
-        TableOwnership ownership;
+        JobOwnership ownership;
         MessageWorkerClient client;
         ConfigWatch watch;
         JobService jobs;
