--- a/src/RackController.cpp
+++ b/src/RackController.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-RackController::RackController(WorkerFleet::Parts parts, PeerBus& peers, std::unique_ptr<PlacementScore> score)
+RackController::RackController(const WorkerFleet::Parts& parts, PeerBus& peers, std::unique_ptr<PlacementScore> score)
     : m_parts(parts)
     , m_peers(peers)
     , m_score(std::move(score))
--- a/src/RackController.h
+++ b/src/RackController.h
@@ -18,7 +18,7 @@
 class RackController {
 public:
     /** Everything in `parts`, and `peers`, must outlive the controller; `peers` also reaches this entry itself. */
-    RackController(WorkerFleet::Parts parts, PeerBus& peers, std::unique_ptr<PlacementScore> score);
+    RackController(const WorkerFleet::Parts& parts, PeerBus& peers, std::unique_ptr<PlacementScore> score);
 
     void tick(Instant now);
     WorkerFleet& fleet() { return m_fleet; }
--- a/test/correctness/ProfileBookTest.cpp
+++ b/test/correctness/ProfileBookTest.cpp
@@ -64,7 +64,7 @@
 TEST(ProfileBook, aChangeHoldsEverywhereAlthoughTheStoreGoesDownRightAfterIt)
 {
     bool accepted = false;
-    nodes[0]->book.change({ "check", waitLong, std::nullopt, "c1" }, [&](Result<uint64_t> result) {
+    nodes[0]->book.change({ "check", waitLong, std::nullopt, "c1" }, [&](const Result<uint64_t>& result) {
         accepted = result.has_value();
         world.setStoreDown(true);
     });
--- a/test/performance/placement-bench.cpp
+++ b/test/performance/placement-bench.cpp
@@ -31,7 +31,7 @@
     worker.name = absl::StrCat("w", index);
     worker.rack = absl::StrCat("r", index / 8);
     worker.failureDomain = absl::StrCat("d", index % 17);
-    worker.capacity = { 64000, 256 * 1024, index % 8 == 0 ? 8 : 0 };
+    worker.capacity = { 64000, int64_t { 256 } * 1024, index % 8 == 0 ? 8 : 0 };
     worker.usable = true;
     return worker;
 }
@@ -47,8 +47,9 @@
         Resources task;
         task.cpuMillis = std::clamp<int64_t>(static_cast<int64_t>(2000 * size), 100, kind > 0.95 ? 48000 : 16000);
         const double memoryPerCore = kind < 0.25 ? 10 * 1024 : 3 * 1024;
-        task.memoryMiB = std::clamp<int64_t>(
-            static_cast<int64_t>(memoryPerCore * static_cast<double>(task.cpuMillis) / 1000), 64, 160 * 1024);
+        task.memoryMiB
+            = std::clamp<int64_t>(static_cast<int64_t>(memoryPerCore * static_cast<double>(task.cpuMillis) / 1000), 64,
+                int64_t { 160 } * 1024);
         task.accelerators = chance(random) < 0.05 ? 1 : 0;
         tasks.push_back(task);
     }
--- a/tools/LoadRunner.cpp
+++ b/tools/LoadRunner.cpp
@@ -143,6 +143,7 @@
     const SystemClock clock;
     const Instant start = clock.now();
     std::vector<std::thread> threads;
+    threads.reserve(options.concurrency);
     for (int i = 0; i < options.concurrency; ++i) {
         threads.emplace_back([&] {
             Sender sender(plan, options);
