--- a/test/performance/processes-bench.sh
+++ b/test/performance/processes-bench.sh
@@ -7,6 +7,17 @@
 entries=8
 start_platform
 start_executors desk khulna-a 50 8 $((base + 300))
+cat >"$out/plan.json" <<'JSON'
+{"rate": 2000, "seconds": 10, "kinds": [
+  {"name": "check", "service": "desk", "profile": "check", "workMs": 10, "bodyBytes": 500}]}
+JSON
+sed 's/"check"/"tally"/g' "$out/plan.json" >"$out/plan-tally.json"
+# Before there are owners: executors refuse starts that carry no owner's epoch.
+direct=()
+for port in "${executor_ports[@]}"; do direct+=(--entry "127.0.0.1:$port"); done
+"$build/cicada-call" "${direct[@]}" --direct --load "$out/plan.json" --seed 1 >"$out/direct.table"
+"$build/cicada-call" "${direct[@]}" --direct --load "$out/plan.json" --seed 3 --json >"$out/direct.json"
+
 for ((i = 1; i <= entries; i++)); do start_entry $i khulna-a "khulna-a-$((i % 3))"; done
 for ((i = 1; i <= entries; i++)); do wait_for 30 http -f "http://$(entry $i)/healthz" || fail "entry-$i"; done
 set_profile 1 check '{"maxWaitMs": 2000, "mayRunTwice": true, "whenShort": "shed", "expectedRunMs": 10}'
@@ -42,18 +53,10 @@
     echo "  store $kind in 20 s, all entries: $(($(field $kind "$(cat "$out/store-after")") - $(field $kind "$(cat "$out/store-before")")))"
 done
 
-cat >"$out/plan.json" <<'JSON'
-{"rate": 2000, "seconds": 10, "kinds": [
-  {"name": "check", "service": "desk", "profile": "check", "workMs": 10, "bodyBytes": 500}]}
-JSON
-sed 's/"check"/"tally"/g' "$out/plan.json" >"$out/plan-tally.json"
-direct=()
 through=()
-for port in "${executor_ports[@]}"; do direct+=(--entry "127.0.0.1:$port"); done
 for ((i = 1; i <= entries; i++)); do through+=(--entry "$(entry $i)"); done
 echo "2,000 requests a second of 10 ms each on 400 slots (goals: at most 1 ms more at the median, 5 ms at p99):"
-"$build/cicada-call" "${direct[@]}" --direct --load "$out/plan.json" --seed 1 | sed 's/^/  direct   /'
-"$build/cicada-call" "${direct[@]}" --direct --load "$out/plan.json" --seed 3 --json >"$out/direct.json"
+sed 's/^/  direct   /' "$out/direct.table"
 "$build/cicada-call" "${through[@]}" --load "$out/plan.json" --seed 2 | sed 's/^/  through  /'
 "$build/cicada-call" "${through[@]}" --load "$out/plan.json" --seed 4 --json >"$out/through.json"
 "$build/cicada-call" "${through[@]}" --load "$out/plan-tally.json" --rate 500 --seed 5 --json >"$out/tally.json"
@@ -62,5 +65,11 @@
 echo "  store writes while loaded: $(($(field writes "$(cat "$out/store-load")") - $(field writes "$(cat "$out/store-after")")))"
 echo "{\"idle\":[$(IFS=,; echo "${idle[*]}")],\"direct\":$(cat "$out/direct.json"),\"through\":$(cat "$out/through.json"),\"tally\":$(cat "$out/tally.json")}" \
     >"$build/processes-bench.json"
+for span in queue back-end; do
+    cat "$out"/spans-*.jsonl | grep "\"name\":\"$span\"" |
+        sed 's/.*"endTimeUnixNano":"\([0-9]*\)".*"startTimeUnixNano":"\([0-9]*\)".*/\1 \2/' |
+        awk '{print ($1 - $2) / 1e6}' | sort -n |
+        awk -v s=$span '{v[NR] = $1} END {printf "  span %-9s p50 %.1f ms  p99 %.1f ms\n", s, v[int(NR / 2)], v[int(NR * 0.99)]}'
+done
 judge_executors
 echo "  most slots in use on one executor: $most_in_use of 8; starts beyond the slots: $overfull"
