--- a/tools/LoadRunner.cpp
+++ b/tools/LoadRunner.cpp
@@ -71,6 +71,9 @@
                 ? client(entry).Put(absl::StrCat("/v1/runs/", request.id), body, "application/octet-stream")
                 : client(entry).Post(absl::StrCat("/v1/services/", kind.service, "/requests"), headers, body,
                     "application/octet-stream");
+            // An executor allows few connections, so a direct call keeps none, as the entries do.
+            if (m_options.direct)
+                m_clients[entry].reset();
             if (!response) {
                 result.cut += response.error() != httplib::Error::Connection;
                 m_clients[entry].reset();
