--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 10
 SOURCES := $(shell git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'test/*.h' 'test/*.cpp' 'apps/*.cpp')
 
-.PHONY: setup build asan tsan test demo bench lint format format-check
+.PHONY: setup build asan asan-test tsan test demo bench lint format format-check
 
 setup:
 	@bash .ci/setup
@@ -16,6 +16,12 @@
 	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address >/dev/null
 	@cmake --build $(BUILD)-asan -j $(JOBS)
 
+# The tests of wrong and arbitrary input under the address sanitizer; the others take minutes there.
+asan-test: setup
+	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address >/dev/null
+	@cmake --build $(BUILD)-asan -j $(JOBS) --target test-error
+	@$(BUILD)-asan/test-error
+
 tsan: setup
 	@cmake -S . -B $(BUILD)-tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCICADA_SANITIZER=thread >/dev/null
 	@cmake --build $(BUILD)-tsan -j $(JOBS)
