--- /dev/null
+++ b/src/Advisor.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/** \file
+ * The policy service that says which workers may run a step. It answers one call at a time for each machine that
+ * calls, so the calls of all entries are a resource of the whole system: a cell's owner sends its questions through
+ * the entries that have the shortest queue, and keeps long questions away from some of them for the short ones.
+ */
+
+#include "EventLog.h"
+#include "PeerBus.h"
+#include "TimerQueue.h"
+#include "Workload.h"
+
+#include "absl/container/btree_map.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace cicada {
+
+/** Leave to run a step's tasks on one worker. */
+struct Ticket {
+    std::string worker;
+    std::string text;
+};
+
+/** A question about one step. */
+struct AdviceQuestion {
+    TaskName step;
+    std::vector<std::string> workers;
+};
+
+struct AdviceAnswer {
+    bool isValid = false;
+    std::vector<Ticket> tickets;
+    /** How long the tickets hold from the answer on; zero where the answer does not say. */
+    absl::Duration validity;
+};
+
+/** Asks the policy service from this machine. Used on the decision thread only; callbacks never run within the call. */
+class Advisor {
+public:
+    virtual ~Advisor() = default;
+    virtual void ask(const AdviceQuestion&, absl::Duration timeout, absl::AnyInvocable<void(AdviceAnswer)>) = 0;
+};
+
+/** Spreads questions over the entries. Used on the decision thread only. */
+class AdviceLanes {
+public:
+    /** What is referred to must outlive the lanes. */
+    AdviceLanes(std::string self, Advisor& advisor, PeerBus& peers, TimerQueue& timers, EventLog& log);
+
+    /** Asks through the entry that is free first. `expected` is how long the service takes for the question. */
+    void ask(AdviceQuestion, absl::Duration expected, absl::AnyInvocable<void(AdviceAnswer)>);
+    /** Questions that wait for a lane. */
+    size_t waiting() const { return m_short.size() + m_long.size(); }
+
+private:
+    struct Waiting {
+        AdviceQuestion question;
+        absl::Duration expected;
+        absl::AnyInvocable<void(AdviceAnswer)> callback;
+    };
+    struct Lane {
+        Instant busyUntil = absl::ZeroDuration();
+        size_t inFlight = 0;
+    };
+    struct Sent {
+        std::string lane;
+        Instant sentAt;
+        absl::AnyInvocable<void(AdviceAnswer)> callback;
+    };
+
+    void pump();
+    void refreshLanes();
+    bool sendNext(std::deque<Waiting>& queue, bool isLong);
+    Lane* freeLane(bool isLong, std::string& name);
+    void send(const std::string& lane, Waiting waiting);
+    void finish(uint64_t number, AdviceAnswer answer);
+    void handleQuestion(const std::string& from, absl::string_view bytes);
+    void handleAnswer(absl::string_view bytes);
+
+    const std::string m_self;
+    Advisor& m_advisor;
+    PeerBus& m_peers;
+    TimerQueue& m_timers;
+    EventLog& m_log;
+    absl::btree_map<std::string, Lane> m_lanes;
+    std::deque<Waiting> m_short;
+    std::deque<Waiting> m_long;
+    absl::btree_map<uint64_t, Sent> m_sent;
+    uint64_t m_lastNumber = 0;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/Cell.h
@@ -0,0 +1,227 @@
+#pragma once
+
+/** \file
+ * The owner's side of a cell: a set of workers together with the jobs that are placed on them. One entry owns a cell
+ * at a time, so room, order, attempts and cancels have a single writer. Everything that a next owner must know is
+ * stored before it is acted on: a job before its acceptance is answered, the intent to start a run before the order is
+ * sent, an end before the worker may forget it. A former owner can do no harm: its orders carry a lower fencing token,
+ * and its writes name a row that has changed.
+ */
+
+#include "Advisor.h"
+#include "CellJob.h"
+#include "CellWorker.h"
+#include "DurableWriter.h"
+#include "Metrics.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+
+#include <functional>
+#include <memory>
+
+namespace cicada {
+
+/** The bounds that the platform sets, and what follows from them. */
+struct CellBounds {
+    /** The longest lease that a worker grants. */
+    absl::Duration maxLease = absl::Seconds(6);
+    /** A stop takes at most this long at a worker. */
+    absl::Duration stopGrace = absl::Milliseconds(400);
+    /** How long the end of a job can be asked for. */
+    absl::Duration endedRetention = absl::Seconds(120);
+    /** How much longer a task takes away from its data. */
+    double remoteFactor = 2;
+};
+
+/** The right to act for a cell. */
+struct CellTerm {
+    uint32_t cell = 0;
+    /** The cell's row and the revision under which this entry holds it, which is also the fencing token. */
+    std::string row;
+    uint64_t token = 0;
+};
+
+/** What became of a request about a job. */
+enum class CellAnswer {
+    /** Stored, now or before. */
+    Accepted,
+    /** Not accepted: it has not run and will not. */
+    Refused,
+    Found,
+    Cancelled,
+    /** There is no such job, or it ended too long ago. */
+    Gone,
+    /** This entry does not own the cell any more. */
+    NotOwner,
+};
+
+struct CellReply {
+    CellAnswer answer = CellAnswer::NotOwner;
+    JobPhase phase = JobPhase::Queued;
+};
+
+/** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
+class Cell {
+public:
+    using Reply = absl::AnyInvocable<void(CellReply)>;
+    struct Parts {
+        TransactionalStore& store;
+        WorkerOrders& orders;
+        WorkerRoster& roster;
+        AdviceLanes& advice;
+        TimerQueue& timers;
+        EventLog& log;
+        Metrics& metrics;
+        CellBounds bounds;
+        /** The policy in force of a queue, or null when the configuration has it no more. */
+        std::function<const QueuePolicy*(const std::string& queue)> policyOf;
+        /** Another entry owns the cell: this one must be destroyed, not within the call. */
+        std::function<void(const std::string& why)> onDeposed;
+    };
+
+    /** Everything in `parts` must outlive the cell. */
+    Cell(Parts parts, CellTerm term);
+    ~Cell();
+
+    /** Reads what is stored and takes the workers over. */
+    void start();
+    /** Whether the stored jobs have been read; requests wait until then. */
+    bool isLoaded() const { return m_isLoaded; }
+    const CellTerm& term() const { return m_term; }
+
+    /** `deadline` is when the caller stops waiting. */
+    void submit(Submission, QueuePolicy, Reply);
+    void query(const std::string& id, Reply);
+    void cancel(const std::string& id, Reply);
+    /** Stored jobs of the queue of which no task has started. */
+    size_t pending(const std::string& queue) const;
+    /** Starts nothing more, and calls back once all that is known is stored. */
+    void retire(absl::AnyInvocable<void()> done);
+
+    size_t jobCount() const { return m_jobs.size(); }
+    /** How long the oldest write has waited for the store. */
+    absl::Duration storeLag() const { return m_writer.lag(); }
+
+private:
+    using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
+    /** Ready steps in the order in which they get room. */
+    struct Rank {
+        /** Work that can no longer be on time goes behind work that can. */
+        bool isLate = false;
+        uint32_t priority = 0;
+        Instant latestStart;
+        std::string job;
+        StepRef ref;
+
+        bool operator<(const Rank& other) const
+        {
+            return std::tie(isLate, priority, latestStart, job, ref)
+                < std::tie(other.isLate, other.priority, other.latestStart, other.job, other.ref);
+        }
+    };
+    struct Choice {
+        uint32_t index = 0;
+        CellWorker* worker = nullptr;
+    };
+
+    // Cell.cpp: stored records and requests.
+    std::string jobKey(const std::string& id) const;
+    std::string runKey(const std::string& id) const;
+    void load(std::string prefix, std::string afterKey, absl::AnyInvocable<void()> then);
+    void finishLoading();
+    void takeJobRecord(const std::string& id, const StoreEntry& entry);
+    void takeRunRecord(const std::string& id, const StoreEntry& entry);
+    std::optional<std::string> valueOf(const std::string& key) const;
+    void whenLoaded(absl::AnyInvocable<void()> request);
+    void acceptJob(Submission, QueuePolicy, Reply);
+    void cancelJob(const std::string& id, Reply);
+    void storeJob(CellJob& job);
+    /** Stores the job's runs; `done` is called once they are durable. */
+    void storeRuns(CellJob& job, DurableWriter::Done done);
+    void endJob(CellJob& job, JobPhase phase, absl::string_view cause);
+    void forgetOldJobs();
+    const QueuePolicy& policyOf(CellJob& job);
+    CellJob* findJob(const std::string& id);
+    /** Wraps a callback so that it does nothing after the cell is gone. */
+    template <typename F> auto guarded(F function)
+    {
+        return [alive = m_alive, function = std::move(function)](auto&&... arguments) mutable {
+            if (*alive)
+                function(std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
+    void deposed(const std::string& why);
+
+    // CellPlacing.cpp: which steps may start, advice, and where tasks go.
+    void advance(CellJob& job);
+    void readyStep(CellJob& job, StepRef ref);
+    void occurrenceDue(const std::string& id, uint32_t occurrence);
+    void unqueue(CellJob& job, StepRef ref);
+    void queueStep(CellJob& job, StepRef ref);
+    void placeSoon();
+    void placeAll();
+    bool placeStep(const Rank& rank);
+    std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
+    bool placeWhole(CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices);
+    std::vector<Choice> place(
+        CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, bool isWhole, const std::string& rackOnly);
+    void askAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted);
+    void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& asked, AdviceAnswer answer);
+    void intend(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
+    std::vector<uint32_t> waitingTasks(const CellStep& step) const;
+
+    // CellRuns.cpp: orders to workers and what comes back.
+    void sendStarts(const std::string& id, const std::vector<TaskRun>& runs);
+    void sendStart(CellJob& job, const TaskRun& run);
+    void handleStart(const TaskRun& run, const std::string& worker, OrderReply reply);
+    void notStarted(const TaskRun& run, CellWorker& worker, OrderStatus why);
+    void wantStop(CellWorker& worker, const TaskRun& run);
+    void sendStop(CellWorker& worker, const TaskRun& run);
+    void stopJob(CellJob& job);
+    void settleGang(CellJob& job, StepRef ref);
+    /** The run is over without an end that was told: it never started, or vanished with its worker. */
+    void runOver(CellWorker& worker, const TaskRun& run, absl::string_view why);
+    void taskFailed(CellJob& job, CellTask& task, const TaskName& name, CellWorker& worker);
+    void taskFinished(CellJob& job, const TaskName& name, CellWorker& worker);
+    void applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed);
+
+    // CellSync.cpp: the account of each worker.
+    void handleListed(const std::string& id, const ListedWorker* listed);
+    CellWorker* findWorker(const std::string& id);
+    void syncSoon(CellWorker& worker, absl::Duration delay);
+    void sync(CellWorker& worker, bool mayWait);
+    void handleSync(const std::string& id, Instant sentAt, SyncReply reply);
+    void takeLists(CellWorker& worker, Instant sentAt, SyncReply& reply);
+    void takeRunning(CellWorker& worker, const ListedRun& listed);
+    void takeEnds(CellWorker& worker, std::vector<EndedRun>& ended);
+    void syncFailed(CellWorker& worker, OrderStatus status);
+    void lifeOver(CellWorker& worker, absl::string_view why);
+    void checkSilent(CellWorker& worker);
+    int64_t leaseEnd(CellWorker& worker);
+    void rest(CellWorker& worker, absl::Duration duration, absl::string_view why);
+    void watchRuns();
+
+    Parts m_parts;
+    const CellTerm m_term;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_isLoaded = false;
+    bool m_isRetiring = false;
+    bool m_isDeposed = false;
+    bool m_isPlaceSet = false;
+    const Instant m_takenAt;
+    DurableWriter m_writer;
+    JobTable m_jobs;
+    /** Ended jobs of which only the run record is kept. */
+    absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_ended;
+    absl::btree_map<std::string, CellWorker> m_workers;
+    absl::btree_set<Rank> m_ready;
+    absl::flat_hash_map<std::string, std::vector<Reply>> m_accepting;
+    std::vector<absl::AnyInvocable<void()>> m_untilLoaded;
+    /** By queue, the share of the workers asked about that were allowed. */
+    absl::flat_hash_map<std::string, double> m_allowedShare;
+    /** What was read of run records whose job record has not been read. */
+    absl::flat_hash_map<std::string, std::string> m_loadedRuns;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/CellDirectory.cpp
@@ -0,0 +1,373 @@
+#include "CellDirectory.h"
+
+#include "Pack.h"
+
+#include "absl/strings/numbers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace cicada {
+
+namespace {
+
+    constexpr const char* prefix = "cicada/ctl/";
+    constexpr const char* recordPrefix = "cicada/ctl/entry/";
+    constexpr const char* rowPrefix = "cicada/ctl/cell/";
+    /** How long a watch waits, and so how long a silent connection to the store is believed. */
+    constexpr absl::Duration watchWait = absl::Milliseconds(1500);
+    constexpr absl::Duration renewRetryDelay = absl::Milliseconds(200);
+    /** Entries that start together find each other before the first takes a cell. */
+    constexpr absl::Duration firstClaimDelay = absl::Milliseconds(900);
+    constexpr absl::Duration rankDelay = absl::Milliseconds(250);
+    /** An owner whose link is up and whose record is gone gets this long to renew it. */
+    constexpr absl::Duration linkedPatience = absl::Milliseconds(1800);
+    constexpr absl::Duration claimTimeout = absl::Milliseconds(1500);
+    constexpr absl::Duration considerInterval = absl::Milliseconds(150);
+    /** An owner that has lost the others for this long lets its cells go. */
+    constexpr absl::Duration isolationPatience = absl::Milliseconds(1200);
+    /** Rows older than this are not believed to be the newest. */
+    constexpr absl::Duration contactLimit = absl::Milliseconds(2500);
+
+    std::string encodeEntry(const EntryRecord& entry)
+    {
+        return Internal::packFields(entry.name, entry.incarnation, entry.peerAddress, entry.region);
+    }
+
+    std::optional<EntryRecord> decodeEntry(const std::string& bytes)
+    {
+        EntryRecord entry;
+        if (!Internal::unpackFields(
+                bytes, "entry record", entry.name, entry.incarnation, entry.peerAddress, entry.region))
+            return std::nullopt;
+        return entry;
+    }
+
+} // namespace
+
+CellDirectory::CellDirectory(Parts parts)
+    : m_parts(std::move(parts))
+    , m_mirror(
+          m_parts.store, m_parts.timers, m_parts.log, prefix, watchWait,
+          [this](const std::string& key, const StoreEntry* entry) { handleChange(key, entry); },
+          [this] { handleSynced(); })
+{
+}
+
+void CellDirectory::start()
+{
+    m_startedAt = m_parts.timers.clock().now();
+    grant();
+    m_mirror.start();
+}
+
+std::string CellDirectory::recordKey() const { return recordPrefix + m_parts.self.name; }
+std::string CellDirectory::rowKey(uint32_t cell) const { return absl::StrCat(rowPrefix, cell); }
+
+uint32_t CellDirectory::cellOf(absl::string_view job) const
+{
+    return static_cast<uint32_t>(XXH3_64bits(job.data(), job.size()) % cellCount());
+}
+
+const CellRow* CellDirectory::ownerOf(uint32_t cell) const
+{
+    const auto found = m_rows.find(cell);
+    return found == m_rows.end() || found->second.owner.name.empty() ? nullptr : &found->second;
+}
+
+std::vector<EntryRecord> CellDirectory::entries() const
+{
+    std::vector<EntryRecord> all;
+    for (const auto& [name, entry] : m_entries)
+        all.push_back(entry);
+    return all;
+}
+
+bool CellDirectory::isFresh() const
+{
+    // Counted from the sending of the renewal that was answered, so that nobody can have seen the lease end.
+    return m_parts.timers.clock().now() - m_renewedAt < leaseTtl;
+}
+
+bool CellDirectory::isIsolated() const
+{
+    size_t others = 0;
+    size_t linked = 0;
+    for (const auto& [name, entry] : m_entries) {
+        if (name == m_parts.self.name)
+            continue;
+        ++others;
+        linked += m_parts.isLinked(name) ? 1 : 0;
+    }
+    return others >= 2 && linked * 2 < others;
+}
+
+void CellDirectory::grant()
+{
+    m_isRecordStored = false;
+    const Instant sentAt = m_parts.timers.clock().now();
+    m_parts.store.grantLease(leaseTtl, [this, sentAt](LeaseReply reply) {
+        if (m_isLeaving)
+            return;
+        if (reply.status != LeaseStatus::Ok)
+            return m_parts.timers.after(renewRetryDelay, [this] { grant(); });
+        m_lease = reply.lease;
+        m_renewedAt = sentAt;
+        writeRecord();
+        renewLater(renewInterval);
+    });
+}
+
+void CellDirectory::writeRecord()
+{
+    if (m_isWriting || m_isLeaving)
+        return;
+    m_isWriting = true;
+    Transaction transaction;
+    transaction.writes.push_back({ recordKey(), encodeEntry(m_parts.self), m_lease });
+    m_parts.store.transact(std::move(transaction), [this](TransactionReply reply) {
+        m_isWriting = false;
+        if (m_isLeaving)
+            return;
+        m_isRecordStored = reply.status == TransactionStatus::Applied;
+        if (m_isRecordStored)
+            m_parts.log.write("entry-recorded", "lease", m_lease, "revision", reply.revision);
+        else if (reply.status != TransactionStatus::LeaseEnded)
+            m_parts.timers.after(renewRetryDelay, [this] {
+                if (!m_isRecordStored)
+                    writeRecord();
+            });
+    });
+}
+
+void CellDirectory::renewLater(absl::Duration delay)
+{
+    m_parts.timers.after(delay, [this] { renew(); });
+}
+
+void CellDirectory::renew()
+{
+    if (m_isLeaving)
+        return;
+    const Instant sentAt = m_parts.timers.clock().now();
+    m_parts.store.keepLease(m_lease, [this, sentAt](LeaseStatus status) {
+        if (m_isLeaving)
+            return;
+        if (status == LeaseStatus::Ended) {
+            m_parts.log.write("lease-ended", "lease", m_lease);
+            return grant();
+        }
+        if (status == LeaseStatus::Ok)
+            m_renewedAt = sentAt;
+        renewLater(status == LeaseStatus::Ok ? renewInterval : renewRetryDelay);
+    });
+}
+
+void CellDirectory::handleChange(const std::string& key, const StoreEntry* entry)
+{
+    if (absl::string_view(key).substr(0, std::strlen(recordPrefix)) == recordPrefix) {
+        const std::string name = key.substr(std::strlen(recordPrefix));
+        const auto record = entry ? decodeEntry(entry->value) : std::nullopt;
+        m_parts.log.write(record ? "entry-seen" : "entry-gone", "name", name);
+        if (record)
+            m_entries[name] = *record;
+        else
+            m_entries.erase(name);
+        // Somebody else took the record away, though the lease may live.
+        if (!entry && name == m_parts.self.name && m_isRecordStored) {
+            m_isRecordStored = false;
+            writeRecord();
+        }
+        return m_parts.onEntries();
+    }
+    uint32_t cell = 0;
+    if (absl::string_view(key).substr(0, std::strlen(rowPrefix)) != rowPrefix
+        || !absl::SimpleAtoi(key.substr(std::strlen(rowPrefix)), &cell) || cell >= cellCount())
+        return;
+    // The reply to a claim is known before the watch tells what came before it.
+    const auto known = m_rows.find(cell);
+    if (entry && known != m_rows.end() && known->second.revision > entry->index)
+        return;
+    CellRow row;
+    std::string owner;
+    if (entry && !Internal::unpackFields(entry->value, "cell row", owner, row.successor)) {
+        m_parts.log.write("cell-row-unreadable", "cell", cell, "revision", entry->index);
+        return;
+    }
+    if (!entry) {
+        m_rows.erase(cell);
+    } else {
+        if (!owner.empty())
+            row.owner = decodeEntry(owner).value_or(EntryRecord());
+        row.revision = entry->index;
+        m_rows[cell] = row;
+    }
+    m_parts.log.write("cell-owner", "cell", cell, "owner", row.owner.name, "token", row.revision);
+    m_vacantSince.erase(cell);
+    m_claimSentAt.erase(cell);
+    const auto held = m_held.find(cell);
+    if (held != m_held.end() && held->second != row.revision) {
+        m_held.erase(held);
+        m_parts.onLost(cell);
+    }
+    if (entry && row.owner.isSameLife(m_parts.self) && !m_held.contains(cell) && !m_isLeaving) {
+        m_held[cell] = row.revision;
+        m_parts.onGained(cell, key, row.revision);
+    }
+    m_parts.onOwner(cell);
+}
+
+void CellDirectory::handleSynced() { reconsider(); }
+
+void CellDirectory::reconsider()
+{
+    if (!m_mirror.isFilled() || m_isLeaving)
+        return;
+    checkIsolation();
+    for (uint32_t cell = 0; cell < cellCount(); ++cell)
+        consider(cell);
+}
+
+void CellDirectory::considerLater()
+{
+    if (m_isConsiderSet)
+        return;
+    m_isConsiderSet = true;
+    m_parts.timers.after(considerInterval, [this] {
+        m_isConsiderSet = false;
+        reconsider();
+    });
+}
+
+size_t CellDirectory::rankFor(uint32_t cell) const
+{
+    const auto weight = [cell](const std::string& name) {
+        const std::string text = absl::StrCat(cell, "/", name);
+        return XXH3_64bits(text.data(), text.size());
+    };
+    size_t rank = 0;
+    for (const auto& [name, entry] : m_entries) {
+        if (weight(name) < weight(m_parts.self.name))
+            ++rank;
+    }
+    return rank;
+}
+
+std::optional<absl::Duration> CellDirectory::claimDelay(uint32_t cell, const CellRow* row) const
+{
+    const absl::Duration byRank = rankDelay * static_cast<double>(rankFor(cell));
+    if (!row || row->owner.name.empty()) {
+        if (row && row->successor == m_parts.self.name)
+            return absl::ZeroDuration();
+        return byRank + (row && !row->successor.empty() ? rankDelay * 2 : absl::ZeroDuration());
+    }
+    if (row->owner.name == m_parts.self.name)
+        return absl::ZeroDuration();
+    const auto entry = m_entries.find(row->owner.name);
+    if (entry != m_entries.end() && entry->second.isSameLife(row->owner))
+        return std::nullopt;
+    if (entry == m_entries.end() && m_parts.isLinked(row->owner.name))
+        return linkedPatience + byRank;
+    return byRank;
+}
+
+void CellDirectory::consider(uint32_t cell)
+{
+    if (m_held.contains(cell))
+        return;
+    const Instant now = m_parts.timers.clock().now();
+    const auto row = m_rows.find(cell);
+    const auto delay = claimDelay(cell, row == m_rows.end() ? nullptr : &row->second);
+    if (!delay) {
+        m_vacantSince.erase(cell);
+        return;
+    }
+    considerLater();
+    const Instant since = m_vacantSince.try_emplace(cell, now).first->second;
+    const bool isHealthy = m_isRecordStored && now - m_mirror.lastContact() < contactLimit && isFresh();
+    const bool isEarly = now - since < *delay || now - m_startedAt < firstClaimDelay;
+    if (isEarly || !isHealthy || isIsolated())
+        return;
+    const auto sent = m_claimSentAt.find(cell);
+    if (sent != m_claimSentAt.end() && now - sent->second < claimTimeout)
+        return;
+    claim(cell);
+}
+
+void CellDirectory::claim(uint32_t cell)
+{
+    m_claimSentAt[cell] = m_parts.timers.clock().now();
+    const auto row = m_rows.find(cell);
+    const uint64_t revision = row == m_rows.end() ? 0 : row->second.revision;
+    m_parts.log.write("cell-claimed", "cell", cell, "overRevision", revision, "formerOwner",
+        row == m_rows.end() ? "none" : row->second.owner.name);
+    Transaction transaction;
+    transaction.conditions.push_back({ rowKey(cell), revision });
+    const std::string value = Internal::packFields(encodeEntry(m_parts.self), std::string());
+    transaction.writes.push_back({ rowKey(cell), value, 0 });
+    m_parts.store.transact(std::move(transaction), [this, cell, value](TransactionReply reply) {
+        // The watch tells it too, which settles a lost reply; this is sooner.
+        if (reply.status == TransactionStatus::Applied) {
+            const StoreEntry entry { rowKey(cell), value, reply.revision };
+            handleChange(entry.key, &entry);
+        }
+    });
+}
+
+void CellDirectory::checkIsolation()
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (!isIsolated() || m_held.empty()) {
+        m_isolatedSince = absl::InfiniteDuration();
+        return;
+    }
+    if (m_isolatedSince == absl::InfiniteDuration())
+        m_isolatedSince = now;
+    considerLater();
+    if (now - m_isolatedSince < isolationPatience)
+        return;
+    m_isolatedSince = absl::InfiniteDuration();
+    const auto held = m_held;
+    for (const auto& [cell, revision] : held)
+        resign(cell, "isolated");
+}
+
+void CellDirectory::resign(uint32_t cell, const std::string& why)
+{
+    const auto held = m_held.find(cell);
+    if (held == m_held.end())
+        return;
+    const uint64_t revision = held->second;
+    std::string successor;
+    for (const auto& [name, entry] : m_entries) {
+        if (name != m_parts.self.name && m_parts.isLinked(name))
+            successor = name;
+    }
+    m_parts.log.write("cell-resigned", "cell", cell, "token", revision, "why", why, "successor", successor);
+    Transaction transaction;
+    transaction.conditions.push_back({ rowKey(cell), revision });
+    transaction.writes.push_back({ rowKey(cell), Internal::packFields(std::string(), successor), 0 });
+    m_parts.store.transact(std::move(transaction), [this, cell](TransactionReply reply) {
+        if (reply.status != TransactionStatus::Applied)
+            m_parts.log.write("cell-resign-failed", "cell", cell);
+    });
+    m_held.erase(held);
+    m_parts.onLost(cell);
+}
+
+void CellDirectory::drop(uint32_t cell)
+{
+    m_held.erase(cell);
+    considerLater();
+}
+
+void CellDirectory::leave()
+{
+    m_isLeaving = true;
+    if (m_lease != 0)
+        m_parts.store.endLease(m_lease);
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/CellDirectory.h
@@ -0,0 +1,125 @@
+#pragma once
+
+/** \file
+ * Who owns each cell. An owner is a compare-and-swap on the cell's row, whose revision is the fencing token, so a
+ * token never repeats and always rises. Each entry keeps a record under a lease; when the owner's record is gone, or
+ * the owner has resigned, another entry takes the row. Two entries that both believe to own a cell can do no harm, so
+ * the rules here only decide how fast and how calmly a cell changes hands.
+ */
+
+#include "CellJob.h"
+#include "EventLog.h"
+#include "Metrics.h"
+#include "PrefixMirror.h"
+
+#include "absl/container/btree_map.h"
+
+#include <functional>
+
+namespace cicada {
+
+/** One life of an entry, and where its peers reach it. */
+struct EntryRecord {
+    std::string name;
+    std::string incarnation;
+    std::string peerAddress;
+    std::string region;
+
+    bool isSameLife(const EntryRecord& other) const
+    {
+        return name == other.name && incarnation == other.incarnation;
+    }
+};
+
+/** A cell's row. */
+struct CellRow {
+    /** No name when the owner has resigned. */
+    EntryRecord owner;
+    /** Whom the owner that resigned would have as the next one. */
+    std::string successor;
+    uint64_t revision = 0;
+};
+
+/** Keeps this entry's record, follows the rows, and takes cells. Used on the decision thread only. */
+class CellDirectory {
+public:
+    struct Parts {
+        TransactionalStore& store;
+        TimerQueue& timers;
+        EventLog& log;
+        Metrics& metrics;
+        EntryRecord self;
+        std::function<bool(const std::string& peer)> isLinked;
+        /** The entries changed. */
+        std::function<void()> onEntries;
+        /** The owner of a cell changed. */
+        std::function<void(uint32_t cell)> onOwner;
+        /** This entry owns the cell from now on, under this row and revision. */
+        std::function<void(uint32_t cell, const std::string& row, uint64_t revision)> onGained;
+        /** The cell's row has changed. */
+        std::function<void(uint32_t cell)> onLost;
+    };
+
+    explicit CellDirectory(Parts parts);
+
+    void start();
+    /** Considers the rows again, after a link came or went. */
+    void reconsider();
+    /** Gives up a cell, for another entry to take at once. */
+    void resign(uint32_t cell, const std::string& why);
+    /** Says that this entry can't act for the cell under its row any more. */
+    void drop(uint32_t cell);
+    /** Takes no cells any more and lets the entry's record go. */
+    void leave();
+
+    uint32_t cellCount() const { return 1; }
+    uint32_t cellOf(absl::string_view job) const;
+    /** The owner of the cell, or null when it has none that is known. */
+    const CellRow* ownerOf(uint32_t cell) const;
+    std::vector<EntryRecord> entries() const;
+    bool isOwned(uint32_t cell) const { return m_held.contains(cell); }
+    /** Whether the rows were read. */
+    bool isReady() const { return m_mirror.isFilled(); }
+    /** Whether this entry's lease was renewed recently enough that nobody can have taken its cells. */
+    bool isFresh() const;
+    /** Whether this entry has links to less than half of the others. */
+    bool isIsolated() const;
+
+    static constexpr absl::Duration leaseTtl = absl::Milliseconds(2400);
+    static constexpr absl::Duration renewInterval = absl::Milliseconds(700);
+
+private:
+    void handleChange(const std::string& key, const StoreEntry* entry);
+    void handleSynced();
+    void grant();
+    void writeRecord();
+    void renew();
+    void renewLater(absl::Duration delay);
+    std::string recordKey() const;
+    std::string rowKey(uint32_t cell) const;
+    void consider(uint32_t cell);
+    std::optional<absl::Duration> claimDelay(uint32_t cell, const CellRow* row) const;
+    size_t rankFor(uint32_t cell) const;
+    void claim(uint32_t cell);
+    void checkIsolation();
+    void considerLater();
+
+    Parts m_parts;
+    PrefixMirror m_mirror;
+    absl::btree_map<std::string, EntryRecord> m_entries;
+    absl::btree_map<uint32_t, CellRow> m_rows;
+    /** The cells that this entry owns, with the revisions of their rows. */
+    absl::btree_map<uint32_t, uint64_t> m_held;
+    absl::btree_map<uint32_t, Instant> m_vacantSince;
+    absl::btree_map<uint32_t, Instant> m_claimSentAt;
+    uint64_t m_lease = 0;
+    bool m_isRecordStored = false;
+    bool m_isWriting = false;
+    bool m_isLeaving = false;
+    bool m_isConsiderSet = false;
+    Instant m_startedAt = absl::ZeroDuration();
+    Instant m_renewedAt = absl::ZeroDuration() - absl::Hours(1);
+    Instant m_isolatedSince = absl::InfiniteDuration();
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/CellJob.cpp
@@ -0,0 +1,303 @@
+#include "CellJob.h"
+
+#include "Pack.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
+        std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
+    using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
+        std::string>;
+    using PolicyFields = std::tuple<std::string, std::string, uint32_t, uint32_t, double, int64_t, int64_t, bool,
+        double, double, int64_t>;
+
+    enum StepFlag : uint32_t {
+        SavesCheckpoints = 1,
+        Gang = 2,
+        OneRack = 4,
+        Speculative = 8,
+        IsService = 16,
+        IdleProcessors = 32
+    };
+
+    /** What the run record says of a task. */
+    enum StoredTask : uint32_t { StoredWaiting = 0, StoredOut = 1, StoredFinished = 2 };
+
+    uint32_t flagsOf(const StepSpec& step)
+    {
+        return (step.savesCheckpoints ? SavesCheckpoints : 0u) | (step.isGang ? Gang : 0u)
+            | (step.prefersOneRack ? OneRack : 0u) | (step.isSpeculative ? Speculative : 0u)
+            | (step.isService ? IsService : 0u) | (step.usesIdleProcessors ? IdleProcessors : 0u);
+    }
+
+    StepFields pack(const StepSpec& step)
+    {
+        return { step.taskCount, step.demand.cpuMillis, step.demand.memoryMiB, step.demand.accelerators,
+            absl::ToInt64Milliseconds(step.estimate), step.after, flagsOf(step), step.requiredLabel, step.dataRack,
+            step.maxPerWorker, step.image, absl::ToInt64Milliseconds(step.latencyTarget), step.maxUnavailable };
+    }
+
+    StepSpec unpack(const StepFields& fields)
+    {
+        StepSpec step;
+        int64_t estimate = 0;
+        int64_t target = 0;
+        uint32_t flags = 0;
+        std::tie(step.taskCount, step.demand.cpuMillis, step.demand.memoryMiB, step.demand.accelerators, estimate,
+            step.after, flags, step.requiredLabel, step.dataRack, step.maxPerWorker, step.image, target,
+            step.maxUnavailable)
+            = fields;
+        step.estimate = absl::Milliseconds(estimate);
+        step.latencyTarget = absl::Milliseconds(target);
+        step.savesCheckpoints = flags & SavesCheckpoints;
+        step.isGang = flags & Gang;
+        step.prefersOneRack = flags & OneRack;
+        step.isSpeculative = flags & Speculative;
+        step.isService = flags & IsService;
+        step.usesIdleProcessors = flags & IdleProcessors;
+        return step;
+    }
+
+    PolicyFields pack(const QueuePolicy& policy)
+    {
+        return { policy.queue, policy.service, policy.priority, policy.maxAttempts, policy.stretch,
+            absl::ToInt64Milliseconds(policy.latencyTarget), absl::ToInt64Milliseconds(policy.callTimeout),
+            policy.advice.isNeeded, absl::ToDoubleMilliseconds(policy.advice.perCall),
+            absl::ToDoubleMilliseconds(policy.advice.perWorker), absl::ToInt64Milliseconds(policy.advice.validity) };
+    }
+
+    QueuePolicy unpack(const PolicyFields& fields)
+    {
+        QueuePolicy policy;
+        int64_t target = 0;
+        int64_t timeout = 0;
+        int64_t validity = 0;
+        double perCall = 0;
+        double perWorker = 0;
+        std::tie(policy.queue, policy.service, policy.priority, policy.maxAttempts, policy.stretch, target, timeout,
+            policy.advice.isNeeded, perCall, perWorker, validity)
+            = fields;
+        policy.latencyTarget = absl::Milliseconds(target);
+        policy.callTimeout = absl::Milliseconds(timeout);
+        policy.advice.perCall = absl::Milliseconds(perCall);
+        policy.advice.perWorker = absl::Milliseconds(perWorker);
+        policy.advice.validity = absl::Milliseconds(validity);
+        return policy;
+    }
+
+    std::vector<StepFields> packSteps(const Submission& spec)
+    {
+        std::vector<StepFields> steps;
+        steps.reserve(spec.steps.size());
+        for (const StepSpec& step : spec.steps)
+            steps.push_back(pack(step));
+        return steps;
+    }
+
+    uint32_t storedForm(const CellTask& task)
+    {
+        if (task.stage == TaskStage::Finished)
+            return StoredFinished;
+        return task.isOut() ? StoredOut : StoredWaiting;
+    }
+
+    Error malformed(absl::string_view what)
+    {
+        return Error { ErrorKind::MalformedMessage, absl::StrCat("The stored ", what, " can't be read."),
+            "Look for another writer below the same prefix of the store." };
+    }
+
+    void restore(CellTask& task, const TaskFields& fields)
+    {
+        uint32_t form = StoredWaiting;
+        uint32_t ignored = 0;
+        std::tie(ignored, ignored, ignored, form, task.run, task.failures, task.worker, task.workerStarted,
+            task.checkpoint)
+            = fields;
+        task.stage = form == StoredFinished ? TaskStage::Finished
+            : form == StoredOut             ? TaskStage::Starting
+                                            : TaskStage::Waiting;
+    }
+
+} // namespace
+
+absl::string_view jobPhaseName(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Queued:
+        return "queued";
+    case JobPhase::Running:
+        return "running";
+    case JobPhase::Finished:
+        return "finished";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "queued";
+}
+
+CellTask* CellJob::find(const TaskName& name)
+{
+    if (name.occurrence >= occurrences.size() || name.step >= occurrences[name.occurrence].size())
+        return nullptr;
+    auto& tasks = occurrences[name.occurrence][name.step].tasks;
+    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+}
+
+bool CellJob::allFinished() const
+{
+    for (const auto& steps : occurrences) {
+        for (const CellStep& step : steps) {
+            if (!step.isFinished())
+                return false;
+        }
+    }
+    return true;
+}
+
+bool CellJob::hasStarted() const
+{
+    for (const auto& steps : occurrences) {
+        for (const CellStep& step : steps) {
+            for (const CellTask& task : step.tasks) {
+                if (task.stage != TaskStage::Waiting && task.stage != TaskStage::Intending)
+                    return true;
+                if (task.run > (task.stage == TaskStage::Intending ? 1u : 0u))
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
+absl::Duration CellJob::chainFrom(uint32_t from) const
+{
+    // Steps wait for earlier ones only, so one pass from the back sees every chain.
+    std::vector<absl::Duration> longest(spec.steps.size(), absl::ZeroDuration());
+    for (size_t i = spec.steps.size(); i-- > from;) {
+        longest[i] += spec.steps[i].estimate;
+        for (const uint32_t earlier : spec.steps[i].after)
+            longest[earlier] = std::max(longest[earlier], longest[i]);
+    }
+    return longest[from];
+}
+
+absl::Duration CellJob::chain() const
+{
+    absl::Duration longest;
+    for (uint32_t i = 0; i < spec.steps.size(); ++i)
+        longest = std::max(longest, chainFrom(i));
+    return longest;
+}
+
+std::unique_ptr<CellJob> makeCellJob(Submission spec, QueuePolicy policy, int64_t acceptedUnixMillis)
+{
+    auto job = std::make_unique<CellJob>();
+    job->spec = std::move(spec);
+    job->policy = std::move(policy);
+    job->acceptedUnixMillis = acceptedUnixMillis;
+    job->occurrences.resize(std::max(1u, job->spec.occurrences));
+    for (auto& steps : job->occurrences) {
+        steps.resize(job->spec.steps.size());
+        for (size_t i = 0; i < steps.size(); ++i)
+            steps[i].tasks.resize(job->spec.steps[i].taskCount);
+    }
+    return job;
+}
+
+std::string encodeSubmission(const Submission& spec, const QueuePolicy& policy)
+{
+    return Internal::packFields(spec.id, spec.payload, packSteps(spec), spec.occurrences, spec.startUnixMillis,
+        spec.intervalMillis, pack(policy));
+}
+
+Result<void> decodeSubmission(absl::string_view bytes, Submission& spec, QueuePolicy& policy)
+{
+    std::vector<StepFields> steps;
+    PolicyFields policyFields;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "submission", spec.id, spec.payload, steps, spec.occurrences,
+        spec.startUnixMillis, spec.intervalMillis, policyFields));
+    spec.steps.clear();
+    for (const StepFields& step : steps)
+        spec.steps.push_back(unpack(step));
+    policy = unpack(policyFields);
+    return checkSubmission(spec);
+}
+
+std::string encodeJobRecord(const CellJob& job)
+{
+    return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy));
+}
+
+Result<std::unique_ptr<CellJob>> decodeJobRecord(absl::string_view id, absl::string_view bytes)
+{
+    int64_t accepted = 0;
+    std::string submission;
+    Submission spec;
+    QueuePolicy policy;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "job record", accepted, submission));
+    BOOST_OUTCOME_TRY(decodeSubmission(submission, spec, policy));
+    if (spec.id != id)
+        return malformed("job record");
+    auto job = makeCellJob(std::move(spec), std::move(policy), accepted);
+    job->isStored = true;
+    return job;
+}
+
+std::string encodeRunRecord(const CellJob& job)
+{
+    std::vector<TaskFields> tasks;
+    for (uint32_t k = 0; k < job.occurrences.size() && !isEnded(job.phase); ++k) {
+        for (uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
+            const auto& all = job.occurrences[k][s].tasks;
+            for (uint32_t i = 0; i < all.size(); ++i) {
+                const CellTask& task = all[i];
+                if (task.stage == TaskStage::Waiting && task.run == 0)
+                    continue;
+                const bool isOver = task.stage == TaskStage::Finished;
+                tasks.emplace_back(k, s, i, storedForm(task), task.run, task.failures,
+                    isOver ? std::string() : task.worker, task.workerStarted, isOver ? std::string() : task.checkpoint);
+            }
+        }
+    }
+    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks);
+}
+
+Result<void> applyRunRecord(CellJob& job, absl::string_view bytes)
+{
+    uint32_t phase = 0;
+    std::vector<TaskFields> tasks;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks));
+    if (phase > static_cast<uint32_t>(JobPhase::Cancelled))
+        return malformed("run record");
+    job.phase = static_cast<JobPhase>(phase);
+    job.storedPhase = job.phase;
+    for (const TaskFields& fields : tasks) {
+        const TaskName name { job.spec.id, std::get<0>(fields), std::get<1>(fields), std::get<2>(fields) };
+        CellTask* task = job.find(name);
+        if (!task)
+            return malformed("run record");
+        restore(*task, fields);
+        if (task->stage == TaskStage::Finished)
+            ++job.step({ name.occurrence, name.step }).finished;
+    }
+    return success();
+}
+
+Result<JobPhase> endedPhaseOf(absl::string_view runRecord, int64_t& endedUnixMillis)
+{
+    uint32_t phase = 0;
+    std::vector<TaskFields> tasks;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(runRecord, "run record", phase, endedUnixMillis, tasks));
+    if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
+        return malformed("run record");
+    return static_cast<JobPhase>(phase);
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/CellPlacing.cpp
@@ -0,0 +1,390 @@
+#include "Cell.h"
+
+#include "Job.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicada {
+
+namespace {
+
+    /** Placements are taken together that fall within this time. */
+    constexpr absl::Duration placeDelay = absl::Milliseconds(4);
+    /** A ticket must hold this long when its start is decided: the intent is stored and the order travels first. */
+    constexpr absl::Duration ticketMargin = absl::Milliseconds(350);
+    constexpr size_t mostWorkersAsked = 100;
+    constexpr size_t fewestWorkersAsked = 8;
+    /** The share of workers that a policy is taken to allow before it was asked. */
+    constexpr double firstAllowedShare = 0.5;
+    constexpr double shareWeight = 0.1;
+    constexpr absl::Duration adviceRetryDelay = absl::Milliseconds(300);
+    /** Questions about steps beyond this many waiting ones would be stale when their room comes. */
+    constexpr size_t maxWaitingQuestions = 12;
+
+    bool hasLabel(const ListedWorker& worker, const std::string& label)
+    {
+        return label.empty()
+            || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+    }
+
+    Resources demandOf(const StepSpec& spec)
+    {
+        Resources demand = spec.demand;
+        if (spec.usesIdleProcessors)
+            demand.cpuMillis = 0;
+        return demand;
+    }
+
+    /** The share of the worker that stays free, in the resource that is scarcer. */
+    double leftover(const Resources& free, const Resources& demand, const Resources& capacity)
+    {
+        const double cpu = static_cast<double>(free.cpuMillis - demand.cpuMillis)
+            / static_cast<double>(std::max<int64_t>(1, capacity.cpuMillis));
+        const double memory = static_cast<double>(free.memoryMiB - demand.memoryMiB)
+            / static_cast<double>(std::max<int64_t>(1, capacity.memoryMiB));
+        return std::max(cpu, memory);
+    }
+
+} // namespace
+
+void Cell::advance(CellJob& job)
+{
+    const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
+    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        const int64_t due
+            = job.spec.occurrences == 0 ? 0 : job.spec.startUnixMillis + job.spec.intervalMillis * k;
+        if (due > nowUnix) {
+            m_parts.timers.after(absl::Milliseconds(due - nowUnix),
+                guarded([this, id = job.spec.id, k] { occurrenceDue(id, k); }));
+            continue;
+        }
+        for (uint32_t s = 0; s < job.spec.steps.size(); ++s)
+            readyStep(job, { k, s });
+    }
+}
+
+void Cell::occurrenceDue(const std::string& id, uint32_t occurrence)
+{
+    CellJob* job = findJob(id);
+    if (!job || isEnded(job->phase))
+        return;
+    const int64_t due = job->spec.startUnixMillis + job->spec.intervalMillis * occurrence;
+    const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
+    if (due > nowUnix) {
+        // The time of day was set back meanwhile.
+        m_parts.timers.after(
+            absl::Milliseconds(due - nowUnix), guarded([this, id, occurrence] { occurrenceDue(id, occurrence); }));
+        return;
+    }
+    for (uint32_t s = 0; s < job->spec.steps.size(); ++s)
+        readyStep(*job, { occurrence, s });
+}
+
+void Cell::readyStep(CellJob& job, StepRef ref)
+{
+    CellStep& step = job.step(ref);
+    if (step.isFinished() || isEnded(job.phase))
+        return;
+    if (!step.isReady) {
+        for (const uint32_t earlier : job.stepSpec(ref).after) {
+            if (!job.step({ ref.occurrence, earlier }).isFinished())
+                return;
+        }
+        step.isReady = true;
+        step.readyAt = m_parts.timers.clock().now();
+        const QueuePolicy& policy = policyOf(job);
+        const absl::Duration slack = policy.stretch * job.chain() + policy.latencyTarget;
+        Instant begin = job.acceptedAt;
+        if (job.spec.occurrences > 0)
+            begin = step.readyAt;
+        step.latestStart = begin + slack - job.chainFrom(ref.step);
+    }
+    queueStep(job, ref);
+}
+
+void Cell::unqueue(CellJob& job, StepRef ref)
+{
+    const CellStep& step = job.step(ref);
+    const uint32_t priority = policyOf(job).priority;
+    for (const bool isLate : { false, true })
+        m_ready.erase({ isLate, priority, step.latestStart, job.spec.id, ref });
+}
+
+void Cell::queueStep(CellJob& job, StepRef ref)
+{
+    const CellStep& step = job.step(ref);
+    if (!step.isReady || isEnded(job.phase) || waitingTasks(step).empty())
+        return;
+    unqueue(job, ref);
+    const bool isLate = step.latestStart < m_parts.timers.clock().now();
+    m_ready.insert({ isLate, policyOf(job).priority, step.latestStart, job.spec.id, ref });
+    placeSoon();
+}
+
+std::vector<uint32_t> Cell::waitingTasks(const CellStep& step) const
+{
+    std::vector<uint32_t> waiting;
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (step.tasks[i].stage == TaskStage::Waiting)
+            waiting.push_back(i);
+    }
+    return waiting;
+}
+
+void Cell::placeSoon()
+{
+    if (m_isPlaceSet || m_ready.empty())
+        return;
+    m_isPlaceSet = true;
+    m_parts.timers.after(placeDelay, guarded([this] {
+        m_isPlaceSet = false;
+        placeAll();
+    }));
+}
+
+void Cell::placeAll()
+{
+    if (m_isRetiring || m_isDeposed)
+        return;
+    const Instant now = m_parts.timers.clock().now();
+    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    for (const Rank& rank : ranks) {
+        const bool isDone = placeStep(rank);
+        if (isDone) {
+            m_ready.erase(rank);
+        } else if (!rank.isLate && rank.latestStart < now) {
+            Rank late = rank;
+            late.isLate = true;
+            m_ready.erase(rank);
+            m_ready.insert(late);
+        }
+    }
+}
+
+std::vector<CellWorker*> Cell::candidates(CellJob& job, const StepSpec& spec)
+{
+    const Instant now = m_parts.timers.clock().now();
+    const std::string& service = policyOf(job).service;
+    std::vector<CellWorker*> found;
+    for (auto& [id, worker] : m_workers) {
+        if (worker.isUsable(now) && worker.listed.service == service && hasLabel(worker.listed, spec.requiredLabel))
+            found.push_back(&worker);
+    }
+    return found;
+}
+
+std::vector<Cell::Choice> Cell::place(
+    CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, bool isWhole, const std::string& rackOnly)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    const CellStep& step = job.step(ref);
+    const Resources demand = demandOf(spec);
+    absl::flat_hash_map<std::string, uint32_t> counts;
+    if (spec.maxPerWorker > 0) {
+        for (const CellTask& task : step.tasks) {
+            if (task.isOut())
+                ++counts[task.worker];
+        }
+    }
+    struct Room {
+        CellWorker* worker;
+        Resources free;
+        bool isNear;
+    };
+    std::vector<Room> rooms;
+    for (CellWorker* worker : on) {
+        if (!rackOnly.empty() && worker->listed.rack != rackOnly)
+            continue;
+        if (fits(demand, worker->free()))
+            rooms.push_back({ worker, worker->free(), !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
+    }
+    std::vector<Choice> choices;
+    for (const uint32_t index : waitingTasks(step)) {
+        Room* best = nullptr;
+        double bestScore = 0;
+        for (Room& room : rooms) {
+            if (!fits(demand, room.free))
+                continue;
+            const std::string& id = room.worker->listed.life.id;
+            if (spec.maxPerWorker > 0 && counts[id] >= spec.maxPerWorker)
+                continue;
+            const double score = leftover(room.free, demand, room.worker->listed.capacity) - (room.isNear ? 10 : 0)
+                + (room.worker->slowness - 1);
+            if (!best || score < bestScore) {
+                best = &room;
+                bestScore = score;
+            }
+        }
+        if (!best) {
+            if (isWhole)
+                return {};
+            break;
+        }
+        best->free = best->free - demand;
+        ++counts[best->worker->listed.life.id];
+        choices.push_back({ index, best->worker });
+    }
+    return choices;
+}
+
+bool Cell::placeWhole(
+    CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    if (spec.prefersOneRack) {
+        absl::btree_set<std::string> racks;
+        for (const CellWorker* worker : on)
+            racks.insert(worker->listed.rack);
+        for (const std::string& rack : racks) {
+            choices = place(job, ref, on, true, rack);
+            if (!choices.empty())
+                return true;
+        }
+    }
+    choices = place(job, ref, on, spec.isGang, "");
+    return !choices.empty();
+}
+
+bool Cell::placeStep(const Rank& rank)
+{
+    CellJob* job = findJob(rank.job);
+    if (!job || isEnded(job->phase))
+        return true;
+    CellStep& step = job->step(rank.ref);
+    const StepSpec& spec = job->stepSpec(rank.ref);
+    const size_t waiting = waitingTasks(step).size();
+    if (waiting == 0)
+        return true;
+    const Instant now = m_parts.timers.clock().now();
+    // A gang starts again only when nothing of its last run is out.
+    if ((spec.isGang && waiting < step.tasks.size()) || step.notBefore > now)
+        return false;
+    const std::vector<CellWorker*> all = candidates(*job, spec);
+    std::vector<Choice> choices;
+    if (!policyOf(*job).advice.isNeeded) {
+        if (!placeWhole(*job, rank.ref, all, choices))
+            return false;
+        intend(*job, rank.ref, choices);
+        return choices.size() == waiting;
+    }
+    std::vector<CellWorker*> withTicket;
+    std::vector<CellWorker*> allowed;
+    std::vector<CellWorker*> open;
+    for (CellWorker* worker : all) {
+        const auto found = step.advice.allowed.find(worker->listed.life.id);
+        if (found != step.advice.allowed.end()) {
+            allowed.push_back(worker);
+            if (found->second.validUntil > now + ticketMargin)
+                withTicket.push_back(worker);
+        } else if (!step.advice.asked.contains(worker->listed.life.id)) {
+            open.push_back(worker);
+        }
+    }
+    if (placeWhole(*job, rank.ref, withTicket, choices)) {
+        const bool isWhole = choices.size() == waiting;
+        intend(*job, rank.ref, choices);
+        if (isWhole)
+            return true;
+    }
+    if (step.advice.isAsking)
+        return false;
+    // Ask only when an answer could let something start now.
+    if (placeWhole(*job, rank.ref, allowed, choices)) {
+        askAdvice(*job, rank.ref, allowed, choices.size());
+        return false;
+    }
+    std::vector<CellWorker*> both = allowed;
+    both.insert(both.end(), open.begin(), open.end());
+    if (!open.empty() && placeWhole(*job, rank.ref, both, choices))
+        askAdvice(*job, rank.ref, both, choices.size());
+    return false;
+}
+
+void Cell::askAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted)
+{
+    if (m_parts.advice.waiting() >= maxWaitingQuestions)
+        return;
+    CellStep& step = job.step(ref);
+    const QueuePolicy& policy = policyOf(job);
+    const Resources demand = demandOf(job.stepSpec(ref));
+    const std::string& dataRack = job.stepSpec(ref).dataRack;
+    const auto rankOf = [&](const CellWorker* worker) {
+        const bool isAllowed = step.advice.allowed.contains(worker->listed.life.id);
+        const bool isNear = !dataRack.empty() && worker->listed.rack == dataRack;
+        const bool hasRoom = fits(demand, worker->free());
+        return std::make_tuple(!hasRoom, !isNear, !isAllowed, -worker->free().cpuMillis);
+    };
+    std::stable_sort(workers.begin(), workers.end(),
+        [&](const CellWorker* a, const CellWorker* b) { return rankOf(a) < rankOf(b); });
+    const double share = m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second;
+    const auto needed = static_cast<size_t>(std::ceil(static_cast<double>(wanted + 2) / std::max(share, 0.05)));
+    const size_t count = std::min({ std::max(needed, fewestWorkersAsked), mostWorkersAsked, workers.size() });
+    AdviceQuestion question { { job.spec.id, ref.occurrence, ref.step, 0 }, {} };
+    for (size_t i = 0; i < count; ++i)
+        question.workers.push_back(workers[i]->listed.life.id);
+    step.advice.isAsking = true;
+    m_parts.metrics.count("cicada_advice_questions");
+    const absl::Duration expected = policy.advice.perCall + policy.advice.perWorker * static_cast<double>(count);
+    const std::vector<std::string> asked = question.workers;
+    m_parts.advice.ask(std::move(question), expected,
+        guarded([this, id = job.spec.id, ref, asked](
+                    AdviceAnswer answer) { handleAdvice(id, ref, asked, std::move(answer)); }));
+}
+
+void Cell::handleAdvice(
+    const std::string& id, StepRef ref, const std::vector<std::string>& asked, AdviceAnswer answer)
+{
+    CellJob* job = findJob(id);
+    if (!job)
+        return;
+    CellStep& step = job->step(ref);
+    step.advice.isAsking = false;
+    if (isEnded(job->phase))
+        return;
+    const Instant now = m_parts.timers.clock().now();
+    if (!answer.isValid) {
+        step.notBefore = std::max(step.notBefore, now + adviceRetryDelay);
+        m_parts.timers.after(adviceRetryDelay, guarded([this] { placeSoon(); }));
+        return;
+    }
+    const QueuePolicy& policy = policyOf(*job);
+    const absl::Duration validity
+        = answer.validity > absl::ZeroDuration() ? answer.validity : policy.advice.validity;
+    for (const std::string& worker : asked)
+        step.advice.asked.insert(worker);
+    for (Ticket& ticket : answer.tickets)
+        step.advice.allowed[ticket.worker] = { std::move(ticket.text), now + validity };
+    double& share = m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second;
+    const double seen = static_cast<double>(answer.tickets.size()) / std::max<double>(1, asked.size());
+    share += (seen - share) * shareWeight;
+    m_parts.log.write("advice-taken", "job", id, "occurrence", ref.occurrence, "step", ref.step, "asked",
+        asked.size(), "allowed", answer.tickets.size(), "validMs", absl::ToInt64Milliseconds(validity));
+    placeSoon();
+}
+
+void Cell::intend(CellJob& job, StepRef ref, const std::vector<Choice>& choices)
+{
+    const Resources demand = demandOf(job.stepSpec(ref));
+    CellStep& step = job.step(ref);
+    uint32_t run = 0;
+    if (job.stepSpec(ref).isGang) {
+        for (const CellTask& task : step.tasks)
+            run = std::max(run, task.run);
+    }
+    std::vector<TaskRun> runs;
+    for (const Choice& choice : choices) {
+        CellTask& task = step.tasks[choice.index];
+        task.stage = TaskStage::Intending;
+        task.run = std::max(run, task.run) + 1;
+        task.worker = choice.worker->listed.life.id;
+        task.workerStarted = choice.worker->startedUnixMillis;
+        runs.push_back({ { job.spec.id, ref.occurrence, ref.step, choice.index }, task.run });
+        choice.worker->occupy(runs.back(), demand);
+    }
+    if (job.phase == JobPhase::Queued)
+        job.phase = JobPhase::Running;
+    storeRuns(job, guarded([this, id = job.spec.id, runs] { sendStarts(id, runs); }));
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/CellRuns.cpp
@@ -0,0 +1,311 @@
+#include "Cell.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    /** A stop that had no reply, or whose run is still listed, is ordered again after this long. */
+    constexpr absl::Duration stopRetryDelay = absl::Milliseconds(700);
+    constexpr absl::Duration refusalDelay = absl::Milliseconds(100);
+    constexpr absl::Duration malformedDelay = absl::Seconds(2);
+    constexpr absl::Duration unhealthyRest = absl::Seconds(1);
+    constexpr absl::Duration failingRest = absl::Seconds(3);
+    /** So many jobs in a row that fail on one worker speak against the worker. */
+    constexpr size_t failedJobsToRest = 3;
+    constexpr double slownessWeight = 0.15;
+
+} // namespace
+
+void Cell::sendStarts(const std::string& id, const std::vector<TaskRun>& runs)
+{
+    CellJob* job = findJob(id);
+    if (!job)
+        return;
+    for (const TaskRun& run : runs)
+        sendStart(*job, run);
+}
+
+void Cell::sendStart(CellJob& job, const TaskRun& run)
+{
+    CellTask* task = job.find(run.task);
+    if (!task || task->run != run.run || task->stage != TaskStage::Intending)
+        return;
+    CellWorker* worker = findWorker(task->worker);
+    const bool isWanted = !isEnded(job.phase) && !m_isRetiring && !m_isDeposed;
+    if (!worker || !isWanted || !worker->isUsable(m_parts.timers.clock().now())) {
+        if (worker)
+            notStarted(run, *worker, OrderStatus::NotSent);
+        return;
+    }
+    StartOrder order { run, job.spec.payload, task->checkpoint, "", m_term.token, leaseEnd(*worker) };
+    const CellStep& step = job.step({ run.task.occurrence, run.task.step });
+    const auto allowed = step.advice.allowed.find(task->worker);
+    if (allowed != step.advice.allowed.end())
+        order.ticket = allowed->second.ticket;
+    const Instant now = m_parts.timers.clock().now();
+    task->stage = TaskStage::Starting;
+    task->startedAt = now;
+    task->progressAt = now;
+    task->percent = -1;
+    worker->occupants[run].isStarting = true;
+    m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token,
+        "waitedMs", absl::ToInt64Milliseconds(now - step.readyAt), "slackMs",
+        absl::ToInt64Milliseconds(step.latestStart - now));
+    m_parts.metrics.count("cicada_runs_ordered");
+    m_parts.orders.start(worker->listed.life, std::move(order),
+        guarded([this, run, id = task->worker, generation = worker->generation](OrderReply reply) {
+            CellWorker* target = findWorker(id);
+            if (target && target->generation == generation)
+                handleStart(run, id, std::move(reply));
+        }));
+}
+
+void Cell::handleStart(const TaskRun& run, const std::string& id, OrderReply reply)
+{
+    CellWorker& worker = m_workers[id];
+    const Instant now = m_parts.timers.clock().now();
+    if (reply.workerClockMillis)
+        worker.clock.note(*reply.workerClockMillis, now);
+    const auto occupant = worker.occupants.find(run);
+    if (occupant == worker.occupants.end())
+        return;
+    occupant->second.isStarting = false;
+    switch (reply.status) {
+    case OrderStatus::Done: {
+        occupant->second.settledAt = std::min(occupant->second.settledAt, now);
+        CellJob* job = findJob(run.task.job);
+        CellTask* task = job ? job->find(run.task) : nullptr;
+        if (task && task->run == run.run && task->stage == TaskStage::Starting)
+            task->stage = TaskStage::Running;
+        if (!job || isEnded(job->phase) || occupant->second.isStopWanted)
+            wantStop(worker, run);
+        return syncSoon(worker, absl::ZeroDuration());
+    }
+    case OrderStatus::Fenced:
+        return deposed("fenced-by-worker");
+    case OrderStatus::OtherLife:
+        return lifeOver(worker, "other-life-answers");
+    case OrderStatus::NoReply:
+        m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
+        ++worker.failedSyncs;
+        if (worker.failedSyncs == 1)
+            worker.firstFailedAt = now;
+        return sync(worker, false);
+    case OrderStatus::NotSent:
+        ++worker.failedSyncs;
+        if (worker.failedSyncs == 1)
+            worker.firstFailedAt = now;
+        syncSoon(worker, absl::Milliseconds(100));
+        [[fallthrough]];
+    default:
+        notStarted(run, worker, reply.status);
+    }
+}
+
+void Cell::notStarted(const TaskRun& run, CellWorker& worker, OrderStatus why)
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (why == OrderStatus::Unhealthy)
+        rest(worker, unhealthyRest, "unhealthy");
+    if (why == OrderStatus::NoRoom)
+        rest(worker, absl::Milliseconds(500), "says-no-room");
+    CellJob* job = findJob(run.task.job);
+    if (job) {
+        CellStep& step = job->step({ run.task.occurrence, run.task.step });
+        if (why == OrderStatus::NoTicket)
+            step.advice.allowed.erase(worker.listed.life.id);
+        if (why == OrderStatus::NoTicket)
+            step.advice.asked.erase(worker.listed.life.id);
+        const absl::Duration delay = why == OrderStatus::Malformed ? malformedDelay : refusalDelay;
+        step.notBefore = std::max(step.notBefore, now + delay);
+        m_parts.timers.after(delay, guarded([this] { placeSoon(); }));
+    }
+    runOver(worker, run, orderStatusName(why));
+}
+
+void Cell::runOver(CellWorker& worker, const TaskRun& run, absl::string_view why)
+{
+    worker.release(run);
+    CellJob* job = findJob(run.task.job);
+    CellTask* task = job ? job->find(run.task) : nullptr;
+    if (!task || task->run != run.run || !task->isOut())
+        return;
+    m_parts.log.write("run-over", "run", describeRun(run), "worker", worker.listed.life.id, "why", why);
+    m_parts.metrics.count(absl::StrCat("cicada_runs_over{why=\"", why, "\"}"));
+    task->stage = TaskStage::Waiting;
+    const StepRef ref { run.task.occurrence, run.task.step };
+    settleGang(*job, ref);
+    queueStep(*job, ref);
+}
+
+void Cell::settleGang(CellJob& job, StepRef ref)
+{
+    if (!job.stepSpec(ref).isGang)
+        return;
+    CellStep& step = job.step(ref);
+    // What is left of a gang that lost a member can't work; its end lets the gang start again.
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        CellTask& task = step.tasks[i];
+        if (!task.isOut())
+            continue;
+        const TaskRun run { { job.spec.id, ref.occurrence, ref.step, i }, task.run };
+        CellWorker* worker = findWorker(task.worker);
+        if (!worker)
+            continue;
+        if (task.stage == TaskStage::Intending) {
+            task.stage = TaskStage::Waiting;
+            worker->release(run);
+        } else {
+            wantStop(*worker, run);
+        }
+    }
+}
+
+void Cell::wantStop(CellWorker& worker, const TaskRun& run)
+{
+    const auto occupant = worker.occupants.find(run);
+    if (occupant == worker.occupants.end())
+        return;
+    occupant->second.isStopWanted = true;
+    // A start whose reply is awaited may not have arrived; stopping it now is as good as later.
+    sendStop(worker, run);
+}
+
+void Cell::sendStop(CellWorker& worker, const TaskRun& run)
+{
+    const Instant now = m_parts.timers.clock().now();
+    Occupant& occupant = worker.occupants[run];
+    if (now - occupant.stopSentAt < stopRetryDelay || m_isDeposed)
+        return;
+    occupant.stopSentAt = now;
+    m_parts.log.write("run-stop-ordered", "run", describeRun(run), "worker", worker.listed.life.id);
+    m_parts.orders.stop(worker.listed.life, run, m_term.token,
+        guarded([this, run, id = worker.listed.life.id, generation = worker.generation](OrderReply reply) {
+            CellWorker* target = findWorker(id);
+            if (!target || target->generation != generation)
+                return;
+            const Instant answeredAt = m_parts.timers.clock().now();
+            if (reply.workerClockMillis)
+                target->clock.note(*reply.workerClockMillis, answeredAt);
+            if (reply.status == OrderStatus::Fenced)
+                return deposed("fenced-by-worker");
+            if (reply.status == OrderStatus::OtherLife)
+                return lifeOver(*target, "other-life-answers");
+            const auto found = target->occupants.find(run);
+            if (found == target->occupants.end())
+                return;
+            if (reply.status == OrderStatus::Done)
+                found->second.settledAt = std::min(found->second.settledAt, answeredAt);
+            syncSoon(*target, absl::Milliseconds(reply.status == OrderStatus::Done ? 50 : 300));
+        }));
+}
+
+void Cell::stopJob(CellJob& job)
+{
+    for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
+            auto& tasks = job.occurrences[k][s].tasks;
+            for (uint32_t i = 0; i < tasks.size(); ++i) {
+                if (tasks[i].stage != TaskStage::Starting && tasks[i].stage != TaskStage::Running)
+                    continue;
+                if (CellWorker* worker = findWorker(tasks[i].worker))
+                    wantStop(*worker, { { job.spec.id, k, s, i }, tasks[i].run });
+            }
+        }
+    }
+}
+
+void Cell::applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed)
+{
+    const TaskName& name = ended.run.task;
+    worker.release(ended.run);
+    m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.life.id, "sequence",
+        ended.sequence, "ending", runEndingName(ended.ending));
+    m_parts.metrics.count(absl::StrCat("cicada_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
+    CellJob* job = findJob(name.job);
+    CellTask* task = job ? job->find(name) : nullptr;
+    if (!task || isEnded(job->phase) || task->stage == TaskStage::Finished)
+        return;
+    if (ended.ending == RunEnding::Finished && !job->stepSpec({ name.occurrence, name.step }).isService) {
+        changed.push_back(name.job);
+        return taskFinished(*job, name, worker);
+    }
+    if (task->run != ended.run.run || !task->isOut())
+        return;
+    changed.push_back(name.job);
+    if (!ended.checkpoint.empty())
+        task->checkpoint = ended.checkpoint;
+    task->stage = TaskStage::Waiting;
+    const StepRef ref { name.occurrence, name.step };
+    if (ended.ending == RunEnding::Failed)
+        taskFailed(*job, *task, name, worker);
+    if (isEnded(job->phase))
+        return;
+    settleGang(*job, ref);
+    queueStep(*job, ref);
+}
+
+void Cell::taskFailed(CellJob& job, CellTask& task, const TaskName& name, CellWorker& worker)
+{
+    worker.failedJobs.insert(name.job);
+    if (worker.failedJobs.size() >= failedJobsToRest)
+        rest(worker, failingRest, "runs-fail");
+    const StepSpec& spec = job.spec.steps[name.step];
+    if (spec.isService)
+        return;
+    CellStep& step = job.step({ name.occurrence, name.step });
+    if (spec.isGang) {
+        // A gang fails as a whole, and once a run however many of its members fail.
+        if (step.lastFailedRun == task.run)
+            return;
+        step.lastFailedRun = task.run;
+        for (CellTask& member : step.tasks)
+            member.failures = task.failures + 1;
+    } else {
+        ++task.failures;
+    }
+    const uint32_t allowed = policyOf(job).maxAttempts;
+    if (task.failures >= std::max(1u, allowed))
+        endJob(job, JobPhase::Failed, absl::StrCat("task-failed-", task.failures, "-times"));
+}
+
+void Cell::taskFinished(CellJob& job, const TaskName& name, CellWorker& worker)
+{
+    const StepRef ref { name.occurrence, name.step };
+    CellStep& step = job.step(ref);
+    const StepSpec& spec = job.stepSpec(ref);
+    worker.failedJobs.clear();
+    worker.restCount = 0;
+    CellTask& task = step.tasks[name.index];
+    if (spec.estimate > absl::ZeroDuration() && task.startedAt > absl::ZeroDuration()) {
+        const double ratio = absl::FDivDuration(m_parts.timers.clock().now() - task.startedAt, spec.estimate);
+        worker.slowness += (std::clamp(ratio, 0.3, 4.0) - worker.slowness) * slownessWeight;
+    }
+    // One finished member speaks for the whole gang.
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (i != name.index && !spec.isGang)
+            continue;
+        CellTask& done = step.tasks[i];
+        if (done.stage == TaskStage::Finished)
+            continue;
+        const TaskRun run { { name.job, name.occurrence, name.step, i }, done.run };
+        CellWorker* at = done.isOut() ? findWorker(done.worker) : nullptr;
+        if (at && done.stage == TaskStage::Intending)
+            at->release(run);
+        else if (at && !spec.isGang)
+            wantStop(*at, run);
+        done.stage = TaskStage::Finished;
+        ++step.finished;
+    }
+    if (!step.isFinished())
+        return;
+    unqueue(job, ref);
+    if (job.allFinished())
+        return endJob(job, JobPhase::Finished, "all-tasks-finished");
+    for (uint32_t later = ref.step + 1; later < job.spec.steps.size(); ++later)
+        readyStep(job, { ref.occurrence, later });
+}
+
+} // namespace cicada
--- a/src/Clock.cpp
+++ b/src/Clock.cpp
@@ -9,7 +9,8 @@
 Instant SystemClock::now() const
 {
     timespec spec;
-    clock_gettime(CLOCK_MONOTONIC, &spec);
+    // Leases run on while this machine is suspended, so the time of a suspension counts.
+    clock_gettime(CLOCK_BOOTTIME, &spec);
     return absl::DurationFromTimespec(spec);
 }
 
--- /dev/null
+++ b/src/DurableWriter.cpp
@@ -0,0 +1,210 @@
+#include "DurableWriter.h"
+
+namespace cicada {
+
+namespace {
+
+    /** Writes are collected for this long, which makes groups of them. */
+    constexpr absl::Duration collectFor = absl::Milliseconds(8);
+    constexpr size_t maxInFlight = 4;
+    constexpr absl::Duration firstRetryDelay = absl::Milliseconds(50);
+    constexpr absl::Duration maxRetryDelay = absl::Milliseconds(400);
+    /** A key takes a condition and a write; one condition is the guard. */
+    constexpr size_t keysPerTransaction = (maxTransactionEntries - 1) / 2;
+    constexpr size_t maxTransactionBytes = 256 << 10;
+
+} // namespace
+
+DurableWriter::DurableWriter(Parts parts, StoreCondition guard)
+    : m_parts(std::move(parts))
+    , m_guard(std::move(guard))
+{
+}
+
+DurableWriter::~DurableWriter() { *m_alive = false; }
+
+void DurableWriter::write(const std::string& key, Done done)
+{
+    Key& state = m_keys[key];
+    if (done)
+        state.waiting.push_back(std::move(done));
+    if (!state.isDirty) {
+        state.isDirty = true;
+        m_dirty.push_back(key);
+        if (m_waitingSince == absl::InfiniteDuration())
+            m_waitingSince = m_parts.timers.clock().now();
+    }
+    if (m_inFlight < maxInFlight && m_failures == 0)
+        pumpLater(collectFor);
+}
+
+void DurableWriter::flush(Done done)
+{
+    if (isIdle())
+        return done();
+    m_flushed.push_back(std::move(done));
+}
+
+absl::Duration DurableWriter::lag() const
+{
+    if (m_waitingSince == absl::InfiniteDuration())
+        return absl::ZeroDuration();
+    return m_parts.timers.clock().now() - m_waitingSince;
+}
+
+void DurableWriter::pumpLater(absl::Duration delay)
+{
+    if (m_isPumpSet || m_isLost)
+        return;
+    m_isPumpSet = true;
+    m_parts.timers.after(delay, [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_isPumpSet = false;
+        pump();
+    });
+}
+
+void DurableWriter::pump()
+{
+    // After a failure one attempt at a time probes the store.
+    const size_t allowed = m_failures > 0 ? 1 : maxInFlight;
+    while (!m_isLost && m_inFlight < allowed && send()) { }
+}
+
+bool DurableWriter::send()
+{
+    Batch batch;
+    Transaction transaction;
+    transaction.conditions.push_back(m_guard);
+    size_t bytes = 0;
+    std::vector<std::string> left;
+    for (std::string& name : m_dirty) {
+        Key& key = m_keys[name];
+        if (key.isInFlight || batch.keys.size() == keysPerTransaction || bytes > maxTransactionBytes) {
+            left.push_back(std::move(name));
+            continue;
+        }
+        auto value = m_parts.valueOf(name);
+        key.isDirty = false;
+        key.isInFlight = true;
+        transaction.conditions.push_back({ name, key.revision });
+        for (Done& done : key.waiting)
+            batch.done.push_back(std::move(done));
+        key.waiting.clear();
+        batch.isRemoval.push_back(!value);
+        if (value) {
+            bytes += value->size();
+            transaction.writes.push_back({ name, std::move(*value), 0 });
+        } else if (key.revision != 0) {
+            transaction.removals.push_back(name);
+        }
+        batch.keys.push_back(std::move(name));
+    }
+    m_dirty = std::move(left);
+    if (batch.keys.empty())
+        return false;
+    ++m_inFlight;
+    m_parts.metrics.count("cicada_store_transactions");
+    m_parts.store.transact(
+        std::move(transaction), [this, alive = m_alive, batch = std::move(batch)](TransactionReply reply) mutable {
+            if (*alive)
+                handle(std::move(batch), std::move(reply));
+        });
+    return true;
+}
+
+void DurableWriter::handle(Batch batch, TransactionReply reply)
+{
+    --m_inFlight;
+    for (const std::string& name : batch.keys)
+        m_keys[name].isInFlight = false;
+    if (m_isLost)
+        return;
+    const bool isAnswered
+        = reply.status == TransactionStatus::Applied || reply.status == TransactionStatus::ConditionFailed;
+    if (isAnswered && m_failures > 0)
+        m_parts.log.write("store-writes-resumed", "failures", m_failures);
+    m_failures = isAnswered ? 0 : m_failures + 1;
+    if (reply.status == TransactionStatus::Applied) {
+        applied(batch, reply.revision);
+    } else {
+        if (reply.status == TransactionStatus::ConditionFailed && !learnRevisions(batch, reply)) {
+            m_isLost = true;
+            m_parts.log.write("cell-row-changed", "row", m_guard.key, "revision", m_guard.revision);
+            return m_parts.onLost();
+        }
+        if (m_failures == 1)
+            m_parts.log.write("store-write-failed", "keys", batch.keys.size(), "unknown",
+                reply.status == TransactionStatus::Unknown ? 1 : 0);
+        again(batch);
+    }
+    if (m_dirty.empty() && m_inFlight == 0) {
+        m_waitingSince = absl::InfiniteDuration();
+        std::vector<Done> flushed = std::move(m_flushed);
+        m_flushed.clear();
+        for (Done& done : flushed)
+            done();
+        return;
+    }
+    const absl::Duration backoff = std::min(maxRetryDelay, firstRetryDelay * std::min(8, 1 << std::min(m_failures, 3)));
+    if (!m_dirty.empty())
+        pumpLater(m_failures > 0 ? backoff : absl::ZeroDuration());
+}
+
+void DurableWriter::applied(Batch& batch, uint64_t revision)
+{
+    m_waitingSince = m_dirty.empty() && m_inFlight == 0 ? absl::InfiniteDuration() : m_parts.timers.clock().now();
+    for (size_t i = 0; i < batch.keys.size(); ++i) {
+        const auto key = m_keys.find(batch.keys[i]);
+        key->second.revision = batch.isRemoval[i] ? 0 : revision;
+        if (batch.isRemoval[i] && !key->second.isDirty && key->second.waiting.empty())
+            m_keys.erase(key);
+    }
+    for (Done& done : batch.done)
+        done();
+}
+
+bool DurableWriter::learnRevisions(const Batch& batch, const TransactionReply& reply)
+{
+    absl::btree_map<std::string, uint64_t> current;
+    for (const StoreEntry& entry : reply.current)
+        current[entry.key] = entry.index;
+    const auto guard = current.find(m_guard.key);
+    if (guard == current.end() || guard->second != m_guard.revision)
+        return false;
+    for (const std::string& name : batch.keys) {
+        const auto found = current.find(name);
+        m_keys[name].revision = found == current.end() ? 0 : found->second;
+    }
+    return true;
+}
+
+void DurableWriter::again(Batch& batch)
+{
+    for (const std::string& name : batch.keys) {
+        Key& key = m_keys[name];
+        if (key.isDirty)
+            continue;
+        key.isDirty = true;
+        m_dirty.push_back(name);
+    }
+    // What waited for this batch waits for the last of its keys.
+    Key& last = m_keys[batch.keys.back()];
+    if (batch.keys.size() == 1) {
+        for (Done& done : batch.done)
+            last.waiting.push_back(std::move(done));
+        return;
+    }
+    auto shared = std::make_shared<std::pair<size_t, std::vector<Done>>>(batch.keys.size(), std::move(batch.done));
+    for (const std::string& name : batch.keys) {
+        m_keys[name].waiting.push_back([shared] {
+            if (--shared->first > 0)
+                return;
+            for (Done& done : shared->second)
+                done();
+        });
+    }
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/DurableWriter.h
@@ -0,0 +1,85 @@
+#pragma once
+
+/** \file
+ * Writes the records of one cell to the store in groups. Each transaction requires that the cell's row is unchanged,
+ * so that a former owner's writes fail, and names the revision of every key that it replaces, so that a write which
+ * takes effect late can't put an older value over a newer one. A write without a reply is repeated with the newest
+ * value; what the first attempt did shows in the revisions that a failed condition returns.
+ */
+
+#include "EventLog.h"
+#include "Metrics.h"
+#include "TimerQueue.h"
+#include "TransactionalStore.h"
+
+#include "absl/container/btree_map.h"
+
+#include <functional>
+#include <memory>
+
+namespace cicada {
+
+/** Keeps keys of the store equal to values that the owner holds in memory. Used on the decision thread only. */
+class DurableWriter {
+public:
+    using Done = absl::AnyInvocable<void()>;
+    struct Parts {
+        TransactionalStore& store;
+        TimerQueue& timers;
+        EventLog& log;
+        Metrics& metrics;
+        /** The value of a key as it is to be stored now; nothing when the key is to be removed. */
+        std::function<std::optional<std::string>(const std::string& key)> valueOf;
+        /** The row that proves the ownership has changed. */
+        std::function<void()> onLost;
+    };
+
+    /** `guard` is the cell's row at the revision under which this owner holds it. */
+    DurableWriter(Parts parts, StoreCondition guard);
+    ~DurableWriter();
+
+    /** Says that a key exists already, at this revision. */
+    void noteStored(const std::string& key, uint64_t revision) { m_keys[key].revision = revision; }
+    /** Stores the key's value as it is when the write is sent, and calls `done` once it is durable. */
+    void write(const std::string& key, Done done);
+    /** Calls `done` once everything that is written now is durable. */
+    void flush(Done done);
+    bool isIdle() const { return m_dirty.empty() && m_inFlight == 0; }
+    /** How long the oldest unanswered write has waited. */
+    absl::Duration lag() const;
+
+private:
+    struct Key {
+        uint64_t revision = 0;
+        bool isDirty = false;
+        bool isInFlight = false;
+        std::vector<Done> waiting;
+    };
+    struct Batch {
+        std::vector<std::string> keys;
+        std::vector<bool> isRemoval;
+        std::vector<Done> done;
+    };
+
+    void pump();
+    bool send();
+    void handle(Batch batch, TransactionReply reply);
+    void applied(Batch& batch, uint64_t revision);
+    bool learnRevisions(const Batch& batch, const TransactionReply& reply);
+    void again(Batch& batch);
+    void pumpLater(absl::Duration delay);
+
+    Parts m_parts;
+    const StoreCondition m_guard;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    absl::btree_map<std::string, Key> m_keys;
+    std::vector<std::string> m_dirty;
+    std::vector<Done> m_flushed;
+    size_t m_inFlight = 0;
+    bool m_isPumpSet = false;
+    bool m_isLost = false;
+    int m_failures = 0;
+    Instant m_waitingSince = absl::InfiniteDuration();
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobGateway.cpp
@@ -0,0 +1,308 @@
+#include "JobGateway.h"
+
+#include "Pack.h"
+
+namespace cicada {
+
+namespace {
+
+    constexpr const char* askService = "job.ask";
+    constexpr const char* replyService = "job.reply";
+    /** An owner that has not answered for this long is asked again. */
+    constexpr absl::Duration resendInterval = absl::Milliseconds(900);
+    constexpr absl::Duration notOwnerDelay = absl::Milliseconds(100);
+    /** How long a request that nobody may have received waits for an owner. */
+    constexpr absl::Duration ownerlessPatience = absl::Milliseconds(1800);
+
+    GatewayReply replyOf(const CellReply& reply)
+    {
+        switch (reply.answer) {
+        case CellAnswer::Accepted:
+            return { GatewayStatus::Accepted };
+        case CellAnswer::Refused:
+            return { GatewayStatus::Refused };
+        case CellAnswer::Found:
+            return { GatewayStatus::Found, reply.phase };
+        case CellAnswer::Cancelled:
+            return { GatewayStatus::Cancelled };
+        case CellAnswer::Gone:
+            return { GatewayStatus::Gone };
+        case CellAnswer::NotOwner:
+            return { GatewayStatus::Unreached };
+        }
+        return { GatewayStatus::Unreached };
+    }
+
+} // namespace
+
+absl::string_view gatewayStatusName(GatewayStatus status)
+{
+    switch (status) {
+    case GatewayStatus::Accepted:
+        return "accepted";
+    case GatewayStatus::Refused:
+        return "refused";
+    case GatewayStatus::Found:
+        return "found";
+    case GatewayStatus::Cancelled:
+        return "cancelled";
+    case GatewayStatus::Gone:
+        return "gone";
+    case GatewayStatus::Counted:
+        return "counted";
+    case GatewayStatus::Unknown:
+        return "unknown";
+    case GatewayStatus::Unreached:
+        return "unreached";
+    }
+    return "unknown";
+}
+
+JobGateway::JobGateway(Parts parts)
+    : m_parts(std::move(parts))
+{
+    m_parts.peers.handle(askService,
+        [this](absl::string_view from, absl::string_view bytes) { handleAsk(std::string(from), bytes); });
+    m_parts.peers.handle(replyService, [this](absl::string_view, absl::string_view bytes) { handleReply(bytes); });
+}
+
+void JobGateway::submit(
+    const Submission& spec, const QueuePolicy& policy, absl::Duration timeout, Callback callback)
+{
+    Request request;
+    request.verb = GatewayVerb::Submit;
+    request.cell = m_parts.directory.cellOf(spec.id);
+    request.subject = spec.id;
+    request.body = encodeSubmission(spec, policy);
+    request.callback = std::move(callback);
+    begin(std::move(request), timeout);
+}
+
+void JobGateway::query(const std::string& job, absl::Duration timeout, Callback callback)
+{
+    Request request;
+    request.verb = GatewayVerb::Query;
+    request.cell = m_parts.directory.cellOf(job);
+    request.subject = request.body = job;
+    request.callback = std::move(callback);
+    begin(std::move(request), timeout);
+}
+
+void JobGateway::cancel(const std::string& job, absl::Duration timeout, Callback callback)
+{
+    Request request;
+    request.verb = GatewayVerb::Cancel;
+    request.cell = m_parts.directory.cellOf(job);
+    request.subject = request.body = job;
+    request.callback = std::move(callback);
+    begin(std::move(request), timeout);
+}
+
+void JobGateway::pending(const std::string& queue, absl::Duration timeout, Callback callback)
+{
+    struct Sum {
+        size_t open;
+        GatewayReply reply { GatewayStatus::Counted };
+        Callback callback;
+    };
+    const uint32_t cells = m_parts.directory.cellCount();
+    auto sum = std::make_shared<Sum>(Sum { cells, { GatewayStatus::Counted }, std::move(callback) });
+    for (uint32_t cell = 0; cell < cells; ++cell) {
+        Request request;
+        request.verb = GatewayVerb::Pending;
+        request.cell = cell;
+        request.subject = request.body = queue;
+        request.callback = [sum](GatewayReply reply) {
+            sum->reply.count += reply.count;
+            if (reply.status != GatewayStatus::Counted)
+                sum->reply.status = reply.status;
+            if (--sum->open == 0)
+                sum->callback(sum->reply);
+        };
+        begin(std::move(request), timeout);
+    }
+}
+
+void JobGateway::begin(Request request, absl::Duration timeout)
+{
+    const uint64_t number = ++m_lastNumber;
+    request.begunAt = m_parts.timers.clock().now();
+    m_open.emplace(number, std::move(request));
+    m_parts.timers.after(timeout, [this, number] { expire(number); });
+    if (timeout > ownerlessPatience)
+        m_parts.timers.after(ownerlessPatience, [this, number] { checkOwnerless(number); });
+    trySend(number);
+}
+
+void JobGateway::resendLater(uint64_t number)
+{
+    m_parts.timers.after(resendInterval, [this, number] {
+        const auto found = m_open.find(number);
+        if (found == m_open.end())
+            return;
+        if (m_parts.timers.clock().now() - found->second.sentAt >= resendInterval)
+            found->second.sentTo.clear();
+        trySend(number);
+    });
+}
+
+void JobGateway::trySend(uint64_t number)
+{
+    const auto found = m_open.find(number);
+    if (found == m_open.end() || !found->second.sentTo.empty())
+        return;
+    Request& request = found->second;
+    if (m_parts.cellOf(request.cell)) {
+        request.sentTo = m_parts.self;
+        request.sentAt = m_parts.timers.clock().now();
+        request.wasSent = true;
+        return serve(request.verb, request.cell, request.body, [this, number](GatewayReply reply, bool isOwner) {
+            if (isOwner)
+                return finish(number, reply);
+            const auto open = m_open.find(number);
+            if (open == m_open.end())
+                return;
+            open->second.sentTo.clear();
+            m_parts.timers.after(notOwnerDelay, [this, number] { trySend(number); });
+        });
+    }
+    const CellRow* row = m_parts.directory.ownerOf(request.cell);
+    if (!row || row->owner.name == m_parts.self || !m_parts.isLinked(row->owner.name))
+        return;
+    const bool sent = m_parts.peers.send(row->owner.name, askService,
+        Internal::packFields(number, static_cast<uint32_t>(request.verb), request.cell, request.body));
+    if (!sent)
+        return;
+    request.sentTo = row->owner.name;
+    request.sentAt = m_parts.timers.clock().now();
+    request.wasSent = true;
+    resendLater(number);
+}
+
+void JobGateway::resend()
+{
+    std::vector<uint64_t> numbers;
+    for (auto& [number, request] : m_open) {
+        const CellRow* row = m_parts.directory.ownerOf(request.cell);
+        const bool isStale = !row || row->owner.name != request.sentTo
+            || (request.sentTo != m_parts.self && !m_parts.isLinked(request.sentTo));
+        if (isStale)
+            request.sentTo.clear();
+        numbers.push_back(number);
+    }
+    for (const uint64_t number : numbers)
+        trySend(number);
+}
+
+bool JobGateway::canReachOwners() const
+{
+    for (uint32_t cell = 0; cell < m_parts.directory.cellCount(); ++cell) {
+        if (m_parts.cellOf(cell))
+            continue;
+        const CellRow* row = m_parts.directory.ownerOf(cell);
+        if (!row || !m_parts.isLinked(row->owner.name))
+            return false;
+    }
+    return true;
+}
+
+void JobGateway::finish(uint64_t number, GatewayReply reply)
+{
+    const auto found = m_open.find(number);
+    if (found == m_open.end())
+        return;
+    Request request = std::move(found->second);
+    m_open.erase(found);
+    const double took = absl::ToDoubleMilliseconds(m_parts.timers.clock().now() - request.begunAt);
+    m_parts.metrics.count(absl::StrCat("cicada_gateway_requests{status=\"", gatewayStatusName(reply.status), "\"}"));
+    m_parts.metrics.observe("cicada_gateway_ms", took);
+    const bool isRoutine = reply.status == GatewayStatus::Found || reply.status == GatewayStatus::Counted;
+    if (!isRoutine)
+        m_parts.log.write("request-answered", "subject", request.subject, "verb",
+            static_cast<uint32_t>(request.verb), "status", gatewayStatusName(reply.status), "owner", request.sentTo,
+            "tookMs", static_cast<int64_t>(took));
+    request.callback(reply);
+}
+
+void JobGateway::expire(uint64_t number)
+{
+    const auto found = m_open.find(number);
+    if (found != m_open.end())
+        finish(number, { found->second.wasSent ? GatewayStatus::Unknown : GatewayStatus::Unreached });
+}
+
+void JobGateway::checkOwnerless(uint64_t number)
+{
+    const auto found = m_open.find(number);
+    if (found != m_open.end() && !found->second.wasSent)
+        finish(number, { GatewayStatus::Unreached });
+}
+
+void JobGateway::serve(
+    GatewayVerb verb, uint32_t number, const std::string& body, absl::AnyInvocable<void(GatewayReply, bool)> done)
+{
+    Cell* cell = m_parts.cellOf(number);
+    if (!cell)
+        return done({}, false);
+    if (verb == GatewayVerb::Pending)
+        return done({ GatewayStatus::Counted, JobPhase::Queued, cell->pending(body) }, cell->isLoaded());
+    auto reply = [this, done = std::move(done)](CellReply answer) mutable {
+        // That there is no such job can be said only by who surely owns the cell.
+        const bool isDoubtful = answer.answer == CellAnswer::Gone && !m_parts.directory.isFresh();
+        done(replyOf(answer), answer.answer != CellAnswer::NotOwner && !isDoubtful);
+    };
+    if (verb == GatewayVerb::Query)
+        return cell->query(body, std::move(reply));
+    if (verb == GatewayVerb::Cancel)
+        return cell->cancel(body, std::move(reply));
+    Submission spec;
+    QueuePolicy policy;
+    auto decoded = decodeSubmission(body, spec, policy);
+    if (!decoded) {
+        m_parts.log.write("submission-unreadable", "cell", number, "error", decoded.error().message);
+        return reply({ CellAnswer::Refused });
+    }
+    cell->submit(std::move(spec), std::move(policy), std::move(reply));
+}
+
+void JobGateway::handleAsk(const std::string& from, absl::string_view bytes)
+{
+    uint64_t number = 0;
+    uint32_t verb = 0;
+    uint32_t cell = 0;
+    std::string body;
+    if (!Internal::unpackFields(bytes, "job request", number, verb, cell, body)
+        || verb > static_cast<uint32_t>(GatewayVerb::Pending)) {
+        m_parts.log.write("peer-message-malformed", "from", from, "service", askService);
+        return;
+    }
+    serve(static_cast<GatewayVerb>(verb), cell, body, [this, from, number](GatewayReply reply, bool isOwner) {
+        m_parts.peers.send(from, replyService,
+            Internal::packFields(number, isOwner, static_cast<uint32_t>(reply.status),
+                static_cast<uint32_t>(reply.phase), reply.count));
+    });
+}
+
+void JobGateway::handleReply(absl::string_view bytes)
+{
+    uint64_t number = 0;
+    bool isOwner = false;
+    uint32_t status = 0;
+    uint32_t phase = 0;
+    uint64_t count = 0;
+    if (!Internal::unpackFields(bytes, "job reply", number, isOwner, status, phase, count)
+        || status > static_cast<uint32_t>(GatewayStatus::Unreached)
+        || phase > static_cast<uint32_t>(JobPhase::Cancelled)) {
+        m_parts.log.write("peer-message-malformed", "service", replyService);
+        return;
+    }
+    if (isOwner)
+        return finish(number, { static_cast<GatewayStatus>(status), static_cast<JobPhase>(phase), count });
+    const auto found = m_open.find(number);
+    if (found == m_open.end())
+        return;
+    found->second.sentTo.clear();
+    m_parts.timers.after(notOwnerDelay, [this, number] { trySend(number); });
+}
+
+} // namespace cicada
--- /dev/null
+++ b/src/JobGateway.h
@@ -0,0 +1,103 @@
+#pragma once
+
+/** \file
+ * The way from any entry to the owner of a job's cell. A request is sent again whenever the owner changes or the link
+ * to it comes back, which is safe since a job is known by its id and a cancel can be repeated. Whether a request was
+ * ever sent decides what may be said of it when the time is up.
+ */
+
+#include "Cell.h"
+#include "CellDirectory.h"
+#include "PeerBus.h"
+
+#include "absl/container/btree_map.h"
+
+namespace cicada {
+
+/** What is asked of a cell's owner. */
+enum class GatewayVerb { Submit, Query, Cancel, Pending };
+
+/** How a request ended. */
+enum class GatewayStatus {
+    Accepted,
+    /** The job was not accepted and will not run. */
+    Refused,
+    Found,
+    Cancelled,
+    Gone,
+    Counted,
+    /** The time was up, and the owner may have received the request. */
+    Unknown,
+    /** The time was up, or there was no owner, and nothing was sent. */
+    Unreached,
+};
+
+absl::string_view gatewayStatusName(GatewayStatus);
+
+struct GatewayReply {
+    GatewayStatus status = GatewayStatus::Unreached;
+    JobPhase phase = JobPhase::Queued;
+    uint64_t count = 0;
+};
+
+/** Brings requests to owners, and answers those of other entries for the cells that are owned here. Used on the
+ * decision thread only. */
+class JobGateway {
+public:
+    using Callback = absl::AnyInvocable<void(GatewayReply)>;
+    struct Parts {
+        CellDirectory& directory;
+        PeerBus& peers;
+        TimerQueue& timers;
+        EventLog& log;
+        Metrics& metrics;
+        std::string self;
+        /** The cell if it is owned here, else null. */
+        std::function<Cell*(uint32_t)> cellOf;
+        std::function<bool(const std::string& peer)> isLinked;
+    };
+
+    explicit JobGateway(Parts parts);
+
+    /** `timeout` is how long the caller waits. */
+    void submit(const Submission&, const QueuePolicy&, absl::Duration timeout, Callback);
+    void query(const std::string& job, absl::Duration timeout, Callback);
+    void cancel(const std::string& job, absl::Duration timeout, Callback);
+    void pending(const std::string& queue, absl::Duration timeout, Callback);
+    /** Sends waiting requests again, after the owner of a cell or a link has changed. */
+    void resend();
+    size_t open() const { return m_open.size(); }
+    /** Whether a request for any cell can be sent now. */
+    bool canReachOwners() const;
+
+private:
+    struct Request {
+        GatewayVerb verb = GatewayVerb::Query;
+        uint32_t cell = 0;
+        /** The job's id or the queue's name, for the log. */
+        std::string subject;
+        std::string body;
+        Instant begunAt;
+        Instant sentAt = absl::ZeroDuration() - absl::Hours(1);
+        std::string sentTo;
+        bool wasSent = false;
+        Callback callback;
+    };
+
+    void begin(Request request, absl::Duration timeout);
+    void trySend(uint64_t number);
+    void finish(uint64_t number, GatewayReply reply);
+    void expire(uint64_t number);
+    void checkOwnerless(uint64_t number);
+    void resendLater(uint64_t number);
+    /** Answers a request at the owner. */
+    void serve(GatewayVerb verb, uint32_t cell, const std::string& body, absl::AnyInvocable<void(GatewayReply, bool)>);
+    void handleAsk(const std::string& from, absl::string_view bytes);
+    void handleReply(absl::string_view bytes);
+
+    Parts m_parts;
+    absl::btree_map<uint64_t, Request> m_open;
+    uint64_t m_lastNumber = 0;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/LinkedPeers.cpp
@@ -0,0 +1,377 @@
+#include "LinkedPeers.h"
+
+#include "Wire.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/numbers.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <deque>
+
+namespace cicada {
+
+namespace {
+
+    using boost::asio::ip::tcp;
+    using boost::system::error_code;
+
+    constexpr absl::Duration maintenanceInterval = absl::Milliseconds(300);
+    /** The entry with the lesser name opens the link; the other one only when that did not happen for this long. */
+    constexpr absl::Duration politeDelay = absl::Milliseconds(900);
+    constexpr absl::Duration firstDialDelay = absl::Milliseconds(150);
+    constexpr absl::Duration longestDialDelay = absl::Milliseconds(1200);
+    constexpr absl::Duration dialTimeout = absl::Milliseconds(1500);
+    constexpr size_t maxQueuedBytes = 8 << 20;
+    constexpr const char* heartbeatService = "link.heartbeat";
+
+    std::optional<tcp::endpoint> resolve(const std::string& host, uint16_t port)
+    {
+        error_code error;
+        const auto address = boost::asio::ip::make_address(host, error);
+        if (error)
+            return std::nullopt;
+        return tcp::endpoint(address, port);
+    }
+
+} // namespace
+
+struct LinkedPeers::State : std::enable_shared_from_this<LinkedPeers::State> {
+    struct Link : std::enable_shared_from_this<Link> {
+        explicit Link(boost::asio::io_context& io)
+            : socket(io)
+        {
+        }
+        tcp::socket socket;
+        /** Empty until the other side has said who it is. */
+        std::string peer;
+        bool isOpen = false;
+        bool isWriting = false;
+        FrameDecoder decoder;
+        std::array<char, 16384> input {};
+        std::string output;
+        std::string writing;
+        Instant heardAt = absl::ZeroDuration();
+        Instant sentAt = absl::ZeroDuration();
+    };
+    using LinkPtr = std::shared_ptr<Link>;
+    struct Peer {
+        std::optional<tcp::endpoint> address;
+        std::string region;
+        bool isWanted = false;
+        LinkPtr link;
+        LinkPtr dialing;
+        Instant dialAt = absl::ZeroDuration();
+        absl::Duration dialDelay = firstDialDelay;
+    };
+
+    State(boost::asio::io_context& context, std::string name, TimerQueue& t, EventLog& l, Metrics& m)
+        : io(context)
+        , acceptor(context)
+        , self(std::move(name))
+        , timers(t)
+        , log(l)
+        , metrics(m)
+    {
+    }
+
+    Instant now() const { return timers.clock().now(); }
+
+    void accept()
+    {
+        auto link = std::make_shared<Link>(io);
+        acceptor.async_accept(link->socket, [state = shared_from_this(), link](error_code error) {
+            if (state->isStopped || !state->acceptor.is_open())
+                return;
+            if (!error)
+                state->open(link);
+            state->accept();
+        });
+    }
+
+    void open(const LinkPtr& link)
+    {
+        error_code ignored;
+        link->socket.set_option(tcp::no_delay(true), ignored);
+        link->isOpen = true;
+        link->heardAt = now();
+        anonymous.push_back(link);
+        write(link, heartbeatService, "");
+        read(link);
+    }
+
+    void read(const LinkPtr& link)
+    {
+        link->socket.async_read_some(boost::asio::buffer(link->input),
+            [state = shared_from_this(), link](error_code error, size_t size) {
+                if (state->isStopped || !link->isOpen)
+                    return;
+                if (error)
+                    return state->close(link, "closed");
+                link->heardAt = state->now();
+                link->decoder.append(absl::string_view(link->input.data(), size));
+                if (state->deliver(link))
+                    state->read(link);
+            });
+    }
+
+    bool deliver(const LinkPtr& link)
+    {
+        while (link->isOpen) {
+            auto next = link->decoder.next();
+            if (!next) {
+                close(link, "malformed");
+                return false;
+            }
+            if (!next.value())
+                return true;
+            Frame frame = std::move(*next.value());
+            if (link->peer.empty())
+                introduce(link, frame.from);
+            const auto handler = handlers.find(frame.service);
+            if (handler != handlers.end())
+                (*handler->second)(frame.from, frame.payload);
+        }
+        return false;
+    }
+
+    void introduce(const LinkPtr& link, const std::string& name)
+    {
+        link->peer = name;
+        anonymous.erase(std::remove(anonymous.begin(), anonymous.end(), link), anonymous.end());
+        Peer& peer = peers[name];
+        const LinkPtr old = std::exchange(peer.link, link);
+        peer.dialDelay = firstDialDelay;
+        if (old)
+            shut(*old);
+        else
+            changed(name, true);
+    }
+
+    void changed(const std::string& name, bool isUp)
+    {
+        log.write(isUp ? "peer-linked" : "peer-lost", "peer", name);
+        if (onChange)
+            onChange(name, isUp);
+    }
+
+    static void shut(Link& link)
+    {
+        error_code ignored;
+        link.isOpen = false;
+        link.socket.close(ignored);
+    }
+
+    void close(const LinkPtr& link, absl::string_view why)
+    {
+        if (!link->isOpen)
+            return;
+        shut(*link);
+        anonymous.erase(std::remove(anonymous.begin(), anonymous.end(), link), anonymous.end());
+        const auto peer = peers.find(link->peer);
+        if (peer == peers.end() || peer->second.link != link)
+            return;
+        peer->second.link.reset();
+        peer->second.dialAt = now() + (self < link->peer ? firstDialDelay : politeDelay);
+        log.write("peer-link-closed", "peer", link->peer, "why", why);
+        changed(link->peer, false);
+    }
+
+    bool write(const LinkPtr& link, absl::string_view service, std::string payload)
+    {
+        if (link->output.size() > maxQueuedBytes) {
+            ++counts.refused;
+            return false;
+        }
+        const std::string frame = encodeFrame({ self, std::string(service), std::move(payload) });
+        ++counts.messages;
+        counts.bytes += frame.size();
+        link->output += frame;
+        link->sentAt = now();
+        flush(link);
+        return true;
+    }
+
+    void flush(const LinkPtr& link)
+    {
+        if (link->isWriting || link->output.empty() || !link->isOpen)
+            return;
+        link->isWriting = true;
+        link->writing = std::exchange(link->output, {});
+        boost::asio::async_write(link->socket, boost::asio::buffer(link->writing),
+            [state = shared_from_this(), link](error_code error, size_t) {
+                link->isWriting = false;
+                if (state->isStopped || !link->isOpen)
+                    return;
+                if (error)
+                    return state->close(link, "write-failed");
+                state->flush(link);
+            });
+    }
+
+    void dial(const std::string& name, Peer& peer)
+    {
+        auto link = std::make_shared<Link>(io);
+        peer.dialing = link;
+        peer.dialAt = now() + dialTimeout;
+        link->socket.async_connect(*peer.address, [state = shared_from_this(), name, link](error_code error) {
+            const auto found = state->peers.find(name);
+            if (state->isStopped || found == state->peers.end() || found->second.dialing != link)
+                return;
+            found->second.dialing.reset();
+            if (!error)
+                return state->open(link);
+            found->second.dialAt = state->now() + found->second.dialDelay;
+            found->second.dialDelay = std::min(longestDialDelay, found->second.dialDelay * 2);
+        });
+    }
+
+    void maintain()
+    {
+        std::vector<LinkPtr> silent;
+        for (const LinkPtr& link : anonymous) {
+            if (now() - link->heardAt > silenceLimit)
+                silent.push_back(link);
+        }
+        for (auto& [name, peer] : peers) {
+            if (!peer.link) {
+                if (!peer.isWanted || !peer.address || now() < peer.dialAt)
+                    continue;
+                if (peer.dialing)
+                    shut(*peer.dialing);
+                dial(name, peer);
+                continue;
+            }
+            if (now() - peer.link->heardAt > silenceLimit)
+                silent.push_back(peer.link);
+            else if (now() - peer.link->sentAt > heartbeatInterval)
+                write(peer.link, heartbeatService, "");
+        }
+        for (const LinkPtr& link : silent)
+            close(link, "silent");
+        timers.after(maintenanceInterval, [weak = weak_from_this()] {
+            const auto state = weak.lock();
+            if (state && !state->isStopped)
+                state->maintain();
+        });
+    }
+
+    boost::asio::io_context& io;
+    tcp::acceptor acceptor;
+    const std::string self;
+    TimerQueue& timers;
+    EventLog& log;
+    Metrics& metrics;
+    bool isStopped = false;
+    LinkChange onChange;
+    PeerTraffic counts;
+    absl::flat_hash_map<std::string, std::shared_ptr<Handler>> handlers;
+    absl::btree_map<std::string, Peer> peers;
+    std::vector<LinkPtr> anonymous;
+};
+
+LinkedPeers::LinkedPeers(
+    boost::asio::io_context& io, std::string self, TimerQueue& timers, EventLog& log, Metrics& metrics)
+    : m_state(std::make_shared<State>(io, std::move(self), timers, log, metrics))
+{
+}
+
+LinkedPeers::~LinkedPeers()
+{
+    m_state->isStopped = true;
+    error_code ignored;
+    m_state->acceptor.close(ignored);
+    for (auto& [name, peer] : m_state->peers) {
+        if (peer.link)
+            State::shut(*peer.link);
+        if (peer.dialing)
+            State::shut(*peer.dialing);
+    }
+    for (const auto& link : m_state->anonymous)
+        State::shut(*link);
+}
+
+Result<void> LinkedPeers::listen(const Endpoint& address)
+{
+    const auto endpoint = resolve(address.host, address.port);
+    error_code error;
+    if (endpoint) {
+        m_state->acceptor.open(tcp::v4(), error);
+        m_state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        m_state->acceptor.bind(*endpoint, error);
+        if (!error)
+            m_state->acceptor.listen(128, error);
+    }
+    if (!endpoint || error)
+        return Error { ErrorKind::InvalidSettings,
+            absl::StrCat("Can't listen for peers at ", address.host, ":", address.port, "."),
+            "Check that the address is this machine's and that no other process has the port." };
+    m_state->accept();
+    m_state->maintain();
+    return success();
+}
+
+void LinkedPeers::onLinkChange(LinkChange change) { m_state->onChange = std::move(change); }
+
+void LinkedPeers::handle(absl::string_view service, Handler handler)
+{
+    m_state->handlers[service] = std::make_shared<Handler>(std::move(handler));
+}
+
+bool LinkedPeers::send(absl::string_view peer, absl::string_view service, std::string bytes)
+{
+    const auto found = m_state->peers.find(std::string(peer));
+    if (found == m_state->peers.end() || !found->second.link)
+        return false;
+    return m_state->write(found->second.link, service, std::move(bytes));
+}
+
+void LinkedPeers::setPeers(absl::Span<const PeerAddress> wanted)
+{
+    for (auto& [name, peer] : m_state->peers)
+        peer.isWanted = false;
+    for (const PeerAddress& item : wanted) {
+        State::Peer& peer = m_state->peers[item.name];
+        const size_t colon = item.address.rfind(':');
+        uint32_t port = 0;
+        if (colon == std::string::npos || !absl::SimpleAtoi(item.address.substr(colon + 1), &port))
+            continue;
+        const auto address = resolve(item.address.substr(0, colon), static_cast<uint16_t>(port));
+        if (!peer.address || peer.address != address) {
+            peer.address = address;
+            peer.dialAt = m_state->now() + (m_state->self < item.name ? absl::ZeroDuration() : politeDelay);
+        }
+        peer.isWanted = true;
+        peer.region = item.region;
+    }
+    for (auto it = m_state->peers.begin(); it != m_state->peers.end();) {
+        if (it->second.isWanted || it->second.link)
+            ++it;
+        else
+            it = m_state->peers.erase(it);
+    }
+}
+
+std::vector<std::string> LinkedPeers::peerNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, peer] : m_state->peers) {
+        if (peer.link)
+            names.push_back(name);
+    }
+    return names;
+}
+
+bool LinkedPeers::isLinked(const std::string& peer) const
+{
+    const auto found = m_state->peers.find(peer);
+    return found != m_state->peers.end() && found->second.link != nullptr;
+}
+
+PeerTraffic LinkedPeers::traffic() const { return m_state->counts; }
+
+} // namespace cicada
--- /dev/null
+++ b/src/LinkedPeers.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/** \file
+ * Peer links for processes that do all their work on one thread: one connection for each pair of entries, used both
+ * ways, with a heartbeat so that a connection that has gone silent is replaced. It says when links come and go, which
+ * is how an entry learns first that another one died.
+ */
+
+#include "EventLog.h"
+#include "Metrics.h"
+#include "PeerBus.h"
+#include "Settings.h"
+#include "TimerQueue.h"
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cicada {
+
+/** A PeerBus on an event loop. Used on the loop's thread only. */
+class LinkedPeers final : public PeerBus {
+public:
+    using LinkChange = std::function<void(const std::string& peer, bool isUp)>;
+
+    /** What is referred to must outlive the links. */
+    LinkedPeers(boost::asio::io_context& io, std::string self, TimerQueue& timers, EventLog& log, Metrics& metrics);
+    ~LinkedPeers() override;
+
+    /** Accepts links at the address. */
+    Result<void> listen(const Endpoint& address);
+    void onLinkChange(LinkChange);
+    void handle(absl::string_view service, Handler) override;
+    bool send(absl::string_view peer, absl::string_view service, std::string bytes) override;
+    void setPeers(absl::Span<const PeerAddress>) override;
+    /** The peers to which a link is up. */
+    std::vector<std::string> peerNames() const override;
+    PeerTraffic traffic() const override;
+    bool isLinked(const std::string& peer) const;
+
+    static constexpr absl::Duration heartbeatInterval = absl::Milliseconds(600);
+    /** A link on which nothing was heard for this long is taken as silent. */
+    static constexpr absl::Duration silenceLimit = absl::Milliseconds(1700);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/PrefixMirror.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/** \file
+ * A copy of all keys below a prefix of the store, kept by listing once and watching from there, and by listing again
+ * when the store has dropped the changes in between. Whoever uses it asks how old its last contact is.
+ */
+
+#include "EventLog.h"
+#include "TimerQueue.h"
+#include "TransactionalStore.h"
+
+#include "absl/container/btree_map.h"
+
+#include <functional>
+#include <memory>
+
+namespace cicada {
+
+/** Mirrors one prefix. Used on the decision thread only. */
+class PrefixMirror {
+public:
+    /** Called with each key that changed; `entry` is null when the key was removed. */
+    using OnChange = std::function<void(const std::string& key, const StoreEntry* entry)>;
+    /** Called after each reply of the store has been taken in. */
+    using OnSynced = std::function<void()>;
+
+    /** What is referred to must outlive the mirror. `wait` bounds one watch, and so how long a silent connection is
+     * believed. */
+    PrefixMirror(TransactionalStore& store, TimerQueue& timers, EventLog& log, std::string prefix,
+        absl::Duration wait, OnChange onChange, OnSynced onSynced);
+    ~PrefixMirror();
+
+    void start();
+    /** Stops watching; a reply that is still out is ignored. */
+    void stop();
+    /** Whether a listing was completed. */
+    bool isFilled() const { return m_isFilled; }
+    /** When the store was last heard. */
+    Instant lastContact() const { return m_lastContact; }
+    const absl::btree_map<std::string, StoreEntry>& entries() const { return m_entries; }
+
+private:
+    void list(std::string afterKey);
+    void handlePage(StorePage page);
+    void finishListing();
+    void watch();
+    void handleWatch(WatchReply reply);
+    void retry(absl::AnyInvocable<void()> step);
+    void noteContact(bool reached);
+    void apply(StoreChange change);
+    /** Wraps a callback so that it does nothing after the mirror was stopped. */
+    template <typename Reply> auto guarded(void (PrefixMirror::*handler)(Reply));
+
+    TransactionalStore& m_store;
+    TimerQueue& m_timers;
+    EventLog& m_log;
+    const std::string m_prefix;
+    const absl::Duration m_wait;
+    OnChange m_onChange;
+    OnSynced m_onSynced;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    absl::btree_map<std::string, StoreEntry> m_entries;
+    absl::btree_map<std::string, StoreEntry> m_listed;
+    uint64_t m_listRevision = 0;
+    uint64_t m_revision = 0;
+    bool m_isFilled = false;
+    bool m_isReached = true;
+    Instant m_lastContact = absl::ZeroDuration();
+};
+
+} // namespace cicada
--- /dev/null
+++ b/src/Workload.h
@@ -0,0 +1,141 @@
+#pragma once
+
+/** \file
+ * Jobs of several steps as queues take them: what a caller submits, the queue's policy, and the names of tasks and
+ * runs. `Job.h` has the flat jobs of the project's own interface.
+ */
+
+#include "BackEnds.h"
+#include "Error.h"
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace cicada {
+
+/** One step: tasks that are alike. */
+struct StepSpec {
+    uint32_t taskCount = 1;
+    Resources demand;
+    /** A rough guess of how long a task runs. */
+    absl::Duration estimate;
+    /** Earlier steps of the same occurrence whose tasks must have finished first. */
+    std::vector<uint32_t> after;
+    bool savesCheckpoints = false;
+    /** The tasks start together, under one run number, and finish together. */
+    bool isGang = false;
+    /** The gang is slower when it runs on more than one rack. */
+    bool prefersOneRack = false;
+    /** Copies may run beside each other; the first to finish counts. */
+    bool isSpeculative = false;
+    /** The tasks run until the job is cancelled and are started again however they end. */
+    bool isService = false;
+    /** The demand for processors takes only what other tasks leave unused. */
+    bool usesIdleProcessors = false;
+    /** A label that the worker must have; empty for none. */
+    std::string requiredLabel;
+    /** The rack on which the task's data lies; empty for none. */
+    std::string dataRack;
+    /** At most this many tasks of the step run on one worker; 0 for no limit. */
+    uint32_t maxPerWorker = 0;
+    /** What the tasks run; tasks of one image behave alike. */
+    std::string image;
+    /** The response time that a service must stay below; zero for none. */
+    absl::Duration latencyTarget;
+    /** So many tasks of a service may be away at once by the system's own doing. */
+    uint32_t maxUnavailable = 0;
+};
+
+/** What an external policy service costs that says which workers may run a step. */
+struct AdvicePolicy {
+    bool isNeeded = false;
+    absl::Duration perCall;
+    absl::Duration perWorker;
+    /** How long a ticket holds. */
+    absl::Duration validity;
+};
+
+/** How a queue's work is to be treated. */
+struct QueuePolicy {
+    /** The queue's name in the configuration. */
+    std::string queue;
+    /** The workers that run its tasks. */
+    std::string service;
+    /** 0 is the most urgent. */
+    uint32_t priority = 0;
+    /** A task that failed this often fails its job. */
+    uint32_t maxAttempts = 1;
+    /** A job is on time when it takes at most this many times its longest chain of work, and `latencyTarget` more. */
+    double stretch = 1;
+    absl::Duration latencyTarget;
+    /** How long callers of the queue wait for a response. */
+    absl::Duration callTimeout;
+    AdvicePolicy advice;
+};
+
+/** A job as submitted. */
+struct Submission {
+    std::string id;
+    /** Opaque to the system; passed to the worker. */
+    std::string payload;
+    std::vector<StepSpec> steps;
+    /** How often the steps run; 0 for a job that runs once, at once. */
+    uint32_t occurrences = 0;
+    /** When the first occurrence is due and how far apart they are, in milliseconds since 1970. */
+    int64_t startUnixMillis = 0;
+    int64_t intervalMillis = 0;
+};
+
+/** Bounds on what a caller may submit. */
+constexpr size_t maxPayloadBytes = 4000;
+constexpr size_t maxSteps = 64;
+constexpr uint32_t maxTasksPerStep = 10000;
+constexpr uint32_t maxTasksPerSubmission = 20000;
+constexpr uint32_t maxOccurrences = 10000;
+
+/** Checks a submission; the error names the field and the remedy. */
+Result<void> checkSubmission(const Submission&);
+
+/** One task of a job. */
+struct TaskName {
+    std::string job;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+
+    friend bool operator==(const TaskName& a, const TaskName& b)
+    {
+        return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step && a.index == b.index;
+    }
+    friend bool operator<(const TaskName& a, const TaskName& b)
+    {
+        return std::tie(a.job, a.occurrence, a.step, a.index) < std::tie(b.job, b.occurrence, b.step, b.index);
+    }
+    template <typename H> friend H AbslHashValue(H h, const TaskName& name)
+    {
+        return H::combine(std::move(h), name.job, name.occurrence, name.step, name.index);
+    }
+};
+
+/** One start of a task; numbers rise from 1. */
+struct TaskRun {
+    TaskName task;
+    uint32_t run = 0;
+
+    friend bool operator==(const TaskRun& a, const TaskRun& b) { return a.run == b.run && a.task == b.task; }
+    template <typename H> friend H AbslHashValue(H h, const TaskRun& run)
+    {
+        return H::combine(std::move(h), run.task, run.run);
+    }
+};
+
+/** The task's name for logs. */
+std::string describeTask(const TaskName&);
+std::string describeRun(const TaskRun&);
+
+} // namespace cicada
