--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -21,7 +21,7 @@
     constexpr absl::Duration renewRetryDelay = absl::Milliseconds(200);
     /** Entries that start together find each other before the first takes a cell. */
     constexpr absl::Duration firstClaimDelay = absl::Milliseconds(900);
-    constexpr absl::Duration rankDelay = absl::Milliseconds(250);
+    constexpr absl::Duration rankDelay = absl::Milliseconds(200);
     /** An owner whose link is up and whose record is gone gets this long to renew it. */
     constexpr absl::Duration linkedPatience = absl::Milliseconds(1800);
     constexpr absl::Duration claimTimeout = absl::Milliseconds(1500);
@@ -31,6 +31,13 @@
     /** Rows older than this are not believed to be the newest. */
     constexpr absl::Duration contactLimit = absl::Milliseconds(2500);
 
+    /** A link to the owner that has been down for this long, while the others are up, speaks for its death. */
+    constexpr absl::Duration lostLinkPatience = absl::Milliseconds(450);
+    /** So many renewals that fail in a row let an owner offer its cells to peers, which may reach the store. */
+    constexpr int failuresToOffer = 2;
+    constexpr const char* ownerService = "cell.owner";
+    constexpr const char* offerService = "cell.offer";
+
     std::string encodeEntry(const EntryRecord& entry)
     {
         return Internal::packFields(entry.name, entry.incarnation, entry.peerAddress, entry.region);
@@ -54,6 +61,10 @@
           [this](const std::string& key, const StoreEntry* entry) { handleChange(key, entry); },
           [this] { handleSynced(); })
 {
+    m_parts.peers.handle(ownerService,
+        [this](absl::string_view from, absl::string_view bytes) { handleAnnounced(std::string(from), bytes); });
+    m_parts.peers.handle(offerService,
+        [this](absl::string_view from, absl::string_view bytes) { handleOffer(std::string(from), bytes); });
 }
 
 void CellDirectory::start()
@@ -111,6 +122,7 @@
     m_parts.store.grantLease(leaseTtl, [this, sentAt](LeaseReply reply) {
         if (m_isLeaving)
             return;
+        noteRenewal(reply.status == LeaseStatus::Ok);
         if (reply.status != LeaseStatus::Ok)
             return m_parts.timers.after(renewRetryDelay, [this] { grant(); });
         m_lease = reply.lease;
@@ -155,6 +167,7 @@
     m_parts.store.keepLease(m_lease, [this, sentAt](LeaseStatus status) {
         if (m_isLeaving)
             return;
+        noteRenewal(status != LeaseStatus::Failed);
         if (status == LeaseStatus::Ended) {
             m_parts.log.write("lease-ended", "lease", m_lease);
             return grant();
@@ -184,39 +197,118 @@
     }
     uint32_t cell = 0;
     if (absl::string_view(key).substr(0, std::strlen(rowPrefix)) != rowPrefix
-        || !absl::SimpleAtoi(key.substr(std::strlen(rowPrefix)), &cell) || cell >= cellCount())
-        return;
-    // The reply to a claim is known before the watch tells what came before it.
-    const auto known = m_rows.find(cell);
-    if (entry && known != m_rows.end() && known->second.revision > entry->index)
+        || !absl::SimpleAtoi(key.substr(std::strlen(rowPrefix)), &cell) || cell >= cellCount() || !entry)
         return;
     CellRow row;
     std::string owner;
-    if (entry && !Internal::unpackFields(entry->value, "cell row", owner, row.successor)) {
+    if (!Internal::unpackFields(entry->value, "cell row", owner, row.successor)) {
         m_parts.log.write("cell-row-unreadable", "cell", cell, "revision", entry->index);
         return;
     }
-    if (!entry) {
-        m_rows.erase(cell);
-    } else {
-        if (!owner.empty())
-            row.owner = decodeEntry(owner).value_or(EntryRecord());
-        row.revision = entry->index;
-        m_rows[cell] = row;
+    if (!owner.empty())
+        row.owner = decodeEntry(owner).value_or(EntryRecord());
+    row.revision = entry->index;
+    applyRow(cell, row);
+}
+
+void CellDirectory::applyRow(uint32_t cell, const CellRow& row)
+{
+    // A reply or a peer can tell of a row before the watch tells what came before it.
+    const auto known = m_rows.find(cell);
+    if (known != m_rows.end() && known->second.revision > row.revision)
+        return;
+    const bool isNew = known == m_rows.end() || known->second.revision != row.revision;
+    m_rows[cell] = row;
+    if (isNew) {
+        m_parts.log.write("cell-owner", "cell", cell, "owner", row.owner.name, "token", row.revision);
+        m_vacantSince.erase(cell);
+        m_claimSentAt.erase(cell);
     }
-    m_parts.log.write("cell-owner", "cell", cell, "owner", row.owner.name, "token", row.revision);
-    m_vacantSince.erase(cell);
-    m_claimSentAt.erase(cell);
     const auto held = m_held.find(cell);
     if (held != m_held.end() && held->second != row.revision) {
         m_held.erase(held);
         m_parts.onLost(cell);
     }
-    if (entry && row.owner.isSameLife(m_parts.self) && !m_held.contains(cell) && !m_isLeaving) {
+    if (isNew && row.owner.isSameLife(m_parts.self) && !m_isLeaving) {
         m_held[cell] = row.revision;
-        m_parts.onGained(cell, key, row.revision);
+        m_parts.onGained(cell, rowKey(cell), row.revision);
+        announce(cell);
+    }
+    if (isNew)
+        m_parts.onOwner(cell);
+}
+
+void CellDirectory::announce(uint32_t cell)
+{
+    const CellRow& row = m_rows[cell];
+    for (const auto& [name, entry] : m_entries) {
+        if (name != m_parts.self.name)
+            m_parts.peers.send(
+                name, ownerService, Internal::packFields(cell, row.revision, encodeEntry(row.owner)));
+    }
+}
+
+void CellDirectory::introduce(const std::string& peer)
+{
+    for (const auto& [cell, revision] : m_held)
+        m_parts.peers.send(
+            peer, ownerService, Internal::packFields(cell, revision, encodeEntry(m_rows[cell].owner)));
+}
+
+void CellDirectory::handleAnnounced(const std::string& from, absl::string_view bytes)
+{
+    uint32_t cell = 0;
+    CellRow row;
+    std::string owner;
+    if (!Internal::unpackFields(bytes, "cell owner", cell, row.revision, owner) || cell >= cellCount()) {
+        m_parts.log.write("peer-message-malformed", "from", from, "service", ownerService);
+        return;
+    }
+    const auto record = decodeEntry(owner);
+    if (!record || record->isSameLife(m_parts.self))
+        return;
+    row.owner = *record;
+    applyRow(cell, row);
+}
+
+void CellDirectory::noteRenewal(bool isReached)
+{
+    if (isReached && m_failedRenewals > 0)
+        m_parts.log.write("lease-regained", "failures", m_failedRenewals);
+    m_failedRenewals = isReached ? 0 : m_failedRenewals + 1;
+    if (m_failedRenewals >= failuresToOffer)
+        offerCells();
+}
+
+void CellDirectory::offerCells()
+{
+    // The store may turn this machine away and serve the others. Whoever can write the row has the cell.
+    std::vector<std::string> linked;
+    for (const auto& [name, entry] : m_entries) {
+        if (name != m_parts.self.name && m_parts.isLinked(name))
+            linked.push_back(name);
+    }
+    if (linked.empty())
+        return;
+    const std::string& peer = linked[m_nextOffer++ % linked.size()];
+    for (const auto& [cell, revision] : m_held) {
+        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer);
+        m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
     }
-    m_parts.onOwner(cell);
+}
+
+void CellDirectory::handleOffer(const std::string& from, absl::string_view bytes)
+{
+    uint32_t cell = 0;
+    uint64_t revision = 0;
+    if (!Internal::unpackFields(bytes, "cell offer", cell, revision) || cell >= cellCount()) {
+        m_parts.log.write("peer-message-malformed", "from", from, "service", offerService);
+        return;
+    }
+    const auto row = m_rows.find(cell);
+    const bool isCurrent = row != m_rows.end() && row->second.revision == revision;
+    if (isCurrent && isFresh() && m_failedRenewals == 0 && !isIsolated() && !m_isLeaving)
+        claim(cell);
 }
 
 void CellDirectory::handleSynced() { reconsider(); }
@@ -266,6 +358,9 @@
     if (row->owner.name == m_parts.self.name)
         return absl::ZeroDuration();
     const auto entry = m_entries.find(row->owner.name);
+    const auto lost = m_parts.lostSince(row->owner.name);
+    if (lost)
+        return std::max(absl::ZeroDuration(), lostLinkPatience - (m_parts.timers.clock().now() - *lost)) + byRank;
     if (entry != m_entries.end() && entry->second.isSameLife(row->owner))
         return std::nullopt;
     if (entry == m_entries.end() && m_parts.isLinked(row->owner.name))
@@ -287,7 +382,8 @@
     considerLater();
     const Instant since = m_vacantSince.try_emplace(cell, now).first->second;
     const bool isHealthy = m_isRecordStored && now - m_mirror.lastContact() < contactLimit && isFresh();
-    const bool isEarly = now - since < *delay || now - m_startedAt < firstClaimDelay;
+    const bool isFirst = row == m_rows.end();
+    const bool isEarly = now - since < *delay || (isFirst && now - m_startedAt < firstClaimDelay);
     if (isEarly || !isHealthy || isIsolated())
         return;
     const auto sent = m_claimSentAt.find(cell);
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -10,6 +10,7 @@
 #include "CellJob.h"
 #include "EventLog.h"
 #include "Metrics.h"
+#include "PeerBus.h"
 #include "PrefixMirror.h"
 
 #include "absl/container/btree_map.h"
@@ -49,7 +50,10 @@
         EventLog& log;
         Metrics& metrics;
         EntryRecord self;
+        PeerBus& peers;
         std::function<bool(const std::string& peer)> isLinked;
+        /** Since when the link to a peer is down that was up. */
+        std::function<std::optional<Instant>(const std::string& peer)> lostSince;
         /** The entries changed. */
         std::function<void()> onEntries;
         /** The owner of a cell changed. */
@@ -67,6 +71,8 @@
     void reconsider();
     /** Gives up a cell, for another entry to take at once. */
     void resign(uint32_t cell, const std::string& why);
+    /** Tells a peer that has just been linked who owns the cells here. */
+    void introduce(const std::string& peer);
     /** Says that this entry can't act for the cell under its row any more. */
     void drop(uint32_t cell);
     /** Takes no cells any more and lets the entry's record go. */
@@ -103,6 +109,12 @@
     void claim(uint32_t cell);
     void checkIsolation();
     void considerLater();
+    void applyRow(uint32_t cell, const CellRow& row);
+    void announce(uint32_t cell);
+    void handleAnnounced(const std::string& from, absl::string_view bytes);
+    void noteRenewal(bool isReached);
+    void offerCells();
+    void handleOffer(const std::string& from, absl::string_view bytes);
 
     Parts m_parts;
     PrefixMirror m_mirror;
@@ -112,6 +124,9 @@
     absl::btree_map<uint32_t, uint64_t> m_held;
     absl::btree_map<uint32_t, Instant> m_vacantSince;
     absl::btree_map<uint32_t, Instant> m_claimSentAt;
+    /** Renewals in a row that failed. */
+    int m_failedRenewals = 0;
+    size_t m_nextOffer = 0;
     uint64_t m_lease = 0;
     bool m_isRecordStored = false;
     bool m_isWriting = false;
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -5,7 +5,7 @@
 namespace {
 
     /** Writes are collected for this long, which makes groups of them. */
-    constexpr absl::Duration collectFor = absl::Milliseconds(8);
+    constexpr absl::Duration collectFor = absl::Milliseconds(20);
     constexpr size_t maxInFlight = 4;
     constexpr absl::Duration firstRetryDelay = absl::Milliseconds(50);
     constexpr absl::Duration maxRetryDelay = absl::Milliseconds(400);
--- a/src/LinkedPeers.cpp
+++ b/src/LinkedPeers.cpp
@@ -65,6 +65,7 @@
         bool isWanted = false;
         LinkPtr link;
         LinkPtr dialing;
+        std::optional<Instant> lostSince;
         Instant dialAt = absl::ZeroDuration();
         absl::Duration dialDelay = firstDialDelay;
     };
@@ -146,6 +147,7 @@
         Peer& peer = peers[name];
         const LinkPtr old = std::exchange(peer.link, link);
         peer.dialDelay = firstDialDelay;
+        peer.lostSince.reset();
         if (old)
             shut(*old);
         else
@@ -176,6 +178,7 @@
         if (peer == peers.end() || peer->second.link != link)
             return;
         peer->second.link.reset();
+        peer->second.lostSince = now();
         peer->second.dialAt = now() + (self < link->peer ? firstDialDelay : politeDelay);
         log.write("peer-link-closed", "peer", link->peer, "why", why);
         changed(link->peer, false);
@@ -372,6 +375,12 @@
     return found != m_state->peers.end() && found->second.link != nullptr;
 }
 
+std::optional<Instant> LinkedPeers::lostSince(const std::string& peer) const
+{
+    const auto found = m_state->peers.find(peer);
+    return found == m_state->peers.end() ? std::nullopt : found->second.lostSince;
+}
+
 PeerTraffic LinkedPeers::traffic() const { return m_state->counts; }
 
 } // namespace cicada
--- a/src/LinkedPeers.h
+++ b/src/LinkedPeers.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -40,6 +41,8 @@
     std::vector<std::string> peerNames() const override;
     PeerTraffic traffic() const override;
     bool isLinked(const std::string& peer) const;
+    /** Since when a link that was up is down; nothing while it is up, or when it never was. */
+    std::optional<Instant> lostSince(const std::string& peer) const;
 
     static constexpr absl::Duration heartbeatInterval = absl::Milliseconds(600);
     /** A link on which nothing was heard for this long is taken as silent. */
