--- a/src/Cell.h
+++ b/src/Cell.h
@@ -37,6 +37,8 @@
 /** The right to act for a cell. */
 struct CellTerm {
     uint32_t cell = 0;
+    /** How many cells there are; a worker belongs to one by its rack. */
+    uint32_t cells = 1;
     /** The cell's row and the revision under which this entry holds it, which is also the fencing token. */
     std::string row;
     uint64_t token = 0;
--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 
 namespace cicada {
@@ -16,12 +17,20 @@
     constexpr const char* prefix = "cicada/ctl/";
     constexpr const char* recordPrefix = "cicada/ctl/entry/";
     constexpr const char* rowPrefix = "cicada/ctl/cell/";
+    constexpr const char* cellCountKey = "cicada/ctl/cells";
+    /** How many workers a cell's owner carries with a whole processor. */
+    constexpr double workersPerProcessor = 400;
+    constexpr uint32_t mostCells = 4096;
+    /** With so many entries or less, each is linked to all. */
+    constexpr size_t mostFullyLinked = 12;
+    constexpr size_t neighbourCount = 6;
     /** How long a watch waits, and so how long a silent connection to the store is believed. */
     constexpr absl::Duration watchWait = absl::Milliseconds(1500);
     constexpr absl::Duration renewRetryDelay = absl::Milliseconds(200);
     /** Entries that start together find each other before the first takes a cell. */
     constexpr absl::Duration firstClaimDelay = absl::Milliseconds(900);
     constexpr absl::Duration rankDelay = absl::Milliseconds(200);
+    constexpr size_t maxRank = 12;
     /** An owner whose link is up and whose record is gone gets this long to renew it. */
     constexpr absl::Duration linkedPatience = absl::Milliseconds(1800);
     constexpr absl::Duration claimTimeout = absl::Milliseconds(1500);
@@ -40,14 +49,15 @@
 
     std::string encodeEntry(const EntryRecord& entry)
     {
-        return Internal::packFields(entry.name, entry.incarnation, entry.peerAddress, entry.region);
+        return Internal::packFields(
+            entry.name, entry.incarnation, entry.peerAddress, entry.region, entry.processors);
     }
 
     std::optional<EntryRecord> decodeEntry(const std::string& bytes)
     {
         EntryRecord entry;
-        if (!Internal::unpackFields(
-                bytes, "entry record", entry.name, entry.incarnation, entry.peerAddress, entry.region))
+        if (!Internal::unpackFields(bytes, "entry record", entry.name, entry.incarnation, entry.peerAddress,
+                entry.region, entry.processors))
             return std::nullopt;
         return entry;
     }
@@ -77,9 +87,27 @@
 std::string CellDirectory::recordKey() const { return recordPrefix + m_parts.self.name; }
 std::string CellDirectory::rowKey(uint32_t cell) const { return absl::StrCat(rowPrefix, cell); }
 
+uint32_t cellOfKey(absl::string_view key, uint32_t cells)
+{
+    return static_cast<uint32_t>(XXH3_64bits(key.data(), key.size()) % std::max(1u, cells));
+}
+
 uint32_t CellDirectory::cellOf(absl::string_view job) const
 {
-    return static_cast<uint32_t>(XXH3_64bits(job.data(), job.size()) % cellCount());
+    return cellOfKey(job, cellCount());
+}
+
+std::vector<EntryRecord> CellDirectory::neighbours() const
+{
+    std::vector<EntryRecord> others;
+    // Those that come after this entry in the order of names, around the end.
+    for (auto it = m_entries.upper_bound(m_parts.self.name); it != m_entries.end(); ++it)
+        others.push_back(it->second);
+    for (auto it = m_entries.begin(); it != m_entries.end() && it->first < m_parts.self.name; ++it)
+        others.push_back(it->second);
+    if (others.size() >= mostFullyLinked)
+        others.resize(neighbourCount);
+    return others;
 }
 
 const CellRow* CellDirectory::ownerOf(uint32_t cell) const
@@ -106,11 +134,9 @@
 {
     size_t others = 0;
     size_t linked = 0;
-    for (const auto& [name, entry] : m_entries) {
-        if (name == m_parts.self.name)
-            continue;
+    for (const EntryRecord& entry : neighbours()) {
         ++others;
-        linked += m_parts.isLinked(name) ? 1 : 0;
+        linked += m_parts.isLinked(entry.name) ? 1 : 0;
     }
     return others >= 2 && linked * 2 < others;
 }
@@ -195,9 +221,17 @@
         }
         return m_parts.onEntries();
     }
+    if (key == cellCountKey) {
+        if (!entry || !Internal::unpackFields(entry->value, "number of cells", m_cellCount)
+            || m_cellCount > mostCells)
+            m_parts.log.write("cell-count-unreadable", "revision", entry ? entry->index : 0);
+        else
+            m_parts.log.write("cell-count", "cells", m_cellCount, "revision", entry->index);
+        return;
+    }
     uint32_t cell = 0;
     if (absl::string_view(key).substr(0, std::strlen(rowPrefix)) != rowPrefix
-        || !absl::SimpleAtoi(key.substr(std::strlen(rowPrefix)), &cell) || cell >= cellCount() || !entry)
+        || !absl::SimpleAtoi(key.substr(std::strlen(rowPrefix)), &cell) || cell >= mostCells || !entry)
         return;
     CellRow row;
     std::string owner;
@@ -241,11 +275,8 @@
 void CellDirectory::announce(uint32_t cell)
 {
     const CellRow& row = m_rows[cell];
-    for (const auto& [name, entry] : m_entries) {
-        if (name != m_parts.self.name)
-            m_parts.peers.send(
-                name, ownerService, Internal::packFields(cell, row.revision, encodeEntry(row.owner)));
-    }
+    for (const std::string& peer : m_parts.peers.peerNames())
+        m_parts.peers.send(peer, ownerService, Internal::packFields(cell, row.revision, encodeEntry(row.owner)));
 }
 
 void CellDirectory::introduce(const std::string& peer)
@@ -260,7 +291,7 @@
     uint32_t cell = 0;
     CellRow row;
     std::string owner;
-    if (!Internal::unpackFields(bytes, "cell owner", cell, row.revision, owner) || cell >= cellCount()) {
+    if (!Internal::unpackFields(bytes, "cell owner", cell, row.revision, owner) || cell >= mostCells) {
         m_parts.log.write("peer-message-malformed", "from", from, "service", ownerService);
         return;
     }
@@ -268,7 +299,11 @@
     if (!record || record->isSameLife(m_parts.self))
         return;
     row.owner = *record;
+    const auto known = m_rows.find(cell);
+    const bool isNews = known == m_rows.end() || known->second.revision < row.revision;
     applyRow(cell, row);
+    if (isNews)
+        announce(cell);
 }
 
 void CellDirectory::noteRenewal(bool isReached)
@@ -301,7 +336,7 @@
 {
     uint32_t cell = 0;
     uint64_t revision = 0;
-    if (!Internal::unpackFields(bytes, "cell offer", cell, revision) || cell >= cellCount()) {
+    if (!Internal::unpackFields(bytes, "cell offer", cell, revision) || cell >= mostCells) {
         m_parts.log.write("peer-message-malformed", "from", from, "service", offerService);
         return;
     }
@@ -318,6 +353,8 @@
     if (!m_mirror.isFilled() || m_isLeaving)
         return;
     checkIsolation();
+    if (m_cellCount == 0)
+        return considerCellCount();
     for (uint32_t cell = 0; cell < cellCount(); ++cell)
         consider(cell);
 }
@@ -333,23 +370,57 @@
     });
 }
 
+void CellDirectory::considerCellCount()
+{
+    considerLater();
+    const absl::Duration delay = firstClaimDelay + rankDelay * static_cast<double>(std::min(rankFor(0), maxRank));
+    if (m_isCounting || m_parts.timers.clock().now() - m_startedAt < delay || !m_isRecordStored)
+        return;
+    m_isCounting = true;
+    m_parts.countWorkers([this](std::optional<size_t> workers) {
+        m_isCounting = false;
+        if (workers && *workers > 0 && m_cellCount == 0)
+            writeCellCount(*workers);
+    });
+}
+
+void CellDirectory::writeCellCount(size_t workers)
+{
+    const double perCell = std::max(1.0, m_parts.self.processors * workersPerProcessor);
+    const double wanted = std::ceil(static_cast<double>(workers) / perCell);
+    const auto cells = static_cast<uint32_t>(std::clamp(wanted, 1.0, static_cast<double>(mostCells)));
+    m_parts.log.write("cells-planned", "cells", cells, "workers", workers, "processors", m_parts.self.processors);
+    Transaction transaction;
+    transaction.conditions.push_back({ cellCountKey, 0 });
+    transaction.writes.push_back({ cellCountKey, Internal::packFields(cells), 0 });
+    m_parts.store.transact(std::move(transaction), [this](TransactionReply reply) {
+        // The watch tells the number, whoever wrote it.
+        if (reply.status == TransactionStatus::Unknown || reply.status == TransactionStatus::NotApplied)
+            considerLater();
+    });
+}
+
+size_t CellDirectory::ownedBy(const std::string& entry) const
+{
+    return static_cast<size_t>(std::count_if(
+        m_rows.begin(), m_rows.end(), [&](const auto& row) { return row.second.owner.name == entry; }));
+}
+
 size_t CellDirectory::rankFor(uint32_t cell) const
 {
-    const auto weight = [cell](const std::string& name) {
-        const std::string text = absl::StrCat(cell, "/", name);
-        return XXH3_64bits(text.data(), text.size());
+    const auto order = [this, cell](const EntryRecord& entry) {
+        const std::string text = absl::StrCat(cell, "/", entry.name);
+        return std::make_tuple(ownedBy(entry.name), -entry.processors, XXH3_64bits(text.data(), text.size()));
     };
-    size_t rank = 0;
-    for (const auto& [name, entry] : m_entries) {
-        if (weight(name) < weight(m_parts.self.name))
-            ++rank;
-    }
-    return rank;
+    const auto own = order(m_parts.self);
+    return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        return item.first != m_parts.self.name && order(item.second) < own;
+    }));
 }
 
 std::optional<absl::Duration> CellDirectory::claimDelay(uint32_t cell, const CellRow* row) const
 {
-    const absl::Duration byRank = rankDelay * static_cast<double>(rankFor(cell));
+    const absl::Duration byRank = rankDelay * static_cast<double>(std::min(rankFor(cell), maxRank));
     if (!row || row->owner.name.empty()) {
         if (row && row->successor == m_parts.self.name)
             return absl::ZeroDuration();
@@ -437,9 +508,13 @@
         return;
     const uint64_t revision = held->second;
     std::string successor;
+    double most = -1;
     for (const auto& [name, entry] : m_entries) {
-        if (name != m_parts.self.name && m_parts.isLinked(name))
+        const double weight = entry.processors / static_cast<double>(1 + ownedBy(name));
+        if (name != m_parts.self.name && m_parts.isLinked(name) && weight > most) {
             successor = name;
+            most = weight;
+        }
     }
     m_parts.log.write("cell-resigned", "cell", cell, "token", revision, "why", why, "successor", successor);
     Transaction transaction;
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -25,6 +25,8 @@
     std::string incarnation;
     std::string peerAddress;
     std::string region;
+    /** Its share of a processor, in processors; cells go to the entries with the most. */
+    double processors = 0;
 
     bool isSameLife(const EntryRecord& other) const
     {
@@ -32,6 +34,9 @@
     }
 };
 
+/** Of `cells` cells, the one to which a job's id or a rack's name belongs. */
+uint32_t cellOfKey(absl::string_view key, uint32_t cells);
+
 /** A cell's row. */
 struct CellRow {
     /** No name when the owner has resigned. */
@@ -54,6 +59,8 @@
         std::function<bool(const std::string& peer)> isLinked;
         /** Since when the link to a peer is down that was up. */
         std::function<std::optional<Instant>(const std::string& peer)> lostSince;
+        /** Calls back with how many workers the platform lists, or with nothing when that can't be read. */
+        std::function<void(std::function<void(std::optional<size_t>)>)> countWorkers;
         /** The entries changed. */
         std::function<void()> onEntries;
         /** The owner of a cell changed. */
@@ -78,14 +85,16 @@
     /** Takes no cells any more and lets the entry's record go. */
     void leave();
 
-    uint32_t cellCount() const { return 1; }
+    /** How many cells there are; 0 until that is known. */
+    uint32_t cellCount() const { return m_cellCount; }
+    /** The cell of a job. Requires that the number of cells is known. */
     uint32_t cellOf(absl::string_view job) const;
+    /** The entries that this one keeps links to besides the owners of cells: all of them as long as they are few. */
+    std::vector<EntryRecord> neighbours() const;
     /** The owner of the cell, or null when it has none that is known. */
     const CellRow* ownerOf(uint32_t cell) const;
     std::vector<EntryRecord> entries() const;
     bool isOwned(uint32_t cell) const { return m_held.contains(cell); }
-    /** Whether the rows were read. */
-    bool isReady() const { return m_mirror.isFilled(); }
     /** Whether this entry's lease was renewed recently enough that nobody can have taken its cells. */
     bool isFresh() const;
     /** Whether this entry has links to less than half of the others. */
@@ -109,6 +118,9 @@
     void claim(uint32_t cell);
     void checkIsolation();
     void considerLater();
+    void considerCellCount();
+    void writeCellCount(size_t workers);
+    size_t ownedBy(const std::string& entry) const;
     void applyRow(uint32_t cell, const CellRow& row);
     void announce(uint32_t cell);
     void handleAnnounced(const std::string& from, absl::string_view bytes);
@@ -127,6 +139,8 @@
     /** Renewals in a row that failed. */
     int m_failedRenewals = 0;
     size_t m_nextOffer = 0;
+    uint32_t m_cellCount = 0;
+    bool m_isCounting = false;
     uint64_t m_lease = 0;
     bool m_isRecordStored = false;
     bool m_isWriting = false;
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -1,4 +1,5 @@
 #include "Cell.h"
+#include "CellDirectory.h"
 
 #include <algorithm>
 
@@ -39,6 +40,8 @@
         m_parts.log.write("worker-unlisted", "worker", id, "runs", worker->occupants.size());
         return syncSoon(*worker, absl::ZeroDuration());
     }
+    if (cellOfKey(listed->rack, m_term.cells) != m_term.cell)
+        return;
     CellWorker& worker = m_workers[id];
     const bool isNew = !worker.isListed;
     const bool isReborn = worker.startedUnixMillis != 0 && listed->startedUnixMillis != 0
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -71,7 +71,6 @@
 {
     Request request;
     request.verb = GatewayVerb::Submit;
-    request.cell = m_parts.directory.cellOf(spec.id);
     request.subject = spec.id;
     request.body = encodeSubmission(spec, policy);
     request.callback = std::move(callback);
@@ -82,7 +81,6 @@
 {
     Request request;
     request.verb = GatewayVerb::Query;
-    request.cell = m_parts.directory.cellOf(job);
     request.subject = request.body = job;
     request.callback = std::move(callback);
     begin(std::move(request), timeout);
@@ -92,7 +90,6 @@
 {
     Request request;
     request.verb = GatewayVerb::Cancel;
-    request.cell = m_parts.directory.cellOf(job);
     request.subject = request.body = job;
     request.callback = std::move(callback);
     begin(std::move(request), timeout);
@@ -106,6 +103,8 @@
         Callback callback;
     };
     const uint32_t cells = m_parts.directory.cellCount();
+    if (cells == 0)
+        return callback({ GatewayStatus::Unreached });
     auto sum = std::make_shared<Sum>(Sum { cells, { GatewayStatus::Counted }, std::move(callback) });
     for (uint32_t cell = 0; cell < cells; ++cell) {
         Request request;
@@ -152,6 +151,10 @@
     if (found == m_open.end() || !found->second.sentTo.empty())
         return;
     Request& request = found->second;
+    if (m_parts.directory.cellCount() == 0)
+        return;
+    if (request.verb != GatewayVerb::Pending)
+        request.cell = m_parts.directory.cellOf(request.subject);
     if (m_parts.cellOf(request.cell)) {
         request.sentTo = m_parts.self;
         request.sentAt = m_parts.timers.clock().now();
@@ -196,6 +199,8 @@
 
 bool JobGateway::canReachOwners() const
 {
+    if (m_parts.directory.cellCount() == 0)
+        return false;
     for (uint32_t cell = 0; cell < m_parts.directory.cellCount(); ++cell) {
         if (m_parts.cellOf(cell))
             continue;
--- a/src/LinkedPeers.cpp
+++ b/src/LinkedPeers.cpp
@@ -346,7 +346,8 @@
         const auto address = resolve(item.address.substr(0, colon), static_cast<uint16_t>(port));
         if (!peer.address || peer.address != address) {
             peer.address = address;
-            peer.dialAt = m_state->now() + (m_state->self < item.name ? absl::ZeroDuration() : politeDelay);
+            peer.dialAt = m_state->now()
+                + (item.isEager || m_state->self < item.name ? absl::ZeroDuration() : politeDelay);
         }
         peer.isWanted = true;
         peer.region = item.region;
--- a/src/PeerBus.h
+++ b/src/PeerBus.h
@@ -20,6 +20,8 @@
     std::string name;
     std::string address;
     std::string region;
+    /** Open the link from this side at once, whichever side usually does. */
+    bool isEager = false;
 };
 
 /** Bytes sent to peers, for the control cost and the paid traffic. */
