Advice: beside the first write, over the nearest lanes, from as many workers as the room needs; gangs keep room

Cause: a check waited for the store, then for a far lane (142 ms at the median for 13 ms of service), behind tallies; gangs lost their room to later steps while their ticket was renewed (2.4 questions a step, 29 of 33 lanes busy). Ruled out: the owner's processor (0.24 of 0.5).

--- a/src/Advisor.cpp
+++ b/src/Advisor.cpp
@@ -8,8 +8,10 @@
 
     constexpr const char* questionService = "advice.ask";
     constexpr const char* answerService = "advice.reply";
-    /** Questions that take longer are kept off the lanes for short ones. */
-    constexpr absl::Duration longQuestion = absl::Milliseconds(150);
+    /** Questions that take so many times as long as the shortest are kept off some lanes. */
+    constexpr double longFactor = 3;
+    constexpr absl::Duration shortestMemory = absl::Seconds(30);
+    constexpr double overheadWeight = 0.2;
     /** Of all lanes, the share that long questions may use. */
     constexpr double longShare = 0.7;
     /** A lane takes another question when it is free this soon, which hides the way there. */
@@ -36,17 +38,29 @@
 
 void AdviceLanes::ask(AdviceQuestion question, absl::Duration expected, absl::AnyInvocable<void(AdviceAnswer)> callback)
 {
-    auto& queue = expected > longQuestion ? m_long : m_short;
+    auto& queue = isLong(expected) ? m_long : m_short;
     queue.push_back({ std::move(question), expected, std::move(callback) });
     pump();
 }
 
+bool AdviceLanes::isLong(absl::Duration expected)
+{
+    const Instant now = m_timers.clock().now();
+    if (expected <= m_shortest || now - m_shortestAt > shortestMemory) {
+        m_shortest = expected;
+        m_shortestAt = now;
+    }
+    return expected > m_shortest * longFactor;
+}
+
 void AdviceLanes::refreshLanes()
 {
     absl::btree_map<std::string, Lane> lanes;
     lanes[m_self] = m_lanes[m_self];
-    for (const std::string& peer : m_peers.peerNames())
-        lanes[peer] = m_lanes[peer];
+    for (const std::string& peer : m_peers.peerNames()) {
+        if (!m_isOurs || m_isOurs(peer))
+            lanes[peer] = m_lanes[peer];
+    }
     m_lanes = std::move(lanes);
 }
 
@@ -77,16 +91,16 @@
     // This entry's own lane is the last that long questions get.
     size_t position = 0;
     Lane* best = nullptr;
+    Instant bestAnswered;
     for (auto& [lane, state] : m_lanes) {
         const bool isOwn = lane == m_self;
         const bool allowsLong = isOwn ? m_lanes.size() == 1 : position++ < longLanes;
         if ((isLong && !allowsLong) || state.inFlight >= maxPerLane || state.busyUntil > now + queueAhead)
             continue;
-        if (best && std::max(best->busyUntil, now) < std::max(state.busyUntil, now))
-            continue;
-        // Among equals, short questions take the own lane, which has the shortest way.
-        if (best && best->busyUntil <= now && state.busyUntil <= now && !isOwn)
+        const Instant answered = std::max(state.busyUntil, now) + state.overhead;
+        if (best && bestAnswered <= answered)
             continue;
+        bestAnswered = answered;
         best = &state;
         name = lane;
     }
@@ -102,7 +116,7 @@
     ++state.inFlight;
     const uint64_t number = ++m_lastNumber;
     const absl::Duration timeout = queued + waiting.expected + answerSlack;
-    m_sent[number] = { lane, now, std::move(waiting.callback) };
+    m_sent[number] = { lane, now, queued + waiting.expected, std::move(waiting.callback) };
     m_timers.after(timeout, [this, number] { finish(number, {}); });
     if (lane == m_self) {
         m_advisor.ask(waiting.question, timeout,
@@ -125,6 +139,11 @@
     Sent sent = std::move(found->second);
     m_sent.erase(found);
     const auto lane = m_lanes.find(sent.lane);
+    if (lane != m_lanes.end()) {
+        const absl::Duration beyond
+            = std::max(absl::ZeroDuration(), m_timers.clock().now() - sent.sentAt - sent.expected);
+        lane->second.overhead += (beyond - lane->second.overhead) * overheadWeight;
+    }
     if (lane != m_lanes.end() && lane->second.inFlight > 0 && --lane->second.inFlight == 0)
         lane->second.busyUntil = m_timers.clock().now();
     if (!answer.isValid)
--- a/src/Advisor.h
+++ b/src/Advisor.h
@@ -51,6 +51,8 @@
     /** What is referred to must outlive the lanes. */
     AdviceLanes(std::string self, Advisor& advisor, PeerBus& peers, TimerQueue& timers, EventLog& log);
 
+    /** Restricts the lanes of other entries, so that the owners of several cells do not queue behind each other. */
+    void useLanes(std::function<bool(const std::string& entry)> isOurs) { m_isOurs = std::move(isOurs); }
     /** Asks through the entry that is free first. `expected` is how long the service takes for the question. */
     void ask(AdviceQuestion, absl::Duration expected, absl::AnyInvocable<void(AdviceAnswer)>);
     /** Questions that wait for a lane. */
@@ -65,13 +67,17 @@
     struct Lane {
         Instant busyUntil = absl::ZeroDuration();
         size_t inFlight = 0;
+        /** What answers take beyond the service's own time: the way there and back, and calls of others. */
+        absl::Duration overhead = absl::ZeroDuration();
     };
     struct Sent {
         std::string lane;
         Instant sentAt;
+        absl::Duration expected;
         absl::AnyInvocable<void(AdviceAnswer)> callback;
     };
 
+    bool isLong(absl::Duration expected);
     void pump();
     void refreshLanes();
     bool sendNext(std::deque<Waiting>& queue, bool isLong);
@@ -86,11 +92,15 @@
     PeerBus& m_peers;
     TimerQueue& m_timers;
     EventLog& m_log;
+    std::function<bool(const std::string&)> m_isOurs;
     absl::btree_map<std::string, Lane> m_lanes;
     std::deque<Waiting> m_short;
     std::deque<Waiting> m_long;
     absl::btree_map<uint64_t, Sent> m_sent;
     uint64_t m_lastNumber = 0;
+    /** The shortest questions of late, against which the others are long. */
+    absl::Duration m_shortest = absl::InfiniteDuration();
+    Instant m_shortestAt = absl::ZeroDuration();
 };
 
 } // namespace cicada
--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -214,6 +214,8 @@
     m_accepting[id].push_back(std::move(reply));
     m_parts.metrics.count("cicada_cell_jobs");
     storeJob(kept);
+    // Advice takes as long as the store does, so it is asked for meanwhile.
+    advance(kept);
 }
 
 void Cell::storeJob(CellJob& job)
@@ -302,10 +304,8 @@
             unqueue(job, { k, s });
     }
     stopJob(job);
-    storeRuns(job, guarded([this, id = job.spec.id] {
-        // The job record goes once the end is durable; both writes may not pass each other.
-        m_writer.write(jobKey(id), {});
-    }));
+    // The job record goes once the end is durable; both writes may not pass each other.
+    storeRuns(job, guarded([this, id = job.spec.id] { m_writer.writeLater(jobKey(id)); }));
 }
 
 size_t Cell::pending(const std::string& queue) const
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -164,12 +164,15 @@
     void placeSoon();
     void placeAll();
     bool placeStep(const Rank& rank);
+    /** Keeps the free room of the workers for a gang that waits for more, against the steps behind it. */
+    void reserveFor(const StepSpec& spec, size_t tasks, const std::vector<CellWorker*>& on);
     std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
     bool placeWhole(CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices);
     std::vector<Choice> place(
         CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, bool isWhole, const std::string& rackOnly);
     void askAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted);
-    void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& asked, AdviceAnswer answer);
+    void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& asked, Instant askedAt,
+        AdviceAnswer answer);
     void intend(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
     std::vector<uint32_t> waitingTasks(const CellStep& step) const;
 
@@ -218,6 +221,7 @@
     absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_ended;
     absl::btree_map<std::string, CellWorker> m_workers;
     absl::btree_set<Rank> m_ready;
+    size_t m_reservations = 0;
     absl::flat_hash_map<std::string, std::vector<Reply>> m_accepting;
     std::vector<absl::AnyInvocable<void()>> m_untilLoaded;
     /** By queue, the share of the workers asked about that were allowed. */
--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -19,7 +19,7 @@
     constexpr const char* rowPrefix = "cicada/ctl/cell/";
     constexpr const char* cellCountKey = "cicada/ctl/cells";
     /** How many workers a cell's owner carries with a whole processor. */
-    constexpr double workersPerProcessor = 400;
+    constexpr double workersPerProcessor = 800;
     constexpr uint32_t mostCells = 4096;
     /** With so many entries or less, each is linked to all. */
     constexpr size_t mostFullyLinked = 12;
@@ -30,7 +30,11 @@
     /** Entries that start together find each other before the first takes a cell. */
     constexpr absl::Duration firstClaimDelay = absl::Milliseconds(900);
     constexpr absl::Duration rankDelay = absl::Milliseconds(200);
+    constexpr absl::Duration countInterval = absl::Milliseconds(1000);
+    constexpr absl::Duration countPatience = absl::Seconds(5);
     constexpr size_t maxRank = 12;
+    /** A first call to the store that takes longer crosses regions. */
+    constexpr absl::Duration farFromStore = absl::Milliseconds(45);
     /** An owner whose link is up and whose record is gone gets this long to renew it. */
     constexpr absl::Duration linkedPatience = absl::Milliseconds(1800);
     constexpr absl::Duration claimTimeout = absl::Milliseconds(1500);
@@ -50,14 +54,15 @@
     std::string encodeEntry(const EntryRecord& entry)
     {
         return Internal::packFields(
-            entry.name, entry.incarnation, entry.peerAddress, entry.region, entry.processors);
+            entry.name, entry.incarnation, entry.peerAddress, entry.region, entry.processors,
+            entry.isFarFromStore);
     }
 
     std::optional<EntryRecord> decodeEntry(const std::string& bytes)
     {
         EntryRecord entry;
         if (!Internal::unpackFields(bytes, "entry record", entry.name, entry.incarnation, entry.peerAddress,
-                entry.region, entry.processors))
+                entry.region, entry.processors, entry.isFarFromStore))
             return std::nullopt;
         return entry;
     }
@@ -153,6 +158,7 @@
             return m_parts.timers.after(renewRetryDelay, [this] { grant(); });
         m_lease = reply.lease;
         m_renewedAt = sentAt;
+        m_parts.self.isFarFromStore = m_parts.timers.clock().now() - sentAt > farFromStore;
         writeRecord();
         renewLater(renewInterval);
     });
@@ -373,13 +379,23 @@
 void CellDirectory::considerCellCount()
 {
     considerLater();
-    const absl::Duration delay = firstClaimDelay + rankDelay * static_cast<double>(std::min(rankFor(0), maxRank));
-    if (m_isCounting || m_parts.timers.clock().now() - m_startedAt < delay || !m_isRecordStored)
+    // One entry counts; others step in when it does not get there.
+    const size_t rank = std::min(rankFor(0), maxRank);
+    const absl::Duration delay = firstClaimDelay + (rank == 0 ? absl::ZeroDuration() : countPatience + rankDelay * static_cast<double>(rank));
+    const Instant now = m_parts.timers.clock().now();
+    if (m_isCounting || now - m_startedAt < delay || now - m_countedAt < countInterval || !m_isRecordStored)
         return;
     m_isCounting = true;
     m_parts.countWorkers([this](std::optional<size_t> workers) {
+        const Instant countedAt = m_parts.timers.clock().now();
         m_isCounting = false;
-        if (workers && *workers > 0 && m_cellCount == 0)
+        m_countedAt = countedAt;
+        if (!workers || *workers == 0 || m_cellCount != 0)
+            return;
+        // Workers register one after the other when all machines start together.
+        const bool isStable = *workers == m_countedWorkers || countedAt - m_startedAt > countPatience;
+        m_countedWorkers = *workers;
+        if (isStable)
             writeCellCount(*workers);
     });
 }
@@ -408,9 +424,14 @@
 
 size_t CellDirectory::rankFor(uint32_t cell) const
 {
-    const auto order = [this, cell](const EntryRecord& entry) {
+    double largest = 0;
+    for (const auto& [name, entry] : m_entries)
+        largest = std::max(largest, entry.processors);
+    const auto order = [this, cell, largest](const EntryRecord& entry) {
         const std::string text = absl::StrCat(cell, "/", entry.name);
-        return std::make_tuple(ownedBy(entry.name), -entry.processors, XXH3_64bits(text.data(), text.size()));
+        const bool isSmall = entry.processors * 2 < largest;
+        return std::make_tuple(ownedBy(entry.name), isSmall, entry.isFarFromStore, -entry.processors,
+            XXH3_64bits(text.data(), text.size()));
     };
     const auto own = order(m_parts.self);
     return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
@@ -510,7 +531,8 @@
     std::string successor;
     double most = -1;
     for (const auto& [name, entry] : m_entries) {
-        const double weight = entry.processors / static_cast<double>(1 + ownedBy(name));
+        const double weight
+            = entry.processors / (entry.isFarFromStore ? 2 : 1) / static_cast<double>(1 + ownedBy(name));
         if (name != m_parts.self.name && m_parts.isLinked(name) && weight > most) {
             successor = name;
             most = weight;
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -27,6 +27,8 @@
     std::string region;
     /** Its share of a processor, in processors; cells go to the entries with the most. */
     double processors = 0;
+    /** Whether the store is a slow link away, which each write of an owner would pay for. */
+    bool isFarFromStore = false;
 
     bool isSameLife(const EntryRecord& other) const
     {
@@ -141,6 +143,8 @@
     size_t m_nextOffer = 0;
     uint32_t m_cellCount = 0;
     bool m_isCounting = false;
+    size_t m_countedWorkers = 0;
+    Instant m_countedAt = absl::ZeroDuration() - absl::Hours(1);
     uint64_t m_lease = 0;
     bool m_isRecordStored = false;
     bool m_isWriting = false;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -3,7 +3,7 @@
 #include "Job.h"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 
 namespace cicada {
 
@@ -17,7 +17,12 @@
     constexpr size_t fewestWorkersAsked = 8;
     /** The share of workers that a policy is taken to allow before it was asked. */
     constexpr double firstAllowedShare = 0.5;
+    constexpr double leastShare = 0.05;
     constexpr double shareWeight = 0.1;
+    /** So many times the room that a step needs is asked for, as others take some of it meanwhile. */
+    constexpr double spareFactor = 1.6;
+    /** So many gangs at most keep room from the steps behind them. */
+    constexpr size_t maxReservations = 4;
     constexpr absl::Duration adviceRetryDelay = absl::Milliseconds(300);
     /** Questions about steps beyond this many waiting ones would be stale when their room comes. */
     constexpr size_t maxWaitingQuestions = 12;
@@ -36,6 +41,21 @@
         return demand;
     }
 
+    /** How many such tasks fit into the room. */
+    uint64_t roomFor(const Resources& demand, const Resources& free)
+    {
+        if (!fits(demand, free))
+            return 0;
+        int64_t count = std::numeric_limits<int32_t>::max();
+        if (demand.cpuMillis > 0)
+            count = std::min(count, free.cpuMillis / demand.cpuMillis);
+        if (demand.memoryMiB > 0)
+            count = std::min(count, free.memoryMiB / demand.memoryMiB);
+        if (demand.accelerators > 0)
+            count = std::min(count, free.accelerators / demand.accelerators);
+        return static_cast<uint64_t>(count);
+    }
+
     /** The share of the worker that stays free, in the resource that is scarcer. */
     double leftover(const Resources& free, const Resources& demand, const Resources& capacity)
     {
@@ -149,6 +169,9 @@
         return;
     const Instant now = m_parts.timers.clock().now();
     const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    for (auto& [id, worker] : m_workers)
+        worker.reserved = Resources();
+    m_reservations = 0;
     for (const Rank& rank : ranks) {
         const bool isDone = placeStep(rank);
         if (isDone) {
@@ -160,6 +183,24 @@
             m_ready.insert(late);
         }
     }
+    // Advice that arrives later is used in the next round, which reserves anew.
+    for (auto& [id, worker] : m_workers)
+        worker.reserved = Resources();
+}
+
+void Cell::reserveFor(const StepSpec& spec, size_t tasks, const std::vector<CellWorker*>& on)
+{
+    if (!spec.isGang || m_reservations >= maxReservations)
+        return;
+    ++m_reservations;
+    const Resources demand = demandOf(spec);
+    size_t left = tasks;
+    for (CellWorker* worker : on) {
+        const uint64_t room = std::min<uint64_t>(left, roomFor(demand, worker->free()));
+        for (uint64_t i = 0; i < room; ++i)
+            worker->reserved = worker->reserved + demand;
+        left -= room;
+    }
 }
 
 std::vector<CellWorker*> Cell::candidates(CellJob& job, const StepSpec& spec)
@@ -263,8 +304,10 @@
     const std::vector<CellWorker*> all = candidates(*job, spec);
     std::vector<Choice> choices;
     if (!policyOf(*job).advice.isNeeded) {
-        if (!placeWhole(*job, rank.ref, all, choices))
+        if (!job->isStored || !placeWhole(*job, rank.ref, all, choices)) {
+            reserveFor(spec, waiting, all);
             return false;
+        }
         intend(*job, rank.ref, choices);
         return choices.size() == waiting;
     }
@@ -281,23 +324,29 @@
             open.push_back(worker);
         }
     }
-    if (placeWhole(*job, rank.ref, withTicket, choices)) {
+    if (job->isStored && placeWhole(*job, rank.ref, withTicket, choices)) {
         const bool isWhole = choices.size() == waiting;
         intend(*job, rank.ref, choices);
         if (isWhole)
             return true;
     }
-    if (step.advice.isAsking)
+    if (step.advice.isAsking) {
+        reserveFor(spec, waiting, allowed);
+        return false;
+    }
+    if (!job->isStored && !withTicket.empty())
         return false;
     // Ask only when an answer could let something start now.
     if (placeWhole(*job, rank.ref, allowed, choices)) {
         askAdvice(*job, rank.ref, allowed, choices.size());
+        reserveFor(spec, waiting, allowed);
         return false;
     }
     std::vector<CellWorker*> both = allowed;
     both.insert(both.end(), open.begin(), open.end());
     if (!open.empty() && placeWhole(*job, rank.ref, both, choices))
         askAdvice(*job, rank.ref, both, choices.size());
+    reserveFor(spec, waiting, allowed);
     return false;
 }
 
@@ -317,9 +366,17 @@
     };
     std::stable_sort(workers.begin(), workers.end(),
         [&](const CellWorker* a, const CellWorker* b) { return rankOf(a) < rankOf(b); });
-    const double share = m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second;
-    const auto needed = static_cast<size_t>(std::ceil(static_cast<double>(wanted + 2) / std::max(share, 0.05)));
-    const size_t count = std::min({ std::max(needed, fewestWorkersAsked), mostWorkersAsked, workers.size() });
+    const double share = std::max(leastShare, m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second);
+    const size_t most = std::min(mostWorkersAsked, workers.size());
+    const double enough = static_cast<double>(wanted) * spareFactor;
+    double expectedRoom = 0;
+    size_t count = 0;
+    while (count < most && (count < fewestWorkersAsked || expectedRoom < enough)) {
+        const CellWorker& worker = *workers[count++];
+        const bool isAllowed = step.advice.allowed.contains(worker.listed.life.id);
+        expectedRoom += static_cast<double>(std::min<uint64_t>(wanted, roomFor(demand, worker.free())))
+            * (isAllowed ? 1 : share);
+    }
     AdviceQuestion question { { job.spec.id, ref.occurrence, ref.step, 0 }, {} };
     for (size_t i = 0; i < count; ++i)
         question.workers.push_back(workers[i]->listed.life.id);
@@ -328,12 +385,12 @@
     const absl::Duration expected = policy.advice.perCall + policy.advice.perWorker * static_cast<double>(count);
     const std::vector<std::string> asked = question.workers;
     m_parts.advice.ask(std::move(question), expected,
-        guarded([this, id = job.spec.id, ref, asked](
-                    AdviceAnswer answer) { handleAdvice(id, ref, asked, std::move(answer)); }));
+        guarded([this, id = job.spec.id, ref, asked, now = m_parts.timers.clock().now()](
+                    AdviceAnswer answer) { handleAdvice(id, ref, asked, now, std::move(answer)); }));
 }
 
 void Cell::handleAdvice(
-    const std::string& id, StepRef ref, const std::vector<std::string>& asked, AdviceAnswer answer)
+    const std::string& id, StepRef ref, const std::vector<std::string>& asked, Instant askedAt, AdviceAnswer answer)
 {
     CellJob* job = findJob(id);
     if (!job)
@@ -359,7 +416,9 @@
     const double seen = static_cast<double>(answer.tickets.size()) / std::max<double>(1, asked.size());
     share += (seen - share) * shareWeight;
     m_parts.log.write("advice-taken", "job", id, "occurrence", ref.occurrence, "step", ref.step, "asked",
-        asked.size(), "allowed", answer.tickets.size(), "validMs", absl::ToInt64Milliseconds(validity));
+        asked.size(), "allowed", answer.tickets.size(), "validMs", absl::ToInt64Milliseconds(validity), "tookMs",
+        absl::ToInt64Milliseconds(now - askedAt));
+    m_parts.metrics.observe("cicada_advice_ms", absl::ToDoubleMilliseconds(now - askedAt));
     placeSoon();
 }
 
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -38,7 +38,7 @@
     occupants.erase(found);
 }
 
-Resources CellWorker::free() const { return listed.capacity - used; }
+Resources CellWorker::free() const { return listed.capacity - used - reserved; }
 
 bool CellWorker::isUsable(Instant now) const
 {
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -63,6 +63,8 @@
     WorkerClock clock;
     absl::flat_hash_map<TaskRun, Occupant> occupants;
     Resources used;
+    /** Room that steps with a better rank are waiting to fill, in the current round of placement. */
+    Resources reserved;
 
     uint64_t processedThrough = 0;
     uint64_t acknowledgedThrough = 0;
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -5,7 +5,8 @@
 namespace {
 
     /** Writes are collected for this long, which makes groups of them. */
-    constexpr absl::Duration collectFor = absl::Milliseconds(20);
+    constexpr absl::Duration collectFor = absl::Milliseconds(10);
+    constexpr absl::Duration laterDelay = absl::Milliseconds(1500);
     constexpr size_t maxInFlight = 4;
     constexpr absl::Duration firstRetryDelay = absl::Milliseconds(50);
     constexpr absl::Duration maxRetryDelay = absl::Milliseconds(400);
@@ -38,6 +39,14 @@
         pumpLater(collectFor);
 }
 
+void DurableWriter::writeLater(const std::string& key)
+{
+    m_parts.timers.after(laterDelay, [this, alive = m_alive, key] {
+        if (*alive)
+            write(key, {});
+    });
+}
+
 void DurableWriter::flush(Done done)
 {
     if (isIdle())
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -42,6 +42,8 @@
     void noteStored(const std::string& key, uint64_t revision) { m_keys[key].revision = revision; }
     /** Stores the key's value as it is when the write is sent, and calls `done` once it is durable. */
     void write(const std::string& key, Done done);
+    /** As write(), for what nobody waits for: it goes with a later group. */
+    void writeLater(const std::string& key);
     /** Calls `done` once everything that is written now is durable. */
     void flush(Done done);
     bool isIdle() const { return m_dirty.empty() && m_inFlight == 0; }
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -13,7 +13,7 @@
     /** Lines are collected for this long before they are written, which saves wake-ups. */
     constexpr absl::Duration collectFor = absl::Milliseconds(100);
     constexpr absl::Duration idleWait = absl::Seconds(60);
-    constexpr size_t writeChunkBytes = 64 << 10;
+    constexpr size_t writeChunkBytes = 1 << 20;
 
     bool needsQuotes(absl::string_view value)
     {
