--- /dev/null
+++ b/src/CellHost.cpp
@@ -0,0 +1,123 @@
+#include "CellHost.h"
+
+namespace cicada {
+
+CellHost::CellHost(Parts parts)
+    : m_parts(std::move(parts))
+    , m_lanes(m_parts.self.name, m_parts.advisor, m_parts.peers, m_parts.timers, m_parts.log)
+    , m_directory(directoryParts())
+    , m_gateway({ m_directory, m_parts.peers, m_parts.timers, m_parts.log, m_parts.metrics, m_parts.self.name,
+          [this](uint32_t cell) { return cellOf(cell); },
+          [this](const std::string& peer) { return m_parts.peers.isLinked(peer); } })
+{
+    m_lanes.useLanes(
+        [this](const std::string& entry) { return m_cells.contains(cellOfKey(entry, m_directory.cellCount())); });
+    m_parts.peers.onLinkChange([this](const std::string& peer, bool isUp) {
+        if (isUp)
+            m_directory.introduce(peer);
+        m_directory.reconsider();
+        m_gateway.resend();
+        if (m_onLinkChange)
+            m_onLinkChange(peer, isUp);
+    });
+}
+
+CellHost::~CellHost()
+{
+    *m_alive = false;
+    m_cells.clear();
+    m_ending.clear();
+}
+
+CellDirectory::Parts CellHost::directoryParts()
+{
+    return { m_parts.store, m_parts.timers, m_parts.log, m_parts.metrics, m_parts.self, m_parts.peers,
+        [this](const std::string& peer) { return m_parts.peers.isLinked(peer); },
+        [this](const std::string& peer) { return m_parts.peers.lostSince(peer); }, m_parts.countWorkers,
+        [this] { linkPeers(); },
+        [this](uint32_t) {
+            linkPeers();
+            m_gateway.resend();
+        },
+        [this](uint32_t cell, const std::string& row, uint64_t revision) { gained(cell, row, revision); },
+        [this](uint32_t cell) { lost(cell); } };
+}
+
+void CellHost::start() { m_directory.start(); }
+
+void CellHost::onLinkChange(std::function<void(const std::string& peer, bool isUp)> function)
+{
+    m_onLinkChange = std::move(function);
+}
+
+Cell* CellHost::cellOf(uint32_t cell)
+{
+    const auto found = m_cells.find(cell);
+    return found == m_cells.end() ? nullptr : found->second.cell.get();
+}
+
+void CellHost::gained(uint32_t number, const std::string& row, uint64_t revision)
+{
+    lost(number);
+    OwnedCell& owned = m_cells[number];
+    owned.roster = m_parts.makeRoster();
+    owned.cell = std::make_unique<Cell>(
+        Cell::Parts { m_parts.store, m_parts.orders, *owned.roster, m_lanes, m_parts.timers, m_parts.log,
+            m_parts.metrics, m_parts.bounds, m_parts.policyOf,
+            [this, number](const std::string&) {
+                m_directory.drop(number);
+                lost(number);
+            } },
+        CellTerm { number, m_directory.cellCount(), row, revision });
+    owned.cell->start();
+    m_parts.metrics.gauge("cicada_cells_owned", static_cast<double>(m_cells.size()));
+    m_gateway.resend();
+}
+
+void CellHost::lost(uint32_t number)
+{
+    const auto found = m_cells.find(number);
+    if (found == m_cells.end())
+        return;
+    // The cell may be the caller, so it ends after this call.
+    m_ending.push_back(std::move(found->second));
+    m_cells.erase(found);
+    m_parts.metrics.gauge("cicada_cells_owned", static_cast<double>(m_cells.size()));
+    m_parts.timers.after(absl::ZeroDuration(), [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_ending.clear();
+        m_gateway.resend();
+    });
+}
+
+void CellHost::linkPeers()
+{
+    absl::btree_map<std::string, PeerAddress> wanted;
+    for (const EntryRecord& entry : m_directory.neighbours())
+        wanted[entry.name] = { entry.name, entry.peerAddress, entry.region, false };
+    for (uint32_t cell = 0; cell < m_directory.cellCount(); ++cell) {
+        const CellRow* row = m_directory.ownerOf(cell);
+        if (row && row->owner.name != m_parts.self.name && !wanted.contains(row->owner.name))
+            wanted[row->owner.name] = { row->owner.name, row->owner.peerAddress, row->owner.region, true };
+    }
+    std::vector<PeerAddress> addresses;
+    for (const auto& [name, address] : wanted)
+        addresses.push_back(address);
+    m_parts.peers.setPeers(addresses);
+}
+
+void CellHost::retire()
+{
+    std::vector<uint32_t> numbers;
+    for (const auto& [number, owned] : m_cells)
+        numbers.push_back(number);
+    for (const uint32_t number : numbers) {
+        m_cells[number].cell->retire([this, number] {
+            m_parts.timers.after(
+                absl::ZeroDuration(), [this, number] { m_directory.resign(number, "planned-stop"); });
+        });
+    }
+}
+
+} // namespace cicada
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -50,6 +50,7 @@
     task->progressAt = now;
     task->percent = -1;
     worker->occupants[run].isStarting = true;
+    worker->occupants[run].wasSent = true;
     m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token,
         "waitedMs", absl::ToInt64Milliseconds(now - step.readyAt), "slackMs",
         absl::ToInt64Milliseconds(step.latestStart - now));
@@ -75,6 +76,7 @@
     switch (reply.status) {
     case OrderStatus::Done: {
         occupant->second.settledAt = std::min(occupant->second.settledAt, now);
+        occupant->second.wasThere = true;
         CellJob* job = findJob(run.task.job);
         CellTask* task = job ? job->find(run.task) : nullptr;
         if (task && task->run == run.run && task->stage == TaskStage::Starting)
@@ -127,6 +129,8 @@
 
 void Cell::runOver(CellWorker& worker, const TaskRun& run, absl::string_view why)
 {
+    if (why == notListed)
+        worker.noteUnanswered(run, m_parts.timers.clock().now());
     worker.release(run);
     CellJob* job = findJob(run.task.job);
     CellTask* task = job ? job->find(run.task) : nullptr;
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -181,7 +181,7 @@
             stop.push_back(run);
     }
     for (const TaskRun& run : gone)
-        runOver(worker, run, "not-listed");
+        runOver(worker, run, notListed);
     for (const TaskRun& run : stop)
         sendStop(worker, run);
 }
@@ -198,6 +198,7 @@
     Occupant& occupant = worker.occupants[listed.run];
     // Another reply may still be on its way that was given before the run began.
     occupant.settledAt = std::min(occupant.settledAt, now);
+    occupant.wasThere = true;
     const bool isCurrent = task && task->run == listed.run.run && task->isOut() && task->worker == id;
     if (!isCurrent || isEnded(job->phase)) {
         occupant.isStopWanted = true;
@@ -297,10 +298,11 @@
     const bool mayArrive = why != "leases-ended" && why != "other-life-answers";
     std::vector<TaskRun> runs;
     for (auto& [run, occupant] : worker.occupants) {
-        const bool isUnderWay = occupant.settledAt == absl::InfiniteDuration() && !occupant.isInherited;
-        if (mayArrive && isUnderWay) {
+        if (mayArrive && occupant.wasSent && !occupant.wasThere) {
             occupant.isStarting = false;
             occupant.isStopWanted = true;
+            occupant.settledAt = absl::InfiniteDuration();
+            occupant.stopSentAt = absl::ZeroDuration() - absl::Hours(1);
         } else {
             runs.push_back(run);
         }
@@ -309,6 +311,11 @@
         runOver(worker, run, why);
     if (isSameLife)
         return;
+    for (const Unanswered& old : mayArrive ? worker.unanswered : std::vector<Unanswered>()) {
+        worker.occupy(old.run, old.demand);
+        worker.occupants[old.run].isStopWanted = true;
+    }
+    worker.unanswered.clear();
     ++worker.generation;
     worker.isSyncing = false;
     worker.isSyncSet = false;
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -6,6 +6,13 @@
 
 namespace cicada {
 
+namespace {
+
+    /** An order that has not arrived after this long is taken as lost. */
+    constexpr absl::Duration unansweredMemory = absl::Seconds(20);
+
+} // namespace
+
 void WorkerClock::note(int64_t workerMillis, Instant now)
 {
     // A reply that was overtaken says less than what is known already.
@@ -45,6 +52,17 @@
     return isListed && isHeard && clock.isKnown() && !listed.isDraining && failedSyncs == 0 && restUntil <= now;
 }
 
+void CellWorker::noteUnanswered(const TaskRun& run, Instant now)
+{
+    const auto found = occupants.find(run);
+    if (found == occupants.end() || !found->second.wasSent || found->second.wasThere)
+        return;
+    unanswered.erase(std::remove_if(unanswered.begin(), unanswered.end(),
+                         [now](const Unanswered& old) { return now - old.at > unansweredMemory; }),
+        unanswered.end());
+    unanswered.push_back({ run, found->second.demand, now });
+}
+
 void CellWorker::noteDurable(uint64_t sequence)
 {
     for (auto& [through, isDurable] : pendingAcks) {
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_set.h"
 
 #include <deque>
+#include <vector>
 
 namespace cicada {
 
@@ -39,6 +40,9 @@
     int64_t m_latestLease = 0;
 };
 
+/** Why a run is over that a worker does not list though it must have heard of it. */
+constexpr absl::string_view notListed = "not-listed";
+
 /** A run that takes room. */
 struct Occupant {
     Resources demand;
@@ -48,10 +52,21 @@
     bool isInherited = false;
     /** A reply to its start is awaited. */
     bool isStarting = false;
+    /** The order was sent. */
+    bool wasSent = false;
+    /** The worker has said that the run is there, so its start is not under way any more. */
+    bool wasThere = false;
     bool isStopWanted = false;
     Instant stopSentAt = absl::ZeroDuration() - absl::Hours(1);
 };
 
+/** A start without an answer, that was given up at `at`. */
+struct Unanswered {
+    TaskRun run;
+    Resources demand;
+    Instant at;
+};
+
 /** One worker of the cell. */
 struct CellWorker {
     ListedWorker listed;
@@ -80,6 +95,9 @@
     /** Takes nothing new until then. */
     Instant restUntil = absl::ZeroDuration();
     int restCount = 0;
+    /** Starts that were never answered and then stopped: in a later life under the same id, which has forgotten the
+     * stop, they could still arrive. */
+    std::vector<Unanswered> unanswered;
     /** Jobs whose tasks failed here in a row, with no other end between. */
     absl::flat_hash_set<std::string> failedJobs;
     /** How long tasks take here against their estimates; 1 is as estimated. */
@@ -89,6 +107,8 @@
     void release(const TaskRun& run);
     Resources free() const;
     bool isUsable(Instant now) const;
+    /** Remembers a start without an answer that is given up now. */
+    void noteUnanswered(const TaskRun& run, Instant now);
     /** Says that the ends up to `sequence` are durable. */
     void noteDurable(uint64_t sequence);
 };
--- a/src/LinkedPeers.cpp
+++ b/src/LinkedPeers.cpp
@@ -270,7 +270,7 @@
     EventLog& log;
     Metrics& metrics;
     bool isStopped = false;
-    LinkChange onChange;
+    std::function<void(const std::string&, bool)> onChange;
     PeerTraffic counts;
     absl::flat_hash_map<std::string, std::shared_ptr<Handler>> handlers;
     absl::btree_map<std::string, Peer> peers;
@@ -318,7 +318,10 @@
     return success();
 }
 
-void LinkedPeers::onLinkChange(LinkChange change) { m_state->onChange = std::move(change); }
+void LinkedPeers::onLinkChange(std::function<void(const std::string& peer, bool isUp)> change)
+{
+    m_state->onChange = std::move(change);
+}
 
 void LinkedPeers::handle(absl::string_view service, Handler handler)
 {
--- a/src/LinkedPeers.h
+++ b/src/LinkedPeers.h
@@ -22,27 +22,24 @@
 
 namespace cicada {
 
-/** A PeerBus on an event loop. Used on the loop's thread only. */
-class LinkedPeers final : public PeerBus {
+/** PeerLinks on an event loop. Used on the loop's thread only. */
+class LinkedPeers final : public PeerLinks {
 public:
-    using LinkChange = std::function<void(const std::string& peer, bool isUp)>;
-
     /** What is referred to must outlive the links. */
     LinkedPeers(boost::asio::io_context& io, std::string self, TimerQueue& timers, EventLog& log, Metrics& metrics);
     ~LinkedPeers() override;
 
     /** Accepts links at the address. */
     Result<void> listen(const Endpoint& address);
-    void onLinkChange(LinkChange);
+    void onLinkChange(std::function<void(const std::string& peer, bool isUp)>) override;
     void handle(absl::string_view service, Handler) override;
     bool send(absl::string_view peer, absl::string_view service, std::string bytes) override;
     void setPeers(absl::Span<const PeerAddress>) override;
     /** The peers to which a link is up. */
     std::vector<std::string> peerNames() const override;
     PeerTraffic traffic() const override;
-    bool isLinked(const std::string& peer) const;
-    /** Since when a link that was up is down; nothing while it is up, or when it never was. */
-    std::optional<Instant> lostSince(const std::string& peer) const;
+    bool isLinked(const std::string& peer) const override;
+    std::optional<Instant> lostSince(const std::string& peer) const override;
 
     static constexpr absl::Duration heartbeatInterval = absl::Milliseconds(600);
     /** A link on which nothing was heard for this long is taken as silent. */
--- a/src/PeerBus.h
+++ b/src/PeerBus.h
@@ -5,11 +5,15 @@
  * effort: a message may be lost, late or out of order, and whoever sends it must bear that.
  */
 
+#include "Clock.h"
+
 #include "absl/functional/any_invocable.h"
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,4 +53,13 @@
     virtual PeerTraffic traffic() const = 0;
 };
 
+/** Peer links that tell when they come and go. */
+class PeerLinks : public PeerBus {
+public:
+    virtual void onLinkChange(std::function<void(const std::string& peer, bool isUp)>) = 0;
+    virtual bool isLinked(const std::string& peer) const = 0;
+    /** Since when a link that was up is down; nothing while it is up, or when it never was. */
+    virtual std::optional<Instant> lostSince(const std::string& peer) const = 0;
+};
+
 } // namespace cicada
--- /dev/null
+++ b/test/correctness/CellTest.cpp
@@ -0,0 +1,150 @@
+/** \file
+ * What a cell does when nothing fails.
+ */
+
+#include "CellWorld.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+using namespace cicada::test;
+
+TEST_GROUP(Cell)
+{
+    CellWorld world { 3, 8, 1 };
+
+    void setup() override { CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5))); }
+    void teardown() override { STRCMP_EQUAL("", world.report().c_str()); }
+
+    bool ends(const std::string& job, JobPhase phase, absl::Duration limit = absl::Seconds(20))
+    {
+        return world.runUntil([&] { return world.ask(0, job) == phase; }, limit);
+    }
+};
+
+TEST(Cell, aJobRunsAndIsShownAsFinished)
+{
+    world.submit(0, makeJob("a", 5));
+    CHECK(ends("a", JobPhase::Finished));
+    LONGS_EQUAL(5, world.startsOf("a"));
+}
+
+TEST(Cell, oneIdAtTwoEntriesAtOnceIsOneJob)
+{
+    world.submitOnce(0, makeJob("a", 3));
+    world.submitOnce(1, makeJob("a", 3));
+    CHECK(ends("a", JobPhase::Finished));
+    world.submitOnce(2, makeJob("a", 3));
+    world.run(absl::Seconds(3));
+    LONGS_EQUAL(3, world.startsOf("a"));
+    LONGS_EQUAL(3, world.answersTo("a").size());
+    for (const GatewayStatus status : world.answersTo("a"))
+        CHECK(status == GatewayStatus::Accepted);
+}
+
+TEST(Cell, stepsRunAfterThoseTheyWaitFor)
+{
+    Submission job = makeJob("a", 3);
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = { 0 };
+    world.submit(0, job);
+    CHECK(ends("a", JobPhase::Finished));
+    const auto& order = world.startOrder();
+    LONGS_EQUAL(6, order.size());
+    for (size_t i = 0; i < order.size(); ++i)
+        LONGS_EQUAL(i < 3 ? 0 : 1, order[i].task.step);
+}
+
+TEST(Cell, aGangStartsWhole)
+{
+    Submission small = makeJob("small", 30, 1000, absl::Seconds(2));
+    world.submit(0, small);
+    world.run(absl::Milliseconds(500));
+    Submission gang = makeJob("gang", 20);
+    gang.steps[0].isGang = true;
+    world.submit(1, gang);
+    CHECK(ends("gang", JobPhase::Finished));
+    LONGS_EQUAL(20, world.startsOf("gang"));
+}
+
+TEST(Cell, aLimitForEachWorkerHolds)
+{
+    Submission job = makeJob("a", 16);
+    job.steps[0].maxPerWorker = 2;
+    world.submit(0, job);
+    CHECK(ends("a", JobPhase::Finished));
+    LONGS_EQUAL(2, world.mostOnOneWorker("a"));
+}
+
+TEST(Cell, aCancelledJobStopsAndStaysCancelled)
+{
+    world.submit(0, makeJob("a", 40, 1000, absl::Seconds(3)));
+    world.run(absl::Seconds(1));
+    world.cancel(1, "a");
+    CHECK(ends("a", JobPhase::Cancelled));
+    world.run(absl::Seconds(1));
+    for (const WorldWorker& worker : world.workers())
+        CHECK(worker.runs.empty());
+}
+
+TEST(Cell, anUnknownJobIsSaidNotToExist)
+{
+    CHECK(!world.ask(0, "nobody").has_value());
+}
+
+TEST(Cell, aTaskThatAlwaysFailsFailsItsJobAfterItsAttempts)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.fails = true;
+    world.submit(0, makeJob("a", 1));
+    CHECK(ends("a", JobPhase::Failed));
+    LONGS_EQUAL(3, world.startsOf("a"));
+}
+
+TEST(Cell, occurrencesStartWhenTheyAreDue)
+{
+    Submission job = makeJob("a", 1);
+    job.occurrences = 3;
+    job.startUnixMillis = absl::ToInt64Milliseconds(world.now()) + 2000;
+    job.intervalMillis = 1000;
+    world.submit(0, job);
+    world.run(absl::Milliseconds(1900));
+    LONGS_EQUAL(0, world.startsOf("a"));
+    world.run(absl::Milliseconds(600));
+    LONGS_EQUAL(1, world.startsOf("a"));
+    CHECK(ends("a", JobPhase::Finished));
+    LONGS_EQUAL(3, world.startsOf("a"));
+}
+
+TEST(Cell, serviceTasksAreStartedAgain)
+{
+    Submission job = makeJob("a", 2);
+    job.steps[0].isService = true;
+    world.submit(0, job);
+    world.run(absl::Seconds(5));
+    CHECK(world.startsOf("a") > 6);
+    CHECK(world.ask(0, "a") == JobPhase::Running);
+    world.cancel(0, "a");
+    CHECK(ends("a", JobPhase::Cancelled));
+}
+
+TEST(Cell, adviceIsFollowedAndTicketsAreCarried)
+{
+    world.policy().advice = { true, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
+    for (int i = 0; i < 10; ++i)
+        world.submit(i % 3, makeJob(absl::StrCat("a", i), 4));
+    world.run(absl::Seconds(1));
+    CHECK(world.runUntil([&] { return world.allEnded(0); }, absl::Seconds(30)));
+    LONGS_EQUAL(40, world.startOrder().size());
+}
+
+TEST(Cell, aDrainingWorkerGetsNothingNew)
+{
+    for (size_t i = 1; i < world.workers().size(); ++i)
+        world.workers()[i].isDraining = true;
+    world.kill(*world.owner());
+    world.submit(world.owner().value_or(world.entryCount() - 1), makeJob("a", 8));
+    CHECK(world.runUntil([&] { return world.startsOf("a") == 8; }, absl::Seconds(20)));
+    for (size_t i = 1; i < world.workers().size(); ++i)
+        CHECK(world.workers()[i].highestOver.empty() && world.workers()[i].runs.empty());
+}
--- /dev/null
+++ b/test/failure/CellTest.cpp
@@ -0,0 +1,363 @@
+/** \file
+ * What a cell keeps when entries, the store and workers fail.
+ */
+
+#include "CellWorld.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+using namespace cicada::test;
+
+namespace {
+
+/** The bounds are the users': a new owner starts work within 2.5 s of the old one's death, and within 4 s of a restart
+ * of all. */
+constexpr absl::Duration takeoverBound = absl::Milliseconds(2500);
+constexpr absl::Duration restartBound = absl::Seconds(4);
+
+} // namespace
+
+TEST_GROUP(CellFailures)
+{
+    CellWorld world { 4, 12, 7 };
+    int jobs = 0;
+
+    void setup() override { CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5))); }
+    void teardown() override { STRCMP_EQUAL("", world.report().c_str()); }
+
+    size_t owner() { return world.owner().value(); }
+    size_t other() { return (owner() + 1) % world.entryCount(); }
+    void submitSome(int count, size_t at)
+    {
+        for (int i = 0; i < count; ++i, ++jobs)
+            world.submit(at, makeJob(absl::StrCat("job", jobs), 1 + static_cast<uint32_t>(jobs) % 4));
+    }
+    void expectAllEnd(absl::Duration limit = absl::Seconds(40))
+    {
+        for (int i = 0; i < jobs; ++i) {
+            const std::string id = absl::StrCat("job", i);
+            CHECK(world.runUntil([&] { return world.isAccepted(id); }, limit));
+        }
+        size_t at = world.owner().value_or(0);
+        CHECK(world.runUntil([&] { return world.allEnded(at = world.owner().value_or(at)); }, limit));
+    }
+};
+
+TEST(CellFailures, theOwnerDiesAndAnotherGoesOn)
+{
+    const size_t first = owner();
+    submitSome(10, other());
+    world.run(absl::Milliseconds(700));
+    world.kill(first);
+    const Instant killedAt = world.now();
+    submitSome(10, (first + 1) % world.entryCount());
+    CHECK(world.runUntil([&] { return world.lastStartAt() > killedAt + absl::Milliseconds(20); }, takeoverBound));
+    expectAllEnd();
+}
+
+TEST(CellFailures, theOwnerAndItsHeirDie)
+{
+    submitSome(10, other());
+    world.run(absl::Milliseconds(400));
+    world.kill(owner());
+    CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+    submitSome(5, owner());
+    world.run(absl::Milliseconds(60));
+    world.kill(owner());
+    expectAllEnd();
+}
+
+TEST(CellFailures, allDieRightAfterAnAcceptance)
+{
+    submitSome(8, other());
+    CHECK(world.runUntil([&] { return world.isAccepted("job7"); }, absl::Seconds(3)));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.kill(i);
+    world.run(absl::Milliseconds(900));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.start(i);
+    const Instant startedAt = world.now();
+    submitSome(1, 0);
+    CHECK(world.runUntil([&] { return world.lastStartAt() > startedAt; }, restartBound));
+    expectAllEnd();
+}
+
+TEST(CellFailures, theStoreTurnsTheOwnerAway)
+{
+    const size_t first = owner();
+    submitSome(5, other());
+    world.run(absl::Milliseconds(300));
+    world.setStore(first, StoreMood::Busy);
+    const Instant cutAt = world.now();
+    CHECK(world.runUntil([&] { return world.owner().has_value() && owner() != first; }, takeoverBound));
+    submitSome(5, other());
+    CHECK(world.runUntil([&] { return world.lastStartAt() > cutAt; }, takeoverBound));
+    expectAllEnd();
+    world.setStore(first, StoreMood::Well);
+}
+
+TEST(CellFailures, theStoreIsSilentToTheOwner)
+{
+    const size_t first = owner();
+    world.setStore(first, StoreMood::Silent);
+    submitSome(5, other());
+    CHECK(world.runUntil([&] { return world.owner().has_value() && owner() != first; }, absl::Seconds(4)));
+    expectAllEnd();
+}
+
+TEST(CellFailures, repliesOfTheStoreAreLost)
+{
+    submitSome(5, other());
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::LosesReplies);
+    submitSome(10, other());
+    world.run(absl::Seconds(5));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Well);
+    expectAllEnd();
+}
+
+TEST(CellFailures, writesTakeEffectSecondsLater)
+{
+    submitSome(10, other());
+    world.run(absl::Milliseconds(100));
+    world.setStore(owner(), StoreMood::WritesLate);
+    submitSome(10, other());
+    world.run(absl::Milliseconds(1500));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Well);
+    submitSome(10, other());
+    expectAllEnd();
+}
+
+TEST(CellFailures, theStoreIsDownForAll)
+{
+    submitSome(10, other());
+    world.run(absl::Milliseconds(600));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Silent);
+    submitSome(10, other());
+    world.run(absl::Seconds(6));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Well);
+    expectAllEnd();
+}
+
+TEST(CellFailures, theStoreDropsItsHistory)
+{
+    world.run(absl::Milliseconds(500));
+    for (int i = 0; i < 5; ++i) {
+        world.store().dropHistory();
+        submitSome(3, other());
+        world.run(absl::Milliseconds(300));
+    }
+    world.kill(owner());
+    world.store().dropHistory();
+    expectAllEnd();
+}
+
+TEST(CellFailures, aFrozenOwnerWakesWithOldBeliefs)
+{
+    const size_t first = owner();
+    submitSome(20, other());
+    world.run(absl::Milliseconds(300));
+    world.freeze(first, absl::Seconds(5));
+    submitSome(10, (first + 1) % world.entryCount());
+    world.run(absl::Seconds(8));
+    submitSome(5, first);
+    expectAllEnd();
+}
+
+TEST(CellFailures, theOwnerIsCutFromTheOthers)
+{
+    const size_t first = owner();
+    submitSome(10, other());
+    world.run(absl::Milliseconds(300));
+    world.cutPeers(first, true);
+    submitSome(10, (first + 1) % world.entryCount());
+    CHECK(world.runUntil([&] { return world.owner().has_value() && owner() != first; }, absl::Seconds(6)));
+    world.cutPeers(first, false);
+    expectAllEnd();
+}
+
+TEST(CellFailures, aWorkerIsRebornUnderItsId)
+{
+    submitSome(25, other());
+    world.run(absl::Milliseconds(350));
+    for (size_t i = 0; i < 6; ++i)
+        world.crashWorker(i, absl::Milliseconds(100 + 300 * static_cast<int64_t>(i)));
+    expectAllEnd();
+}
+
+TEST(CellFailures, ordersAreCarriedOutLate)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.lateShare = 0.2;
+    submitSome(25, other());
+    world.run(absl::Seconds(5));
+    for (WorldWorker& worker : world.workers())
+        worker.lateShare = 0;
+    expectAllEnd();
+}
+
+TEST(CellFailures, lateOrdersMeetRebornWorkersAndANewOwner)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.lateShare = 0.3;
+    submitSome(25, other());
+    for (size_t i = 0; i < 6; ++i) {
+        world.run(absl::Milliseconds(300));
+        world.crashWorker(i, absl::Milliseconds(500));
+        if (i == 3)
+            world.kill(owner());
+    }
+    for (WorldWorker& worker : world.workers())
+        worker.lateShare = 0;
+    expectAllEnd();
+}
+
+TEST(CellFailures, workersAreCutOffAndRunOn)
+{
+    submitSome(25, other());
+    world.run(absl::Milliseconds(350));
+    for (size_t i = 0; i < 4; ++i)
+        world.workers()[i].isCut = true;
+    world.run(absl::Seconds(1));
+    world.kill(owner());
+    world.run(absl::Seconds(9));
+    for (size_t i = 0; i < 4; ++i)
+        world.workers()[i].isCut = false;
+    expectAllEnd();
+}
+
+TEST(CellFailures, aGangThatLosesAMemberStartsAgainWhole)
+{
+    Submission gang = makeJob("gang", 12, 1000, absl::Seconds(2));
+    gang.steps[0].isGang = true;
+    world.submit(other(), gang);
+    CHECK(world.runUntil([&] { return world.startsOf("gang") == 12; }, absl::Seconds(3)));
+    world.run(absl::Milliseconds(300));
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (!world.workers()[i].runs.empty()) {
+            world.crashWorker(i, absl::Seconds(1));
+            break;
+        }
+    }
+    CHECK(world.runUntil([&] { return world.ask(owner(), "gang") == JobPhase::Finished; }, absl::Seconds(20)));
+}
+
+TEST(CellFailures, aCancelHoldsThroughATakeover)
+{
+    world.submit(other(), makeJob("long", 20, 1000, absl::Seconds(4)));
+    world.run(absl::Seconds(1));
+    world.cancel(other(), "long");
+    world.run(absl::Milliseconds(120));
+    world.kill(owner());
+    CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+    world.run(absl::Seconds(3));
+    CHECK(world.ask(owner(), "long") == JobPhase::Cancelled);
+    for (const WorldWorker& worker : world.workers())
+        CHECK(worker.runs.empty());
+}
+
+namespace {
+
+/** One fault, drawn at random, and its end some time later. */
+void strike(CellWorld& world, std::mt19937_64& random)
+{
+    const size_t entry = random() % world.entryCount();
+    const size_t worker = random() % world.workers().size();
+    const auto owner = world.owner();
+    const size_t target = owner && random() % 2 ? *owner : entry;
+    switch (random() % 9) {
+    case 0:
+        world.kill(target);
+        world.run(absl::Milliseconds(static_cast<int64_t>(random() % 1500)));
+        world.start(target);
+        break;
+    case 1:
+        world.freeze(target, absl::Milliseconds(static_cast<int64_t>(random() % 5000)));
+        break;
+    case 2:
+    case 3: {
+        const StoreMood moods[] = { StoreMood::Silent, StoreMood::Busy, StoreMood::LosesReplies, StoreMood::WritesLate };
+        const StoreMood mood = moods[random() % 4];
+        const bool forAll = random() % 3 == 0;
+        for (size_t i = 0; i < world.entryCount(); ++i) {
+            if (forAll || i == target)
+                world.setStore(i, mood);
+        }
+        world.run(absl::Milliseconds(static_cast<int64_t>(random() % 4000)));
+        for (size_t i = 0; i < world.entryCount(); ++i)
+            world.setStore(i, StoreMood::Well);
+        break;
+    }
+    case 4:
+        world.cutPeers(target, true);
+        world.run(absl::Milliseconds(static_cast<int64_t>(random() % 4000)));
+        world.cutPeers(target, false);
+        break;
+    case 5:
+        if (!world.workers()[worker].isDown)
+            world.crashWorker(worker, absl::Milliseconds(static_cast<int64_t>(random() % 3000)));
+        break;
+    case 6:
+        world.workers()[worker].isCut = !world.workers()[worker].isCut;
+        break;
+    case 7:
+        world.workers()[worker].lateShare = world.workers()[worker].lateShare > 0 ? 0 : 0.3;
+        break;
+    default:
+        world.store().dropHistory();
+    }
+}
+
+Submission drawJob(std::mt19937_64& random, int number)
+{
+    Submission job = makeJob(absl::StrCat("r", number), 1 + static_cast<uint32_t>(random() % 6),
+        500 + static_cast<int64_t>(random() % 2000), absl::Milliseconds(200 + static_cast<int64_t>(random() % 1500)));
+    job.steps[0].isGang = random() % 4 == 0;
+    if (random() % 3 == 0) {
+        job.steps.push_back(job.steps[0]);
+        job.steps[1].after = { 0 };
+    }
+    return job;
+}
+
+} // namespace
+
+TEST(CellFailures, faultsOverlapAtRandom)
+{
+    constexpr uint64_t seeds = 60;
+    constexpr int steps = 25;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        CellWorld random(3 + seed % 3, 10, seed);
+        random.policy().advice = { seed % 2 == 0, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
+        std::mt19937_64 draw(seed * 7919);
+        int number = 0;
+        for (int step = 0; step < steps; ++step) {
+            for (int i = 0; i < 3; ++i) {
+                const size_t at = draw() % random.entryCount();
+                const Submission job = drawJob(draw, number++);
+                random.submit(at, job);
+                if (draw() % 8 == 0)
+                    random.submitOnce((at + 1) % random.entryCount(), job);
+            }
+            if (draw() % 6 == 0)
+                random.cancel(draw() % random.entryCount(), absl::StrCat("r", draw() % static_cast<uint64_t>(number)));
+            strike(random, draw);
+            random.run(absl::Milliseconds(static_cast<int64_t>(draw() % 900)));
+        }
+        for (WorldWorker& worker : random.workers()) {
+            worker.isCut = false;
+            worker.lateShare = 0;
+        }
+        random.run(absl::Seconds(20));
+        const bool ended = random.runUntil([&] { return random.allEnded(random.owner().value_or(0)); }, absl::Seconds(60));
+        const std::string report = absl::StrCat("seed ", seed, ": ", ended ? "" : "not all ended; ", random.report());
+        STRCMP_EQUAL(absl::StrCat("seed ", seed, ": ").c_str(), report.c_str());
+    }
+}
--- /dev/null
+++ b/test/support/CellWorld.cpp
@@ -0,0 +1,982 @@
+#include "CellWorld.h"
+
+#include "Job.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+#include <algorithm>
+
+namespace cicada::test {
+
+namespace {
+
+    constexpr absl::Duration callDelay = absl::Milliseconds(4);
+    constexpr absl::Duration replyTimeout = absl::Milliseconds(1200);
+    constexpr absl::Duration lateBy = absl::Milliseconds(3000);
+    constexpr absl::Duration linkDelay = absl::Milliseconds(2);
+    constexpr absl::Duration linkSilence = absl::Milliseconds(1700);
+    constexpr absl::Duration cancelBound = absl::Seconds(3);
+    constexpr int64_t maxLeaseMillis = 6000;
+
+} // namespace
+
+TransactionReply WorldStore::transact(const Transaction& transaction)
+{
+    TransactionReply reply;
+    bool holds = true;
+    for (const StoreCondition& condition : transaction.conditions) {
+        const auto found = m_entries.find(condition.key);
+        if ((found == m_entries.end() ? 0 : found->second.index) != condition.revision)
+            holds = false;
+        if (found != m_entries.end())
+            reply.current.push_back(found->second);
+    }
+    if (!holds) {
+        reply.status = TransactionStatus::ConditionFailed;
+        return reply;
+    }
+    for (const StoreWrite& write : transaction.writes) {
+        if (write.lease != 0 && !m_leases.contains(write.lease)) {
+            reply.status = TransactionStatus::LeaseEnded;
+            return reply;
+        }
+    }
+    ++m_revision;
+    for (const StoreWrite& write : transaction.writes) {
+        m_entries[write.key] = { write.key, write.value, m_revision };
+        m_leaseOf[write.key] = write.lease;
+        m_history.push_back({ m_entries[write.key], false });
+    }
+    for (const std::string& key : transaction.removals) {
+        if (m_entries.erase(key))
+            m_history.push_back({ { key, "", m_revision }, true });
+    }
+    reply.status = TransactionStatus::Applied;
+    reply.revision = m_revision;
+    reply.current.clear();
+    return reply;
+}
+
+StorePage WorldStore::list(const std::string& prefix, const std::string& afterKey) const
+{
+    constexpr size_t pageSize = 50;
+    StorePage page;
+    page.isValid = true;
+    page.storeRevision = m_revision;
+    for (auto it = m_entries.lower_bound(prefix); it != m_entries.end() && it->first.rfind(prefix, 0) == 0; ++it) {
+        if (it->first <= afterKey)
+            continue;
+        if (page.entries.size() == pageSize) {
+            page.hasMore = true;
+            break;
+        }
+        page.entries.push_back(it->second);
+    }
+    return page;
+}
+
+std::optional<std::vector<StoreChange>> WorldStore::changesSince(const std::string& prefix, uint64_t revision) const
+{
+    if (revision < m_oldest)
+        return std::nullopt;
+    std::vector<StoreChange> changes;
+    for (const StoreChange& change : m_history) {
+        if (change.entry.index > revision && change.entry.key.rfind(prefix, 0) == 0)
+            changes.push_back(change);
+    }
+    return changes;
+}
+
+uint64_t WorldStore::grant(absl::Duration ttl)
+{
+    const uint64_t lease = ++m_lastLease;
+    m_leases[lease] = { ttl, m_timers.clock().now() + ttl };
+    m_timers.after(ttl, [this, lease] { expire(lease); });
+    return lease;
+}
+
+bool WorldStore::keep(uint64_t lease)
+{
+    const auto found = m_leases.find(lease);
+    if (found == m_leases.end())
+        return false;
+    found->second.endsAt = m_timers.clock().now() + found->second.ttl;
+    m_timers.after(found->second.ttl, [this, lease] { expire(lease); });
+    return true;
+}
+
+void WorldStore::expire(uint64_t lease)
+{
+    const auto found = m_leases.find(lease);
+    if (found != m_leases.end() && found->second.endsAt <= m_timers.clock().now())
+        endLease(lease);
+}
+
+void WorldStore::endLease(uint64_t lease)
+{
+    if (!m_leases.erase(lease))
+        return;
+    std::vector<std::string> keys;
+    for (const auto& [key, held] : m_leaseOf) {
+        if (held == lease && m_entries.contains(key))
+            keys.push_back(key);
+    }
+    for (const std::string& key : keys)
+        remove(key);
+}
+
+const std::string* WorldStore::find(const std::string& key) const
+{
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? nullptr : &found->second.value;
+}
+
+void WorldStore::put(const std::string& key, const std::string& value) { transact({ {}, { { key, value, 0 } }, {} }); }
+
+void WorldStore::remove(const std::string& key) { transact({ {}, {}, { key } }); }
+
+/** The store as one entry reaches it. */
+class CellWorld::Door final : public TransactionalStore {
+public:
+    Door(CellWorld& world, WorldEntry& entry)
+        : m_world(world)
+        , m_entry(entry)
+    {
+    }
+    StoreMood mood = StoreMood::Well;
+
+    void transact(Transaction transaction, absl::AnyInvocable<void(TransactionReply)> callback) override
+    {
+        TransactionReply refused;
+        refused.status = TransactionStatus::NotApplied;
+        call<TransactionReply>(
+            [this, transaction = std::move(transaction)] { return m_world.m_store.transact(transaction); }, refused,
+            {}, std::move(callback), true);
+    }
+    void listPage(const std::string& prefix, const std::string& afterKey,
+        absl::AnyInvocable<void(StorePage)> callback) override
+    {
+        call<StorePage>([this, prefix, afterKey] { return m_world.m_store.list(prefix, afterKey); }, {}, {},
+            std::move(callback), false);
+    }
+    void awaitChange(const std::string& prefix, uint64_t revision, absl::Duration wait,
+        absl::AnyInvocable<void(WatchReply)> callback) override;
+    void grantLease(absl::Duration ttl, absl::AnyInvocable<void(LeaseReply)> callback) override
+    {
+        call<LeaseReply>([this, ttl] { return LeaseReply { LeaseStatus::Ok, m_world.m_store.grant(ttl) }; }, {}, {},
+            std::move(callback), false);
+    }
+    void keepLease(uint64_t lease, absl::AnyInvocable<void(LeaseStatus)> callback) override
+    {
+        call<LeaseStatus>(
+            [this, lease] { return m_world.m_store.keep(lease) ? LeaseStatus::Ok : LeaseStatus::Ended; },
+            LeaseStatus::Failed, LeaseStatus::Failed, std::move(callback), false);
+    }
+    void endLease(uint64_t lease) override
+    {
+        if (mood == StoreMood::Well)
+            m_world.m_store.endLease(lease);
+    }
+
+private:
+    template <typename Reply>
+    void call(std::function<Reply()> effect, Reply refused, Reply lost, absl::AnyInvocable<void(Reply)> callback,
+        bool isWrite);
+    template <typename Reply> void answer(absl::Duration delay, Reply reply, absl::AnyInvocable<void(Reply)> callback);
+    void pollWatch(std::string prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback);
+
+    CellWorld& m_world;
+    WorldEntry& m_entry;
+};
+
+class CellWorld::Orders final : public WorkerOrders {
+public:
+    Orders(CellWorld& world, WorldEntry& entry)
+        : m_world(world)
+        , m_entry(entry)
+    {
+    }
+    void start(const WorkerLife& life, StartOrder order, absl::AnyInvocable<void(OrderReply)> callback) override
+    {
+        send<OrderReply>(
+            life, [this, order](WorldWorker& worker) { return m_world.startAt(worker, order); }, std::move(callback));
+    }
+    void stop(const WorkerLife& life, TaskRun run, uint64_t token,
+        absl::AnyInvocable<void(OrderReply)> callback) override
+    {
+        send<OrderReply>(
+            life, [this, run, token](WorldWorker& worker) { return m_world.stopAt(worker, run, token); },
+            std::move(callback));
+    }
+    void sync(const WorkerLife& life, SyncOrder order, absl::AnyInvocable<void(SyncReply)> callback) override;
+
+private:
+    template <typename Reply>
+    void send(const WorkerLife& life, std::function<Reply(WorldWorker&)> effect,
+        absl::AnyInvocable<void(Reply)> callback);
+
+    CellWorld& m_world;
+    WorldEntry& m_entry;
+};
+
+class CellWorld::Roster final : public WorkerRoster {
+public:
+    explicit Roster(CellWorld& world)
+        : m_world(world)
+    {
+    }
+    void watch(std::function<void(const std::string& id, const ListedWorker*)> onChange,
+        std::function<void()> onSynced) override
+    {
+        m_onChange = std::move(onChange);
+        m_onSynced = std::move(onSynced);
+        for (WorldWorker& worker : m_world.m_workers)
+            tell(worker);
+    }
+    void unwatch() override { m_onChange = nullptr; }
+    void tell(const WorldWorker& worker)
+    {
+        if (!m_onChange)
+            return;
+        if (worker.isDown)
+            return m_onChange(worker.id, nullptr);
+        ListedWorker listed;
+        listed.life = { worker.id, { worker.id, 1 } };
+        listed.startedUnixMillis = worker.started;
+        listed.service = "service";
+        listed.rack = worker.rack;
+        listed.labels = { "a", worker.rack };
+        listed.capacity = worker.capacity;
+        listed.isDraining = worker.isDraining;
+        m_onChange(worker.id, &listed);
+        m_onSynced();
+    }
+
+private:
+    CellWorld& m_world;
+    std::function<void(const std::string&, const ListedWorker*)> m_onChange;
+    std::function<void()> m_onSynced;
+};
+
+class CellWorld::Policy final : public Advisor {
+public:
+    Policy(CellWorld& world, WorldEntry& entry)
+        : m_world(world)
+        , m_entry(entry)
+    {
+    }
+    void ask(const AdviceQuestion& question, absl::Duration, absl::AnyInvocable<void(AdviceAnswer)> callback) override;
+
+private:
+    CellWorld& m_world;
+    WorldEntry& m_entry;
+};
+
+class CellWorld::Links final : public PeerLinks {
+public:
+    Links(CellWorld& world, WorldEntry& entry)
+        : m_world(world)
+        , m_entry(entry)
+    {
+    }
+    void handle(absl::string_view service, Handler handler) override
+    {
+        m_handlers[service] = std::make_shared<Handler>(std::move(handler));
+    }
+    bool send(absl::string_view peer, absl::string_view service, std::string bytes) override;
+    void setPeers(absl::Span<const PeerAddress>) override { }
+    std::vector<std::string> peerNames() const override { return { m_linked.begin(), m_linked.end() }; }
+    PeerTraffic traffic() const override { return {}; }
+    void onLinkChange(std::function<void(const std::string&, bool)> function) override { m_onChange = function; }
+    bool isLinked(const std::string& peer) const override { return m_linked.contains(peer); }
+    std::optional<Instant> lostSince(const std::string& peer) const override
+    {
+        const auto found = m_lost.find(peer);
+        return found == m_lost.end() ? std::nullopt : std::optional<Instant>(found->second);
+    }
+    void set(const std::string& peer, bool isUp);
+    void deliver(const std::string& from, const std::string& service, const std::string& bytes)
+    {
+        const auto found = m_handlers.find(service);
+        if (found != m_handlers.end() && m_linked.contains(from))
+            (*found->second)(from, bytes);
+    }
+
+private:
+    CellWorld& m_world;
+    WorldEntry& m_entry;
+    absl::flat_hash_map<std::string, std::shared_ptr<Handler>> m_handlers;
+    absl::btree_set<std::string> m_linked;
+    absl::flat_hash_map<std::string, Instant> m_lost;
+    std::function<void(const std::string&, bool)> m_onChange;
+};
+
+struct WorldEntry {
+    WorldEntry(CellWorld& world, const std::string& entryName, const std::string& incarnation)
+        : name(entryName)
+        , timers(world.m_clock)
+        , log(entryName, -1)
+        , door(world, *this)
+        , orders(world, *this)
+        , policy(world, *this)
+        , links(world, *this)
+        , host(CellHost::Parts { door, orders, policy, links, timers, log, metrics,
+              { entryName, incarnation, entryName + ":1", "region", 0.25 }, {},
+              [this, &world] {
+                  auto made = std::make_unique<CellWorld::Roster>(world);
+                  roster = made.get();
+                  return made;
+              },
+              [&world](std::function<void(std::optional<size_t>)> done) { done(world.m_workers.size()); },
+              [&world](const std::string&) { return &world.m_policy; } })
+    {
+    }
+    std::string name;
+    bool isAlive = true;
+    Instant frozenUntil = absl::ZeroDuration();
+    bool isCut = false;
+    TimerQueue timers;
+    EventLog log;
+    Metrics metrics;
+    CellWorld::Door door;
+    CellWorld::Orders orders;
+    CellWorld::Policy policy;
+    CellWorld::Links links;
+    CellWorld::Roster* roster = nullptr;
+    CellHost host;
+};
+
+template <typename Reply>
+void CellWorld::Door::answer(absl::Duration delay, Reply reply, absl::AnyInvocable<void(Reply)> callback)
+{
+    m_entry.timers.after(
+        delay, [reply = std::move(reply), callback = std::move(callback)]() mutable { callback(std::move(reply)); });
+}
+
+template <typename Reply>
+void CellWorld::Door::call(std::function<Reply()> effect, Reply refused, Reply lost,
+    absl::AnyInvocable<void(Reply)> callback, bool isWrite)
+{
+    if (mood == StoreMood::Busy)
+        return answer(callDelay, std::move(refused), std::move(callback));
+    if (mood == StoreMood::Silent)
+        return answer(replyTimeout, std::move(lost), std::move(callback));
+    const absl::Duration delay = m_world.delay();
+    if (isWrite && mood == StoreMood::WritesLate) {
+        m_world.m_timers.after(lateBy, [effect] { effect(); });
+        return answer(replyTimeout, std::move(lost), std::move(callback));
+    }
+    if (mood == StoreMood::LosesReplies) {
+        m_world.m_timers.after(delay, [effect] { effect(); });
+        return answer(replyTimeout, std::move(lost), std::move(callback));
+    }
+    auto shared = std::make_shared<absl::AnyInvocable<void(Reply)>>(std::move(callback));
+    m_world.m_timers.after(delay, [this, effect, shared, delay]() mutable {
+        Reply reply = effect();
+        if (m_entry.isAlive)
+            answer<Reply>(delay, std::move(reply), [shared](Reply r) { (*shared)(std::move(r)); });
+    });
+}
+
+void CellWorld::Door::awaitChange(const std::string& prefix, uint64_t revision, absl::Duration wait,
+    absl::AnyInvocable<void(WatchReply)> callback)
+{
+    pollWatch(prefix, revision, m_world.now() + wait, std::move(callback));
+}
+
+void CellWorld::Door::pollWatch(
+    std::string prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback)
+{
+    constexpr absl::Duration pollInterval = absl::Milliseconds(10);
+    if (mood != StoreMood::Well)
+        return answer(mood == StoreMood::Busy ? callDelay : replyTimeout, WatchReply(), std::move(callback));
+    auto changes = m_world.m_store.changesSince(prefix, revision);
+    WatchReply reply;
+    reply.storeRevision = m_world.m_store.revision();
+    if (!changes) {
+        reply.status = WatchStatus::HistoryGone;
+        return answer(callDelay, std::move(reply), std::move(callback));
+    }
+    if (!changes->empty() || m_world.now() >= until) {
+        reply.status = WatchStatus::Ok;
+        reply.changes = std::move(*changes);
+        return answer(callDelay, std::move(reply), std::move(callback));
+    }
+    m_entry.timers.after(pollInterval, [this, prefix, revision, until, callback = std::move(callback)]() mutable {
+        pollWatch(prefix, revision, until, std::move(callback));
+    });
+}
+
+template <typename Reply>
+void CellWorld::Orders::send(
+    const WorkerLife& life, std::function<Reply(WorldWorker&)> effect, absl::AnyInvocable<void(Reply)> callback)
+{
+    const absl::Duration delay = m_world.delay();
+    auto shared = std::make_shared<absl::AnyInvocable<void(Reply)>>(std::move(callback));
+    const auto reply = [this, shared](absl::Duration after, Reply value) {
+        if (m_entry.isAlive)
+            m_entry.timers.after(after, [shared, value]() mutable { (*shared)(std::move(value)); });
+    };
+    m_world.m_timers.after(delay, [this, life, effect, reply, delay] {
+        size_t index = 0;
+        WorldWorker* worker = m_world.workerOf(life, index);
+        Reply none;
+        if (worker && worker->isDown)
+            none.status = OrderStatus::NotSent;
+        if (!worker || worker->isDown || worker->isCut)
+            return reply(worker && worker->isDown ? delay : replyTimeout, none);
+        if (std::uniform_real_distribution<>(0, 1)(m_world.m_random) < worker->lateShare) {
+            // Carried out seconds later, after newer orders, in whatever life the worker then has.
+            m_world.m_timers.after(lateBy, [this, index, effect] {
+                WorldWorker& later = m_world.m_workers[index];
+                if (!later.isDown)
+                    effect(later);
+            });
+            return reply(replyTimeout, none);
+        }
+        reply(delay, effect(*worker));
+    });
+}
+
+void CellWorld::Orders::sync(
+    const WorkerLife& life, SyncOrder order, absl::AnyInvocable<void(SyncReply)> callback)
+{
+    auto shared = std::make_shared<absl::AnyInvocable<void(SyncReply)>>(std::move(callback));
+    const absl::Duration delay = m_world.delay();
+    const auto reply = [this, shared](absl::Duration after, SyncReply value) {
+        if (m_entry.isAlive)
+            m_entry.timers.after(after, [shared, value]() mutable { (*shared)(std::move(value)); });
+    };
+    m_world.m_timers.after(delay, [this, life, order, reply, delay] {
+        size_t index = 0;
+        WorldWorker* worker = m_world.workerOf(life, index);
+        if (!worker || worker->isDown || worker->isCut) {
+            SyncReply none;
+            none.status = worker && worker->isDown ? OrderStatus::NotSent : OrderStatus::NoReply;
+            return reply(worker && worker->isDown ? delay : replyTimeout, none);
+        }
+        if (order.fencingToken < worker->token) {
+            SyncReply fenced;
+            fenced.status = OrderStatus::Fenced;
+            return reply(delay, fenced);
+        }
+        worker->token = order.fencingToken;
+        m_world.acknowledge(*worker, order.acknowledgedThrough);
+        if (order.leaseEndMillis)
+            m_world.extendLease(index, *order.leaseEndMillis);
+        const bool answersNow = order.wait == absl::ZeroDuration() || !worker->ended.empty();
+        if (answersNow)
+            return reply(delay, m_world.listAt(*worker));
+        auto isDone = std::make_shared<bool>(false);
+        const auto finish = [this, index, isDone, reply, delay] {
+            if (*isDone)
+                return;
+            *isDone = true;
+            const WorldWorker& at = m_world.m_workers[index];
+            if (!at.isDown && !at.isCut)
+                reply(delay, m_world.listAt(m_world.m_workers[index]));
+            else
+                reply(replyTimeout, SyncReply());
+        };
+        worker->waiting.push_back(finish);
+        m_world.m_timers.after(order.wait, finish);
+    });
+}
+
+void CellWorld::Policy::ask(
+    const AdviceQuestion& question, absl::Duration, absl::AnyInvocable<void(AdviceAnswer)> callback)
+{
+    AdviceAnswer answer;
+    answer.isValid = true;
+    answer.validity = absl::Seconds(2);
+    // Every worker but one in three is allowed, the same ones each time for a step.
+    for (const std::string& worker : question.workers) {
+        const size_t draw = std::hash<std::string>()(absl::StrCat(question.step.job, question.step.step, worker));
+        if (draw % 3 != 0)
+            answer.tickets.push_back({ worker, "ticket" });
+    }
+    m_entry.timers.after(absl::Milliseconds(15),
+        [answer, callback = std::move(callback)]() mutable { callback(std::move(answer)); });
+}
+
+bool CellWorld::Links::send(absl::string_view peer, absl::string_view service, std::string bytes)
+{
+    if (!m_linked.contains(std::string(peer)))
+        return false;
+    m_world.m_timers.after(linkDelay,
+        [this, to = std::string(peer), from = m_entry.name, service = std::string(service), bytes = std::move(bytes)] {
+            for (auto& entry : m_world.m_entries) {
+                if (entry && entry->name == to && entry->isAlive && !entry->isCut && !m_entry.isCut)
+                    entry->timers.after(absl::ZeroDuration(), [target = entry.get(), from, service, bytes] {
+                        target->links.deliver(from, service, bytes);
+                    });
+            }
+        });
+    return true;
+}
+
+void CellWorld::Links::set(const std::string& peer, bool isUp)
+{
+    if (isUp == m_linked.contains(peer))
+        return;
+    if (isUp) {
+        m_linked.insert(peer);
+        m_lost.erase(peer);
+    } else {
+        m_linked.erase(peer);
+        m_lost[peer] = m_world.now();
+    }
+    if (m_onChange)
+        m_onChange(peer, isUp);
+}
+
+CellWorld::CellWorld(size_t entries, size_t workers, uint64_t seed)
+    : m_timers(m_clock)
+    , m_random(seed)
+    , m_store(m_timers)
+{
+    m_clock.advance(absl::Seconds(1000));
+    m_policy = { "queue", "service", 1, 3, 2, absl::Seconds(1), absl::Seconds(3), {} };
+    for (size_t i = 0; i < workers; ++i) {
+        WorldWorker worker;
+        worker.id = absl::StrCat("w", i);
+        worker.rack = absl::StrCat("rack", i / 4);
+        worker.capacity = { 4000, 16000, 0 };
+        worker.startedAt = now() - absl::Milliseconds(137 * static_cast<int64_t>(i));
+        worker.started = 1000 + static_cast<int64_t>(i);
+        m_workers.push_back(std::move(worker));
+    }
+    m_entries.resize(entries);
+    for (size_t i = 0; i < entries; ++i)
+        start(i);
+}
+
+CellWorld::~CellWorld() = default;
+
+absl::Duration CellWorld::delay()
+{
+    return absl::Microseconds(std::uniform_int_distribution<int64_t>(500, 5000)(m_random));
+}
+
+void CellWorld::run(absl::Duration duration)
+{
+    const Instant until = now() + duration;
+    while (true) {
+        std::optional<Instant> due = m_timers.nextDue();
+        for (const auto& entry : m_entries) {
+            if (!entry || !entry->isAlive)
+                continue;
+            if (const auto own = entry->timers.nextDue()) {
+                const Instant at = std::max(*own, entry->frozenUntil);
+                due = due ? std::min(*due, at) : at;
+            }
+        }
+        if (!due || *due > until)
+            break;
+        if (*due > now())
+            m_clock.advance(*due - now());
+        m_timers.runDue();
+        for (size_t i = 0; i < m_entries.size(); ++i) {
+            WorldEntry* entry = m_entries[i].get();
+            if (entry && entry->isAlive && entry->frozenUntil <= now())
+                entry->timers.runDue();
+        }
+    }
+    if (until > now())
+        m_clock.advance(until - now());
+}
+
+bool CellWorld::runUntil(absl::AnyInvocable<bool()> condition, absl::Duration limit)
+{
+    const Instant until = now() + limit;
+    while (now() < until) {
+        if (condition())
+            return true;
+        run(absl::Milliseconds(20));
+    }
+    return condition();
+}
+
+void CellWorld::start(size_t index)
+{
+    auto entry = std::make_unique<WorldEntry>(*this, absl::StrCat("e", index), absl::StrCat("life", ++m_lastLife));
+    m_entries[index] = std::move(entry);
+    WorldEntry* started = m_entries[index].get();
+    started->host.start();
+    m_timers.after(absl::Milliseconds(20), [this, started] {
+        for (auto& other : m_entries) {
+            if (!other || other.get() == started || !other->isAlive || !started->isAlive || other->isCut)
+                continue;
+            other->links.set(started->name, true);
+            started->links.set(other->name, true);
+        }
+    });
+}
+
+void CellWorld::kill(size_t index)
+{
+    WorldEntry& entry = *m_entries[index];
+    if (!entry.isAlive)
+        return;
+    entry.isAlive = false;
+    for (auto& other : m_entries) {
+        if (other && other->isAlive)
+            other->timers.after(
+                linkDelay, [target = other.get(), name = entry.name] { target->links.set(name, false); });
+    }
+    m_dead.push_back(std::move(m_entries[index]));
+}
+
+void CellWorld::freeze(size_t index, absl::Duration duration) { m_entries[index]->frozenUntil = now() + duration; }
+
+void CellWorld::setStore(size_t index, StoreMood mood)
+{
+    if (m_entries[index])
+        m_entries[index]->door.mood = mood;
+}
+
+void CellWorld::cutPeers(size_t index, bool isCut)
+{
+    if (!m_entries[index])
+        return;
+    WorldEntry* cut = m_entries[index].get();
+    cut->isCut = isCut;
+    m_timers.after(isCut ? linkSilence : absl::Milliseconds(200), [this, cut, isCut] {
+        for (auto& other : m_entries) {
+            if (!other || other.get() == cut || !other->isAlive || !cut->isAlive || cut->isCut != isCut)
+                continue;
+            other->links.set(cut->name, !isCut && !other->isCut);
+            cut->links.set(other->name, !isCut && !other->isCut);
+        }
+    });
+}
+
+void CellWorld::crashWorker(size_t index, absl::Duration away)
+{
+    WorldWorker& worker = m_workers[index];
+    worker.isDown = true;
+    for (const auto& [run, state] : worker.runs)
+        m_jobs[run.task.job].active.erase(run.task);
+    worker.runs.clear();
+    worker.ended.clear();
+    worker.highestOver.clear();
+    worker.waiting.clear();
+    worker.token = 0;
+    worker.leaseEnd = 0;
+    worker.lastSequence = 0;
+    worker.acknowledged = 0;
+    m_timers.after(away, [this, index] {
+        WorldWorker& reborn = m_workers[index];
+        reborn.isDown = false;
+        reborn.started += 100000;
+        reborn.startedAt = now();
+        listWorker(reborn);
+    });
+}
+
+void CellWorld::listWorker(const WorldWorker& worker)
+{
+    for (auto& entry : m_entries) {
+        if (entry && entry->isAlive && entry->roster && entry->host.ownedCells() > 0)
+            entry->roster->tell(worker);
+    }
+}
+
+std::optional<size_t> CellWorld::owner() const
+{
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        if (m_entries[i] && m_entries[i]->isAlive && m_entries[i]->host.ownedCells() > 0)
+            return i;
+    }
+    return std::nullopt;
+}
+
+void CellWorld::submitOnce(size_t entry, Submission job)
+{
+    m_jobs[job.id].spec = job;
+    WorldEntry* at = m_entries[entry].get();
+    if (!at || !at->isAlive)
+        return;
+    at->host.gateway().submit(job, m_policy, absl::Milliseconds(2800), [this, id = job.id](GatewayReply reply) {
+        m_answers[id].push_back(reply.status);
+        if (reply.status == GatewayStatus::Accepted)
+            m_accepted.insert(id);
+    });
+}
+
+void CellWorld::submit(size_t entry, Submission job)
+{
+    submitOnce(entry, job);
+    m_timers.after(absl::Milliseconds(3000), [this, entry, job] { retrySubmit(entry, job); });
+}
+
+void CellWorld::retrySubmit(size_t entry, Submission job)
+{
+    const auto& answers = m_answers[job.id];
+    const bool isOpen = answers.empty() || answers.back() == GatewayStatus::Unknown;
+    if (isOpen && !m_accepted.contains(job.id))
+        submit((entry + 1) % m_entries.size(), job);
+}
+
+std::vector<GatewayStatus> CellWorld::answersTo(const std::string& job) const
+{
+    const auto found = m_answers.find(job);
+    return found == m_answers.end() ? std::vector<GatewayStatus>() : found->second;
+}
+
+void CellWorld::cancel(size_t entry, const std::string& job)
+{
+    WorldEntry* at = m_entries[entry].get();
+    if (!at || !at->isAlive)
+        return;
+    at->host.gateway().cancel(job, absl::Milliseconds(2800), [this, job](GatewayReply reply) {
+        if (reply.status != GatewayStatus::Cancelled || m_jobs[job].isCancelAcked)
+            return;
+        m_jobs[job].isCancelAcked = true;
+        m_jobs[job].cancelAckedAt = now();
+    });
+}
+
+std::optional<JobPhase> CellWorld::ask(size_t entry, const std::string& job)
+{
+    WorldEntry* at = m_entries[entry].get();
+    const bool wasAccepted = m_accepted.contains(job);
+    auto answer = std::make_shared<std::optional<GatewayReply>>();
+    if (at && at->isAlive)
+        at->host.gateway().query(job, absl::Milliseconds(2500), [answer](GatewayReply reply) { *answer = reply; });
+    runUntil([answer] { return answer->has_value(); }, absl::Milliseconds(2600));
+    if (!*answer)
+        return std::nullopt;
+    if ((*answer)->status == GatewayStatus::Gone && wasAccepted)
+        violate(absl::StrCat("job ", job, " was accepted and is said not to exist"));
+    if ((*answer)->status != GatewayStatus::Found)
+        return std::nullopt;
+    const JobPhase phase = (*answer)->phase;
+    if (phase == JobPhase::Finished) {
+        const Job& known = m_jobs[job];
+        size_t tasks = 0;
+        for (const StepSpec& step : known.spec.steps)
+            tasks += step.isGang ? 1 : step.taskCount;
+        if (known.finishedAcked.size() + 1000 < tasks)
+            violate(absl::StrCat("job ", job, " is shown as finished too soon"));
+    }
+    return phase;
+}
+
+bool CellWorld::allEnded(size_t askAt)
+{
+    for (const std::string& job : m_accepted) {
+        if (m_sawEnd.contains(job))
+            continue;
+        const auto phase = ask(askAt, job);
+        if (!phase || !isEnded(*phase))
+            return false;
+        m_sawEnd.insert(job);
+    }
+    return true;
+}
+
+void CellWorld::violate(const std::string& what)
+{
+    m_violations.push_back(absl::StrCat("t=", absl::ToInt64Milliseconds(now()), " ", what));
+}
+
+std::string CellWorld::report() const { return absl::StrJoin(m_violations, "\n"); }
+
+int64_t CellWorld::clockOf(const WorldWorker& worker) const
+{
+    return absl::ToInt64Milliseconds(now() - worker.startedAt) + 5000;
+}
+
+WorldWorker* CellWorld::workerOf(const WorkerLife& life, size_t& index)
+{
+    for (index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].id == life.id)
+            return &m_workers[index];
+    }
+    return nullptr;
+}
+
+absl::Duration CellWorld::workOf(const Submission& job, const TaskName& name) const
+{
+    return job.steps[name.step].estimate * (0.8 + 0.1 * (std::hash<std::string>()(describeTask(name)) % 5));
+}
+
+OrderReply CellWorld::startAt(WorldWorker& worker, const StartOrder& order)
+{
+    const TaskRun& run = order.run;
+    const auto index = static_cast<size_t>(&worker - m_workers.data());
+    OrderReply reply { OrderStatus::Done, clockOf(worker) };
+    if (order.fencingToken < worker.token) {
+        reply.status = OrderStatus::Fenced;
+        return reply;
+    }
+    worker.token = order.fencingToken;
+    if (worker.runs.contains(run))
+        return reply;
+    if (order.leaseEndMillis <= clockOf(worker)) {
+        reply.status = OrderStatus::TooLate;
+        return reply;
+    }
+    const auto over = worker.highestOver.find(run.task);
+    if (over != worker.highestOver.end() && run.run <= over->second) {
+        reply.status = OrderStatus::StaleRun;
+        return reply;
+    }
+    Job& job = m_jobs[run.task.job];
+    if (job.spec.steps.empty()) {
+        violate(absl::StrCat("a start of a job that nobody submitted: ", describeRun(run)));
+        return reply;
+    }
+    const StepSpec& step = job.spec.steps[run.task.step];
+    if (policy().advice.isNeeded && order.ticket.empty()) {
+        reply.status = OrderStatus::NoTicket;
+        return reply;
+    }
+    if (job.active.contains(run.task))
+        violate(absl::StrCat("two runs at once: ", describeRun(run), " on ", worker.id));
+    if (job.finishedAcked.contains(run.task))
+        violate(absl::StrCat("started after its end was acknowledged: ", describeRun(run)));
+    if (job.isCancelAcked && now() - job.cancelAckedAt > cancelBound)
+        violate(absl::StrCat("started long after its cancel: ", describeRun(run)));
+    const auto& answers = m_answers[run.task.job];
+    if (!answers.empty() && !m_accepted.contains(run.task.job)
+        && std::all_of(answers.begin(), answers.end(), [](GatewayStatus status) {
+               return status == GatewayStatus::Refused || status == GatewayStatus::Unreached;
+           }))
+        violate(absl::StrCat("a refused job runs: ", describeRun(run)));
+    const uint64_t serial = ++m_lastSerial;
+    worker.runs[run] = { step.demand, now() + workOf(job.spec, run.task), step.isGang, serial };
+    job.active[run.task] = index;
+    ++job.starts;
+    size_t here = 0;
+    for (const auto& [other, state] : worker.runs)
+        here += other.task.job == run.task.job && other.task.step == run.task.step ? 1 : 0;
+    job.mostOnOne = std::max(job.mostOnOne, here);
+    m_startOrder.push_back(run);
+    m_lastStartAt = now();
+    Resources used;
+    for (const auto& [other, state] : worker.runs)
+        used = used + state.demand;
+    if (!fits(used, worker.capacity))
+        violate(absl::StrCat("more than it can hold: ", worker.id, " with ", describeRun(run)));
+    extendLease(index, order.leaseEndMillis);
+    m_timers.after(workOf(job.spec, run.task), [this, index, run, serial] { runDone(index, run, serial); });
+    return reply;
+}
+
+void CellWorld::runDone(size_t index, const TaskRun& run, uint64_t serial)
+{
+    WorldWorker& worker = m_workers[index];
+    const auto found = worker.runs.find(run);
+    if (found == worker.runs.end() || found->second.serial != serial)
+        return;
+    endRun(worker, run, worker.fails ? RunEnding::Failed : RunEnding::Finished);
+}
+
+void CellWorld::endRun(WorldWorker& worker, const TaskRun& run, RunEnding ending)
+{
+    worker.runs.erase(run);
+    m_jobs[run.task.job].active.erase(run.task);
+    uint32_t& highest = worker.highestOver[run.task];
+    highest = std::max(highest, run.run);
+    worker.ended.push_back({ ++worker.lastSequence, run, ending, "" });
+    auto waiting = std::move(worker.waiting);
+    worker.waiting.clear();
+    for (auto& wake : waiting)
+        wake();
+}
+
+OrderReply CellWorld::stopAt(WorldWorker& worker, const TaskRun& run, uint64_t token)
+{
+    if (token < worker.token)
+        return { OrderStatus::Fenced, clockOf(worker) };
+    worker.token = token;
+    if (worker.runs.contains(run)) {
+        endRun(worker, run, RunEnding::Stopped);
+    } else {
+        uint32_t& highest = worker.highestOver[run.task];
+        highest = std::max(highest, run.run);
+    }
+    return { OrderStatus::Done, clockOf(worker) };
+}
+
+SyncReply CellWorld::listAt(WorldWorker& worker)
+{
+    SyncReply reply;
+    reply.status = OrderStatus::Done;
+    reply.workerClockMillis = clockOf(worker);
+    reply.startedUnixMillis = worker.started;
+    for (const auto& [run, state] : worker.runs)
+        reply.running.push_back({ run, "", 10 });
+    reply.ended = worker.ended;
+    return reply;
+}
+
+void CellWorld::acknowledge(WorldWorker& worker, uint64_t through)
+{
+    std::vector<EndedRun> left;
+    for (const EndedRun& ended : worker.ended) {
+        if (ended.sequence > through) {
+            left.push_back(ended);
+        } else if (ended.ending == RunEnding::Finished) {
+            Job& job = m_jobs[ended.run.task.job];
+            // Tasks of services run again however they end.
+            if (job.spec.steps[ended.run.task.step].isService)
+                continue;
+            job.finishedAcked.insert(ended.run.task);
+            if (job.active.contains(ended.run.task))
+                violate(absl::StrCat("runs though its end is acknowledged: ", describeRun(ended.run)));
+        }
+    }
+    worker.ended = std::move(left);
+}
+
+void CellWorld::extendLease(size_t index, int64_t end)
+{
+    WorldWorker& worker = m_workers[index];
+    const int64_t capped = std::min(end, clockOf(worker) + maxLeaseMillis);
+    worker.leaseEnd = std::max(worker.leaseEnd, capped);
+    const absl::Duration left = absl::Milliseconds(worker.leaseEnd - clockOf(worker));
+    m_timers.after(std::max(left, absl::ZeroDuration()), [this, index] { checkLease(index); });
+}
+
+void CellWorld::checkLease(size_t index)
+{
+    WorldWorker& worker = m_workers[index];
+    if (worker.isDown || clockOf(worker) < worker.leaseEnd)
+        return;
+    std::vector<TaskRun> runs;
+    for (const auto& [run, state] : worker.runs)
+        runs.push_back(run);
+    for (const TaskRun& run : runs)
+        endRun(worker, run, RunEnding::LeaseEnded);
+}
+
+size_t CellWorld::startsOf(const std::string& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? 0 : found->second.starts;
+}
+
+size_t CellWorld::mostOnOneWorker(const std::string& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? 0 : found->second.mostOnOne;
+}
+
+Submission makeJob(const std::string& id, uint32_t tasks, int64_t cpuMillis, absl::Duration estimate)
+{
+    Submission job;
+    job.id = id;
+    job.payload = "work";
+    StepSpec step;
+    step.taskCount = tasks;
+    step.demand = { cpuMillis, 100, 0 };
+    step.estimate = estimate;
+    job.steps.push_back(step);
+    return job;
+}
+
+} // namespace cicada::test
--- /dev/null
+++ b/test/support/CellWorld.h
@@ -0,0 +1,217 @@
+#pragma once
+
+/** \file
+ * A whole deployment on a paused clock: entries made of the real parts, a store, workers, a policy service and links
+ * between entries, all of which can be made to fail. It judges what callers and workers see: no task runs twice at
+ * once or after an acknowledged end, no worker holds more than it has, no refused job runs, no accepted one is lost.
+ */
+
+#include "CellHost.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cicada::test {
+
+/** How the store treats one entry. */
+enum class StoreMood {
+    Well,
+    /** Nothing arrives and nothing is answered. */
+    Silent,
+    /** Every call is refused at once, with no effect. */
+    Busy,
+    /** Calls take effect and are not answered. */
+    LosesReplies,
+    /** Writes take effect seconds later, if their conditions still hold, and are not answered. */
+    WritesLate,
+};
+
+/** The store's contents, shared by all entries. */
+class WorldStore {
+public:
+    explicit WorldStore(TimerQueue& timers)
+        : m_timers(timers)
+    {
+    }
+
+    TransactionReply transact(const Transaction&);
+    StorePage list(const std::string& prefix, const std::string& afterKey) const;
+    /** Changes after a revision, or nothing when they were dropped. */
+    std::optional<std::vector<StoreChange>> changesSince(const std::string& prefix, uint64_t revision) const;
+    uint64_t revision() const { return m_revision; }
+    uint64_t grant(absl::Duration ttl);
+    bool keep(uint64_t lease);
+    void endLease(uint64_t lease);
+    void dropHistory() { m_oldest = m_revision; }
+    const std::string* find(const std::string& key) const;
+    /** Writes as the operator or a worker does. */
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+private:
+    struct Lease {
+        absl::Duration ttl;
+        Instant endsAt;
+    };
+    void expire(uint64_t lease);
+
+    TimerQueue& m_timers;
+    absl::btree_map<std::string, StoreEntry> m_entries;
+    absl::flat_hash_map<std::string, uint64_t> m_leaseOf;
+    std::vector<StoreChange> m_history;
+    absl::btree_map<uint64_t, Lease> m_leases;
+    uint64_t m_revision = 1;
+    uint64_t m_oldest = 0;
+    uint64_t m_lastLease = 0;
+};
+
+/** A worker as the platform's are: it keeps the highest token, and what runs holds a lease on its own clock. */
+struct WorldWorker {
+    struct Run {
+        Resources demand;
+        Instant endsAt;
+        bool isGang = false;
+        uint64_t serial = 0;
+    };
+    std::string id;
+    std::string rack;
+    int64_t started = 1;
+    Instant startedAt = absl::ZeroDuration();
+    Resources capacity;
+    uint64_t token = 0;
+    int64_t leaseEnd = 0;
+    absl::flat_hash_map<TaskRun, Run> runs;
+    absl::flat_hash_map<TaskName, uint32_t> highestOver;
+    std::vector<EndedRun> ended;
+    uint64_t lastSequence = 0;
+    uint64_t acknowledged = 0;
+    std::vector<absl::AnyInvocable<void()>> waiting;
+    bool isCut = false;
+    bool isDown = false;
+    bool isDraining = false;
+    /** The share of orders that are carried out late and not answered. */
+    double lateShare = 0;
+    /** Every run fails. */
+    bool fails = false;
+};
+
+class CellWorld;
+
+/** One entry: the real CellHost over the world's I/O. */
+struct WorldEntry;
+
+/** The deployment. */
+class CellWorld {
+public:
+    CellWorld(size_t entries, size_t workers, uint64_t seed);
+    ~CellWorld();
+
+    /** Lets time pass. */
+    void run(absl::Duration);
+    /** Lets time pass until `condition` holds; false when `limit` has passed. */
+    bool runUntil(absl::AnyInvocable<bool()> condition, absl::Duration limit);
+
+    // Callers.
+    /** Hands a job in at an entry, again after each answer that leaves it open, until it is accepted or refused. */
+    void submit(size_t entry, Submission job);
+    /** Hands a job in once; the answer is kept in `answers`. */
+    void submitOnce(size_t entry, Submission job);
+    void cancel(size_t entry, const std::string& job);
+    /** The job's phase as an entry tells it; nothing when it does not know in time. */
+    std::optional<JobPhase> ask(size_t entry, const std::string& job);
+    std::vector<GatewayStatus> answersTo(const std::string& job) const;
+    bool isAccepted(const std::string& job) const { return m_accepted.contains(job); }
+    /** Whether every accepted job has been seen to end. */
+    bool allEnded(size_t askAt);
+
+    // Faults.
+    void kill(size_t entry);
+    void start(size_t entry);
+    void freeze(size_t entry, absl::Duration);
+    void setStore(size_t entry, StoreMood);
+    /** Cuts an entry from the other entries, or heals that. */
+    void cutPeers(size_t entry, bool isCut);
+    void crashWorker(size_t worker, absl::Duration away);
+    std::optional<size_t> owner() const;
+
+    WorldStore& store() { return m_store; }
+    std::vector<WorldWorker>& workers() { return m_workers; }
+    size_t entryCount() const { return m_entries.size(); }
+    Instant now() const { return m_clock.now(); }
+    QueuePolicy& policy() { return m_policy; }
+    Instant lastStartAt() const { return m_lastStartAt; }
+    size_t startsOf(const std::string& job) const;
+    /** Most workers that a step of the job ran on with more than so many tasks at once. */
+    size_t mostOnOneWorker(const std::string& job) const;
+    const std::vector<TaskRun>& startOrder() const { return m_startOrder; }
+
+    /** What broke a promise; empty when nothing did. */
+    const std::vector<std::string>& violations() const { return m_violations; }
+    std::string report() const;
+
+    /** How long a task runs, by its estimate. */
+    absl::Duration workOf(const Submission&, const TaskName&) const;
+
+private:
+    friend struct WorldEntry;
+    class Door;
+    class Orders;
+    class Roster;
+    class Policy;
+    class Links;
+    struct Job {
+        Submission spec;
+        bool isCancelAcked = false;
+        Instant cancelAckedAt;
+        absl::btree_map<TaskName, size_t> active;
+        absl::flat_hash_set<TaskName> finishedAcked;
+        size_t starts = 0;
+        size_t mostOnOne = 0;
+    };
+
+    void retrySubmit(size_t entry, Submission job);
+    void violate(const std::string& what);
+    int64_t clockOf(const WorldWorker&) const;
+    OrderReply startAt(WorldWorker&, const StartOrder&);
+    OrderReply stopAt(WorldWorker&, const TaskRun&, uint64_t token);
+    SyncReply listAt(WorldWorker&);
+    void endRun(WorldWorker&, const TaskRun&, RunEnding);
+    void runDone(size_t worker, const TaskRun&, uint64_t serial);
+    void checkLease(size_t worker);
+    void extendLease(size_t worker, int64_t end);
+    void acknowledge(WorldWorker&, uint64_t through);
+    void listWorker(const WorldWorker&);
+    WorldWorker* workerOf(const WorkerLife&, size_t& index);
+    absl::Duration delay();
+
+    ManualClock m_clock;
+    TimerQueue m_timers;
+    std::mt19937_64 m_random;
+    WorldStore m_store;
+    std::vector<WorldWorker> m_workers;
+    std::vector<std::unique_ptr<WorldEntry>> m_entries;
+    std::vector<std::unique_ptr<WorldEntry>> m_dead;
+    QueuePolicy m_policy;
+    absl::btree_map<std::string, Job> m_jobs;
+    absl::btree_set<std::string> m_accepted;
+    absl::btree_set<std::string> m_sawEnd;
+    absl::btree_map<std::string, std::vector<GatewayStatus>> m_answers;
+    std::vector<TaskRun> m_startOrder;
+    std::vector<std::string> m_violations;
+    uint64_t m_lastSerial = 0;
+    uint64_t m_lastLife = 0;
+    Instant m_lastStartAt = absl::ZeroDuration();
+};
+
+/** A job of one step. */
+Submission makeJob(const std::string& id, uint32_t tasks, int64_t cpuMillis = 1000,
+    absl::Duration estimate = absl::Milliseconds(600));
+
+} // namespace cicada::test
