--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -312,7 +312,9 @@
 {
     size_t count = 0;
     for (const auto& [id, job] : m_jobs) {
-        if (job->isStored && !isEnded(job->phase) && job->policy.queue == queue && !job->hasStarted())
+        const bool isOpen = job->phase == JobPhase::Queued || job->phase == JobPhase::Running;
+        if (isOpen && job->isStored && job->policy.queue == queue
+            && (job->phase == JobPhase::Queued || !job->hasStarted()))
             ++count;
     }
     return count;
@@ -341,6 +343,8 @@
 
 void Cell::retire(absl::AnyInvocable<void()> done)
 {
+    if (m_isRetiring)
+        return;
     m_isRetiring = true;
     m_writer.flush(std::move(done));
 }
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -18,6 +18,7 @@
 #include "absl/container/btree_set.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace cicada {
@@ -166,7 +167,10 @@
     bool placeStep(const Rank& rank);
     /** Keeps the free room of the workers for a gang that waits for more, against the steps behind it. */
     void reserveFor(const StepSpec& spec, size_t tasks, const std::vector<CellWorker*>& on);
+    /** The usable workers of the service, as of this round of placement. */
+    const std::vector<CellWorker*>& usable(const std::string& service);
     std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
+    bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     bool placeWhole(CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices);
     std::vector<Choice> place(
         CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, bool isWhole, const std::string& rackOnly);
@@ -219,9 +223,11 @@
     JobTable m_jobs;
     /** Ended jobs of which only the run record is kept. */
     absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_ended;
-    absl::btree_map<std::string, CellWorker> m_workers;
+    /** Workers keep their place in memory, so that steps can refer to those they may run on. */
+    std::map<std::string, CellWorker> m_workers;
     absl::btree_set<Rank> m_ready;
     size_t m_reservations = 0;
+    absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usable;
     absl::flat_hash_map<std::string, std::vector<Reply>> m_accepting;
     std::vector<absl::AnyInvocable<void()>> m_untilLoaded;
     /** By queue, the share of the workers asked about that were allowed. */
--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -48,6 +48,10 @@
     constexpr absl::Duration lostLinkPatience = absl::Milliseconds(450);
     /** So many renewals that fail in a row let an owner offer its cells to peers, which may reach the store. */
     constexpr int failuresToOffer = 2;
+    /** An owner does not offer its cells sooner; two that both lose replies would pass them to and fro. */
+    constexpr absl::Duration shortestTerm = absl::Milliseconds(1500);
+    /** How long a cell stays on an entry that is small for it, as after a fault, before it moves to a larger one. */
+    constexpr absl::Duration termOnSmallEntry = absl::Seconds(3);
     constexpr const char* ownerService = "cell.owner";
     constexpr const char* offerService = "cell.offer";
 
@@ -271,6 +275,7 @@
     }
     if (isNew && row.owner.isSameLife(m_parts.self) && !m_isLeaving) {
         m_held[cell] = row.revision;
+        m_gainedAt = m_parts.timers.clock().now();
         m_parts.onGained(cell, rowKey(cell), row.revision);
         announce(cell);
     }
@@ -324,11 +329,9 @@
 void CellDirectory::offerCells()
 {
     // The store may turn this machine away and serve the others. Whoever can write the row has the cell.
-    std::vector<std::string> linked;
-    for (const auto& [name, entry] : m_entries) {
-        if (name != m_parts.self.name && m_parts.isLinked(name))
-            linked.push_back(name);
-    }
+    if (m_parts.timers.clock().now() - m_gainedAt < shortestTerm)
+        return;
+    const std::vector<std::string> linked = linkedBySize();
     if (linked.empty())
         return;
     const std::string& peer = linked[m_nextOffer++ % linked.size()];
@@ -338,6 +341,39 @@
     }
 }
 
+std::vector<std::string> CellDirectory::linkedBySize() const
+{
+    std::vector<const EntryRecord*> linked;
+    for (const auto& [name, entry] : m_entries) {
+        if (name != m_parts.self.name && m_parts.isLinked(name))
+            linked.push_back(&entry);
+    }
+    const auto sizeOf = [this](const EntryRecord* entry) {
+        const double share = entry->processors / (entry->isFarFromStore ? 2 : 1);
+        return share / static_cast<double>(1 + ownedBy(entry->name));
+    };
+    std::stable_sort(linked.begin(), linked.end(),
+        [&](const EntryRecord* a, const EntryRecord* b) { return sizeOf(a) > sizeOf(b); });
+    std::vector<std::string> names;
+    for (const EntryRecord* entry : linked)
+        names.push_back(entry->name);
+    return names;
+}
+
+void CellDirectory::moveToLarger()
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (m_held.empty() || now - m_gainedAt < termOnSmallEntry || m_failedRenewals > 0)
+        return;
+    double largest = 0;
+    for (const auto& [name, entry] : m_entries) {
+        if (m_parts.isLinked(name) && ownedBy(name) == 0)
+            largest = std::max(largest, entry.processors);
+    }
+    if (m_parts.self.processors * 2 < largest && m_parts.onMove)
+        m_parts.onMove();
+}
+
 void CellDirectory::handleOffer(const std::string& from, absl::string_view bytes)
 {
     uint32_t cell = 0;
@@ -359,6 +395,7 @@
     if (!m_mirror.isFilled() || m_isLeaving)
         return;
     checkIsolation();
+    moveToLarger();
     if (m_cellCount == 0)
         return considerCellCount();
     for (uint32_t cell = 0; cell < cellCount(); ++cell)
@@ -528,16 +565,8 @@
     if (held == m_held.end())
         return;
     const uint64_t revision = held->second;
-    std::string successor;
-    double most = -1;
-    for (const auto& [name, entry] : m_entries) {
-        const double weight
-            = entry.processors / (entry.isFarFromStore ? 2 : 1) / static_cast<double>(1 + ownedBy(name));
-        if (name != m_parts.self.name && m_parts.isLinked(name) && weight > most) {
-            successor = name;
-            most = weight;
-        }
-    }
+    const std::vector<std::string> linked = linkedBySize();
+    const std::string successor = linked.empty() ? std::string() : linked.front();
     m_parts.log.write("cell-resigned", "cell", cell, "token", revision, "why", why, "successor", successor);
     Transaction transaction;
     transaction.conditions.push_back({ rowKey(cell), revision });
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -71,6 +71,8 @@
         std::function<void(uint32_t cell, const std::string& row, uint64_t revision)> onGained;
         /** The cell's row has changed. */
         std::function<void(uint32_t cell)> onLost;
+        /** This entry is small for its cells and should let them go. */
+        std::function<void()> onMove;
     };
 
     explicit CellDirectory(Parts parts);
@@ -128,6 +130,9 @@
     void handleAnnounced(const std::string& from, absl::string_view bytes);
     void noteRenewal(bool isReached);
     void offerCells();
+    /** The linked entries, those with the most processor to spare first. */
+    std::vector<std::string> linkedBySize() const;
+    void moveToLarger();
     void handleOffer(const std::string& from, absl::string_view bytes);
 
     Parts m_parts;
@@ -143,6 +148,7 @@
     size_t m_nextOffer = 0;
     uint32_t m_cellCount = 0;
     bool m_isCounting = false;
+    Instant m_gainedAt = absl::ZeroDuration() - absl::Hours(1);
     size_t m_countedWorkers = 0;
     Instant m_countedAt = absl::ZeroDuration() - absl::Hours(1);
     uint64_t m_lease = 0;
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -40,7 +40,7 @@
             m_gateway.resend();
         },
         [this](uint32_t cell, const std::string& row, uint64_t revision) { gained(cell, row, revision); },
-        [this](uint32_t cell) { lost(cell); } };
+        [this](uint32_t cell) { lost(cell); }, [this] { retire("moves-to-a-larger-entry"); } };
 }
 
 void CellHost::start() { m_directory.start(); }
@@ -107,15 +107,14 @@
     m_parts.peers.setPeers(addresses);
 }
 
-void CellHost::retire()
+void CellHost::retire(const std::string& why)
 {
     std::vector<uint32_t> numbers;
     for (const auto& [number, owned] : m_cells)
         numbers.push_back(number);
     for (const uint32_t number : numbers) {
-        m_cells[number].cell->retire([this, number] {
-            m_parts.timers.after(
-                absl::ZeroDuration(), [this, number] { m_directory.resign(number, "planned-stop"); });
+        m_cells[number].cell->retire([this, number, why] {
+            m_parts.timers.after(absl::ZeroDuration(), [this, number, why] { m_directory.resign(number, why); });
         });
     }
 }
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -46,7 +46,7 @@
     /** Calls back on each link that came or went, after the host has taken it in. */
     void onLinkChange(std::function<void(const std::string& peer, bool isUp)> function);
     /** Stores what is known and lets every cell go to another entry. */
-    void retire();
+    void retire(const std::string& why);
     /** Lets the entry's record go. */
     void leave() { m_directory.leave(); }
     size_t ownedCells() const { return m_cells.size(); }
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -57,9 +57,12 @@
     }
 };
 
+struct CellWorker;
+
 /** What is known of where a step may run. */
 struct StepAdvice {
     struct Allowed {
+        CellWorker* worker = nullptr;
         std::string ticket;
         Instant validUntil;
     };
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /** Placements are taken together that fall within this time. */
-    constexpr absl::Duration placeDelay = absl::Milliseconds(4);
+    constexpr absl::Duration placeDelay = absl::Milliseconds(5);
     /** A ticket must hold this long when its start is decided: the intent is stored and the order travels first. */
     constexpr absl::Duration ticketMargin = absl::Milliseconds(350);
     constexpr size_t mostWorkersAsked = 100;
@@ -21,6 +21,8 @@
     constexpr double shareWeight = 0.1;
     /** So many times the room that a step needs is asked for, as others take some of it meanwhile. */
     constexpr double spareFactor = 1.6;
+    /** A round ends after so many steps that found no room; those behind them wait for the next one. */
+    constexpr size_t mostUnplaced = 150;
     /** So many gangs at most keep room from the steps behind them. */
     constexpr size_t maxReservations = 4;
     constexpr absl::Duration adviceRetryDelay = absl::Milliseconds(300);
@@ -172,8 +174,13 @@
     for (auto& [id, worker] : m_workers)
         worker.reserved = Resources();
     m_reservations = 0;
+    m_usable.clear();
+    size_t unplaced = 0;
     for (const Rank& rank : ranks) {
+        if (unplaced >= mostUnplaced)
+            break;
         const bool isDone = placeStep(rank);
+        unplaced += isDone ? 0 : 1;
         if (isDone) {
             m_ready.erase(rank);
         } else if (!rank.isLate && rank.latestStart < now) {
@@ -203,15 +210,27 @@
     }
 }
 
-std::vector<CellWorker*> Cell::candidates(CellJob& job, const StepSpec& spec)
+const std::vector<CellWorker*>& Cell::usable(const std::string& service)
 {
+    const auto [found, isNew] = m_usable.try_emplace(service);
+    if (!isNew)
+        return found->second;
     const Instant now = m_parts.timers.clock().now();
-    const std::string& service = policyOf(job).service;
-    std::vector<CellWorker*> found;
     for (auto& [id, worker] : m_workers) {
-        if (worker.isUsable(now) && worker.listed.service == service && hasLabel(worker.listed, spec.requiredLabel))
-            found.push_back(&worker);
+        if (worker.listed.service == service && worker.isUsable(now))
+            found->second.push_back(&worker);
     }
+    return found->second;
+}
+
+std::vector<CellWorker*> Cell::candidates(CellJob& job, const StepSpec& spec)
+{
+    const std::vector<CellWorker*>& all = usable(policyOf(job).service);
+    if (spec.requiredLabel.empty())
+        return all;
+    std::vector<CellWorker*> found;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(found),
+        [&](const CellWorker* worker) { return hasLabel(worker->listed, spec.requiredLabel); });
     return found;
 }
 
@@ -301,59 +320,66 @@
     // A gang starts again only when nothing of its last run is out.
     if ((spec.isGang && waiting < step.tasks.size()) || step.notBefore > now)
         return false;
+    if (policyOf(*job).advice.isNeeded)
+        return placeWithAdvice(rank, *job, waiting);
     const std::vector<CellWorker*> all = candidates(*job, spec);
     std::vector<Choice> choices;
-    if (!policyOf(*job).advice.isNeeded) {
-        if (!job->isStored || !placeWhole(*job, rank.ref, all, choices)) {
-            reserveFor(spec, waiting, all);
-            return false;
-        }
-        intend(*job, rank.ref, choices);
-        return choices.size() == waiting;
+    if (!job->isStored || !placeWhole(*job, rank.ref, all, choices)) {
+        reserveFor(spec, waiting, all);
+        return false;
     }
+    intend(*job, rank.ref, choices);
+    return choices.size() == waiting;
+}
+
+bool Cell::placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting)
+{
+    const Instant now = m_parts.timers.clock().now();
+    CellStep& step = job.step(rank.ref);
+    const StepSpec& spec = job.stepSpec(rank.ref);
+    const std::string& service = policyOf(job).service;
     std::vector<CellWorker*> withTicket;
     std::vector<CellWorker*> allowed;
-    std::vector<CellWorker*> open;
-    for (CellWorker* worker : all) {
-        const auto found = step.advice.allowed.find(worker->listed.life.id);
-        if (found != step.advice.allowed.end()) {
-            allowed.push_back(worker);
-            if (found->second.validUntil > now + ticketMargin)
-                withTicket.push_back(worker);
-        } else if (!step.advice.asked.contains(worker->listed.life.id)) {
-            open.push_back(worker);
-        }
+    for (const auto& [id, entry] : step.advice.allowed) {
+        if (!entry.worker->isUsable(now) || entry.worker->listed.service != service)
+            continue;
+        allowed.push_back(entry.worker);
+        if (entry.validUntil > now + ticketMargin)
+            withTicket.push_back(entry.worker);
     }
-    if (job->isStored && placeWhole(*job, rank.ref, withTicket, choices)) {
+    // The table has no order of its own.
+    const auto byId = [](const CellWorker* a, const CellWorker* b) { return a->listed.life.id < b->listed.life.id; };
+    std::sort(allowed.begin(), allowed.end(), byId);
+    std::sort(withTicket.begin(), withTicket.end(), byId);
+    std::vector<Choice> choices;
+    if (job.isStored && placeWhole(job, rank.ref, withTicket, choices)) {
         const bool isWhole = choices.size() == waiting;
-        intend(*job, rank.ref, choices);
+        intend(job, rank.ref, choices);
         if (isWhole)
             return true;
     }
-    if (step.advice.isAsking) {
-        reserveFor(spec, waiting, allowed);
-        return false;
-    }
-    if (!job->isStored && !withTicket.empty())
-        return false;
-    // Ask only when an answer could let something start now.
-    if (placeWhole(*job, rank.ref, allowed, choices)) {
-        askAdvice(*job, rank.ref, allowed, choices.size());
-        reserveFor(spec, waiting, allowed);
-        return false;
+    const bool mustWait = step.advice.isAsking || (!job.isStored && !withTicket.empty())
+        || m_parts.advice.waiting() >= maxWaitingQuestions;
+    if (!mustWait) {
+        // Ask only when an answer could let something start now.
+        if (placeWhole(job, rank.ref, allowed, choices)) {
+            askAdvice(job, rank.ref, allowed, choices.size());
+        } else {
+            std::vector<CellWorker*> both = allowed;
+            for (CellWorker* worker : candidates(job, spec)) {
+                if (!step.advice.asked.contains(worker->listed.life.id))
+                    both.push_back(worker);
+            }
+            if (both.size() > allowed.size() && placeWhole(job, rank.ref, both, choices))
+                askAdvice(job, rank.ref, both, choices.size());
+        }
     }
-    std::vector<CellWorker*> both = allowed;
-    both.insert(both.end(), open.begin(), open.end());
-    if (!open.empty() && placeWhole(*job, rank.ref, both, choices))
-        askAdvice(*job, rank.ref, both, choices.size());
     reserveFor(spec, waiting, allowed);
     return false;
 }
 
 void Cell::askAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted)
 {
-    if (m_parts.advice.waiting() >= maxWaitingQuestions)
-        return;
     CellStep& step = job.step(ref);
     const QueuePolicy& policy = policyOf(job);
     const Resources demand = demandOf(job.stepSpec(ref));
@@ -411,7 +437,8 @@
     for (const std::string& worker : asked)
         step.advice.asked.insert(worker);
     for (Ticket& ticket : answer.tickets)
-        step.advice.allowed[ticket.worker] = { std::move(ticket.text), now + validity };
+        if (CellWorker* worker = findWorker(ticket.worker))
+            step.advice.allowed[ticket.worker] = { worker, std::move(ticket.text), now + validity };
     double& share = m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second;
     const double seen = static_cast<double>(answer.tickets.size()) / std::max<double>(1, asked.size());
     share += (seen - share) * shareWeight;
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -491,9 +491,12 @@
     answer.isValid = true;
     answer.validity = absl::Seconds(2);
     // Every worker but one in three is allowed, the same ones each time for a step.
-    for (const std::string& worker : question.workers) {
-        const size_t draw = std::hash<std::string>()(absl::StrCat(question.step.job, question.step.step, worker));
-        if (draw % 3 != 0)
+    const size_t draw = std::hash<std::string>()(absl::StrCat(question.step.job, question.step.step));
+    for (size_t i = 0; i < m_world.m_workers.size(); ++i) {
+        const std::string& worker = m_world.m_workers[i].id;
+        const bool isAsked
+            = std::find(question.workers.begin(), question.workers.end(), worker) != question.workers.end();
+        if (isAsked && (i + draw) % 3 != 0)
             answer.tickets.push_back({ worker, "ticket" });
     }
     m_entry.timers.after(absl::Milliseconds(15),
