--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -172,6 +172,7 @@
         Instant cancelAckedAt;
         absl::btree_map<TaskName, size_t> active;
         absl::flat_hash_set<TaskName> finishedAcked;
+        size_t attempts = 0;
         size_t starts = 0;
         size_t mostOnOne = 0;
     };
