--- a/src/Cell.h
+++ b/src/Cell.h
@@ -123,6 +123,14 @@
                 < std::tie(other.isLate, other.priority, other.latestStart, other.job, other.ref);
         }
     };
+    /** Free room of some workers that one step keeps from the others during a round of placement. */
+    struct Reservation {
+        const Rank* rank = nullptr;
+        std::vector<std::pair<CellWorker*, Resources>> rooms;
+
+        void hold() const;
+        void release() const;
+    };
     struct Choice {
         uint32_t index = 0;
         CellWorker* worker = nullptr;
@@ -165,8 +173,9 @@
     void placeSoon();
     void placeAll();
     bool placeStep(const Rank& rank);
-    /** Keeps the free room of the workers for a gang that waits for more, against the steps behind it. */
-    void reserveFor(const StepSpec& spec, size_t tasks, const std::vector<CellWorker*>& on);
+    /** Room kept for the gangs that come first, so that small tasks do not fill for ever what a gang waits for. */
+    std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
+    Reservation reserveFor(CellJob& job, const Rank& rank, size_t mostWorkers);
     /** The usable workers of the service, as of this round of placement. */
     const std::vector<CellWorker*>& usable(const std::string& service);
     std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
@@ -226,7 +235,6 @@
     /** Workers keep their place in memory, so that steps can refer to those they may run on. */
     std::map<std::string, CellWorker> m_workers;
     absl::btree_set<Rank> m_ready;
-    size_t m_reservations = 0;
     absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usable;
     absl::flat_hash_map<std::string, std::vector<Reply>> m_accepting;
     std::vector<absl::AnyInvocable<void()>> m_untilLoaded;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -23,8 +23,9 @@
     constexpr double spareFactor = 1.6;
     /** A round ends after so many steps that found no room; those behind them wait for the next one. */
     constexpr size_t mostUnplaced = 150;
-    /** So many gangs at most keep room from the steps behind them. */
-    constexpr size_t maxReservations = 4;
+    /** Gangs keep the room of at most this share of the workers from all others while they wait for more. */
+    constexpr double mostReservedShare = 0.15;
+    constexpr absl::Duration reserveAfter = absl::Milliseconds(300);
     constexpr absl::Duration adviceRetryDelay = absl::Milliseconds(300);
     /** Questions about steps beyond this many waiting ones would be stale when their room comes. */
     constexpr size_t maxWaitingQuestions = 12;
@@ -171,15 +172,20 @@
         return;
     const Instant now = m_parts.timers.clock().now();
     const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
-    for (auto& [id, worker] : m_workers)
-        worker.reserved = Resources();
-    m_reservations = 0;
     m_usable.clear();
+    std::vector<Reservation> reservations = reserveForGangs(ranks);
+    auto reserved = reservations.begin();
     size_t unplaced = 0;
     for (const Rank& rank : ranks) {
         if (unplaced >= mostUnplaced)
             break;
+        const bool hasReservation = reserved != reservations.end() && reserved->rank == &rank;
+        if (hasReservation)
+            reserved->release();
         const bool isDone = placeStep(rank);
+        if (hasReservation && !isDone)
+            reserved->hold();
+        reserved += hasReservation ? 1 : 0;
         unplaced += isDone ? 0 : 1;
         if (isDone) {
             m_ready.erase(rank);
@@ -195,19 +201,76 @@
         worker.reserved = Resources();
 }
 
-void Cell::reserveFor(const StepSpec& spec, size_t tasks, const std::vector<CellWorker*>& on)
+void Cell::Reservation::hold() const
 {
-    if (!spec.isGang || m_reservations >= maxReservations)
-        return;
-    ++m_reservations;
+    for (const auto& [worker, room] : rooms)
+        worker->reserved = worker->reserved + room;
+}
+
+void Cell::Reservation::release() const
+{
+    for (const auto& [worker, room] : rooms)
+        worker->reserved = worker->reserved - room;
+}
+
+std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<Rank>& ranks)
+{
+    const auto most = static_cast<size_t>(static_cast<double>(m_workers.size()) * mostReservedShare);
+    const Instant now = m_parts.timers.clock().now();
+    std::vector<Reservation> reservations;
+    size_t reserved = 0;
+    for (const Rank& rank : ranks) {
+        if (reserved >= most)
+            break;
+        CellJob* job = findJob(rank.job);
+        if (!job || !job->stepSpec(rank.ref).isGang || now - job->step(rank.ref).readyAt < reserveAfter)
+            continue;
+        Reservation reservation = reserveFor(*job, rank, most - reserved);
+        if (reservation.rooms.empty())
+            continue;
+        reserved += reservation.rooms.size();
+        reservation.hold();
+        reservations.push_back(std::move(reservation));
+    }
+    return reservations;
+}
+
+Cell::Reservation Cell::reserveFor(CellJob& job, const Rank& rank, size_t mostWorkers)
+{
+    const StepSpec& spec = job.stepSpec(rank.ref);
+    const CellStep& step = job.step(rank.ref);
+    const Instant now = m_parts.timers.clock().now();
+    std::vector<CellWorker*> on;
+    for (const auto& [id, entry] : step.advice.allowed) {
+        if (entry.worker->isUsable(now))
+            on.push_back(entry.worker);
+    }
+    if (!policyOf(job).advice.isNeeded)
+        on = candidates(job, spec);
+    // Those that are nearest to empty are the soonest to have the room.
+    std::sort(on.begin(), on.end(), [](const CellWorker* a, const CellWorker* b) {
+        return std::make_tuple(-a->free().cpuMillis, absl::string_view(a->listed.life.id))
+            < std::make_tuple(-b->free().cpuMillis, absl::string_view(b->listed.life.id));
+    });
+    Reservation reservation { &rank, {} };
     const Resources demand = demandOf(spec);
-    size_t left = tasks;
+    uint64_t left = step.tasks.size();
     for (CellWorker* worker : on) {
-        const uint64_t room = std::min<uint64_t>(left, roomFor(demand, worker->free()));
-        for (uint64_t i = 0; i < room; ++i)
-            worker->reserved = worker->reserved + demand;
-        left -= room;
+        if (left == 0 || reservation.rooms.size() == mostWorkers)
+            break;
+        const uint64_t tasks = std::min(left, roomFor(demand, worker->listed.capacity));
+        const Resources free = worker->free();
+        const auto count = static_cast<int64_t>(tasks);
+        reservation.rooms.emplace_back(worker,
+            Resources { std::max<int64_t>(0, std::min(free.cpuMillis, demand.cpuMillis * count)),
+                std::max<int64_t>(0, std::min(free.memoryMiB, demand.memoryMiB * count)),
+                std::max<int64_t>(0, std::min(free.accelerators, demand.accelerators * count)) });
+        left -= tasks;
     }
+    // A gang for which there are too few workers in all would hold them in vain.
+    if (left > 0)
+        reservation.rooms.clear();
+    return reservation;
 }
 
 const std::vector<CellWorker*>& Cell::usable(const std::string& service)
@@ -324,10 +387,8 @@
         return placeWithAdvice(rank, *job, waiting);
     const std::vector<CellWorker*> all = candidates(*job, spec);
     std::vector<Choice> choices;
-    if (!job->isStored || !placeWhole(*job, rank.ref, all, choices)) {
-        reserveFor(spec, waiting, all);
+    if (!job->isStored || !placeWhole(*job, rank.ref, all, choices))
         return false;
-    }
     intend(*job, rank.ref, choices);
     return choices.size() == waiting;
 }
@@ -374,7 +435,6 @@
                 askAdvice(job, rank.ref, both, choices.size());
         }
     }
-    reserveFor(spec, waiting, allowed);
     return false;
 }
 
