--- a/src/Advisor.cpp
+++ b/src/Advisor.cpp
@@ -119,8 +119,8 @@
     m_sent[number] = { lane, now, queued + waiting.expected, std::move(waiting.callback) };
     m_timers.after(timeout, [this, number] { finish(number, {}); });
     if (lane == m_self) {
-        m_advisor.ask(waiting.question, timeout,
-            [this, number](AdviceAnswer answer) { finish(number, std::move(answer)); });
+        m_advisor.ask(
+            waiting.question, timeout, [this, number](AdviceAnswer answer) { finish(number, std::move(answer)); });
         return;
     }
     const TaskName& step = waiting.question.step;
--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -49,14 +49,14 @@
         [this] { load(cellPrefix("job", m_term.cell), "", [this] { finishLoading(); }); });
 }
 
-void Cell::load(std::string prefix, std::string afterKey, absl::AnyInvocable<void()> then)
+void Cell::load(const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void()> then)
 {
     m_parts.store.listPage(
-        prefix, afterKey, guarded([this, prefix, afterKey, then = std::move(then)](StorePage page) mutable {
+        prefix, afterKey, guarded([this, prefix, afterKey, then = std::move(then)](const StorePage& page) mutable {
             if (!page.isValid) {
                 m_parts.log.write("cell-load-failed", "cell", m_term.cell, "prefix", prefix);
-                return m_parts.timers.after(loadRetryDelay,
-                    guarded([this, prefix, afterKey, then = std::move(then)]() mutable {
+                return m_parts.timers.after(
+                    loadRetryDelay, guarded([this, prefix, afterKey, then = std::move(then)]() mutable {
                         load(prefix, afterKey, std::move(then));
                     }));
             }
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -139,7 +139,7 @@
     // Cell.cpp: stored records and requests.
     std::string jobKey(const std::string& id) const;
     std::string runKey(const std::string& id) const;
-    void load(std::string prefix, std::string afterKey, absl::AnyInvocable<void()> then);
+    void load(const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void()> then);
     void finishLoading();
     void takeJobRecord(const std::string& id, const StoreEntry& entry);
     void takeRunRecord(const std::string& id, const StoreEntry& entry);
@@ -192,7 +192,7 @@
     // CellRuns.cpp: orders to workers and what comes back.
     void sendStarts(const std::string& id, const std::vector<TaskRun>& runs);
     void sendStart(CellJob& job, const TaskRun& run);
-    void handleStart(const TaskRun& run, const std::string& worker, OrderReply reply);
+    void handleStart(const TaskRun& run, const std::string& worker, const OrderReply& reply);
     void notStarted(const TaskRun& run, CellWorker& worker, OrderStatus why);
     void wantStop(CellWorker& worker, const TaskRun& run);
     void sendStop(CellWorker& worker, const TaskRun& run);
--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -58,8 +58,7 @@
     std::string encodeEntry(const EntryRecord& entry)
     {
         return Internal::packFields(
-            entry.name, entry.incarnation, entry.peerAddress, entry.region, entry.processors,
-            entry.isFarFromStore);
+            entry.name, entry.incarnation, entry.peerAddress, entry.region, entry.processors, entry.isFarFromStore);
     }
 
     std::optional<EntryRecord> decodeEntry(const std::string& bytes)
@@ -101,10 +100,7 @@
     return static_cast<uint32_t>(XXH3_64bits(key.data(), key.size()) % std::max(1u, cells));
 }
 
-uint32_t CellDirectory::cellOf(absl::string_view job) const
-{
-    return cellOfKey(job, cellCount());
-}
+uint32_t CellDirectory::cellOf(absl::string_view job) const { return cellOfKey(job, cellCount()); }
 
 std::vector<EntryRecord> CellDirectory::neighbours() const
 {
@@ -175,7 +171,7 @@
     m_isWriting = true;
     Transaction transaction;
     transaction.writes.push_back({ recordKey(), encodeEntry(m_parts.self), m_lease });
-    m_parts.store.transact(std::move(transaction), [this](TransactionReply reply) {
+    m_parts.store.transact(std::move(transaction), [this](const TransactionReply& reply) {
         m_isWriting = false;
         if (m_isLeaving)
             return;
@@ -232,8 +228,7 @@
         return m_parts.onEntries();
     }
     if (key == cellCountKey) {
-        if (!entry || !Internal::unpackFields(entry->value, "number of cells", m_cellCount)
-            || m_cellCount > mostCells)
+        if (!entry || !Internal::unpackFields(entry->value, "number of cells", m_cellCount) || m_cellCount > mostCells)
             m_parts.log.write("cell-count-unreadable", "revision", entry ? entry->index : 0);
         else
             m_parts.log.write("cell-count", "cells", m_cellCount, "revision", entry->index);
@@ -293,8 +288,7 @@
 void CellDirectory::introduce(const std::string& peer)
 {
     for (const auto& [cell, revision] : m_held)
-        m_parts.peers.send(
-            peer, ownerService, Internal::packFields(cell, revision, encodeEntry(m_rows[cell].owner)));
+        m_parts.peers.send(peer, ownerService, Internal::packFields(cell, revision, encodeEntry(m_rows[cell].owner)));
 }
 
 void CellDirectory::handleAnnounced(const std::string& from, absl::string_view bytes)
@@ -355,6 +349,7 @@
     std::stable_sort(linked.begin(), linked.end(),
         [&](const EntryRecord* a, const EntryRecord* b) { return sizeOf(a) > sizeOf(b); });
     std::vector<std::string> names;
+    names.reserve(linked.size());
     for (const EntryRecord* entry : linked)
         names.push_back(entry->name);
     return names;
@@ -418,7 +413,8 @@
     considerLater();
     // One entry counts; others step in when it does not get there.
     const size_t rank = std::min(rankFor(0), maxRank);
-    const absl::Duration delay = firstClaimDelay + (rank == 0 ? absl::ZeroDuration() : countPatience + rankDelay * static_cast<double>(rank));
+    const absl::Duration delay
+        = firstClaimDelay + (rank == 0 ? absl::ZeroDuration() : countPatience + rankDelay * static_cast<double>(rank));
     const Instant now = m_parts.timers.clock().now();
     if (m_isCounting || now - m_startedAt < delay || now - m_countedAt < countInterval || !m_isRecordStored)
         return;
@@ -446,7 +442,7 @@
     Transaction transaction;
     transaction.conditions.push_back({ cellCountKey, 0 });
     transaction.writes.push_back({ cellCountKey, Internal::packFields(cells), 0 });
-    m_parts.store.transact(std::move(transaction), [this](TransactionReply reply) {
+    m_parts.store.transact(std::move(transaction), [this](const TransactionReply& reply) {
         // The watch tells the number, whoever wrote it.
         if (reply.status == TransactionStatus::Unknown || reply.status == TransactionStatus::NotApplied)
             considerLater();
@@ -455,8 +451,8 @@
 
 size_t CellDirectory::ownedBy(const std::string& entry) const
 {
-    return static_cast<size_t>(std::count_if(
-        m_rows.begin(), m_rows.end(), [&](const auto& row) { return row.second.owner.name == entry; }));
+    return static_cast<size_t>(
+        std::count_if(m_rows.begin(), m_rows.end(), [&](const auto& row) { return row.second.owner.name == entry; }));
 }
 
 size_t CellDirectory::rankFor(uint32_t cell) const
@@ -471,9 +467,8 @@
             XXH3_64bits(text.data(), text.size()));
     };
     const auto own = order(m_parts.self);
-    return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        return item.first != m_parts.self.name && order(item.second) < own;
-    }));
+    return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+        [&](const auto& item) { return item.first != m_parts.self.name && order(item.second) < own; }));
 }
 
 std::optional<absl::Duration> CellDirectory::claimDelay(uint32_t cell, const CellRow* row) const
@@ -532,7 +527,7 @@
     transaction.conditions.push_back({ rowKey(cell), revision });
     const std::string value = Internal::packFields(encodeEntry(m_parts.self), std::string());
     transaction.writes.push_back({ rowKey(cell), value, 0 });
-    m_parts.store.transact(std::move(transaction), [this, cell, value](TransactionReply reply) {
+    m_parts.store.transact(std::move(transaction), [this, cell, value](const TransactionReply& reply) {
         // The watch tells it too, which settles a lost reply; this is sooner.
         if (reply.status == TransactionStatus::Applied) {
             const StoreEntry entry { rowKey(cell), value, reply.revision };
@@ -571,7 +566,7 @@
     Transaction transaction;
     transaction.conditions.push_back({ rowKey(cell), revision });
     transaction.writes.push_back({ rowKey(cell), Internal::packFields(std::string(), successor), 0 });
-    m_parts.store.transact(std::move(transaction), [this, cell](TransactionReply reply) {
+    m_parts.store.transact(std::move(transaction), [this, cell](const TransactionReply& reply) {
         if (reply.status != TransactionStatus::Applied)
             m_parts.log.write("cell-resign-failed", "cell", cell);
     });
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -30,10 +30,7 @@
     /** Whether the store is a slow link away, which each write of an owner would pay for. */
     bool isFarFromStore = false;
 
-    bool isSameLife(const EntryRecord& other) const
-    {
-        return name == other.name && incarnation == other.incarnation;
-    }
+    bool isSameLife(const EntryRecord& other) const { return name == other.name && incarnation == other.incarnation; }
 };
 
 /** Of `cells` cells, the one to which a job's id or a rack's name belongs. */
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -61,14 +61,14 @@
     lost(number);
     OwnedCell& owned = m_cells[number];
     owned.roster = m_parts.makeRoster();
-    owned.cell = std::make_unique<Cell>(
-        Cell::Parts { m_parts.store, m_parts.orders, *owned.roster, m_lanes, m_parts.timers, m_parts.log,
-            m_parts.metrics, m_parts.bounds, m_parts.policyOf,
-            [this, number](const std::string&) {
-                m_directory.drop(number);
-                lost(number);
-            } },
-        CellTerm { number, m_directory.cellCount(), row, revision });
+    owned.cell
+        = std::make_unique<Cell>(Cell::Parts { m_parts.store, m_parts.orders, *owned.roster, m_lanes, m_parts.timers,
+                                     m_parts.log, m_parts.metrics, m_parts.bounds, m_parts.policyOf,
+                                     [this, number](const std::string&) {
+                                         m_directory.drop(number);
+                                         lost(number);
+                                     } },
+            CellTerm { number, m_directory.cellCount(), row, revision });
     owned.cell->start();
     m_parts.metrics.gauge("cicada_cells_owned", static_cast<double>(m_cells.size()));
     m_gateway.resend();
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -10,8 +10,10 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
-        std::string>;
+    using TaskFields
+        = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t, std::string>;
+    /** A gang's occurrence and step, and its last run that was counted as failed. */
+    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t>;
     using PolicyFields = std::tuple<std::string, std::string, uint32_t, uint32_t, double, int64_t, int64_t, bool,
         double, double, int64_t>;
 
@@ -115,8 +117,8 @@
     {
         uint32_t form = StoredWaiting;
         uint32_t ignored = 0;
-        std::tie(ignored, ignored, ignored, form, task.run, task.failures, task.worker, task.workerStarted,
-            task.checkpoint)
+        std::tie(
+            ignored, ignored, ignored, form, task.run, task.failures, task.worker, task.workerStarted, task.checkpoint)
             = fields;
         task.stage = form == StoredFinished ? TaskStage::Finished
             : form == StoredOut             ? TaskStage::Starting
@@ -253,9 +255,12 @@
 std::string encodeRunRecord(const CellJob& job)
 {
     std::vector<TaskFields> tasks;
+    std::vector<GangFields> gangs;
     for (uint32_t k = 0; k < job.occurrences.size() && !isEnded(job.phase); ++k) {
         for (uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
             const auto& all = job.occurrences[k][s].tasks;
+            if (job.occurrences[k][s].lastFailedRun > 0)
+                gangs.emplace_back(k, s, job.occurrences[k][s].lastFailedRun);
             for (uint32_t i = 0; i < all.size(); ++i) {
                 const CellTask& task = all[i];
                 if (task.stage == TaskStage::Waiting && task.run == 0)
@@ -266,14 +271,15 @@
             }
         }
     }
-    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks);
+    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks, gangs);
 }
 
 Result<void> applyRunRecord(CellJob& job, absl::string_view bytes)
 {
     uint32_t phase = 0;
     std::vector<TaskFields> tasks;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks));
+    std::vector<GangFields> gangs;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks, gangs));
     if (phase > static_cast<uint32_t>(JobPhase::Cancelled))
         return malformed("run record");
     job.phase = static_cast<JobPhase>(phase);
@@ -287,6 +293,11 @@
         if (task->stage == TaskStage::Finished)
             ++job.step({ name.occurrence, name.step }).finished;
     }
+    for (const auto& [occurrence, step, run] : gangs) {
+        if (!job.find({ job.spec.id, occurrence, step, 0 }))
+            return malformed("run record");
+        job.step({ occurrence, step }).lastFailedRun = run;
+    }
     return success();
 }
 
@@ -294,7 +305,8 @@
 {
     uint32_t phase = 0;
     std::vector<TaskFields> tasks;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(runRecord, "run record", phase, endedUnixMillis, tasks));
+    std::vector<GangFields> gangs;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(runRecord, "run record", phase, endedUnixMillis, tasks, gangs));
     if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
         return malformed("run record");
     return static_cast<JobPhase>(phase);
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -32,8 +32,7 @@
 
     bool hasLabel(const ListedWorker& worker, const std::string& label)
     {
-        return label.empty()
-            || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+        return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
     }
 
     Resources demandOf(const StepSpec& spec)
@@ -75,11 +74,10 @@
 {
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
     for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        const int64_t due
-            = job.spec.occurrences == 0 ? 0 : job.spec.startUnixMillis + job.spec.intervalMillis * k;
+        const int64_t due = job.spec.occurrences == 0 ? 0 : job.spec.startUnixMillis + job.spec.intervalMillis * k;
         if (due > nowUnix) {
-            m_parts.timers.after(absl::Milliseconds(due - nowUnix),
-                guarded([this, id = job.spec.id, k] { occurrenceDue(id, k); }));
+            m_parts.timers.after(
+                absl::Milliseconds(due - nowUnix), guarded([this, id = job.spec.id, k] { occurrenceDue(id, k); }));
             continue;
         }
         for (uint32_t s = 0; s < job.spec.steps.size(); ++s)
@@ -351,8 +349,7 @@
     return choices;
 }
 
-bool Cell::placeWhole(
-    CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices)
+bool Cell::placeWhole(CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices)
 {
     const StepSpec& spec = job.stepSpec(ref);
     if (spec.prefersOneRack) {
@@ -452,7 +449,8 @@
     };
     std::stable_sort(workers.begin(), workers.end(),
         [&](const CellWorker* a, const CellWorker* b) { return rankOf(a) < rankOf(b); });
-    const double share = std::max(leastShare, m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second);
+    const double share
+        = std::max(leastShare, m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second);
     const size_t most = std::min(mostWorkersAsked, workers.size());
     const double enough = static_cast<double>(wanted) * spareFactor;
     double expectedRoom = 0;
@@ -492,8 +490,7 @@
         return;
     }
     const QueuePolicy& policy = policyOf(*job);
-    const absl::Duration validity
-        = answer.validity > absl::ZeroDuration() ? answer.validity : policy.advice.validity;
+    const absl::Duration validity = answer.validity > absl::ZeroDuration() ? answer.validity : policy.advice.validity;
     for (const std::string& worker : asked)
         step.advice.asked.insert(worker);
     for (Ticket& ticket : answer.tickets)
@@ -502,8 +499,8 @@
     double& share = m_allowedShare.try_emplace(policy.queue, firstAllowedShare).first->second;
     const double seen = static_cast<double>(answer.tickets.size()) / std::max<double>(1, asked.size());
     share += (seen - share) * shareWeight;
-    m_parts.log.write("advice-taken", "job", id, "occurrence", ref.occurrence, "step", ref.step, "asked",
-        asked.size(), "allowed", answer.tickets.size(), "validMs", absl::ToInt64Milliseconds(validity), "tookMs",
+    m_parts.log.write("advice-taken", "job", id, "occurrence", ref.occurrence, "step", ref.step, "asked", asked.size(),
+        "allowed", answer.tickets.size(), "validMs", absl::ToInt64Milliseconds(validity), "tookMs",
         absl::ToInt64Milliseconds(now - askedAt));
     m_parts.metrics.observe("cicada_advice_ms", absl::ToDoubleMilliseconds(now - askedAt));
     placeSoon();
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -51,19 +51,18 @@
     task->percent = -1;
     worker->occupants[run].isStarting = true;
     worker->occupants[run].wasSent = true;
-    m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token,
-        "waitedMs", absl::ToInt64Milliseconds(now - step.readyAt), "slackMs",
-        absl::ToInt64Milliseconds(step.latestStart - now));
+    m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token, "waitedMs",
+        absl::ToInt64Milliseconds(now - step.readyAt), "slackMs", absl::ToInt64Milliseconds(step.latestStart - now));
     m_parts.metrics.count("cicada_runs_ordered");
     m_parts.orders.start(worker->listed.life, std::move(order),
         guarded([this, run, id = task->worker, generation = worker->generation](OrderReply reply) {
             CellWorker* target = findWorker(id);
             if (target && target->generation == generation)
-                handleStart(run, id, std::move(reply));
+                handleStart(run, id, reply);
         }));
 }
 
-void Cell::handleStart(const TaskRun& run, const std::string& id, OrderReply reply)
+void Cell::handleStart(const TaskRun& run, const std::string& id, const OrderReply& reply)
 {
     CellWorker& worker = m_workers[id];
     const Instant now = m_parts.timers.clock().now();
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -129,13 +129,12 @@
     }
     if (!worker.isHeard) {
         m_parts.log.write("worker-heard", "worker", id, "token", m_term.token, "started", started, "running",
-            reply.running.size(), "ended", reply.ended.size(), "afterMs",
-            absl::ToInt64Milliseconds(now - m_takenAt));
+            reply.running.size(), "ended", reply.ended.size(), "afterMs", absl::ToInt64Milliseconds(now - m_takenAt));
         if (started != 0)
             worker.startedUnixMillis = started;
     } else if (worker.failedSyncs > 0) {
-        m_parts.log.write("worker-regained", "worker", id, "silentMs",
-            absl::ToInt64Milliseconds(now - worker.lastHeard));
+        m_parts.log.write(
+            "worker-regained", "worker", id, "silentMs", absl::ToInt64Milliseconds(now - worker.lastHeard));
     }
     const bool wasUsable = worker.isUsable(now);
     worker.isHeard = true;
@@ -219,8 +218,7 @@
 
 void Cell::takeEnds(CellWorker& worker, std::vector<EndedRun>& ended)
 {
-    std::sort(ended.begin(), ended.end(),
-        [](const EndedRun& a, const EndedRun& b) { return a.sequence < b.sequence; });
+    std::sort(ended.begin(), ended.end(), [](const EndedRun& a, const EndedRun& b) { return a.sequence < b.sequence; });
     const uint64_t before = worker.processedThrough;
     std::vector<std::string> changed;
     for (const EndedRun& end : ended) {
@@ -236,19 +234,19 @@
     // The worker may forget the ends once all that they changed is durable.
     worker.pendingAcks.emplace_back(worker.processedThrough, false);
     auto open = std::make_shared<size_t>(changed.size() + 1);
-    const auto durable = [this, open, id = worker.listed.life.id, generation = worker.generation,
-                             through = worker.processedThrough] {
-        if (--*open > 0)
-            return;
-        CellWorker* target = findWorker(id);
-        if (!target || target->generation != generation)
-            return;
-        target->noteDurable(through);
-        if (target->pendingAcks.empty() && !target->isSyncing) {
-            target->isSyncSet = false;
-            syncSoon(*target, absl::ZeroDuration());
-        }
-    };
+    const auto durable
+        = [this, open, id = worker.listed.life.id, generation = worker.generation, through = worker.processedThrough] {
+              if (--*open > 0)
+                  return;
+              CellWorker* target = findWorker(id);
+              if (!target || target->generation != generation)
+                  return;
+              target->noteDurable(through);
+              if (target->pendingAcks.empty() && !target->isSyncing) {
+                  target->isSyncSet = false;
+                  syncSoon(*target, absl::ZeroDuration());
+              }
+          };
     for (const std::string& id : changed) {
         if (CellJob* job = findJob(id))
             storeRuns(*job, guarded(durable));
@@ -343,8 +341,8 @@
     ++worker.restCount;
     worker.restUntil = std::max(worker.restUntil, now + length);
     worker.failedJobs.clear();
-    m_parts.log.write("worker-rests", "worker", worker.listed.life.id, "why", why, "ms",
-        absl::ToInt64Milliseconds(length));
+    m_parts.log.write(
+        "worker-rests", "worker", worker.listed.life.id, "why", why, "ms", absl::ToInt64Milliseconds(length));
     m_parts.timers.after(length, guarded([this] { placeSoon(); }));
 }
 
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -115,15 +115,15 @@
         return false;
     ++m_inFlight;
     m_parts.metrics.count("cicada_store_transactions");
-    m_parts.store.transact(
-        std::move(transaction), [this, alive = m_alive, batch = std::move(batch)](TransactionReply reply) mutable {
+    m_parts.store.transact(std::move(transaction),
+        [this, alive = m_alive, batch = std::move(batch)](const TransactionReply& reply) mutable {
             if (*alive)
-                handle(std::move(batch), std::move(reply));
+                handle(std::move(batch), reply);
         });
     return true;
 }
 
-void DurableWriter::handle(Batch batch, TransactionReply reply)
+void DurableWriter::handle(Batch batch, const TransactionReply& reply)
 {
     --m_inFlight;
     for (const std::string& name : batch.keys)
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -65,7 +65,7 @@
 
     void pump();
     bool send();
-    void handle(Batch batch, TransactionReply reply);
+    void handle(Batch batch, const TransactionReply& reply);
     void applied(Batch& batch, uint64_t revision);
     bool learnRevisions(const Batch& batch, const TransactionReply& reply);
     void again(Batch& batch);
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -61,13 +61,12 @@
 JobGateway::JobGateway(Parts parts)
     : m_parts(std::move(parts))
 {
-    m_parts.peers.handle(askService,
-        [this](absl::string_view from, absl::string_view bytes) { handleAsk(std::string(from), bytes); });
+    m_parts.peers.handle(
+        askService, [this](absl::string_view from, absl::string_view bytes) { handleAsk(std::string(from), bytes); });
     m_parts.peers.handle(replyService, [this](absl::string_view, absl::string_view bytes) { handleReply(bytes); });
 }
 
-void JobGateway::submit(
-    const Submission& spec, const QueuePolicy& policy, absl::Duration timeout, Callback callback)
+void JobGateway::submit(const Submission& spec, const QueuePolicy& policy, absl::Duration timeout, Callback callback)
 {
     Request request;
     request.verb = GatewayVerb::Submit;
@@ -223,9 +222,8 @@
     m_parts.metrics.observe("cicada_gateway_ms", took);
     const bool isRoutine = reply.status == GatewayStatus::Found || reply.status == GatewayStatus::Counted;
     if (!isRoutine)
-        m_parts.log.write("request-answered", "subject", request.subject, "verb",
-            static_cast<uint32_t>(request.verb), "status", gatewayStatusName(reply.status), "owner", request.sentTo,
-            "tookMs", static_cast<int64_t>(took));
+        m_parts.log.write("request-answered", "subject", request.subject, "verb", static_cast<uint32_t>(request.verb),
+            "status", gatewayStatusName(reply.status), "owner", request.sentTo, "tookMs", static_cast<int64_t>(took));
     request.callback(reply);
 }
 
@@ -283,8 +281,8 @@
     }
     serve(static_cast<GatewayVerb>(verb), cell, body, [this, from, number](GatewayReply reply, bool isOwner) {
         m_parts.peers.send(from, replyService,
-            Internal::packFields(number, isOwner, static_cast<uint32_t>(reply.status),
-                static_cast<uint32_t>(reply.phase), reply.count));
+            Internal::packFields(
+                number, isOwner, static_cast<uint32_t>(reply.status), static_cast<uint32_t>(reply.phase), reply.count));
     });
 }
 
--- a/src/LinkedPeers.cpp
+++ b/src/LinkedPeers.cpp
@@ -107,8 +107,8 @@
 
     void read(const LinkPtr& link)
     {
-        link->socket.async_read_some(boost::asio::buffer(link->input),
-            [state = shared_from_this(), link](error_code error, size_t size) {
+        link->socket.async_read_some(
+            boost::asio::buffer(link->input), [state = shared_from_this(), link](error_code error, size_t size) {
                 if (state->isStopped || !link->isOpen)
                     return;
                 if (error)
@@ -349,8 +349,8 @@
         const auto address = resolve(item.address.substr(0, colon), static_cast<uint16_t>(port));
         if (!peer.address || peer.address != address) {
             peer.address = address;
-            peer.dialAt = m_state->now()
-                + (item.isEager || m_state->self < item.name ? absl::ZeroDuration() : politeDelay);
+            peer.dialAt
+                = m_state->now() + (item.isEager || m_state->self < item.name ? absl::ZeroDuration() : politeDelay);
         }
         peer.isWanted = true;
         peer.region = item.region;
--- a/src/PrefixMirror.cpp
+++ b/src/PrefixMirror.cpp
@@ -34,7 +34,7 @@
 
 void PrefixMirror::stop() { *m_alive = false; }
 
-void PrefixMirror::list(std::string afterKey)
+void PrefixMirror::list(const std::string& afterKey)
 {
     if (afterKey.empty()) {
         m_listed.clear();
@@ -48,7 +48,8 @@
     noteContact(page.isValid);
     if (!page.isValid)
         return retry([this] { list(""); });
-    // Pages are no snapshot: watching from the first page's revision repeats what later pages showed, and loses nothing.
+    // Pages are no snapshot: watching from the first page's revision repeats what later pages showed, and loses
+    // nothing.
     if (m_listRevision == 0)
         m_listRevision = page.storeRevision;
     std::string last;
@@ -96,10 +97,7 @@
     m_onChange(key, &kept);
 }
 
-void PrefixMirror::watch()
-{
-    m_store.awaitChange(m_prefix, m_revision, m_wait, guarded(&PrefixMirror::handleWatch));
-}
+void PrefixMirror::watch() { m_store.awaitChange(m_prefix, m_revision, m_wait, guarded(&PrefixMirror::handleWatch)); }
 
 void PrefixMirror::handleWatch(WatchReply reply)
 {
--- a/src/PrefixMirror.h
+++ b/src/PrefixMirror.h
@@ -26,8 +26,8 @@
 
     /** What is referred to must outlive the mirror. `wait` bounds one watch, and so how long a silent connection is
      * believed. */
-    PrefixMirror(TransactionalStore& store, TimerQueue& timers, EventLog& log, std::string prefix,
-        absl::Duration wait, OnChange onChange, OnSynced onSynced);
+    PrefixMirror(TransactionalStore& store, TimerQueue& timers, EventLog& log, std::string prefix, absl::Duration wait,
+        OnChange onChange, OnSynced onSynced);
     ~PrefixMirror();
 
     void start();
@@ -40,7 +40,7 @@
     const absl::btree_map<std::string, StoreEntry>& entries() const { return m_entries; }
 
 private:
-    void list(std::string afterKey);
+    void list(const std::string& afterKey);
     void handlePage(StorePage page);
     void finishListing();
     void watch();
--- a/src/TransactionalStore.h
+++ b/src/TransactionalStore.h
@@ -95,12 +95,11 @@
     virtual ~TransactionalStore() = default;
     virtual void transact(Transaction, absl::AnyInvocable<void(TransactionReply)>) = 0;
     /** Lists keys below `prefix` that come after `afterKey`, a page at a time. */
-    virtual void listPage(const std::string& prefix, const std::string& afterKey,
-        absl::AnyInvocable<void(StorePage)>)
+    virtual void listPage(const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void(StorePage)>)
         = 0;
     /** Answers when a key below `prefix` has changed after `revision`, or when `wait` has passed. */
-    virtual void awaitChange(const std::string& prefix, uint64_t revision, absl::Duration wait,
-        absl::AnyInvocable<void(WatchReply)>)
+    virtual void awaitChange(
+        const std::string& prefix, uint64_t revision, absl::Duration wait, absl::AnyInvocable<void(WatchReply)>)
         = 0;
     virtual void grantLease(absl::Duration ttl, absl::AnyInvocable<void(LeaseReply)>) = 0;
     virtual void keepLease(uint64_t lease, absl::AnyInvocable<void(LeaseStatus)>) = 0;
--- a/src/WorkerOrders.h
+++ b/src/WorkerOrders.h
@@ -141,8 +141,8 @@
 public:
     virtual ~WorkerRoster() = default;
     /** Calls back with each worker that is new or changed, and with an id and null for one that has gone. */
-    virtual void watch(std::function<void(const std::string& id, const ListedWorker*)> onChange,
-        std::function<void()> onSynced)
+    virtual void watch(
+        std::function<void(const std::string& id, const ListedWorker*)> onChange, std::function<void()> onSynced)
         = 0;
     virtual void unwatch() = 0;
 };
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -116,6 +116,7 @@
     {
         return std::tie(a.job, a.occurrence, a.step, a.index) < std::tie(b.job, b.occurrence, b.step, b.index);
     }
+    // NOLINTNEXTLINE(readability-identifier-naming): Abseil looks for this name.
     template <typename H> friend H AbslHashValue(H h, const TaskName& name)
     {
         return H::combine(std::move(h), name.job, name.occurrence, name.step, name.index);
@@ -128,6 +129,7 @@
     uint32_t run = 0;
 
     friend bool operator==(const TaskRun& a, const TaskRun& b) { return a.run == b.run && a.task == b.task; }
+    // NOLINTNEXTLINE(readability-identifier-naming): Abseil looks for this name.
     template <typename H> friend H AbslHashValue(H h, const TaskRun& run)
     {
         return H::combine(std::move(h), run.task, run.run);
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -13,7 +13,10 @@
 {
     CellWorld world { 3, 8, 1 };
 
-    void setup() override { CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5))); }
+    void setup() override
+    {
+        CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+    }
     void teardown() override { STRCMP_EQUAL("", world.report().c_str()); }
 
     bool ends(const std::string& job, JobPhase phase, absl::Duration limit = absl::Seconds(20))
@@ -87,10 +90,7 @@
         CHECK(worker.runs.empty());
 }
 
-TEST(Cell, anUnknownJobIsSaidNotToExist)
-{
-    CHECK(!world.ask(0, "nobody").has_value());
-}
+TEST(Cell, anUnknownJobIsSaidNotToExist) { CHECK(!world.ask(0, "nobody").has_value()); }
 
 TEST(Cell, aTaskThatAlwaysFailsFailsItsJobAfterItsAttempts)
 {
--- /dev/null
+++ b/test/correctness/DurableWriterTest.cpp
@@ -0,0 +1,146 @@
+/** \file
+ * Group writes whose replies are lost, late or refused.
+ */
+
+#include "DurableWriter.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+
+namespace {
+
+/** Keeps the transactions until the test answers them. */
+class HeldStore final : public TransactionalStore {
+public:
+    void transact(Transaction transaction, absl::AnyInvocable<void(TransactionReply)> callback) override
+    {
+        sent.push_back(std::move(transaction));
+        callbacks.push_back(std::move(callback));
+    }
+    void listPage(const std::string&, const std::string&, absl::AnyInvocable<void(StorePage)>) override { }
+    void awaitChange(const std::string&, uint64_t, absl::Duration, absl::AnyInvocable<void(WatchReply)>) override { }
+    void grantLease(absl::Duration, absl::AnyInvocable<void(LeaseReply)>) override { }
+    void keepLease(uint64_t, absl::AnyInvocable<void(LeaseStatus)>) override { }
+    void endLease(uint64_t) override { }
+
+    std::vector<Transaction> sent;
+    std::vector<absl::AnyInvocable<void(TransactionReply)>> callbacks;
+};
+
+} // namespace
+
+TEST_GROUP(DurableWriting)
+{
+    ManualClock clock;
+    TimerQueue timers { clock };
+    EventLog log { "test", -1 };
+    Metrics metrics;
+    HeldStore store;
+    std::string value = "v1";
+    int done = 0;
+    bool isLost = false;
+    DurableWriter writer { { store, timers, log, metrics,
+                               [this](const std::string&) { return std::optional<std::string>(value); },
+                               [this] { isLost = true; } },
+        { "row", 5 } };
+
+    void pass(absl::Duration duration)
+    {
+        const Instant until = clock.now() + duration;
+        while (timers.nextDue() && *timers.nextDue() <= until) {
+            if (*timers.nextDue() > clock.now())
+                clock.advance(*timers.nextDue() - clock.now());
+            timers.runDue();
+        }
+        clock.advance(until - clock.now());
+    }
+    void write(const std::string& key)
+    {
+        writer.write(key, [this] { ++done; });
+        pass(absl::Milliseconds(30));
+    }
+    void answer(TransactionStatus status, uint64_t revision = 0, std::vector<StoreEntry> current = {})
+    {
+        TransactionReply reply;
+        reply.status = status;
+        reply.revision = revision;
+        reply.current = std::move(current);
+        auto callback = std::move(store.callbacks.back());
+        store.callbacks.pop_back();
+        callback(std::move(reply));
+        pass(absl::Milliseconds(600));
+    }
+};
+
+TEST(DurableWriting, eachWriteNamesTheRowAndTheRevisionThatItReplaces)
+{
+    write("a");
+    LONGS_EQUAL(1, store.sent.size());
+    LONGS_EQUAL(2, store.sent[0].conditions.size());
+    STRCMP_EQUAL("row", store.sent[0].conditions[0].key.c_str());
+    LONGS_EQUAL(5, store.sent[0].conditions[0].revision);
+    LONGS_EQUAL(0, store.sent[0].conditions[1].revision);
+    LONGS_EQUAL(0, done);
+    answer(TransactionStatus::Applied, 9);
+    LONGS_EQUAL(1, done);
+    write("a");
+    LONGS_EQUAL(9, store.sent[1].conditions[1].revision);
+}
+
+TEST(DurableWriting, aLostReplyIsSettledByTheRevision)
+{
+    write("a");
+    answer(TransactionStatus::Unknown);
+    LONGS_EQUAL(0, done);
+    LONGS_EQUAL(2, store.sent.size());
+    // The first attempt took effect after all.
+    answer(TransactionStatus::ConditionFailed, 0, { { "row", "", 5 }, { "a", "v1", 8 } });
+    LONGS_EQUAL(0, done);
+    LONGS_EQUAL(3, store.sent.size());
+    LONGS_EQUAL(8, store.sent[2].conditions[1].revision);
+    answer(TransactionStatus::Applied, 11);
+    LONGS_EQUAL(1, done);
+}
+
+TEST(DurableWriting, theNewestValueIsWrittenAgain)
+{
+    write("a");
+    value = "v2";
+    answer(TransactionStatus::NotApplied);
+    STRCMP_EQUAL("v2", store.sent[1].writes[0].value.c_str());
+}
+
+TEST(DurableWriting, aChangedRowEndsTheWriting)
+{
+    write("a");
+    answer(TransactionStatus::ConditionFailed, 0, { { "row", "", 6 } });
+    CHECK(isLost);
+    LONGS_EQUAL(0, done);
+    write("b");
+    LONGS_EQUAL(1, store.sent.size());
+}
+
+TEST(DurableWriting, manyKeysGoInGroupsThatTheStoreTakes)
+{
+    for (int i = 0; i < 40; ++i)
+        writer.write(absl::StrCat("k", i), [this] { ++done; });
+    pass(absl::Milliseconds(30));
+    CHECK(store.sent.size() >= 3);
+    for (const Transaction& transaction : store.sent)
+        CHECK(transaction.conditions.size() + transaction.writes.size() <= maxTransactionEntries);
+}
+
+TEST(DurableWriting, whatWaitsForAFailedGroupWaitsForAllOfIt)
+{
+    writer.write("a", [this] { ++done; });
+    writer.write("b", [this] { ++done; });
+    pass(absl::Milliseconds(30));
+    LONGS_EQUAL(1, store.sent.size());
+    answer(TransactionStatus::Unknown);
+    LONGS_EQUAL(0, done);
+    answer(TransactionStatus::Applied, 20);
+    LONGS_EQUAL(2, done);
+}
--- /dev/null
+++ b/test/error/CellRecordTest.cpp
@@ -0,0 +1,86 @@
+/** \file
+ * Stored records that another writer put there, or that are cut short.
+ */
+
+#include "CellJob.h"
+
+#include "CppUTest/TestHarness.h"
+
+#include <random>
+
+using namespace cicada;
+
+namespace {
+
+std::unique_ptr<CellJob> sample()
+{
+    Submission spec;
+    spec.id = "0123456789abcdef";
+    spec.payload = "work";
+    StepSpec step;
+    step.taskCount = 3;
+    step.estimate = absl::Seconds(1);
+    spec.steps = { step, step };
+    spec.steps[1].after = { 0 };
+    QueuePolicy policy;
+    policy.queue = "q";
+    return makeCellJob(std::move(spec), std::move(policy), 12345);
+}
+
+} // namespace
+
+TEST_GROUP(CellRecords) {};
+
+TEST(CellRecords, aJobComesBackAsItWas)
+{
+    auto job = sample();
+    CellStep& step = job->step({ 0, 0 });
+    step.tasks[0].stage = TaskStage::Finished;
+    step.tasks[0].run = 2;
+    step.finished = 1;
+    step.tasks[1].stage = TaskStage::Running;
+    step.tasks[1].run = 4;
+    step.tasks[1].worker = "w";
+    step.tasks[1].failures = 1;
+    step.tasks[1].checkpoint = "c";
+    step.lastFailedRun = 3;
+    auto read = decodeJobRecord("0123456789abcdef", encodeJobRecord(*job));
+    CHECK(read.has_value());
+    CHECK(applyRunRecord(*read.value(), encodeRunRecord(*job)).has_value());
+    const CellStep& again = read.value()->step({ 0, 0 });
+    LONGS_EQUAL(1, again.finished);
+    CHECK(again.tasks[0].stage == TaskStage::Finished);
+    // A next owner must not count another member's failure in the same run.
+    LONGS_EQUAL(3, again.lastFailedRun);
+    // A run that may be out is taken as started until its worker was heard.
+    CHECK(again.tasks[1].stage == TaskStage::Starting);
+    LONGS_EQUAL(4, again.tasks[1].run);
+    STRCMP_EQUAL("w", again.tasks[1].worker.c_str());
+    LONGS_EQUAL(1, again.tasks[1].failures);
+    STRCMP_EQUAL("c", again.tasks[1].checkpoint.c_str());
+    CHECK(again.tasks[2].stage == TaskStage::Waiting);
+}
+
+TEST(CellRecords, aRecordUnderAnotherIdIsNotTaken)
+{
+    CHECK(!decodeJobRecord("ffffffffffffffff", encodeJobRecord(*sample())).has_value());
+}
+
+TEST(CellRecords, arbitraryBytesAreRefused)
+{
+    std::mt19937_64 random(7);
+    const std::string job = encodeJobRecord(*sample());
+    const std::string run = encodeRunRecord(*sample());
+    for (int round = 0; round < 3000; ++round) {
+        std::string text = round % 2 ? job : run;
+        if (random() % 2)
+            text.resize(random() % text.size());
+        else
+            text[random() % text.size()] = static_cast<char>(random());
+        int64_t ended = 0;
+        decodeJobRecord("0123456789abcdef", text).has_value();
+        auto target = sample();
+        applyRunRecord(*target, text).has_value();
+        endedPhaseOf(text, ended).has_value();
+    }
+}
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -25,7 +25,10 @@
     CellWorld world { 4, 12, 7 };
     int jobs = 0;
 
-    void setup() override { CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5))); }
+    void setup() override
+    {
+        CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+    }
     void teardown() override { STRCMP_EQUAL("", world.report().c_str()); }
 
     size_t owner() { return world.owner().value(); }
@@ -283,7 +286,8 @@
         break;
     case 2:
     case 3: {
-        const StoreMood moods[] = { StoreMood::Silent, StoreMood::Busy, StoreMood::LosesReplies, StoreMood::WritesLate };
+        const StoreMood moods[]
+            = { StoreMood::Silent, StoreMood::Busy, StoreMood::LosesReplies, StoreMood::WritesLate };
         const StoreMood mood = moods[random() % 4];
         const bool forAll = random() % 3 == 0;
         for (size_t i = 0; i < world.entryCount(); ++i) {
@@ -356,7 +360,8 @@
             worker.lateShare = 0;
         }
         random.run(absl::Seconds(20));
-        const bool ended = random.runUntil([&] { return random.allEnded(random.owner().value_or(0)); }, absl::Seconds(60));
+        const bool ended
+            = random.runUntil([&] { return random.allEnded(random.owner().value_or(0)); }, absl::Seconds(60));
         const std::string report = absl::StrCat("seed ", seed, ": ", ended ? "" : "not all ended; ", random.report());
         STRCMP_EQUAL(absl::StrCat("seed ", seed, ": ").c_str(), report.c_str());
     }
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -151,11 +151,11 @@
         TransactionReply refused;
         refused.status = TransactionStatus::NotApplied;
         call<TransactionReply>(
-            [this, transaction = std::move(transaction)] { return m_world.m_store.transact(transaction); }, refused,
-            {}, std::move(callback), true);
+            [this, transaction = std::move(transaction)] { return m_world.m_store.transact(transaction); }, refused, {},
+            std::move(callback), true);
     }
-    void listPage(const std::string& prefix, const std::string& afterKey,
-        absl::AnyInvocable<void(StorePage)> callback) override
+    void listPage(
+        const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void(StorePage)> callback) override
     {
         call<StorePage>([this, prefix, afterKey] { return m_world.m_store.list(prefix, afterKey); }, {}, {},
             std::move(callback), false);
@@ -164,13 +164,15 @@
         absl::AnyInvocable<void(WatchReply)> callback) override;
     void grantLease(absl::Duration ttl, absl::AnyInvocable<void(LeaseReply)> callback) override
     {
-        call<LeaseReply>([this, ttl] { return LeaseReply { LeaseStatus::Ok, m_world.m_store.grant(ttl) }; }, {}, {},
-            std::move(callback), false);
+        call<LeaseReply>(
+            [this, ttl] {
+                return LeaseReply { LeaseStatus::Ok, m_world.m_store.grant(ttl) };
+            },
+            {}, {}, std::move(callback), false);
     }
     void keepLease(uint64_t lease, absl::AnyInvocable<void(LeaseStatus)> callback) override
     {
-        call<LeaseStatus>(
-            [this, lease] { return m_world.m_store.keep(lease) ? LeaseStatus::Ok : LeaseStatus::Ended; },
+        call<LeaseStatus>([this, lease] { return m_world.m_store.keep(lease) ? LeaseStatus::Ok : LeaseStatus::Ended; },
             LeaseStatus::Failed, LeaseStatus::Failed, std::move(callback), false);
     }
     void endLease(uint64_t lease) override
@@ -202,8 +204,8 @@
         send<OrderReply>(
             life, [this, order](WorldWorker& worker) { return m_world.startAt(worker, order); }, std::move(callback));
     }
-    void stop(const WorkerLife& life, TaskRun run, uint64_t token,
-        absl::AnyInvocable<void(OrderReply)> callback) override
+    void stop(
+        const WorkerLife& life, TaskRun run, uint64_t token, absl::AnyInvocable<void(OrderReply)> callback) override
     {
         send<OrderReply>(
             life, [this, run, token](WorldWorker& worker) { return m_world.stopAt(worker, run, token); },
@@ -213,8 +215,8 @@
 
 private:
     template <typename Reply>
-    void send(const WorkerLife& life, std::function<Reply(WorldWorker&)> effect,
-        absl::AnyInvocable<void(Reply)> callback);
+    void send(
+        const WorkerLife& life, std::function<Reply(WorldWorker&)> effect, absl::AnyInvocable<void(Reply)> callback);
 
     CellWorld& m_world;
     WorldEntry& m_entry;
@@ -355,8 +357,8 @@
 }
 
 template <typename Reply>
-void CellWorld::Door::call(std::function<Reply()> effect, Reply refused, Reply lost,
-    absl::AnyInvocable<void(Reply)> callback, bool isWrite)
+void CellWorld::Door::call(
+    std::function<Reply()> effect, Reply refused, Reply lost, absl::AnyInvocable<void(Reply)> callback, bool isWrite)
 {
     if (mood == StoreMood::Busy)
         return answer(callDelay, std::move(refused), std::move(callback));
@@ -379,8 +381,8 @@
     });
 }
 
-void CellWorld::Door::awaitChange(const std::string& prefix, uint64_t revision, absl::Duration wait,
-    absl::AnyInvocable<void(WatchReply)> callback)
+void CellWorld::Door::awaitChange(
+    const std::string& prefix, uint64_t revision, absl::Duration wait, absl::AnyInvocable<void(WatchReply)> callback)
 {
     pollWatch(prefix, revision, m_world.now() + wait, std::move(callback));
 }
@@ -439,8 +441,7 @@
     });
 }
 
-void CellWorld::Orders::sync(
-    const WorkerLife& life, SyncOrder order, absl::AnyInvocable<void(SyncReply)> callback)
+void CellWorld::Orders::sync(const WorkerLife& life, SyncOrder order, absl::AnyInvocable<void(SyncReply)> callback)
 {
     auto shared = std::make_shared<absl::AnyInvocable<void(SyncReply)>>(std::move(callback));
     const absl::Duration delay = m_world.delay();
@@ -499,8 +500,8 @@
         if (isAsked && (i + draw) % 3 != 0)
             answer.tickets.push_back({ worker, "ticket" });
     }
-    m_entry.timers.after(absl::Milliseconds(15),
-        [answer, callback = std::move(callback)]() mutable { callback(std::move(answer)); });
+    m_entry.timers.after(
+        absl::Milliseconds(15), [answer, callback = std::move(callback)]() mutable { callback(std::move(answer)); });
 }
 
 bool CellWorld::Links::send(absl::string_view peer, absl::string_view service, std::string bytes)
@@ -511,9 +512,8 @@
         [this, to = std::string(peer), from = m_entry.name, service = std::string(service), bytes = std::move(bytes)] {
             for (auto& entry : m_world.m_entries) {
                 if (entry && entry->name == to && entry->isAlive && !entry->isCut && !m_entry.isCut)
-                    entry->timers.after(absl::ZeroDuration(), [target = entry.get(), from, service, bytes] {
-                        target->links.deliver(from, service, bytes);
-                    });
+                    entry->timers.after(absl::ZeroDuration(),
+                        [target = entry.get(), from, service, bytes] { target->links.deliver(from, service, bytes); });
             }
         });
     return true;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -212,7 +212,7 @@
 };
 
 /** A job of one step. */
-Submission makeJob(const std::string& id, uint32_t tasks, int64_t cpuMillis = 1000,
-    absl::Duration estimate = absl::Milliseconds(600));
+Submission makeJob(
+    const std::string& id, uint32_t tasks, int64_t cpuMillis = 1000, absl::Duration estimate = absl::Milliseconds(600));
 
 } // namespace cicada::test
