--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -12,8 +12,13 @@
 
     /** Lines are collected for this long before they are written, which saves wake-ups. */
     constexpr absl::Duration collectFor = absl::Milliseconds(100);
+    /** With more lines than this in the ring, nothing is gained by waiting for others. */
+    constexpr size_t fewQueuedLines = 100;
     constexpr absl::Duration idleWait = absl::Seconds(60);
-    constexpr size_t writeChunkBytes = 1 << 20;
+    /** A reader that takes nothing for this long loses lines. */
+    constexpr absl::Duration writeWait = absl::Milliseconds(20);
+    constexpr int maxWriteWaits = 100;
+    constexpr size_t writeChunkBytes = 32 << 10;
 
     bool needsQuotes(absl::string_view value)
     {
@@ -76,7 +81,7 @@
             continue;
         }
         std::string text = std::move(*first);
-        if (!m_ring.closed())
+        if (!m_ring.closed() && m_ring.size() < fewQueuedLines)
             absl::SleepFor(collectFor);
         while (text.size() < writeChunkBytes) {
             auto next = m_ring.pop(absl::ZeroDuration());
@@ -94,10 +99,15 @@
 
 void EventLog::writeAll(absl::string_view text) const
 {
+    int waits = 0;
     while (!text.empty()) {
         const ssize_t written = ::write(m_fd, text.data(), text.size());
         if (written < 0 && errno == EINTR)
             continue;
+        if (written < 0 && errno == EAGAIN && ++waits < maxWriteWaits) {
+            absl::SleepFor(writeWait);
+            continue;
+        }
         if (written <= 0)
             return;
         text.remove_prefix(static_cast<size_t>(written));
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -186,7 +186,8 @@
     void call(std::function<Reply()> effect, Reply refused, Reply lost, absl::AnyInvocable<void(Reply)> callback,
         bool isWrite);
     template <typename Reply> void answer(absl::Duration delay, Reply reply, absl::AnyInvocable<void(Reply)> callback);
-    void pollWatch(std::string prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback);
+    void pollWatch(
+        const std::string& prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback);
 
     CellWorld& m_world;
     WorldEntry& m_entry;
@@ -330,7 +331,7 @@
                   roster = made.get();
                   return made;
               },
-              [&world](std::function<void(std::optional<size_t>)> done) { done(world.m_workers.size()); },
+              [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
               [&world](const std::string&) { return &world.m_policy; } })
     {
     }
@@ -388,7 +389,7 @@
 }
 
 void CellWorld::Door::pollWatch(
-    std::string prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback)
+    const std::string& prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback)
 {
     constexpr absl::Duration pollInterval = absl::Milliseconds(10);
     if (mood != StoreMood::Well)
@@ -715,7 +716,7 @@
     m_timers.after(absl::Milliseconds(3000), [this, entry, job] { retrySubmit(entry, job); });
 }
 
-void CellWorld::retrySubmit(size_t entry, Submission job)
+void CellWorld::retrySubmit(size_t entry, const Submission& job)
 {
     const auto& answers = m_answers[job.id];
     const bool isOpen = answers.empty() || answers.back() == GatewayStatus::Unknown;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -177,7 +177,7 @@
         size_t mostOnOne = 0;
     };
 
-    void retrySubmit(size_t entry, Submission job);
+    void retrySubmit(size_t entry, const Submission& job);
     void violate(const std::string& what);
     int64_t clockOf(const WorldWorker&) const;
     OrderReply startAt(WorldWorker&, const StartOrder&);
