--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -264,8 +264,9 @@
         if (step.lastFailedRun == task.run)
             return;
         step.lastFailedRun = task.run;
+        const uint32_t failures = task.failures + 1;
         for (CellTask& member : step.tasks)
-            member.failures = task.failures + 1;
+            member.failures = failures;
     } else {
         ++task.failures;
     }
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -101,6 +101,17 @@
     LONGS_EQUAL(3, world.startsOf("a"));
 }
 
+TEST(Cell, aGangThatAlwaysFailsFailsItsJobAfterItsAttempts)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.fails = true;
+    Submission gang = makeJob("gang", 4);
+    gang.steps[0].isGang = true;
+    world.submit(0, gang);
+    CHECK(ends("gang", JobPhase::Failed));
+    LONGS_EQUAL(3 * 4, world.startsOf("gang"));
+}
+
 TEST(Cell, occurrencesStartWhenTheyAreDue)
 {
     Submission job = makeJob("a", 1);
