--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -101,15 +101,30 @@
     LONGS_EQUAL(3, world.startsOf("a"));
 }
 
-TEST(Cell, aGangThatAlwaysFailsFailsItsJobAfterItsAttempts)
+TEST(Cell, aGangFailsOnceARunWhicheverMemberFails)
 {
-    for (WorldWorker& worker : world.workers())
-        worker.fails = true;
-    Submission gang = makeJob("gang", 4);
+    Submission gang = makeJob("gang", 8, 2000, absl::Milliseconds(600));
     gang.steps[0].isGang = true;
     world.submit(0, gang);
-    CHECK(ends("gang", JobPhase::Failed));
-    LONGS_EQUAL(3 * 4, world.startsOf("gang"));
+    // The first run fails at its first member, the second at its last.
+    for (const uint32_t member : { 0u, 7u }) {
+        const uint32_t run = member == 0 ? 1 : 2;
+        const TaskRun failing { { "gang", 0, 0, member }, run };
+        const auto workerOf = [&]() -> WorldWorker* {
+            for (WorldWorker& worker : world.workers()) {
+                if (worker.runs.contains(failing))
+                    return &worker;
+            }
+            return nullptr;
+        };
+        CHECK(world.runUntil([&] { return workerOf() != nullptr; }, absl::Seconds(10)));
+        WorldWorker* worker = workerOf();
+        worker->fails = true;
+        CHECK(world.runUntil([&] { return workerOf() == nullptr; }, absl::Seconds(10)));
+        worker->fails = false;
+    }
+    CHECK(ends("gang", JobPhase::Finished));
+    LONGS_EQUAL(3 * 8, world.startsOf("gang"));
 }
 
 TEST(Cell, occurrencesStartWhenTheyAreDue)
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -878,9 +878,31 @@
     const auto found = worker.runs.find(run);
     if (found == worker.runs.end() || found->second.serial != serial)
         return;
+    if (found->second.isGang)
+        return endGang(run);
     endRun(worker, run, worker.fails ? RunEnding::Failed : RunEnding::Finished);
 }
 
+void CellWorld::endGang(const TaskRun& first)
+{
+    std::vector<std::pair<size_t, TaskRun>> members;
+    bool fails = false;
+    for (size_t i = 0; i < m_workers.size(); ++i) {
+        for (const auto& [run, state] : m_workers[i].runs) {
+            const bool isMember = run.task.job == first.task.job && run.task.occurrence == first.task.occurrence
+                && run.task.step == first.task.step && run.run == first.run;
+            if (!isMember)
+                continue;
+            members.emplace_back(i, run);
+            fails = fails || m_workers[i].fails;
+        }
+    }
+    for (const auto& [index, run] : members) {
+        WorldWorker& worker = m_workers[index];
+        endRun(worker, run, worker.fails ? RunEnding::Failed : fails ? RunEnding::GangBroken : RunEnding::Finished);
+    }
+}
+
 void CellWorld::endRun(WorldWorker& worker, const TaskRun& run, RunEnding ending)
 {
     worker.runs.erase(run);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -185,6 +185,8 @@
     SyncReply listAt(WorldWorker&);
     void endRun(WorldWorker&, const TaskRun&, RunEnding);
     void runDone(size_t worker, const TaskRun&, uint64_t serial);
+    /** The members of a gang end together, well or not. */
+    void endGang(const TaskRun& first);
     void checkLease(size_t worker);
     void extendLease(size_t worker, int64_t end);
     void acknowledge(WorldWorker&, uint64_t through);
