--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -206,8 +206,6 @@
         m_accepting[id].push_back(std::move(reply));
         return;
     }
-    if (m_isRetiring)
-        return reply({ CellAnswer::NotOwner });
     auto job = makeCellJob(std::move(spec), std::move(policy), m_parts.timers.clock().wallMicros() / 1000);
     job->acceptedAt = m_parts.timers.clock().now();
     CellJob& kept = *(m_jobs[id] = std::move(job));
@@ -341,14 +339,6 @@
     m_parts.timers.after(forgetInterval, guarded([this] { forgetOldJobs(); }));
 }
 
-void Cell::retire(absl::AnyInvocable<void()> done)
-{
-    if (m_isRetiring)
-        return;
-    m_isRetiring = true;
-    m_writer.flush(std::move(done));
-}
-
 void Cell::deposed(const std::string& why)
 {
     if (m_isDeposed)
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -99,8 +99,6 @@
     void cancel(const std::string& id, Reply);
     /** Stored jobs of the queue of which no task has started. */
     size_t pending(const std::string& queue) const;
-    /** Starts nothing more, and calls back once all that is known is stored. */
-    void retire(absl::AnyInvocable<void()> done);
 
     size_t jobCount() const { return m_jobs.size(); }
     /** How long the oldest write has waited for the store. */
@@ -224,7 +222,6 @@
     const CellTerm m_term;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     bool m_isLoaded = false;
-    bool m_isRetiring = false;
     bool m_isDeposed = false;
     bool m_isPlaceSet = false;
     const Instant m_takenAt;
--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -379,7 +379,7 @@
     }
     const auto row = m_rows.find(cell);
     const bool isCurrent = row != m_rows.end() && row->second.revision == revision;
-    if (isCurrent && isFresh() && m_failedRenewals == 0 && !isIsolated() && !m_isLeaving)
+    if (isCurrent && isFresh() && m_failedRenewals == 0 && !isIsolated() && !m_isLeaving && !m_takesNoMore)
         claim(cell);
 }
 
@@ -508,7 +508,7 @@
     const bool isHealthy = m_isRecordStored && now - m_mirror.lastContact() < contactLimit && isFresh();
     const bool isFirst = row == m_rows.end();
     const bool isEarly = now - since < *delay || (isFirst && now - m_startedAt < firstClaimDelay);
-    if (isEarly || !isHealthy || isIsolated())
+    if (isEarly || !isHealthy || isIsolated() || m_takesNoMore)
         return;
     const auto sent = m_claimSentAt.find(cell);
     if (sent != m_claimSentAt.end() && now - sent->second < claimTimeout)
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -83,6 +83,8 @@
     void introduce(const std::string& peer);
     /** Says that this entry can't act for the cell under its row any more. */
     void drop(uint32_t cell);
+    /** Takes no cells any more. */
+    void takeNoMore() { m_takesNoMore = true; }
     /** Takes no cells any more and lets the entry's record go. */
     void leave();
 
@@ -152,6 +154,7 @@
     bool m_isRecordStored = false;
     bool m_isWriting = false;
     bool m_isLeaving = false;
+    bool m_takesNoMore = false;
     bool m_isConsiderSet = false;
     Instant m_startedAt = absl::ZeroDuration();
     Instant m_renewedAt = absl::ZeroDuration() - absl::Hours(1);
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -112,11 +112,9 @@
     std::vector<uint32_t> numbers;
     for (const auto& [number, owned] : m_cells)
         numbers.push_back(number);
-    for (const uint32_t number : numbers) {
-        m_cells[number].cell->retire([this, number, why] {
-            m_parts.timers.after(absl::ZeroDuration(), [this, number, why] { m_directory.resign(number, why); });
-        });
-    }
+    // What is not stored yet is told again by the workers or sent again by callers' entries.
+    for (const uint32_t number : numbers)
+        m_directory.resign(number, why);
 }
 
 } // namespace cicada
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -166,7 +166,7 @@
 
 void Cell::placeAll()
 {
-    if (m_isRetiring || m_isDeposed)
+    if (m_isDeposed)
         return;
     const Instant now = m_parts.timers.clock().now();
     const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -33,7 +33,7 @@
     if (!task || task->run != run.run || task->stage != TaskStage::Intending)
         return;
     CellWorker* worker = findWorker(task->worker);
-    const bool isWanted = !isEnded(job.phase) && !m_isRetiring && !m_isDeposed;
+    const bool isWanted = !isEnded(job.phase) && !m_isDeposed;
     if (!worker || !isWanted || !worker->isUsable(m_parts.timers.clock().now())) {
         if (worker)
             notStarted(run, *worker, OrderStatus::NotSent);
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -47,13 +47,6 @@
     });
 }
 
-void DurableWriter::flush(Done done)
-{
-    if (isIdle())
-        return done();
-    m_flushed.push_back(std::move(done));
-}
-
 absl::Duration DurableWriter::lag() const
 {
     if (m_waitingSince == absl::InfiniteDuration())
@@ -150,10 +143,6 @@
     }
     if (m_dirty.empty() && m_inFlight == 0) {
         m_waitingSince = absl::InfiniteDuration();
-        std::vector<Done> flushed = std::move(m_flushed);
-        m_flushed.clear();
-        for (Done& done : flushed)
-            done();
         return;
     }
     const absl::Duration backoff = std::min(maxRetryDelay, firstRetryDelay * std::min(8, 1 << std::min(m_failures, 3)));
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -44,9 +44,6 @@
     void write(const std::string& key, Done done);
     /** As write(), for what nobody waits for: it goes with a later group. */
     void writeLater(const std::string& key);
-    /** Calls `done` once everything that is written now is durable. */
-    void flush(Done done);
-    bool isIdle() const { return m_dirty.empty() && m_inFlight == 0; }
     /** How long the oldest unanswered write has waited. */
     absl::Duration lag() const;
 
@@ -76,7 +73,6 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     absl::btree_map<std::string, Key> m_keys;
     std::vector<std::string> m_dirty;
-    std::vector<Done> m_flushed;
     size_t m_inFlight = 0;
     bool m_isPumpSet = false;
     bool m_isLost = false;
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -236,6 +236,21 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, aPlannedStopHandsOverAtOnceWhileWorkGoesOn)
+{
+    constexpr absl::Duration handoverBound = absl::Milliseconds(500);
+    const size_t first = owner();
+    submitSome(25, other());
+    world.run(absl::Milliseconds(300));
+    world.stop(first);
+    CHECK(world.runUntil([&] { return world.owner().has_value() && owner() != first; }, handoverBound));
+    submitSome(5, first);
+    world.run(absl::Seconds(2));
+    CHECK(owner() != first);
+    world.kill(first);
+    expectAllEnd();
+}
+
 TEST(CellFailures, aGangThatLosesAMemberStartsAgainWhole)
 {
     Submission gang = makeJob("gang", 12, 1000, absl::Seconds(2));
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -632,6 +632,8 @@
     m_dead.push_back(std::move(m_entries[index]));
 }
 
+void CellWorld::stop(size_t index) { m_entries[index]->host.stop(); }
+
 void CellWorld::freeze(size_t index, absl::Duration duration) { m_entries[index]->frozenUntil = now() + duration; }
 
 void CellWorld::setStore(size_t index, StoreMood mood)
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -134,6 +134,8 @@
     // Faults.
     void kill(size_t entry);
     void start(size_t entry);
+    /** The owner is asked to stop: it lets its cells go and goes on answering. */
+    void stop(size_t entry);
     void freeze(size_t entry, absl::Duration);
     void setStore(size_t entry, StoreMood);
     /** Cuts an entry from the other entries, or heals that. */
