--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -712,7 +712,7 @@
     });
 }
 
-void CellWorld::submit(size_t entry, Submission job)
+void CellWorld::submit(size_t entry, const Submission& job)
 {
     submitOnce(entry, job);
     m_timers.after(absl::Milliseconds(3000), [this, entry, job] { retrySubmit(entry, job); });
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -120,7 +120,7 @@
 
     // Callers.
     /** Hands a job in at an entry, again after each answer that leaves it open, until it is accepted or refused. */
-    void submit(size_t entry, Submission job);
+    void submit(size_t entry, const Submission& job);
     /** Hands a job in once; the answer is kept in `answers`. */
     void submitOnce(size_t entry, Submission job);
     void cancel(size_t entry, const std::string& job);
