A job has begun when a worker says so; refused starts leave it pending

Ruled out: staleness of the answer (it comes from the owner). The fact is kept in the run record. Test: Cell jobsWhoseStartsAreRefusedStillWait.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -261,7 +261,7 @@
             return reply({ CellAnswer::Gone });
         if (isEnded(job->storedPhase))
             return reply({ CellAnswer::Found, job->storedPhase });
-        reply({ CellAnswer::Found, job->hasStarted() ? JobPhase::Running : JobPhase::Queued });
+        reply({ CellAnswer::Found, job->hasBegun ? JobPhase::Running : JobPhase::Queued });
     });
 }
 
@@ -311,8 +311,7 @@
     size_t count = 0;
     for (const auto& [id, job] : m_jobs) {
         const bool isOpen = job->phase == JobPhase::Queued || job->phase == JobPhase::Running;
-        if (isOpen && job->isStored && job->policy.queue == queue
-            && (job->phase == JobPhase::Queued || !job->hasStarted()))
+        if (isOpen && job->isStored && job->policy.queue == queue && !job->hasBegun)
             ++count;
     }
     return count;
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -163,21 +163,6 @@
     return true;
 }
 
-bool CellJob::hasStarted() const
-{
-    for (const auto& steps : occurrences) {
-        for (const CellStep& step : steps) {
-            for (const CellTask& task : step.tasks) {
-                if (task.stage != TaskStage::Waiting && task.stage != TaskStage::Intending)
-                    return true;
-                if (task.run > (task.stage == TaskStage::Intending ? 1u : 0u))
-                    return true;
-            }
-        }
-    }
-    return false;
-}
-
 absl::Duration CellJob::chainFrom(uint32_t from) const
 {
     // Steps wait for earlier ones only, so one pass from the back sees every chain.
@@ -271,7 +256,7 @@
             }
         }
     }
-    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks, gangs);
+    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks, gangs, job.hasBegun);
 }
 
 Result<void> applyRunRecord(CellJob& job, absl::string_view bytes)
@@ -279,7 +264,8 @@
     uint32_t phase = 0;
     std::vector<TaskFields> tasks;
     std::vector<GangFields> gangs;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks, gangs));
+    BOOST_OUTCOME_TRY(
+        Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks, gangs, job.hasBegun));
     if (phase > static_cast<uint32_t>(JobPhase::Cancelled))
         return malformed("run record");
     job.phase = static_cast<JobPhase>(phase);
@@ -306,7 +292,8 @@
     uint32_t phase = 0;
     std::vector<TaskFields> tasks;
     std::vector<GangFields> gangs;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(runRecord, "run record", phase, endedUnixMillis, tasks, gangs));
+    bool hasBegun = false;
+    BOOST_OUTCOME_TRY(Internal::unpackFields(runRecord, "run record", phase, endedUnixMillis, tasks, gangs, hasBegun));
     if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
         return malformed("run record");
     return static_cast<JobPhase>(phase);
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -107,6 +107,8 @@
     int64_t endedUnixMillis = 0;
     Instant acceptedAt = absl::ZeroDuration();
     JobPhase phase = JobPhase::Queued;
+    /** A worker has said that a task of the job is or was there. */
+    bool hasBegun = false;
     /** What is durable, and so may be told. */
     bool isStored = false;
     JobPhase storedPhase = JobPhase::Queued;
@@ -117,8 +119,6 @@
     /** The task, or null when the job has no such task. */
     CellTask* find(const TaskName&);
     bool allFinished() const;
-    /** Whether any task was ever started. */
-    bool hasStarted() const;
     /** The longest chain of estimates from `step` on, through the steps that wait for it. */
     absl::Duration chainFrom(uint32_t step) const;
     /** The longest chain of estimates of the whole job. */
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -78,6 +78,8 @@
         occupant->second.wasThere = true;
         CellJob* job = findJob(run.task.job);
         CellTask* task = job ? job->find(run.task) : nullptr;
+        if (job)
+            job->hasBegun = true;
         if (task && task->run == run.run && task->stage == TaskStage::Starting)
             task->stage = TaskStage::Running;
         if (!job || isEnded(job->phase) || occupant->second.isStopWanted)
@@ -229,6 +231,8 @@
     m_parts.metrics.count(absl::StrCat("cicada_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
+    if (job)
+        job->hasBegun = true;
     if (!task || isEnded(job->phase) || task->stage == TaskStage::Finished)
         return;
     if (ended.ending == RunEnding::Finished && !job->stepSpec({ name.occurrence, name.step }).isService) {
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -203,6 +203,7 @@
         occupant.isStopWanted = true;
         return;
     }
+    job->hasBegun = true;
     if (task->stage != TaskStage::Running) {
         task->stage = TaskStage::Running;
         if (task->startedAt == absl::ZeroDuration())
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -4,6 +4,8 @@
 
 #include "CellWorld.h"
 
+#include "absl/strings/str_cat.h"
+
 #include "CppUTest/TestHarness.h"
 
 using namespace cicada;
@@ -127,6 +129,23 @@
     LONGS_EQUAL(3 * 8, world.startsOf("gang"));
 }
 
+TEST(Cell, jobsWhoseStartsAreRefusedStillWait)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.refuses = true;
+    for (int i = 0; i < 3; ++i)
+        world.submit(0, makeJob(absl::StrCat("a", i), 2));
+    world.run(absl::Seconds(5));
+    LONGS_EQUAL(3, world.pending(1));
+    CHECK(world.ask(1, "a0") == JobPhase::Queued);
+    for (WorldWorker& worker : world.workers())
+        worker.refuses = false;
+    CHECK(ends("a0", JobPhase::Finished));
+    CHECK(ends("a1", JobPhase::Finished));
+    CHECK(ends("a2", JobPhase::Finished));
+    LONGS_EQUAL(0, world.pending(1));
+}
+
 TEST(Cell, occurrencesStartWhenTheyAreDue)
 {
     Submission job = makeJob("a", 1);
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -771,6 +771,15 @@
     return phase;
 }
 
+uint64_t CellWorld::pending(size_t entry)
+{
+    auto answer = std::make_shared<std::optional<GatewayReply>>();
+    m_entries[entry]->host.gateway().pending(
+        m_policy.queue, absl::Milliseconds(2500), [answer](GatewayReply reply) { *answer = reply; });
+    runUntil([answer] { return answer->has_value(); }, absl::Milliseconds(2600));
+    return *answer ? (*answer)->count : 0;
+}
+
 bool CellWorld::allEnded(size_t askAt)
 {
     for (const std::string& job : m_accepted) {
@@ -822,6 +831,10 @@
     worker.token = order.fencingToken;
     if (worker.runs.contains(run))
         return reply;
+    if (worker.refuses) {
+        reply.status = OrderStatus::Unhealthy;
+        return reply;
+    }
     if (order.leaseEndMillis <= clockOf(worker)) {
         reply.status = OrderStatus::TooLate;
         return reply;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -98,6 +98,8 @@
     bool isDraining = false;
     /** The share of orders that are carried out late and not answered. */
     double lateShare = 0;
+    /** Every start is refused. */
+    bool refuses = false;
     /** Every run fails. */
     bool fails = false;
 };
@@ -126,6 +128,8 @@
     void cancel(size_t entry, const std::string& job);
     /** The job's phase as an entry tells it; nothing when it does not know in time. */
     std::optional<JobPhase> ask(size_t entry, const std::string& job);
+    /** The queue's jobs that have not begun, as an entry tells it. */
+    uint64_t pending(size_t entry);
     std::vector<GatewayStatus> answersTo(const std::string& job) const;
     bool isAccepted(const std::string& job) const { return m_accepted.contains(job); }
     /** Whether every accepted job has been seen to end. */
