--- a/src/Cell.h
+++ b/src/Cell.h
@@ -27,12 +27,8 @@
 struct CellBounds {
     /** The longest lease that a worker grants. */
     absl::Duration maxLease = absl::Seconds(6);
-    /** A stop takes at most this long at a worker. */
-    absl::Duration stopGrace = absl::Milliseconds(400);
     /** How long the end of a job can be asked for. */
     absl::Duration endedRetention = absl::Seconds(120);
-    /** How much longer a task takes away from its data. */
-    double remoteFactor = 2;
 };
 
 /** The right to act for a cell. */
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -185,7 +185,7 @@
     if (now - occupant.stopSentAt < stopRetryDelay || m_isDeposed)
         return;
     occupant.stopSentAt = now;
-    m_parts.log.write("run-stop-ordered", "run", describeRun(run), "worker", worker.listed.life.id);
+    m_parts.log.write("stop-ordered", "run", describeRun(run), "worker", worker.listed.life.id);
     m_parts.orders.stop(worker.listed.life, run, m_term.token,
         guarded([this, run, id = worker.listed.life.id, generation = worker.generation](OrderReply reply) {
             CellWorker* target = findWorker(id);
--- a/test/error/AdapterTest.cpp
+++ b/test/error/AdapterTest.cpp
@@ -24,8 +24,8 @@
 constexpr const char* goodSettings = R"({"name":"e1","region":"r","failureDomain":"z","callers":"10.1.0.1:80",)"
                                      R"("readiness":"10.1.0.1:81","peers":"10.1.0.1:82","metrics":"10.1.0.1:83",)"
                                      R"("store":"10.2.0.1:80","processorShare":0.25,"processorSpeed":1,)"
-                                     R"("bounds":{"maxLeaseMs":6000,"stopGraceMs":400,"endedRetentionS":120,)"
-                                     R"("remoteFactor":3,"plannedStopS":6}})";
+                                     R"("bounds":{"maxLeaseMs":6000,"endedRetentionS":120,)"
+                                     R"("plannedStopS":6}})";
 
 std::string with(std::string text, const std::string& from, const std::string& to)
 {
--- a/test/failure/GridPath.sh
+++ b/test/failure/GridPath.sh
@@ -17,7 +17,7 @@
 {"name":"e$1","region":"r","failureDomain":"z","callers":"127.0.0.1:$p","readiness":"127.0.0.1:$((p + 1))",
 "peers":"127.0.0.1:$((p + 2))","metrics":"127.0.0.1:$((p + 3))","store":"127.0.0.1:$base","advisor":"127.0.0.1:$((base + 1))",
 "processorShare":0.25,"processorSpeed":1,
-"bounds":{"maxLeaseMs":6000,"stopGraceMs":400,"endedRetentionS":120,"remoteFactor":3,"plannedStopS":6}}
+"bounds":{"maxLeaseMs":6000,"endedRetentionS":120,"plannedStopS":6}}
 JSON
     "$build/cicada-node" --settings "$work/e$1.json" >> "$work/e$1.log" 2>&1 &
     entry[$1]=$!
