An end of a gang's member is acknowledged once what it says is stored

The owner lost power, the first member's worker crashed, and the next owner found no trace of the gang's end. Ruled out by reading: an acknowledgement of an earlier life (counts start anew), a write taken for applied (guard and revisions). Test: CellFailures theEndsOfAGangAreAcknowledgedOnceOneOfThemIsStored, seen to fail before.

With it a fault soak of cicada-node as processes (test/soak), and the stand-in of the platform split so that both use it.

--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -233,6 +233,9 @@
     CellTask* task = job ? job->find(name) : nullptr;
     if (job)
         job->hasBegun = true;
+    // What the end would have changed may be known already and not be stored: by the end of another member of a gang.
+    if (job && !m_writer.isDurable(runKey(name.job)))
+        changed.push_back(name.job);
     if (!task || isEnded(job->phase) || task->stage == TaskStage::Finished)
         return;
     if (ended.ending == RunEnding::Finished && !job->stepSpec({ name.occurrence, name.step }).isService) {
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -47,6 +47,12 @@
     });
 }
 
+bool DurableWriter::isDurable(const std::string& key) const
+{
+    const auto found = m_keys.find(key);
+    return found == m_keys.end() || (!found->second.isDirty && !found->second.isInFlight);
+}
+
 absl::Duration DurableWriter::lag() const
 {
     if (m_waitingSince == absl::InfiniteDuration())
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -44,6 +44,8 @@
     void write(const std::string& key, Done done);
     /** As write(), for what nobody waits for: it goes with a later group. */
     void writeLater(const std::string& key);
+    /** Whether the newest value of the key is stored. */
+    bool isDurable(const std::string& key) const;
     /** How long the oldest unanswered write has waited. */
     absl::Duration lag() const;
 
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -267,6 +267,30 @@
     CHECK(world.runUntil([&] { return world.ask(owner(), "gang") == JobPhase::Finished; }, absl::Seconds(20)));
 }
 
+TEST(CellFailures, theEndsOfAGangAreAcknowledgedOnceOneOfThemIsStored)
+{
+    Submission gang = makeJob("gang", 10, 2000, absl::Seconds(1));
+    gang.steps[0].isGang = true;
+    world.submit(other(), gang);
+    CHECK(world.runUntil([&] { return world.startsOf("gang") == 10; }, absl::Seconds(5)));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Silent);
+    world.run(absl::Seconds(2));
+    // The members have ended and the owner knows it; nothing of that is stored when all is lost that is not.
+    const size_t first = owner();
+    world.kill(first);
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (!world.workers()[i].ended.empty())
+            world.crashWorker(i, absl::Milliseconds(500));
+        if (world.workers()[i].acknowledged > 0)
+            FAIL("an end was acknowledged that is not stored");
+    }
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Well);
+    CHECK(world.runUntil(
+        [&] { return world.ask((first + 1) % world.entryCount(), "gang") == JobPhase::Finished; }, absl::Seconds(30)));
+}
+
 TEST(CellFailures, aCancelHoldsThroughATakeover)
 {
     world.submit(other(), makeJob("long", 20, 1000, absl::Seconds(4)));
--- /dev/null
+++ b/test/soak/SoakJudge.cpp
@@ -0,0 +1,175 @@
+#include "SoakJudge.h"
+
+#include "Grid.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace cicada::test {
+
+namespace {
+
+    /** After a cancel was acknowledged tasks may start for the users' bound of 3 s, and an order may hang for 6 s. */
+    constexpr absl::Duration cancelBound = absl::Seconds(9);
+
+    struct TaskId {
+        std::string job;
+        size_t step = 0;
+    };
+
+    TaskId parse(const std::string& task)
+    {
+        const std::vector<std::string> parts = absl::StrSplit(task, '.');
+        TaskId id { parts.front(), 0 };
+        if (parts.size() != 4 || !absl::SimpleAtoi(parts[2], &id.step))
+            id.job.clear();
+        return id;
+    }
+
+    std::string taskName(const std::string& job, size_t step, uint32_t index)
+    {
+        return absl::StrCat(job, ".0.", step, ".", index);
+    }
+
+} // namespace
+
+void SoakJudge::violate(const std::string& what) { m_violations.push_back(what); }
+
+SoakJob* SoakJudge::jobOf(const GridRun& run)
+{
+    const auto found = m_jobs.find(parse(run.task).job);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+bool SoakJudge::allDone(const SoakJob& job, size_t steps) const
+{
+    for (size_t step = 0; step < steps; ++step) {
+        for (uint32_t i = 0; i < job.tasksOfStep[step]; ++i) {
+            const auto task = m_tasks.find(taskName(job.id, step, i));
+            if (task == m_tasks.end() || !task->second.wasDone)
+                return false;
+        }
+    }
+    return true;
+}
+
+bool SoakJudge::hasFailedOut(const SoakJob& job) const
+{
+    for (size_t step = 0; step < job.tasksOfStep.size(); ++step) {
+        // A gang fails as a whole, so the failures of its members add up.
+        uint32_t sum = 0;
+        for (uint32_t i = 0; i < job.tasksOfStep[step]; ++i) {
+            const auto task = m_tasks.find(taskName(job.id, step, i));
+            const uint32_t failures = task == m_tasks.end() ? 0 : task->second.failures;
+            sum = job.isGang ? sum + failures : std::max(sum, failures);
+        }
+        if (sum >= Grid::maxAttempts)
+            return true;
+    }
+    return false;
+}
+
+void SoakJudge::accepted(const std::string& id) { m_jobs.at(id).isAccepted = true; }
+
+void SoakJudge::refused(const std::string& id)
+{
+    m_jobs.at(id).isRefused = true;
+    if (m_startedJobs.contains(id))
+        violate(absl::StrCat("job ", id, " was refused and has started"));
+}
+
+void SoakJudge::cancelled(const std::string& id)
+{
+    SoakJob& job = m_jobs.at(id);
+    if (!job.cancelAckedAt)
+        job.cancelAckedAt = m_clock.now();
+}
+
+void SoakJudge::shown(const std::string& id, const std::string& state)
+{
+    SoakJob& job = m_jobs.at(id);
+    if (state.empty())
+        return violate(absl::StrCat("accepted job ", id, " is said not to exist"));
+    const bool isOpen = state == "queued" || state == "running";
+    if (!job.ended.empty() && job.ended != state)
+        return violate(absl::StrCat("job ", id, " was shown as ", job.ended, " and then as ", state));
+    if (isOpen)
+        return;
+    job.ended = state;
+    if (state == "completed" && !allDone(job, job.tasksOfStep.size()))
+        violate(absl::StrCat("job ", id, " is shown as completed and has tasks that are not done"));
+    if (state == "failed" && !hasFailedOut(job))
+        violate(absl::StrCat("job ", id, " is shown as failed without having failed so often"));
+    if (state == "cancelled" && !job.isCancelSent)
+        violate(absl::StrCat("job ", id, " is shown as cancelled and nobody cancelled it"));
+}
+
+absl::Duration SoakJudge::workOf(const GridRun& run)
+{
+    const SoakJob* job = jobOf(run);
+    return job ? job->work : absl::ZeroDuration();
+}
+
+bool SoakJudge::fails(const GridRun& run)
+{
+    const SoakJob* job = jobOf(run);
+    return job && job->isHopeless;
+}
+
+void SoakJudge::started(const std::string& executor, const GridRun& run)
+{
+    ++m_starts;
+    const std::string what = absl::StrCat("task ", run.task, " run ", run.number, " on ", executor, ": ");
+    const SoakJob* job = jobOf(run);
+    if (!job)
+        return violate(what + "nobody asked for it");
+    m_startedJobs.insert(job->id);
+    Task& task = m_tasks[run.task];
+    if (job->isRefused)
+        violate(what + "its job was refused");
+    if (task.runsAt)
+        violate(what + "it runs on " + *task.runsAt);
+    if (task.isDoneAcknowledged)
+        violate(what + "it had ended done and that was acknowledged");
+    if (!allDone(*job, parse(run.task).step))
+        violate(what + "an earlier step has not ended");
+    if (job->cancelAckedAt && m_clock.now() - *job->cancelAckedAt > cancelBound)
+        violate(what + "its job was cancelled before");
+    task.runsAt = executor;
+    int64_t& used = m_used[executor];
+    used += job->cpuMillis;
+    if (used > GridLayout::cpuMillis)
+        violate(absl::StrCat(what, "the executor holds ", used, " thousandths of a core"));
+}
+
+void SoakJudge::ended(const std::string& executor, const GridRun& run, const std::string& how)
+{
+    const SoakJob* job = jobOf(run);
+    if (!job)
+        return;
+    m_used[executor] -= job->cpuMillis;
+    Task& task = m_tasks[run.task];
+    if (task.runsAt == executor)
+        task.runsAt.reset();
+    task.wasDone = task.wasDone || how == "done";
+    task.failures += how == "failed" ? 1 : 0;
+}
+
+void SoakJudge::acknowledged(const GridRun& run, const std::string& how)
+{
+    if (how == "done")
+        m_tasks[run.task].isDoneAcknowledged = true;
+}
+
+std::vector<std::string> SoakJudge::openJobs() const
+{
+    std::vector<std::string> open;
+    for (const auto& [id, job] : m_jobs) {
+        if (job.isAccepted && job.ended.empty())
+            open.push_back(id);
+    }
+    return open;
+}
+
+} // namespace cicada::test
--- /dev/null
+++ b/test/soak/SoakJudge.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/** \file
+ * Judges the promises while the soak runs, from what callers were told and what executors saw: a task never runs twice
+ * at once or after an acknowledged end, no executor holds more than it has, a refused job never starts, an accepted one
+ * is never lost, and nothing is shown that did not happen.
+ */
+
+#include "GridExecutor.h"
+
+#include "Clock.h"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicada::test {
+
+/** A job of one step, or of two that follow each other, with tasks that are alike. */
+struct SoakJob {
+    std::string id;
+    std::vector<uint32_t> tasksOfStep;
+    int64_t cpuMillis = 0;
+    absl::Duration work;
+    /** Every run fails. */
+    bool isHopeless = false;
+    bool isGang = false;
+
+    // What callers were told.
+    bool isAccepted = false;
+    /** Every attempt to hand it in was turned away. */
+    bool isRefused = false;
+    bool isCancelSent = false;
+    std::optional<Instant> cancelAckedAt;
+    /** The last state that was shown, once it is one that stays. */
+    std::string ended;
+};
+
+/** The judge. Used on the loop's thread only. */
+class SoakJudge final : public GridObserver {
+public:
+    explicit SoakJudge(const Clock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    void add(SoakJob job) { m_jobs.emplace(job.id, std::move(job)); }
+    const absl::btree_map<std::string, SoakJob>& jobs() const { return m_jobs; }
+
+    // Callers.
+    void accepted(const std::string& id);
+    void refused(const std::string& id);
+    void cancelSent(const std::string& id) { m_jobs.at(id).isCancelSent = true; }
+    void cancelled(const std::string& id);
+    /** A state was shown; `state` is empty when the answer was that there is no such job. */
+    void shown(const std::string& id, const std::string& state);
+
+    // Executors.
+    absl::Duration workOf(const GridRun&) override;
+    bool fails(const GridRun&) override;
+    void started(const std::string& executor, const GridRun&) override;
+    void ended(const std::string& executor, const GridRun&, const std::string& how) override;
+    void acknowledged(const GridRun&, const std::string& how) override;
+
+    /** Accepted jobs that were not shown to have ended. */
+    std::vector<std::string> openJobs() const;
+    void violate(const std::string& what);
+    const std::vector<std::string>& violations() const { return m_violations; }
+    size_t starts() const { return m_starts; }
+
+private:
+    struct Task {
+        std::optional<std::string> runsAt;
+        bool wasDone = false;
+        bool isDoneAcknowledged = false;
+        uint32_t failures = 0;
+    };
+
+    SoakJob* jobOf(const GridRun&);
+    bool allDone(const SoakJob& job, size_t steps) const;
+    bool hasFailedOut(const SoakJob& job) const;
+
+    const Clock& m_clock;
+    absl::btree_map<std::string, SoakJob> m_jobs;
+    absl::btree_map<std::string, Task> m_tasks;
+    absl::flat_hash_map<std::string, int64_t> m_used;
+    absl::btree_set<std::string> m_startedJobs;
+    std::vector<std::string> m_violations;
+    size_t m_starts = 0;
+};
+
+} // namespace cicada::test
--- /dev/null
+++ b/test/soak/cicada-soak.cpp
@@ -0,0 +1,429 @@
+/** \file
+ * A randomized soak of the real daemon as processes on one machine. Faults come from outside of them, in series and
+ * overlapping: links through loopback proxies, signals, a store and executors that misbehave. A seed fixes what happens
+ * and when it is begun; the promises are judged while it runs, and at its end every accepted job must have ended.
+ */
+
+#include "CommandLine.h"
+#include "FaultProxy.h"
+#include "Grid.h"
+#include "NodeProcess.h"
+#include "SoakCallers.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <csignal>
+#include <filesystem>
+#include <getopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace cicada;
+using namespace cicada::test;
+
+constexpr const char* program = "cicada-soak";
+constexpr const char* usage = R"(Usage: cicada-soak --node PROGRAM [options]
+
+Plays faults against cicada-node as processes and judges its promises. Prints what was broken.
+
+  -n, --node PROGRAM    the daemon
+  -f, --first SEED      the first seed (default 1)
+  -c, --count N         how many seeds, one after the other (default 1)
+  -s, --seconds N       how long faults come, for each seed (default 20)
+  -e, --entries N       processes of the daemon (default 4)
+  -x, --executors N     executors (default 12)
+  -p, --port N          the first of the loopback ports that are used (default 20000)
+  -k, --keep FOLDER     where logs go and stay (default: a folder that is removed when all is well)
+  -h, --help            print this text
+)";
+constexpr const char* host = "127.0.0.1";
+/** Everything must have ended so long after the last fault: a lease, a takeover, and the work itself many times over. */
+constexpr absl::Duration settleLimit = absl::Seconds(60);
+constexpr int portsOfNode = 10;
+
+struct Options {
+    std::string node;
+    uint64_t firstSeed = 1;
+    int64_t seeds = 1;
+    absl::Duration length = absl::Seconds(20);
+    size_t entries = 4;
+    int executors = 12;
+    uint16_t port = 20000;
+    std::string folder;
+};
+
+/** One run of one seed. */
+class Soak final {
+public:
+    Soak(const Options& options, uint64_t seed)
+        : m_options(options)
+        , m_random(seed)
+        , m_judge(m_clock)
+        , m_seed(seed)
+    {
+    }
+
+    Result<void> setUp();
+    void run();
+    const std::vector<std::string>& violations() const { return m_judge.violations(); }
+    std::string summary() const;
+
+private:
+    uint16_t port(int offset) const { return static_cast<uint16_t>(m_options.port + offset); }
+    int nodeOffset(size_t node) const { return 3 * m_options.executors + 10 + static_cast<int>(node) * portsOfNode; }
+    Result<void> addProxy(int listen, int target);
+    void play(absl::Duration length);
+    void nextFault();
+    void strike();
+    void harmLink(FaultProxy& proxy);
+    void signalNode(size_t node);
+    void restart(size_t node);
+    void keepAlive();
+    void harmStore();
+    void harmExecutor(size_t executor);
+    void endFaults();
+    absl::Duration between(int64_t leastMillis, int64_t mostMillis)
+    {
+        return absl::Milliseconds(std::uniform_int_distribution<int64_t>(leastMillis, mostMillis)(m_random));
+    }
+    void note(const std::string& what)
+    {
+        std::cout << absl::StrCat("  ", absl::ToInt64Milliseconds(m_clock.now() - m_begun), " ms ", what, "\n");
+    }
+
+    const Options& m_options;
+    std::mt19937_64 m_random;
+    SystemClock m_clock;
+    boost::asio::io_context m_io { 1 };
+    SoakJudge m_judge;
+    const uint64_t m_seed;
+    Instant m_begun = m_clock.now();
+    std::unique_ptr<Grid> m_grid;
+    std::vector<std::unique_ptr<FaultProxy>> m_proxies;
+    std::vector<std::unique_ptr<NodeProcess>> m_nodes;
+    std::unique_ptr<SoakCallers> m_callers;
+    bool m_isCalm = false;
+};
+
+Result<void> Soak::addProxy(int listen, int target)
+{
+    m_proxies.push_back(
+        std::make_unique<FaultProxy>(m_io, Endpoint { host, port(listen) }, Endpoint { host, port(target) }));
+    return m_proxies.back()->start();
+}
+
+Result<void> Soak::setUp()
+{
+    const int executors = m_options.executors;
+    GridLayout layout;
+    layout.storePort = port(0);
+    layout.advisorPort = port(1);
+    layout.firstExecutorPort = port(10);
+    layout.executors = executors;
+    layout.registeredOffset = executors;
+    layout.seed = m_seed;
+    BOOST_OUTCOME_TRY(grid, Grid::create(m_io, layout, m_judge));
+    m_grid = std::move(grid);
+    for (int i = 0; i < executors; ++i) {
+        BOOST_OUTCOME_TRY(addProxy(10 + executors + i, 10 + i));
+    }
+    std::vector<Endpoint> addresses;
+    for (size_t i = 0; i < m_options.entries; ++i) {
+        const int offset = nodeOffset(i);
+        BOOST_OUTCOME_TRY(addProxy(offset + 4, offset + 2));
+        BOOST_OUTCOME_TRY(addProxy(offset + 5, 0));
+        NodePlan plan { m_options.node, m_options.folder, absl::StrCat("s", m_seed, "-e", i), host, port(offset),
+            port(offset + 4), port(offset + 5), port(1) };
+        m_nodes.push_back(std::make_unique<NodeProcess>(std::move(plan)));
+        BOOST_OUTCOME_TRY(m_nodes.back()->start());
+        addresses.push_back({ host, port(offset) });
+    }
+    m_callers = std::make_unique<SoakCallers>(m_io, m_clock, m_judge, std::move(addresses), m_seed + 1);
+    return success();
+}
+
+void Soak::play(absl::Duration length)
+{
+    m_io.run_for(std::chrono::milliseconds(absl::ToInt64Milliseconds(length)));
+}
+
+void Soak::run()
+{
+    constexpr absl::Duration lead = absl::Seconds(3);
+    m_begun = m_clock.now();
+    keepAlive();
+    play(lead);
+    m_callers->start();
+    nextFault();
+    play(m_options.length);
+    endFaults();
+    m_callers->stop();
+    const Instant healedAt = m_clock.now();
+    while (m_clock.now() - healedAt < settleLimit && (m_callers->handingIn() > 0 || !m_judge.openJobs().empty()))
+        play(absl::Milliseconds(200));
+    for (const std::string& id : m_judge.openJobs())
+        m_judge.violate(absl::StrCat("accepted job ", id, " has not ended"));
+    for (const auto& node : m_nodes) {
+        if (node->ownEnds() > 0)
+            m_judge.violate(absl::StrCat(node->plan().name, " ended by itself ", node->ownEnds(), " times"));
+    }
+}
+
+std::string Soak::summary() const
+{
+    size_t accepted = 0;
+    size_t refused = 0;
+    for (const auto& [id, job] : m_judge.jobs()) {
+        accepted += job.isAccepted ? 1 : 0;
+        refused += job.isRefused ? 1 : 0;
+    }
+    return absl::StrCat(m_judge.jobs().size(), " jobs, ", accepted, " accepted, ", refused, " refused, ",
+        m_judge.starts(), " starts");
+}
+
+void Soak::nextFault()
+{
+    if (m_isCalm)
+        return;
+    strike();
+    later(m_io, between(150, 1600), [this] { nextFault(); });
+}
+
+void Soak::strike()
+{
+    const size_t node = m_random() % m_nodes.size();
+    const size_t executor = m_random() % m_grid->executors().size();
+    switch (m_random() % 10) {
+    case 0:
+    case 1:
+        return signalNode(node);
+    case 2:
+    case 3:
+    case 4:
+        return harmLink(*m_proxies[m_random() % m_proxies.size()]);
+    case 5:
+        // The links of one entry: to its peers and to the store.
+        harmLink(*m_proxies[m_grid->executors().size() + 2 * node]);
+        return harmLink(*m_proxies[m_grid->executors().size() + 2 * node + 1]);
+    case 6:
+    case 7:
+        return harmStore();
+    case 8:
+        return harmExecutor(executor);
+    default:
+        note("a new configuration");
+        m_grid->configure();
+    }
+}
+
+void Soak::harmLink(FaultProxy& proxy)
+{
+    const auto kind = m_random() % 6;
+    const absl::Duration length = between(300, 5000);
+    const auto number = std::find_if(m_proxies.begin(), m_proxies.end(), [&](const auto& p) { return p.get() == &proxy; })
+        - m_proxies.begin();
+    note(absl::StrCat("link ", number, " kind ", kind, " for ", absl::ToInt64Milliseconds(length), " ms"));
+    if (kind == 0)
+        return proxy.reset();
+    if (kind == 1)
+        return proxy.silence();
+    if (kind == 2)
+        proxy.setDelay(between(50, 800));
+    else
+        proxy.cut(kind != 3, kind != 4);
+    later(m_io, length, [&proxy] { proxy.heal(); });
+}
+
+void Soak::signalNode(size_t number)
+{
+    NodeProcess& node = *m_nodes[number];
+    const auto kind = m_random() % 6;
+    const absl::Duration length = between(200, 5000);
+    note(absl::StrCat("entry ", number, " signal kind ", kind, " for ", absl::ToInt64Milliseconds(length), " ms"));
+    switch (kind) {
+    case 0:
+    case 1:
+        node.kill();
+        return later(m_io, between(0, 2000), [this, number] { restart(number); });
+    case 2:
+        node.expectEnd();
+        return node.signal(SIGTERM);
+    case 3:
+        return node.signal(SIGHUP);
+    case 4:
+        for (const auto& each : m_nodes)
+            each->kill();
+        return later(m_io, between(0, 2000), [this] {
+            for (size_t i = 0; i < m_nodes.size(); ++i)
+                restart(i);
+        });
+    default:
+        node.signal(SIGSTOP);
+        later(m_io, length, [&node] { node.signal(SIGCONT); });
+    }
+}
+
+void Soak::restart(size_t number)
+{
+    NodeProcess& node = *m_nodes[number];
+    if (node.isRunning())
+        return;
+    auto started = node.start();
+    if (!started)
+        m_judge.violate(describe(started.error()));
+}
+
+void Soak::keepAlive()
+{
+    // An entry that has stopped as planned comes back, as the platform's would.
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+        if (!m_nodes[i]->isRunning())
+            restart(i);
+    }
+    later(m_io, absl::Milliseconds(500), [this] { keepAlive(); });
+}
+
+void Soak::harmStore()
+{
+    constexpr std::pair<GridStoreMood, const char*> moods[]
+        = { { GridStoreMood::Refuses, "refuses" }, { GridStoreMood::LosesReplies, "loses replies" },
+              { GridStoreMood::WritesLate, "writes late" }, { GridStoreMood::Slow, "is slow" } };
+    const auto kind = m_random() % 5;
+    if (kind == 4) {
+        note("the store drops its history");
+        return m_grid->store().dropHistory();
+    }
+    const absl::Duration length = between(300, 5000);
+    note(absl::StrCat("the store ", moods[kind].second, " for ", absl::ToInt64Milliseconds(length), " ms"));
+    m_grid->store().setMood(moods[kind].first);
+    later(m_io, length, [this] { m_grid->store().setMood(GridStoreMood::Well); });
+}
+
+void Soak::harmExecutor(size_t number)
+{
+    GridExecutor& executor = *m_grid->executors()[number];
+    const auto kind = m_random() % 4;
+    const absl::Duration length = between(500, 5000);
+    note(absl::StrCat("executor ", number, " kind ", kind, " for ", absl::ToInt64Milliseconds(length), " ms"));
+    switch (kind) {
+    case 0:
+        executor.rebirth();
+        return m_grid->list(number);
+    case 1:
+        executor.setLateShare(0.2);
+        return later(m_io, length, [&executor] { executor.setLateShare(0); });
+    case 2:
+        m_grid->list(number, true);
+        return later(m_io, length, [this, number] { m_grid->list(number); });
+    default:
+        executor.setFailing(true);
+        later(m_io, length, [&executor] { executor.setFailing(false); });
+    }
+}
+
+void Soak::endFaults()
+{
+    m_isCalm = true;
+    note("faults end");
+    for (const auto& proxy : m_proxies)
+        proxy->heal();
+    for (const auto& node : m_nodes)
+        node->signal(SIGCONT);
+    for (const auto& executor : m_grid->executors()) {
+        executor->setLateShare(0);
+        executor->setFailing(false);
+    }
+    m_grid->store().setMood(GridStoreMood::Well);
+}
+
+bool playSeed(const Options& options, uint64_t seed)
+{
+    std::cout << "seed " << seed << std::endl;
+    Soak soak(options, seed);
+    auto isUp = soak.setUp();
+    if (!isUp) {
+        std::cout << "seed " << seed << ": " << describe(isUp.error()) << std::endl;
+        return false;
+    }
+    soak.run();
+    for (const std::string& what : soak.violations())
+        std::cout << "seed " << seed << ": " << what << "\n";
+    std::cout << "seed " << seed << ": " << soak.summary() << (soak.violations().empty() ? ", kept" : ", BROKEN")
+              << std::endl;
+    return soak.violations().empty();
+}
+
+/** Reads an option that is a number. */
+Result<void> readNumber(int name, const char* text, Options& options)
+{
+    const auto read = [text](const char* option, int64_t least, int64_t most, auto set) -> Result<void> {
+        BOOST_OUTCOME_TRY(value, parseNumber(option, text, least, most));
+        set(value);
+        return success();
+    };
+    switch (name) {
+    case 'f':
+        return read("--first", 0, INT64_MAX, [&](int64_t n) { options.firstSeed = static_cast<uint64_t>(n); });
+    case 'c':
+        return read("--count", 1, 10000, [&](int64_t n) { options.seeds = n; });
+    case 's':
+        return read("--seconds", 1, 3600, [&](int64_t n) { options.length = absl::Seconds(n); });
+    case 'e':
+        return read("--entries", 2, 200, [&](int64_t n) { options.entries = static_cast<size_t>(n); });
+    case 'x':
+        return read("--executors", 1, 500, [&](int64_t n) { options.executors = static_cast<int>(n); });
+    default:
+        return read("--port", 1024, 60000, [&](int64_t n) { options.port = static_cast<uint16_t>(n); });
+    }
+}
+
+Result<Options> readOptions(int argc, char** argv)
+{
+    const option names[] = { { "node", required_argument, nullptr, 'n' }, { "first", required_argument, nullptr, 'f' },
+        { "count", required_argument, nullptr, 'c' }, { "seconds", required_argument, nullptr, 's' },
+        { "entries", required_argument, nullptr, 'e' }, { "executors", required_argument, nullptr, 'x' },
+        { "port", required_argument, nullptr, 'p' }, { "keep", required_argument, nullptr, 'k' },
+        { "help", no_argument, nullptr, 'h' }, {} };
+    Options options;
+    bool isWrong = false;
+    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:p:k:h", names, nullptr)) != -1;) {
+        if (name == 'n')
+            options.node = optarg;
+        else if (name == 'k')
+            options.folder = optarg;
+        else if (name == 'h' || name == '?')
+            isWrong = true;
+        else {
+            BOOST_OUTCOME_TRY(readNumber(name, optarg, options));
+        }
+    }
+    if (isWrong || options.node.empty())
+        return Error { ErrorKind::InvalidRequest, "The program of the daemon is not named.", "See the options above." };
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto read = readOptions(argc, argv);
+    if (!read) {
+        std::cerr << usage;
+        return reportError(program, read.error(), exitUsage);
+    }
+    Options& options = read.value();
+    std::signal(SIGPIPE, SIG_IGN);
+    const bool isKept = !options.folder.empty();
+    if (!isKept)
+        options.folder = absl::StrCat(
+            std::filesystem::temp_directory_path().string(), "/cicada-soak-", options.port, "-", options.firstSeed);
+    std::filesystem::create_directories(options.folder);
+    int broken = 0;
+    for (int64_t i = 0; i < options.seeds; ++i)
+        broken += playSeed(options, options.firstSeed + static_cast<uint64_t>(i)) ? 0 : 1;
+    std::cout << options.seeds - broken << " passed, " << broken << " failed" << std::endl;
+    if (!isKept && broken == 0)
+        std::filesystem::remove_all(options.folder);
+    return broken == 0 ? exitSuccess : exitFailure;
+}
--- /dev/null
+++ b/test/standin/Grid.cpp
@@ -0,0 +1,89 @@
+#include "Grid.h"
+
+#include "Body.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace cicada::test {
+
+namespace {
+
+    using platform::HttpHandler;
+    using platform::HttpRequest;
+    using platform::HttpRespond;
+    using platform::HttpResponse;
+    using platform::HttpServer;
+    using platform::Json;
+    using platform::parseBody;
+
+    constexpr const char* service = "s";
+    constexpr int racks = 3;
+
+    /** Every worker is allowed. */
+    HttpResponse advise(const std::string& body)
+    {
+        const Json json = parseBody(body).value_or(Json::object());
+        Json allowed = Json::array();
+        for (const Json& worker : json.value("workers", Json::array()))
+            allowed.push_back(Json::array({ worker, absl::StrCat("t-", worker.get<std::string>()) }));
+        return { 200, Json { { "allowed", allowed }, { "validityMs", 2500 } }.dump() };
+    }
+
+} // namespace
+
+Grid::Grid(boost::asio::io_context& io, GridLayout layout)
+    : m_layout(std::move(layout))
+    , m_store(io, m_layout.seed)
+{
+}
+
+Result<std::unique_ptr<Grid>> Grid::create(boost::asio::io_context& io, GridLayout layout, GridObserver& observer)
+{
+    std::unique_ptr<Grid> grid(new Grid(io, std::move(layout)));
+    Grid& g = *grid;
+    const auto serve = [&](uint16_t port, HttpHandler handler) {
+        g.m_servers.push_back(std::make_unique<HttpServer>(io, std::move(handler)));
+        return g.m_servers.back()->listen({ g.m_layout.host, port });
+    };
+    BOOST_OUTCOME_TRY(serve(g.m_layout.storePort,
+        [&g](const HttpRequest& request, HttpRespond respond) { g.m_store.handle(request, std::move(respond)); }));
+    BOOST_OUTCOME_TRY(serve(g.m_layout.advisorPort,
+        [](const HttpRequest& request, HttpRespond respond) { respond(advise(request.body)); }));
+    for (int i = 0; i < g.m_layout.executors; ++i) {
+        g.m_executors.push_back(std::make_unique<GridExecutor>(
+            io, absl::StrCat("i-", i), observer, g.m_layout.seed + static_cast<uint64_t>(i)));
+        GridExecutor* executor = g.m_executors.back().get();
+        BOOST_OUTCOME_TRY(serve(static_cast<uint16_t>(g.m_layout.firstExecutorPort + i),
+            [executor](const HttpRequest& request, HttpRespond respond) {
+                executor->handle(request, std::move(respond));
+            }));
+        g.list(static_cast<size_t>(i));
+    }
+    g.m_store.put("servers/i-odd", "not JSON");
+    g.configure();
+    return grid;
+}
+
+void Grid::configure()
+{
+    const Json advice = { { "decideMs", 5 }, { "perItemMs", 0.1 }, { "validityMs", 2500 } };
+    const Json route = { { "name", "r-a" }, { "hostname", queueHost }, { "prefix", queuePrefix },
+        { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "targetLatencyMs", 1200 }, { "priority", 1 },
+        { "service", service }, { "maxAttempts", maxAttempts }, { "stretch", 2.2 }, { "advice", advice } };
+    const Json configuration = { { "version", ++m_version }, { "routes", Json::array({ route }) },
+        { "services", Json::array() }, { "limits", Json::object() } };
+    m_store.put("op/config", configuration.dump());
+}
+
+void Grid::list(size_t number, bool isDraining)
+{
+    const GridExecutor& executor = *m_executors[number];
+    const auto port = static_cast<int>(m_layout.firstExecutorPort + number) + m_layout.registeredOffset;
+    const Json capacity = { { "cpu", GridLayout::cpuMillis }, { "memMb", GridLayout::memoryMiB }, { "gpu", 0 } };
+    const Json entry = { { "service", service }, { "address", absl::StrCat(m_layout.host, ":", port) }, { "zone", "z" },
+        { "version", "v1" }, { "slots", 8 }, { "state", isDraining ? "draining" : "ready" }, { "capacity", capacity },
+        { "labels", { "a", absl::StrCat("r", number % racks) } }, { "born", executor.born() }, { "sequence", 1 } };
+    m_store.put(absl::StrCat("servers/", executor.id()), entry.dump());
+}
+
+} // namespace cicada::test
