--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -7,7 +7,7 @@
     /** Writes are collected for this long, which makes groups of them. */
     constexpr absl::Duration collectFor = absl::Milliseconds(10);
     constexpr absl::Duration laterDelay = absl::Milliseconds(1500);
-    constexpr size_t maxInFlight = 4;
+    constexpr size_t maxInFlight = 32;
     constexpr absl::Duration firstRetryDelay = absl::Milliseconds(50);
     constexpr absl::Duration maxRetryDelay = absl::Milliseconds(400);
     /** A key takes a condition and a write; one condition is the guard. */
--- a/test/correctness/DurableWriterTest.cpp
+++ b/test/correctness/DurableWriterTest.cpp
@@ -144,3 +144,53 @@
     answer(TransactionStatus::Applied, 20);
     LONGS_EQUAL(2, done);
 }
+
+namespace {
+
+/** Applies every transaction, and answers some time later. */
+class SlowStore final : public TransactionalStore {
+public:
+    SlowStore(TimerQueue& timers, absl::Duration delay)
+        : m_timers(timers)
+        , m_delay(delay)
+    {
+    }
+    void transact(Transaction, absl::AnyInvocable<void(TransactionReply)> callback) override
+    {
+        m_timers.after(m_delay, [this, callback = std::move(callback)]() mutable {
+            TransactionReply reply;
+            reply.status = TransactionStatus::Applied;
+            reply.revision = ++m_revision;
+            callback(std::move(reply));
+        });
+    }
+    void listPage(const std::string&, const std::string&, absl::AnyInvocable<void(StorePage)>) override { }
+    void awaitChange(const std::string&, uint64_t, absl::Duration, absl::AnyInvocable<void(WatchReply)>) override { }
+    void grantLease(absl::Duration, absl::AnyInvocable<void(LeaseReply)>) override { }
+    void keepLease(uint64_t, absl::AnyInvocable<void(LeaseStatus)>) override { }
+    void endLease(uint64_t) override { }
+
+private:
+    TimerQueue& m_timers;
+    const absl::Duration m_delay;
+    uint64_t m_revision = 0;
+};
+
+} // namespace
+
+TEST(DurableWriting, aSlowStoreDelaysWritesAndDoesNotPileThemUp)
+{
+    // Answers take 60 times as long as usual, and 250 jobs a second write four times each.
+    SlowStore slow(timers, absl::Milliseconds(250));
+    DurableWriter patient { { slow, timers, log, metrics,
+                                [this](const std::string&) { return std::optional<std::string>(value); }, [] {} },
+        { "row", 5 } };
+    int written = 0;
+    for (int round = 0; round < 300; ++round) {
+        for (int i = 0; i < 10; ++i)
+            patient.write(absl::StrCat(round, "/", i), [&written] { ++written; });
+        pass(absl::Milliseconds(10));
+    }
+    pass(absl::Milliseconds(400));
+    CHECK_EQUAL(3000, written);
+}
