Cells stay with somebody through any planned stop, and writing goes on as soon as the store is back

Now entries tell each other that they stop, cells go only to one that does not, the last one keeps them, and the last requests are answered before the process ends. Ruled out: the grace time (used up to 5.35 of 6 s), the balancer. CellDirectory is split: EntryRecord, EntryPresence, CellCount, CellMoves. Tests: theLastEntryKeepsItsCellsWhileAllOthersStop, theStoreComesBackAndWritingGoesOnAtOnce, both seen to fail without the change.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -97,8 +97,8 @@
     size_t pending(const std::string& queue) const;
 
     size_t jobCount() const { return m_jobs.size(); }
-    /** How long the oldest write has waited for the store. */
-    absl::Duration storeLag() const { return m_writer.lag(); }
+    /** The store answers again after it did not. */
+    void storeIsBack() { m_writer.retryNow(); }
 
 private:
     using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -2,12 +2,12 @@
 
 #include "Pack.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <cmath>
 #include <cstring>
 
 namespace cicada {
@@ -17,24 +17,16 @@
     constexpr const char* prefix = "cicada/ctl/";
     constexpr const char* recordPrefix = "cicada/ctl/entry/";
     constexpr const char* rowPrefix = "cicada/ctl/cell/";
-    constexpr const char* cellCountKey = "cicada/ctl/cells";
-    /** How many workers a cell's owner carries with a whole processor. */
-    constexpr double workersPerProcessor = 800;
-    constexpr uint32_t mostCells = 4096;
+    constexpr uint32_t mostCells = CellCount::mostCells;
     /** With so many entries or less, each is linked to all. */
     constexpr size_t mostFullyLinked = 12;
     constexpr size_t neighbourCount = 6;
     /** How long a watch waits, and so how long a silent connection to the store is believed. */
     constexpr absl::Duration watchWait = absl::Milliseconds(1500);
-    constexpr absl::Duration renewRetryDelay = absl::Milliseconds(200);
     /** Entries that start together find each other before the first takes a cell. */
     constexpr absl::Duration firstClaimDelay = absl::Milliseconds(900);
     constexpr absl::Duration rankDelay = absl::Milliseconds(200);
-    constexpr absl::Duration countInterval = absl::Milliseconds(1000);
-    constexpr absl::Duration countPatience = absl::Seconds(5);
     constexpr size_t maxRank = 12;
-    /** A first call to the store that takes longer crosses regions. */
-    constexpr absl::Duration farFromStore = absl::Milliseconds(45);
     /** An owner whose link is up and whose record is gone gets this long to renew it. */
     constexpr absl::Duration linkedPatience = absl::Milliseconds(1800);
     constexpr absl::Duration claimTimeout = absl::Milliseconds(1500);
@@ -45,30 +37,8 @@
     constexpr absl::Duration contactLimit = absl::Milliseconds(2500);
 
     /** A link to the owner that has been down for this long, while the others are up, speaks for its death. */
-    constexpr absl::Duration lostLinkPatience = absl::Milliseconds(450);
-    /** So many renewals that fail in a row let an owner offer its cells to peers, which may reach the store. */
-    constexpr int failuresToOffer = 2;
-    /** An owner does not offer its cells sooner; two that both lose replies would pass them to and fro. */
-    constexpr absl::Duration shortestTerm = absl::Milliseconds(1500);
-    /** How long a cell stays on an entry that is small for it, as after a fault, before it moves to a larger one. */
-    constexpr absl::Duration termOnSmallEntry = absl::Seconds(3);
+    constexpr absl::Duration lostLinkPatience = absl::Milliseconds(300);
     constexpr const char* ownerService = "cell.owner";
-    constexpr const char* offerService = "cell.offer";
-
-    std::string encodeEntry(const EntryRecord& entry)
-    {
-        return Internal::packFields(
-            entry.name, entry.incarnation, entry.peerAddress, entry.region, entry.processors, entry.isFarFromStore);
-    }
-
-    std::optional<EntryRecord> decodeEntry(const std::string& bytes)
-    {
-        EntryRecord entry;
-        if (!Internal::unpackFields(bytes, "entry record", entry.name, entry.incarnation, entry.peerAddress,
-                entry.region, entry.processors, entry.isFarFromStore))
-            return std::nullopt;
-        return entry;
-    }
 
 } // namespace
 
@@ -78,21 +48,25 @@
           m_parts.store, m_parts.timers, m_parts.log, prefix, watchWait,
           [this](const std::string& key, const StoreEntry* entry) { handleChange(key, entry); },
           [this] { handleSynced(); })
+    , m_presence({ m_parts.store, m_parts.timers, m_parts.log, recordPrefix + m_parts.self.name, m_parts.self,
+          [this](bool isReached) { handleContact(isReached); } })
+    , m_count({ m_parts.store, m_parts.timers, m_parts.log, m_parts.countWorkers, m_parts.self.processors })
 {
     m_parts.peers.handle(ownerService,
         [this](absl::string_view from, absl::string_view bytes) { handleAnnounced(std::string(from), bytes); });
     m_parts.peers.handle(offerService,
         [this](absl::string_view from, absl::string_view bytes) { handleOffer(std::string(from), bytes); });
+    m_parts.peers.handle(stopService,
+        [this](absl::string_view from, absl::string_view bytes) { handleStop(std::string(from), bytes); });
 }
 
 void CellDirectory::start()
 {
     m_startedAt = m_parts.timers.clock().now();
-    grant();
+    m_presence.start();
     m_mirror.start();
 }
 
-std::string CellDirectory::recordKey() const { return recordPrefix + m_parts.self.name; }
 std::string CellDirectory::rowKey(uint32_t cell) const { return absl::StrCat(rowPrefix, cell); }
 
 uint32_t cellOfKey(absl::string_view key, uint32_t cells)
@@ -129,12 +103,6 @@
     return all;
 }
 
-bool CellDirectory::isFresh() const
-{
-    // Counted from the sending of the renewal that was answered, so that nobody can have seen the lease end.
-    return m_parts.timers.clock().now() - m_renewedAt < leaseTtl;
-}
-
 bool CellDirectory::isIsolated() const
 {
     size_t others = 0;
@@ -146,107 +114,53 @@
     return others >= 2 && linked * 2 < others;
 }
 
-void CellDirectory::grant()
-{
-    m_isRecordStored = false;
-    const Instant sentAt = m_parts.timers.clock().now();
-    m_parts.store.grantLease(leaseTtl, [this, sentAt](LeaseReply reply) {
-        if (m_isLeaving)
-            return;
-        noteRenewal(reply.status == LeaseStatus::Ok);
-        if (reply.status != LeaseStatus::Ok)
-            return m_parts.timers.after(renewRetryDelay, [this] { grant(); });
-        m_lease = reply.lease;
-        m_renewedAt = sentAt;
-        m_parts.self.isFarFromStore = m_parts.timers.clock().now() - sentAt > farFromStore;
-        writeRecord();
-        renewLater(renewInterval);
-    });
-}
-
-void CellDirectory::writeRecord()
+void CellDirectory::handleContact(bool isReached)
 {
-    if (m_isWriting || m_isLeaving)
-        return;
-    m_isWriting = true;
-    Transaction transaction;
-    transaction.writes.push_back({ recordKey(), encodeEntry(m_parts.self), m_lease });
-    m_parts.store.transact(std::move(transaction), [this](const TransactionReply& reply) {
-        m_isWriting = false;
-        if (m_isLeaving)
-            return;
-        m_isRecordStored = reply.status == TransactionStatus::Applied;
-        if (m_isRecordStored)
-            m_parts.log.write("entry-recorded", "lease", m_lease, "revision", reply.revision);
-        else if (reply.status != TransactionStatus::LeaseEnded)
-            m_parts.timers.after(renewRetryDelay, [this] {
-                if (!m_isRecordStored)
-                    writeRecord();
-            });
-    });
+    if (isReached)
+        m_parts.onStoreBack();
+    else
+        offerCells();
 }
 
-void CellDirectory::renewLater(absl::Duration delay)
+void CellDirectory::handleChange(const std::string& key, const StoreEntry* entry)
 {
-    m_parts.timers.after(delay, [this] { renew(); });
+    const absl::string_view view = key;
+    if (absl::StartsWith(view, recordPrefix))
+        return handleEntry(key.substr(std::strlen(recordPrefix)), entry);
+    if (key == CellCount::key)
+        return m_count.take(entry ? &entry->value : nullptr, entry ? entry->index : 0);
+    uint32_t cell = 0;
+    if (absl::StartsWith(view, rowPrefix) && absl::SimpleAtoi(view.substr(std::strlen(rowPrefix)), &cell)
+        && cell < mostCells && entry)
+        handleRow(cell, *entry);
 }
 
-void CellDirectory::renew()
+void CellDirectory::handleEntry(const std::string& name, const StoreEntry* entry)
 {
-    if (m_isLeaving)
-        return;
-    const Instant sentAt = m_parts.timers.clock().now();
-    m_parts.store.keepLease(m_lease, [this, sentAt](LeaseStatus status) {
-        if (m_isLeaving)
-            return;
-        noteRenewal(status != LeaseStatus::Failed);
-        if (status == LeaseStatus::Ended) {
-            m_parts.log.write("lease-ended", "lease", m_lease);
-            return grant();
-        }
-        if (status == LeaseStatus::Ok)
-            m_renewedAt = sentAt;
-        renewLater(status == LeaseStatus::Ok ? renewInterval : renewRetryDelay);
-    });
+    const auto record = entry ? decodeEntry(entry->value) : std::nullopt;
+    m_parts.log.write(record ? "entry-seen" : "entry-gone", "name", name);
+    if (record) {
+        m_entries[name] = *record;
+    } else {
+        m_entries.erase(name);
+        m_stopping.erase(name);
+    }
+    if (!entry && name == m_parts.self.name)
+        m_presence.restore();
+    m_parts.onEntries();
 }
 
-void CellDirectory::handleChange(const std::string& key, const StoreEntry* entry)
+void CellDirectory::handleRow(uint32_t cell, const StoreEntry& entry)
 {
-    if (absl::string_view(key).substr(0, std::strlen(recordPrefix)) == recordPrefix) {
-        const std::string name = key.substr(std::strlen(recordPrefix));
-        const auto record = entry ? decodeEntry(entry->value) : std::nullopt;
-        m_parts.log.write(record ? "entry-seen" : "entry-gone", "name", name);
-        if (record)
-            m_entries[name] = *record;
-        else
-            m_entries.erase(name);
-        // Somebody else took the record away, though the lease may live.
-        if (!entry && name == m_parts.self.name && m_isRecordStored) {
-            m_isRecordStored = false;
-            writeRecord();
-        }
-        return m_parts.onEntries();
-    }
-    if (key == cellCountKey) {
-        if (!entry || !Internal::unpackFields(entry->value, "number of cells", m_cellCount) || m_cellCount > mostCells)
-            m_parts.log.write("cell-count-unreadable", "revision", entry ? entry->index : 0);
-        else
-            m_parts.log.write("cell-count", "cells", m_cellCount, "revision", entry->index);
-        return;
-    }
-    uint32_t cell = 0;
-    if (absl::string_view(key).substr(0, std::strlen(rowPrefix)) != rowPrefix
-        || !absl::SimpleAtoi(key.substr(std::strlen(rowPrefix)), &cell) || cell >= mostCells || !entry)
-        return;
     CellRow row;
     std::string owner;
-    if (!Internal::unpackFields(entry->value, "cell row", owner, row.successor)) {
-        m_parts.log.write("cell-row-unreadable", "cell", cell, "revision", entry->index);
+    if (!Internal::unpackFields(entry.value, "cell row", owner, row.successor)) {
+        m_parts.log.write("cell-row-unreadable", "cell", cell, "revision", entry.index);
         return;
     }
     if (!owner.empty())
         row.owner = decodeEntry(owner).value_or(EntryRecord());
-    row.revision = entry->index;
+    row.revision = entry.index;
     applyRow(cell, row);
 }
 
@@ -289,6 +203,8 @@
 {
     for (const auto& [cell, revision] : m_held)
         m_parts.peers.send(peer, ownerService, Internal::packFields(cell, revision, encodeEntry(m_rows[cell].owner)));
+    if (m_isStopping)
+        announceStop(peer);
 }
 
 void CellDirectory::handleAnnounced(const std::string& from, absl::string_view bytes)
@@ -311,78 +227,6 @@
         announce(cell);
 }
 
-void CellDirectory::noteRenewal(bool isReached)
-{
-    if (isReached && m_failedRenewals > 0)
-        m_parts.log.write("lease-regained", "failures", m_failedRenewals);
-    m_failedRenewals = isReached ? 0 : m_failedRenewals + 1;
-    if (m_failedRenewals >= failuresToOffer)
-        offerCells();
-}
-
-void CellDirectory::offerCells()
-{
-    // The store may turn this machine away and serve the others. Whoever can write the row has the cell.
-    if (m_parts.timers.clock().now() - m_gainedAt < shortestTerm)
-        return;
-    const std::vector<std::string> linked = linkedBySize();
-    if (linked.empty())
-        return;
-    const std::string& peer = linked[m_nextOffer++ % linked.size()];
-    for (const auto& [cell, revision] : m_held) {
-        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer);
-        m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
-    }
-}
-
-std::vector<std::string> CellDirectory::linkedBySize() const
-{
-    std::vector<const EntryRecord*> linked;
-    for (const auto& [name, entry] : m_entries) {
-        if (name != m_parts.self.name && m_parts.isLinked(name))
-            linked.push_back(&entry);
-    }
-    const auto sizeOf = [this](const EntryRecord* entry) {
-        const double share = entry->processors / (entry->isFarFromStore ? 2 : 1);
-        return share / static_cast<double>(1 + ownedBy(entry->name));
-    };
-    std::stable_sort(linked.begin(), linked.end(),
-        [&](const EntryRecord* a, const EntryRecord* b) { return sizeOf(a) > sizeOf(b); });
-    std::vector<std::string> names;
-    names.reserve(linked.size());
-    for (const EntryRecord* entry : linked)
-        names.push_back(entry->name);
-    return names;
-}
-
-void CellDirectory::moveToLarger()
-{
-    const Instant now = m_parts.timers.clock().now();
-    if (m_held.empty() || now - m_gainedAt < termOnSmallEntry || m_failedRenewals > 0)
-        return;
-    double largest = 0;
-    for (const auto& [name, entry] : m_entries) {
-        if (m_parts.isLinked(name) && ownedBy(name) == 0)
-            largest = std::max(largest, entry.processors);
-    }
-    if (m_parts.self.processors * 2 < largest && m_parts.onMove)
-        m_parts.onMove();
-}
-
-void CellDirectory::handleOffer(const std::string& from, absl::string_view bytes)
-{
-    uint32_t cell = 0;
-    uint64_t revision = 0;
-    if (!Internal::unpackFields(bytes, "cell offer", cell, revision) || cell >= mostCells) {
-        m_parts.log.write("peer-message-malformed", "from", from, "service", offerService);
-        return;
-    }
-    const auto row = m_rows.find(cell);
-    const bool isCurrent = row != m_rows.end() && row->second.revision == revision;
-    if (isCurrent && isFresh() && m_failedRenewals == 0 && !isIsolated() && !m_isLeaving && !m_takesNoMore)
-        claim(cell);
-}
-
 void CellDirectory::handleSynced() { reconsider(); }
 
 void CellDirectory::reconsider()
@@ -390,9 +234,14 @@
     if (!m_mirror.isFilled() || m_isLeaving)
         return;
     checkIsolation();
+    handOver();
     moveToLarger();
-    if (m_cellCount == 0)
-        return considerCellCount();
+    if (cellCount() == 0) {
+        considerLater();
+        if (m_presence.isStored())
+            m_count.consider(std::min(rankFor(0), maxRank), m_parts.timers.clock().now() - m_startedAt);
+        return;
+    }
     for (uint32_t cell = 0; cell < cellCount(); ++cell)
         consider(cell);
 }
@@ -408,47 +257,6 @@
     });
 }
 
-void CellDirectory::considerCellCount()
-{
-    considerLater();
-    // One entry counts; others step in when it does not get there.
-    const size_t rank = std::min(rankFor(0), maxRank);
-    const absl::Duration delay
-        = firstClaimDelay + (rank == 0 ? absl::ZeroDuration() : countPatience + rankDelay * static_cast<double>(rank));
-    const Instant now = m_parts.timers.clock().now();
-    if (m_isCounting || now - m_startedAt < delay || now - m_countedAt < countInterval || !m_isRecordStored)
-        return;
-    m_isCounting = true;
-    m_parts.countWorkers([this](std::optional<size_t> workers) {
-        const Instant countedAt = m_parts.timers.clock().now();
-        m_isCounting = false;
-        m_countedAt = countedAt;
-        if (!workers || *workers == 0 || m_cellCount != 0)
-            return;
-        // Workers register one after the other when all machines start together.
-        const bool isStable = *workers == m_countedWorkers || countedAt - m_startedAt > countPatience;
-        m_countedWorkers = *workers;
-        if (isStable)
-            writeCellCount(*workers);
-    });
-}
-
-void CellDirectory::writeCellCount(size_t workers)
-{
-    const double perCell = std::max(1.0, m_parts.self.processors * workersPerProcessor);
-    const double wanted = std::ceil(static_cast<double>(workers) / perCell);
-    const auto cells = static_cast<uint32_t>(std::clamp(wanted, 1.0, static_cast<double>(mostCells)));
-    m_parts.log.write("cells-planned", "cells", cells, "workers", workers, "processors", m_parts.self.processors);
-    Transaction transaction;
-    transaction.conditions.push_back({ cellCountKey, 0 });
-    transaction.writes.push_back({ cellCountKey, Internal::packFields(cells), 0 });
-    m_parts.store.transact(std::move(transaction), [this](const TransactionReply& reply) {
-        // The watch tells the number, whoever wrote it.
-        if (reply.status == TransactionStatus::Unknown || reply.status == TransactionStatus::NotApplied)
-            considerLater();
-    });
-}
-
 size_t CellDirectory::ownedBy(const std::string& entry) const
 {
     return static_cast<size_t>(
@@ -468,7 +276,9 @@
     };
     const auto own = order(m_parts.self);
     return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(),
-        [&](const auto& item) { return item.first != m_parts.self.name && order(item.second) < own; }));
+        [&](const auto& item) {
+            return item.first != m_parts.self.name && !isStopping(item.second) && order(item.second) < own;
+        }));
 }
 
 std::optional<absl::Duration> CellDirectory::claimDelay(uint32_t cell, const CellRow* row) const
@@ -505,10 +315,10 @@
     }
     considerLater();
     const Instant since = m_vacantSince.try_emplace(cell, now).first->second;
-    const bool isHealthy = m_isRecordStored && now - m_mirror.lastContact() < contactLimit && isFresh();
+    const bool isHealthy = m_presence.isStored() && now - m_mirror.lastContact() < contactLimit && isFresh();
     const bool isFirst = row == m_rows.end();
     const bool isEarly = now - since < *delay || (isFirst && now - m_startedAt < firstClaimDelay);
-    if (isEarly || !isHealthy || isIsolated() || m_takesNoMore)
+    if (isEarly || !isHealthy || isIsolated() || m_isStopping)
         return;
     const auto sent = m_claimSentAt.find(cell);
     if (sent != m_claimSentAt.end() && now - sent->second < claimTimeout)
@@ -525,7 +335,7 @@
         row == m_rows.end() ? "none" : row->second.owner.name);
     Transaction transaction;
     transaction.conditions.push_back({ rowKey(cell), revision });
-    const std::string value = Internal::packFields(encodeEntry(m_parts.self), std::string());
+    const std::string value = Internal::packFields(encodeEntry(m_presence.self()), std::string());
     transaction.writes.push_back({ rowKey(cell), value, 0 });
     m_parts.store.transact(std::move(transaction), [this, cell, value](const TransactionReply& reply) {
         // The watch tells it too, which settles a lost reply; this is sooner.
@@ -549,9 +359,7 @@
     if (now - m_isolatedSince < isolationPatience)
         return;
     m_isolatedSince = absl::InfiniteDuration();
-    const auto held = m_held;
-    for (const auto& [cell, revision] : held)
-        resign(cell, "isolated");
+    resignAll("isolated");
 }
 
 void CellDirectory::resign(uint32_t cell, const std::string& why)
@@ -582,9 +390,9 @@
 
 void CellDirectory::leave()
 {
+    resignAll("leaves");
     m_isLeaving = true;
-    if (m_lease != 0)
-        m_parts.store.endLease(m_lease);
+    m_presence.leave();
 }
 
 } // namespace cicada
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -2,14 +2,13 @@
 
 /** \file
  * Who owns each cell. An owner is a compare-and-swap on the cell's row, whose revision is the fencing token, so a
- * token never repeats and always rises. Each entry keeps a record under a lease; when the owner's record is gone, or
- * the owner has resigned, another entry takes the row. Two entries that both believe to own a cell can do no harm, so
- * the rules here only decide how fast and how calmly a cell changes hands.
+ * token never repeats and always rises. When the owner's record is gone, its link is down, or it has resigned, another
+ * entry takes the row. Two entries that both believe to own a cell can do no harm, so the rules here only decide how fast
+ * and how calmly a cell changes hands.
  */
 
-#include "CellJob.h"
-#include "EventLog.h"
-#include "Metrics.h"
+#include "CellCount.h"
+#include "EntryPresence.h"
 #include "PeerBus.h"
 #include "PrefixMirror.h"
 
@@ -19,20 +18,6 @@
 
 namespace cicada {
 
-/** One life of an entry, and where its peers reach it. */
-struct EntryRecord {
-    std::string name;
-    std::string incarnation;
-    std::string peerAddress;
-    std::string region;
-    /** Its share of a processor, in processors; cells go to the entries with the most. */
-    double processors = 0;
-    /** Whether the store is a slow link away, which each write of an owner would pay for. */
-    bool isFarFromStore = false;
-
-    bool isSameLife(const EntryRecord& other) const { return name == other.name && incarnation == other.incarnation; }
-};
-
 /** Of `cells` cells, the one to which a job's id or a rack's name belongs. */
 uint32_t cellOfKey(absl::string_view key, uint32_t cells);
 
@@ -52,7 +37,6 @@
         TransactionalStore& store;
         TimerQueue& timers;
         EventLog& log;
-        Metrics& metrics;
         EntryRecord self;
         PeerBus& peers;
         std::function<bool(const std::string& peer)> isLinked;
@@ -68,8 +52,8 @@
         std::function<void(uint32_t cell, const std::string& row, uint64_t revision)> onGained;
         /** The cell's row has changed. */
         std::function<void(uint32_t cell)> onLost;
-        /** This entry is small for its cells and should let them go. */
-        std::function<void()> onMove;
+        /** The store answers again after it did not. */
+        std::function<void()> onStoreBack;
     };
 
     explicit CellDirectory(Parts parts);
@@ -83,13 +67,13 @@
     void introduce(const std::string& peer);
     /** Says that this entry can't act for the cell under its row any more. */
     void drop(uint32_t cell);
-    /** Takes no cells any more. */
-    void takeNoMore() { m_takesNoMore = true; }
-    /** Takes no cells any more and lets the entry's record go. */
+    /** Takes no cells any more, and hands those that it owns to others as soon as there is one that is not stopping. */
+    void beginStop();
+    /** Gives up all cells, also to nobody, and lets the entry's record go. */
     void leave();
 
     /** How many cells there are; 0 until that is known. */
-    uint32_t cellCount() const { return m_cellCount; }
+    uint32_t cellCount() const { return m_count.number(); }
     /** The cell of a job. Requires that the number of cells is known. */
     uint32_t cellOf(absl::string_view job) const;
     /** The entries that this one keeps links to besides the owners of cells: all of them as long as they are few. */
@@ -99,21 +83,15 @@
     std::vector<EntryRecord> entries() const;
     bool isOwned(uint32_t cell) const { return m_held.contains(cell); }
     /** Whether this entry's lease was renewed recently enough that nobody can have taken its cells. */
-    bool isFresh() const;
+    bool isFresh() const { return m_presence.isFresh(); }
     /** Whether this entry has links to less than half of the others. */
     bool isIsolated() const;
 
-    static constexpr absl::Duration leaseTtl = absl::Milliseconds(2400);
-    static constexpr absl::Duration renewInterval = absl::Milliseconds(700);
-
 private:
     void handleChange(const std::string& key, const StoreEntry* entry);
     void handleSynced();
-    void grant();
-    void writeRecord();
-    void renew();
-    void renewLater(absl::Duration delay);
-    std::string recordKey() const;
+    void handleEntry(const std::string& name, const StoreEntry* entry);
+    void handleRow(uint32_t cell, const StoreEntry& entry);
     std::string rowKey(uint32_t cell) const;
     void consider(uint32_t cell);
     std::optional<absl::Duration> claimDelay(uint32_t cell, const CellRow* row) const;
@@ -121,43 +99,45 @@
     void claim(uint32_t cell);
     void checkIsolation();
     void considerLater();
-    void considerCellCount();
-    void writeCellCount(size_t workers);
     size_t ownedBy(const std::string& entry) const;
     void applyRow(uint32_t cell, const CellRow& row);
     void announce(uint32_t cell);
     void handleAnnounced(const std::string& from, absl::string_view bytes);
-    void noteRenewal(bool isReached);
+    void handleContact(bool isReached);
+
+    // CellMoves.cpp: cells that go to another entry before this one is gone.
     void offerCells();
-    /** The linked entries, those with the most processor to spare first. */
+    void handleOffer(const std::string& from, absl::string_view bytes);
+    /** The linked entries that are not stopping, those with the most processor to spare first. */
     std::vector<std::string> linkedBySize() const;
+    bool isStopping(const EntryRecord& entry) const;
+    void announceStop(const std::string& peer);
+    void handleStop(const std::string& from, absl::string_view bytes);
+    void handOver();
     void moveToLarger();
-    void handleOffer(const std::string& from, absl::string_view bytes);
+    void resignAll(const std::string& why);
+
+    static constexpr const char* offerService = "cell.offer";
+    static constexpr const char* stopService = "cell.stop";
 
     Parts m_parts;
     PrefixMirror m_mirror;
+    EntryPresence m_presence;
+    CellCount m_count;
     absl::btree_map<std::string, EntryRecord> m_entries;
     absl::btree_map<uint32_t, CellRow> m_rows;
     /** The cells that this entry owns, with the revisions of their rows. */
     absl::btree_map<uint32_t, uint64_t> m_held;
     absl::btree_map<uint32_t, Instant> m_vacantSince;
     absl::btree_map<uint32_t, Instant> m_claimSentAt;
-    /** Renewals in a row that failed. */
-    int m_failedRenewals = 0;
+    /** The lives of entries that have said that they are stopping, by name. */
+    absl::btree_map<std::string, std::string> m_stopping;
     size_t m_nextOffer = 0;
-    uint32_t m_cellCount = 0;
-    bool m_isCounting = false;
     Instant m_gainedAt = absl::ZeroDuration() - absl::Hours(1);
-    size_t m_countedWorkers = 0;
-    Instant m_countedAt = absl::ZeroDuration() - absl::Hours(1);
-    uint64_t m_lease = 0;
-    bool m_isRecordStored = false;
-    bool m_isWriting = false;
+    bool m_isStopping = false;
     bool m_isLeaving = false;
-    bool m_takesNoMore = false;
     bool m_isConsiderSet = false;
     Instant m_startedAt = absl::ZeroDuration();
-    Instant m_renewedAt = absl::ZeroDuration() - absl::Hours(1);
     Instant m_isolatedSince = absl::InfiniteDuration();
 };
 
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -31,7 +31,7 @@
 
 CellDirectory::Parts CellHost::directoryParts()
 {
-    return { m_parts.store, m_parts.timers, m_parts.log, m_parts.metrics, m_parts.self, m_parts.peers,
+    return { m_parts.store, m_parts.timers, m_parts.log, m_parts.self, m_parts.peers,
         [this](const std::string& peer) { return m_parts.peers.isLinked(peer); },
         [this](const std::string& peer) { return m_parts.peers.lostSince(peer); }, m_parts.countWorkers,
         [this] { linkPeers(); },
@@ -40,7 +40,11 @@
             m_gateway.resend();
         },
         [this](uint32_t cell, const std::string& row, uint64_t revision) { gained(cell, row, revision); },
-        [this](uint32_t cell) { lost(cell); }, [this] { retire("moves-to-a-larger-entry"); } };
+        [this](uint32_t cell) { lost(cell); },
+        [this] {
+            for (auto& [number, owned] : m_cells)
+                owned.cell->storeIsBack();
+        } };
 }
 
 void CellHost::start() { m_directory.start(); }
@@ -107,14 +111,4 @@
     m_parts.peers.setPeers(addresses);
 }
 
-void CellHost::retire(const std::string& why)
-{
-    std::vector<uint32_t> numbers;
-    for (const auto& [number, owned] : m_cells)
-        numbers.push_back(number);
-    // What is not stored yet is told again by the workers or sent again by callers' entries.
-    for (const uint32_t number : numbers)
-        m_directory.resign(number, why);
-}
-
 } // namespace cicada
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -45,15 +45,9 @@
     void setBounds(const CellBounds& bounds) { m_parts.bounds = bounds; }
     /** Calls back on each link that came or went, after the host has taken it in. */
     void onLinkChange(std::function<void(const std::string& peer, bool isUp)> function);
-    /** Lets every cell go to another entry at once. */
-    void retire(const std::string& why);
-    /** Lets every cell go, and takes none any more. */
-    void stop()
-    {
-        m_directory.takeNoMore();
-        retire("planned-stop");
-    }
-    /** Lets the entry's record go. */
+    /** Begins a planned stop: cells go to others as soon as there is one that can take them. */
+    void stop() { m_directory.beginStop(); }
+    /** Lets all cells and the entry's record go. */
     void leave() { m_directory.leave(); }
     size_t ownedCells() const { return m_cells.size(); }
     /** The cell if it is owned here, else null. */
--- /dev/null
+++ b/src/CellMoves.cpp
@@ -0,0 +1,137 @@
+/** \file
+ * The part of CellDirectory that lets cells go while their owner still lives: when the store turns it away, when it is
+ * asked to stop, and when it is small for them.
+ */
+
+#include "CellDirectory.h"
+
+#include "Pack.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    /** So many renewals that fail in a row let an owner offer its cells to peers, which may reach the store. */
+    constexpr int failuresToOffer = 2;
+    /** An owner does not offer its cells sooner; two that both lose replies would pass them to and fro. */
+    constexpr absl::Duration shortestTerm = absl::Milliseconds(1500);
+    /** How long a cell stays on an entry that is small for it, as after a fault, before it moves to a larger one. */
+    constexpr absl::Duration termOnSmallEntry = absl::Seconds(3);
+
+} // namespace
+
+void CellDirectory::offerCells()
+{
+    // The store may turn this machine away and serve the others. Whoever can write the row has the cell.
+    const Instant now = m_parts.timers.clock().now();
+    if (m_presence.failures() < failuresToOffer || now - m_gainedAt < shortestTerm)
+        return;
+    const std::vector<std::string> linked = linkedBySize();
+    if (linked.empty())
+        return;
+    const std::string& peer = linked[m_nextOffer++ % linked.size()];
+    for (const auto& [cell, revision] : m_held) {
+        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer);
+        m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
+    }
+}
+
+void CellDirectory::handleOffer(const std::string& from, absl::string_view bytes)
+{
+    uint32_t cell = 0;
+    uint64_t revision = 0;
+    if (!Internal::unpackFields(bytes, "cell offer", cell, revision) || cell >= CellCount::mostCells) {
+        m_parts.log.write("peer-message-malformed", "from", from, "service", offerService);
+        return;
+    }
+    const auto row = m_rows.find(cell);
+    const bool isCurrent = row != m_rows.end() && row->second.revision == revision;
+    const bool isWell = isFresh() && m_presence.failures() == 0 && !isIsolated();
+    if (isCurrent && isWell && !m_isStopping && !m_isLeaving)
+        claim(cell);
+}
+
+bool CellDirectory::isStopping(const EntryRecord& entry) const
+{
+    const auto found = m_stopping.find(entry.name);
+    return found != m_stopping.end() && found->second == entry.incarnation;
+}
+
+std::vector<std::string> CellDirectory::linkedBySize() const
+{
+    std::vector<const EntryRecord*> linked;
+    for (const auto& [name, entry] : m_entries) {
+        if (name != m_parts.self.name && m_parts.isLinked(name) && !isStopping(entry))
+            linked.push_back(&entry);
+    }
+    const auto sizeOf = [this](const EntryRecord* entry) {
+        const double share = entry->processors / (entry->isFarFromStore ? 2 : 1);
+        return share / static_cast<double>(1 + ownedBy(entry->name));
+    };
+    std::stable_sort(linked.begin(), linked.end(),
+        [&](const EntryRecord* a, const EntryRecord* b) { return sizeOf(a) > sizeOf(b); });
+    std::vector<std::string> names;
+    names.reserve(linked.size());
+    for (const EntryRecord* entry : linked)
+        names.push_back(entry->name);
+    return names;
+}
+
+void CellDirectory::beginStop()
+{
+    m_isStopping = true;
+    for (const std::string& peer : m_parts.peers.peerNames())
+        announceStop(peer);
+    handOver();
+}
+
+void CellDirectory::announceStop(const std::string& peer)
+{
+    m_parts.peers.send(peer, stopService, Internal::packFields(m_parts.self.incarnation));
+}
+
+void CellDirectory::handleStop(const std::string& from, absl::string_view bytes)
+{
+    std::string incarnation;
+    if (!Internal::unpackFields(bytes, "stop of an entry", incarnation)) {
+        m_parts.log.write("peer-message-malformed", "from", from, "service", stopService);
+        return;
+    }
+    m_parts.log.write("entry-stopping", "name", from);
+    m_stopping[from] = incarnation;
+}
+
+void CellDirectory::handOver()
+{
+    if (!m_isStopping || m_held.empty())
+        return;
+    // With nobody there to take them, the cells are better here than nowhere.
+    if (linkedBySize().empty())
+        return considerLater();
+    resignAll("planned-stop");
+}
+
+void CellDirectory::moveToLarger()
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (m_held.empty() || now - m_gainedAt < termOnSmallEntry || m_presence.failures() > 0)
+        return;
+    double largest = 0;
+    for (const auto& [name, entry] : m_entries) {
+        if (m_parts.isLinked(name) && ownedBy(name) == 0 && !isStopping(entry))
+            largest = std::max(largest, entry.processors);
+    }
+    if (m_parts.self.processors * 2 < largest)
+        resignAll("moves-to-a-larger-entry");
+}
+
+void CellDirectory::resignAll(const std::string& why)
+{
+    const auto held = m_held;
+    for (const auto& [cell, revision] : held)
+        resign(cell, why);
+}
+
+} // namespace cicada
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -36,10 +36,8 @@
     if (!state.isDirty) {
         state.isDirty = true;
         m_dirty.push_back(key);
-        if (m_waitingSince == absl::InfiniteDuration())
-            m_waitingSince = m_parts.timers.clock().now();
     }
-    if (m_inFlight < maxInFlight && m_failures == 0)
+    if (m_sent.size() < maxInFlight && m_failures == 0)
         pumpLater(collectFor);
 }
 
@@ -57,11 +55,23 @@
     return found == m_keys.end() || (!found->second.isDirty && !found->second.isInFlight);
 }
 
-absl::Duration DurableWriter::lag() const
+void DurableWriter::retryNow()
 {
-    if (m_waitingSince == absl::InfiniteDuration())
-        return absl::ZeroDuration();
-    return m_parts.timers.clock().now() - m_waitingSince;
+    const Instant now = m_parts.timers.clock().now();
+    std::vector<uint64_t> old;
+    for (const auto& [number, batch] : m_sent) {
+        if (now - batch.sentAt > leastPatience)
+            old.push_back(number);
+    }
+    // Whether they took effect shows in the revisions, as after a lost reply.
+    for (const uint64_t number : old) {
+        Batch batch = take(number);
+        again(batch);
+    }
+    m_failures = 0;
+    m_patience.reset();
+    if (!m_dirty.empty())
+        pumpLater(absl::ZeroDuration());
 }
 
 void DurableWriter::pumpLater(absl::Duration delay)
@@ -81,7 +91,7 @@
 {
     // After a failure one attempt at a time probes the store.
     const size_t allowed = m_failures > 0 ? 1 : maxInFlight;
-    while (!m_isLost && m_inFlight < allowed && send()) { }
+    while (!m_isLost && m_sent.size() < allowed && send()) { }
 }
 
 bool DurableWriter::send()
@@ -117,24 +127,33 @@
     m_dirty = std::move(left);
     if (batch.keys.empty())
         return false;
-    ++m_inFlight;
     batch.sentAt = m_parts.timers.clock().now();
+    const uint64_t number = ++m_lastNumber;
+    m_sent.emplace(number, std::move(batch));
     m_parts.metrics.count("cicada_store_transactions");
-    m_parts.store.transact(std::move(transaction),
-        [this, alive = m_alive, batch = std::move(batch)](const TransactionReply& reply) mutable {
-            if (*alive)
-                handle(std::move(batch), reply);
-        });
+    m_parts.store.transact(std::move(transaction), [this, alive = m_alive, number](const TransactionReply& reply) {
+        if (*alive)
+            handle(number, reply);
+    });
     return true;
 }
 
-void DurableWriter::handle(Batch batch, const TransactionReply& reply)
+DurableWriter::Batch DurableWriter::take(uint64_t number)
 {
-    --m_inFlight;
+    const auto found = m_sent.find(number);
+    Batch batch = std::move(found->second);
+    m_sent.erase(found);
     for (const std::string& name : batch.keys)
         m_keys[name].isInFlight = false;
-    if (m_isLost)
+    return batch;
+}
+
+void DurableWriter::handle(uint64_t number, const TransactionReply& reply)
+{
+    // The reply of a batch that was given up and sent again says nothing that the repetition does not.
+    if (!m_sent.contains(number) || m_isLost)
         return;
+    Batch batch = take(number);
     noteOutcome(batch, reply.status);
     if (reply.status == TransactionStatus::Applied) {
         for (const std::string& name : batch.keys)
@@ -154,10 +173,6 @@
                 reply.status == TransactionStatus::Unknown ? 1 : 0);
         again(batch);
     }
-    if (m_dirty.empty() && m_inFlight == 0) {
-        m_waitingSince = absl::InfiniteDuration();
-        return;
-    }
     const absl::Duration backoff = std::min(maxRetryDelay, firstRetryDelay * std::min(8, 1 << std::min(m_failures, 3)));
     if (!m_dirty.empty())
         pumpLater(m_failures > 0 ? backoff : absl::ZeroDuration());
@@ -182,7 +197,6 @@
 
 void DurableWriter::stored(Batch& batch)
 {
-    m_waitingSince = m_dirty.empty() && m_inFlight == 0 ? absl::InfiniteDuration() : m_parts.timers.clock().now();
     for (size_t i = 0; i < batch.keys.size(); ++i) {
         if (batch.values[i])
             continue;
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -47,8 +47,8 @@
     void writeLater(const std::string& key);
     /** Whether the newest value of the key is stored. */
     bool isDurable(const std::string& key) const;
-    /** How long the oldest unanswered write has waited. */
-    absl::Duration lag() const;
+    /** The store answers again after it did not: what has waited for long is sent once more at once. */
+    void retryNow();
 
 private:
     struct Key {
@@ -67,7 +67,9 @@
 
     void pump();
     bool send();
-    void handle(Batch batch, const TransactionReply& reply);
+    void handle(uint64_t number, const TransactionReply& reply);
+    /** Takes a batch out of those that await their reply. */
+    Batch take(uint64_t number);
     /** Judges by the outcome whether the store is well. */
     void noteOutcome(const Batch& batch, TransactionStatus status);
     void stored(Batch& batch);
@@ -82,14 +84,15 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     absl::btree_map<std::string, Key> m_keys;
     std::vector<std::string> m_dirty;
-    size_t m_inFlight = 0;
+    /** The batches that await their reply. */
+    absl::btree_map<uint64_t, Batch> m_sent;
+    uint64_t m_lastNumber = 0;
     bool m_isPumpSet = false;
     bool m_isLost = false;
     /** Failures in a row since the last call that was answered. */
     int m_failures = 0;
     /** When the latest of the calls that were answered was sent. */
     Instant m_answeredSentAt = absl::ZeroDuration();
-    Instant m_waitingSince = absl::InfiniteDuration();
 };
 
 } // namespace cicada
--- /dev/null
+++ b/src/EntryPresence.cpp
@@ -0,0 +1,103 @@
+#include "EntryPresence.h"
+
+namespace cicada {
+
+namespace {
+
+    constexpr absl::Duration retryDelay = absl::Milliseconds(200);
+    /** A first call to the store that takes longer crosses regions. */
+    constexpr absl::Duration farFromStore = absl::Milliseconds(45);
+
+} // namespace
+
+bool EntryPresence::isFresh() const
+{
+    // Counted from the sending of the renewal that was answered, so that nobody can have seen the lease end.
+    return m_parts.timers.clock().now() - m_renewedAt < leaseTtl;
+}
+
+void EntryPresence::grant()
+{
+    m_isStored = false;
+    const Instant sentAt = m_parts.timers.clock().now();
+    m_parts.store.grantLease(leaseTtl, [this, sentAt](LeaseReply reply) {
+        if (m_isLeaving)
+            return;
+        noteContact(reply.status == LeaseStatus::Ok);
+        if (reply.status != LeaseStatus::Ok)
+            return m_parts.timers.after(retryDelay, [this] { grant(); });
+        m_lease = reply.lease;
+        m_renewedAt = sentAt;
+        m_parts.self.isFarFromStore = m_parts.timers.clock().now() - sentAt > farFromStore;
+        writeRecord();
+        m_parts.timers.after(renewInterval, [this] { renew(); });
+    });
+}
+
+void EntryPresence::writeRecord()
+{
+    if (m_isWriting || m_isLeaving)
+        return;
+    m_isWriting = true;
+    Transaction transaction;
+    transaction.writes.push_back({ m_parts.key, encodeEntry(m_parts.self), m_lease });
+    m_parts.store.transact(std::move(transaction), [this](const TransactionReply& reply) {
+        m_isWriting = false;
+        if (m_isLeaving)
+            return;
+        m_isStored = reply.status == TransactionStatus::Applied;
+        if (m_isStored)
+            m_parts.log.write("entry-recorded", "lease", m_lease, "revision", reply.revision);
+        else if (reply.status != TransactionStatus::LeaseEnded)
+            m_parts.timers.after(retryDelay, [this] {
+                if (!m_isStored)
+                    writeRecord();
+            });
+    });
+}
+
+void EntryPresence::renew()
+{
+    if (m_isLeaving)
+        return;
+    const Instant sentAt = m_parts.timers.clock().now();
+    m_parts.store.keepLease(m_lease, [this, sentAt](LeaseStatus status) {
+        if (m_isLeaving)
+            return;
+        noteContact(status != LeaseStatus::Failed);
+        if (status == LeaseStatus::Ended) {
+            m_parts.log.write("lease-ended", "lease", m_lease);
+            return grant();
+        }
+        if (status == LeaseStatus::Ok)
+            m_renewedAt = sentAt;
+        m_parts.timers.after(status == LeaseStatus::Ok ? renewInterval : retryDelay, [this] { renew(); });
+    });
+}
+
+void EntryPresence::noteContact(bool isReached)
+{
+    const int before = m_failures;
+    m_failures = isReached ? 0 : m_failures + 1;
+    if (isReached && before > 0)
+        m_parts.log.write("lease-regained", "failures", before);
+    if (!isReached || before > 0)
+        m_parts.onContact(isReached);
+}
+
+void EntryPresence::restore()
+{
+    if (!m_isStored)
+        return;
+    m_isStored = false;
+    writeRecord();
+}
+
+void EntryPresence::leave()
+{
+    m_isLeaving = true;
+    if (m_lease != 0)
+        m_parts.store.endLease(m_lease);
+}
+
+} // namespace cicada
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -234,6 +234,15 @@
         finish(number, { found->second.wasSent ? GatewayStatus::Unknown : GatewayStatus::Unreached });
 }
 
+void JobGateway::expireAll()
+{
+    std::vector<uint64_t> numbers;
+    for (const auto& [number, request] : m_open)
+        numbers.push_back(number);
+    for (const uint64_t number : numbers)
+        expire(number);
+}
+
 void JobGateway::checkOwnerless(uint64_t number)
 {
     const auto found = m_open.find(number);
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -66,6 +66,8 @@
     void pending(const std::string& queue, absl::Duration timeout, Callback);
     /** Sends waiting requests again, after the owner of a cell or a link has changed. */
     void resend();
+    /** Ends every open request as one whose time is up. */
+    void expireAll();
     size_t open() const { return m_open.size(); }
     /** Whether a request for any cell can be sent now. */
     bool canReachOwners() const;
--- a/src/LinkedPeers.cpp
+++ b/src/LinkedPeers.cpp
@@ -20,7 +20,7 @@
     using boost::asio::ip::tcp;
     using boost::system::error_code;
 
-    constexpr absl::Duration maintenanceInterval = absl::Milliseconds(300);
+    constexpr absl::Duration maintenanceInterval = absl::Milliseconds(150);
     /** The entry with the lesser name opens the link; the other one only when that did not happen for this long. */
     constexpr absl::Duration politeDelay = absl::Milliseconds(900);
     constexpr absl::Duration firstDialDelay = absl::Milliseconds(150);
--- a/src/LinkedPeers.h
+++ b/src/LinkedPeers.h
@@ -41,9 +41,9 @@
     bool isLinked(const std::string& peer) const override;
     std::optional<Instant> lostSince(const std::string& peer) const override;
 
-    static constexpr absl::Duration heartbeatInterval = absl::Milliseconds(600);
+    static constexpr absl::Duration heartbeatInterval = absl::Milliseconds(300);
     /** A link on which nothing was heard for this long is taken as silent. */
-    static constexpr absl::Duration silenceLimit = absl::Milliseconds(1700);
+    static constexpr absl::Duration silenceLimit = absl::Milliseconds(1000);
 
 private:
     struct State;
--- a/src/Patience.h
+++ b/src/Patience.h
@@ -24,6 +24,8 @@
     void answered(absl::Duration took);
     /** The time passed without a reply. */
     void missed();
+    /** What was missed is over. */
+    void reset() { m_backoff = 1; }
 
 private:
     const absl::Duration m_least;
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -251,6 +251,36 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, theLastEntryKeepsItsCellsWhileAllOthersStop)
+{
+    // All are asked to stop within half a second, the owner of the moment each time; none is back for seconds.
+    for (size_t i = 0; i < world.entryCount(); ++i) {
+        world.stop(owner());
+        world.run(absl::Milliseconds(150));
+        CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(1)));
+    }
+    submitSome(10, owner());
+    CHECK(world.runUntil([&] { return world.isAccepted("job9"); }, absl::Seconds(1)));
+    world.kill(owner() == 0 ? 1 : 0);
+    expectAllEnd();
+}
+
+TEST(CellFailures, theStoreComesBackAndWritingGoesOnAtOnce)
+{
+    constexpr absl::Duration resumeBound = absl::Milliseconds(700);
+    submitSome(5, other());
+    world.run(absl::Seconds(2));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Silent);
+    world.run(absl::Seconds(1));
+    submitSome(1, owner());
+    world.run(absl::Seconds(3));
+    for (size_t i = 0; i < world.entryCount(); ++i)
+        world.setStore(i, StoreMood::Well);
+    CHECK(world.runUntil([&] { return world.isAccepted("job5"); }, resumeBound));
+    expectAllEnd();
+}
+
 TEST(CellFailures, aGangThatLosesAMemberStartsAgainWhole)
 {
     Submission gang = makeJob("gang", 12, 1000, absl::Seconds(2));
