--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     /** A stop that had no reply, or whose run is still listed, is ordered again after this long. */
-    constexpr absl::Duration stopRetryDelay = absl::Milliseconds(700);
+    constexpr absl::Duration stopRetryDelay = absl::Milliseconds(500);
     constexpr absl::Duration refusalDelay = absl::Milliseconds(100);
     constexpr absl::Duration malformedDelay = absl::Seconds(2);
     constexpr absl::Duration unhealthyRest = absl::Seconds(1);
@@ -201,9 +201,22 @@
             const auto found = target->occupants.find(run);
             if (found == target->occupants.end())
                 return;
-            if (reply.status == OrderStatus::Done)
+            if (reply.status == OrderStatus::Done) {
+                // A list that is asked for now shows the run, or it is over; one that waits was asked for before.
                 found->second.settledAt = std::min(found->second.settledAt, answeredAt);
-            syncSoon(*target, absl::Milliseconds(reply.status == OrderStatus::Done ? 50 : 300));
+                return sync(*target, false);
+            }
+            m_parts.timers.after(stopRetryDelay, guarded([this, run, id = target->listed.life.id] {
+                CellWorker* again = findWorker(id);
+                if (!again)
+                    return;
+                const auto open = again->occupants.find(run);
+                const bool isOpen = open != again->occupants.end()
+                    && (open->second.isStopWanted || open->second.settledAt == absl::InfiniteDuration());
+                if (isOpen)
+                    sendStop(*again, run);
+            }));
+            syncSoon(*target, absl::Milliseconds(300));
         }));
 }
 
