The owner is near the store: each entry ranks itself by its own record, and cells return to a near one

A cell on a far entry now also moves to a near one of the same size. Tests: anEntryNearTheStoreTakesOverAlsoWhen..., seen to fail with the fault; cellsReturnToAnEntryNearTheStore.

--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -56,8 +56,8 @@
         [this](absl::string_view from, absl::string_view bytes) { handleAnnounced(std::string(from), bytes); });
     m_parts.peers.handle(offerService,
         [this](absl::string_view from, absl::string_view bytes) { handleOffer(std::string(from), bytes); });
-    m_parts.peers.handle(stopService,
-        [this](absl::string_view from, absl::string_view bytes) { handleStop(std::string(from), bytes); });
+    m_parts.peers.handle(
+        stopService, [this](absl::string_view from, absl::string_view bytes) { handleStop(std::string(from), bytes); });
 }
 
 void CellDirectory::start()
@@ -80,9 +80,9 @@
 {
     std::vector<EntryRecord> others;
     // Those that come after this entry in the order of names, around the end.
-    for (auto it = m_entries.upper_bound(m_parts.self.name); it != m_entries.end(); ++it)
+    for (auto it = m_entries.upper_bound(m_presence.self().name); it != m_entries.end(); ++it)
         others.push_back(it->second);
-    for (auto it = m_entries.begin(); it != m_entries.end() && it->first < m_parts.self.name; ++it)
+    for (auto it = m_entries.begin(); it != m_entries.end() && it->first < m_presence.self().name; ++it)
         others.push_back(it->second);
     if (others.size() >= mostFullyLinked)
         others.resize(neighbourCount);
@@ -145,7 +145,7 @@
         m_entries.erase(name);
         m_stopping.erase(name);
     }
-    if (!entry && name == m_parts.self.name)
+    if (!entry && name == m_presence.self().name)
         m_presence.restore();
     m_parts.onEntries();
 }
@@ -182,7 +182,7 @@
         m_held.erase(held);
         m_parts.onLost(cell);
     }
-    if (isNew && row.owner.isSameLife(m_parts.self) && !m_isLeaving) {
+    if (isNew && row.owner.isSameLife(m_presence.self()) && !m_isLeaving) {
         m_held[cell] = row.revision;
         m_gainedAt = m_parts.timers.clock().now();
         m_parts.onGained(cell, rowKey(cell), row.revision);
@@ -217,7 +217,7 @@
         return;
     }
     const auto record = decodeEntry(owner);
-    if (!record || record->isSameLife(m_parts.self))
+    if (!record || record->isSameLife(m_presence.self()))
         return;
     row.owner = *record;
     const auto known = m_rows.find(cell);
@@ -235,7 +235,7 @@
         return;
     checkIsolation();
     handOver();
-    moveToLarger();
+    moveToBetter();
     if (cellCount() == 0) {
         considerLater();
         if (m_presence.isStored())
@@ -274,22 +274,21 @@
         return std::make_tuple(ownedBy(entry.name), isSmall, entry.isFarFromStore, -entry.processors,
             XXH3_64bits(text.data(), text.size()));
     };
-    const auto own = order(m_parts.self);
-    return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(),
-        [&](const auto& item) {
-            return item.first != m_parts.self.name && !isStopping(item.second) && order(item.second) < own;
-        }));
+    const auto own = order(m_presence.self());
+    return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        return item.first != m_presence.self().name && !isStopping(item.second) && order(item.second) < own;
+    }));
 }
 
 std::optional<absl::Duration> CellDirectory::claimDelay(uint32_t cell, const CellRow* row) const
 {
     const absl::Duration byRank = rankDelay * static_cast<double>(std::min(rankFor(cell), maxRank));
     if (!row || row->owner.name.empty()) {
-        if (row && row->successor == m_parts.self.name)
+        if (row && row->successor == m_presence.self().name)
             return absl::ZeroDuration();
         return byRank + (row && !row->successor.empty() ? rankDelay * 2 : absl::ZeroDuration());
     }
-    if (row->owner.name == m_parts.self.name)
+    if (row->owner.name == m_presence.self().name)
         return absl::ZeroDuration();
     const auto entry = m_entries.find(row->owner.name);
     const auto lost = m_parts.lostSince(row->owner.name);
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -114,7 +114,7 @@
     void announceStop(const std::string& peer);
     void handleStop(const std::string& from, absl::string_view bytes);
     void handOver();
-    void moveToLarger();
+    void moveToBetter();
     void resignAll(const std::string& why);
 
     static constexpr const char* offerService = "cell.offer";
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -20,6 +20,9 @@
     /** How long a cell stays on an entry that is small for it, as after a fault, before it moves to a larger one. */
     constexpr absl::Duration termOnSmallEntry = absl::Seconds(3);
 
+    /** What an entry is worth to a cell; each of the owner's writes pays for a store that is far away. */
+    double shareOf(const EntryRecord& entry) { return entry.processors / (entry.isFarFromStore ? 2 : 1); }
+
 } // namespace
 
 void CellDirectory::offerCells()
@@ -63,13 +66,11 @@
 {
     std::vector<const EntryRecord*> linked;
     for (const auto& [name, entry] : m_entries) {
-        if (name != m_parts.self.name && m_parts.isLinked(name) && !isStopping(entry))
+        if (name != m_presence.self().name && m_parts.isLinked(name) && !isStopping(entry))
             linked.push_back(&entry);
     }
-    const auto sizeOf = [this](const EntryRecord* entry) {
-        const double share = entry->processors / (entry->isFarFromStore ? 2 : 1);
-        return share / static_cast<double>(1 + ownedBy(entry->name));
-    };
+    const auto sizeOf
+        = [this](const EntryRecord* entry) { return shareOf(*entry) / static_cast<double>(1 + ownedBy(entry->name)); };
     std::stable_sort(linked.begin(), linked.end(),
         [&](const EntryRecord* a, const EntryRecord* b) { return sizeOf(a) > sizeOf(b); });
     std::vector<std::string> names;
@@ -89,7 +90,7 @@
 
 void CellDirectory::announceStop(const std::string& peer)
 {
-    m_parts.peers.send(peer, stopService, Internal::packFields(m_parts.self.incarnation));
+    m_parts.peers.send(peer, stopService, Internal::packFields(m_presence.self().incarnation));
 }
 
 void CellDirectory::handleStop(const std::string& from, absl::string_view bytes)
@@ -113,7 +114,7 @@
     resignAll("planned-stop");
 }
 
-void CellDirectory::moveToLarger()
+void CellDirectory::moveToBetter()
 {
     const Instant now = m_parts.timers.clock().now();
     if (m_held.empty() || now - m_gainedAt < termOnSmallEntry || m_presence.failures() > 0)
@@ -121,10 +122,10 @@
     double largest = 0;
     for (const auto& [name, entry] : m_entries) {
         if (m_parts.isLinked(name) && ownedBy(name) == 0 && !isStopping(entry))
-            largest = std::max(largest, entry.processors);
+            largest = std::max(largest, shareOf(entry));
     }
-    if (m_parts.self.processors * 2 < largest)
-        resignAll("moves-to-a-larger-entry");
+    if (shareOf(m_presence.self()) * 2 <= largest)
+        resignAll("moves-to-a-better-entry");
 }
 
 void CellDirectory::resignAll(const std::string& why)
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -61,6 +61,50 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, anEntryNearTheStoreTakesOverAlsoWhenOthersNearItDieToo)
+{
+    CellWorld wide { 10, 12, 7 };
+    const absl::btree_set<size_t> near { 2, 5, 7, 8 };
+    for (size_t i = 0; i < wide.entryCount(); ++i) {
+        if (near.contains(i))
+            continue;
+        wide.kill(i);
+        wide.setFar(i);
+        wide.start(i);
+    }
+    wide.run(absl::Seconds(5));
+    for (const size_t spared : near) {
+        for (const size_t i : near) {
+            if (i != spared)
+                wide.kill(i);
+        }
+        CHECK(wide.runUntil([&] { return wide.owner().has_value(); }, takeoverBound));
+        CHECK_EQUAL(spared, *wide.owner());
+        for (const size_t i : near) {
+            if (i != spared)
+                wide.start(i);
+        }
+        wide.run(absl::Seconds(5));
+    }
+    STRCMP_EQUAL("", wide.report().c_str());
+}
+
+TEST(CellFailures, cellsReturnToAnEntryNearTheStore)
+{
+    CellWorld wide { 4, 12, 7 };
+    for (size_t i = 1; i < wide.entryCount(); ++i) {
+        wide.kill(i);
+        wide.setFar(i);
+        wide.start(i);
+    }
+    wide.run(absl::Seconds(3));
+    wide.kill(0);
+    CHECK(wide.runUntil([&] { return wide.owner().has_value(); }, takeoverBound));
+    wide.start(0);
+    CHECK(wide.runUntil([&] { return wide.owner() == std::optional<size_t>(0); }, absl::Seconds(10)));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
+
 TEST(CellFailures, theOwnerAndItsHeirDie)
 {
     submitSome(10, other());
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -145,6 +145,8 @@
     {
     }
     StoreMood mood = StoreMood::Well;
+    /** What a slow link to the store adds each way. */
+    absl::Duration distance;
 
     void transact(Transaction transaction, absl::AnyInvocable<void(TransactionReply)> callback) override
     {
@@ -365,7 +367,7 @@
         return answer(callDelay, std::move(refused), std::move(callback));
     if (mood == StoreMood::Silent)
         return answer(replyTimeout, std::move(lost), std::move(callback));
-    const absl::Duration delay = m_world.delay();
+    const absl::Duration delay = m_world.delay() + distance;
     if (isWrite && mood == StoreMood::WritesLate) {
         m_world.m_timers.after(lateBy, [effect] { effect(); });
         return answer(replyTimeout, std::move(lost), std::move(callback));
@@ -607,6 +609,7 @@
     auto entry = std::make_unique<WorldEntry>(*this, absl::StrCat("e", index), absl::StrCat("life", ++m_lastLife));
     m_entries[index] = std::move(entry);
     WorldEntry* started = m_entries[index].get();
+    started->door.distance = m_far.contains(index) ? absl::Milliseconds(30) : absl::ZeroDuration();
     started->host.start();
     m_timers.after(absl::Milliseconds(20), [this, started] {
         for (auto& other : m_entries) {
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -138,6 +138,8 @@
     // Faults.
     void kill(size_t entry);
     void start(size_t entry);
+    /** From its next start on the entry reaches the store over a slow link. */
+    void setFar(size_t entry) { m_far.insert(entry); }
     /** The owner is asked to stop: it lets its cells go and goes on answering. */
     void stop(size_t entry);
     void freeze(size_t entry, absl::Duration);
@@ -207,6 +209,7 @@
     std::vector<WorldWorker> m_workers;
     std::vector<std::unique_ptr<WorldEntry>> m_entries;
     std::vector<std::unique_ptr<WorldEntry>> m_dead;
+    absl::btree_set<size_t> m_far;
     QueuePolicy m_policy;
     absl::btree_map<std::string, Job> m_jobs;
     absl::btree_set<std::string> m_accepted;
