--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -3,8 +3,8 @@
 /** \file
  * Who owns each cell. An owner is a compare-and-swap on the cell's row, whose revision is the fencing token, so a
  * token never repeats and always rises. When the owner's record is gone, its link is down, or it has resigned, another
- * entry takes the row. Two entries that both believe to own a cell can do no harm, so the rules here only decide how fast
- * and how calmly a cell changes hands.
+ * entry takes the row. Two entries that both believe to own a cell can do no harm, so the rules here only decide how
+ * fast and how calmly a cell changes hands.
  */
 
 #include "CellCount.h"
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -18,7 +18,8 @@
     /** A reader that takes nothing for this long loses lines. */
     constexpr absl::Duration writeWait = absl::Milliseconds(20);
     constexpr int maxWriteWaits = 100;
-    constexpr size_t writeChunkBytes = 32 << 10;
+    /** With one more line it stays within 8 KB, of which readers take a write whole. */
+    constexpr size_t writeChunkBytes = 7 << 10;
 
     bool needsQuotes(absl::string_view value)
     {
--- /dev/null
+++ b/test/failure/Soak.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# A short soak of the daemon as processes, with the seeds of test/soak/seeds.txt, some beside each other. Prints its own verdict.
+set -u
+build=$1
+here=$(cd "$(dirname "$0")/../soak" && pwd)
+work=$(mktemp -d)
+base=$((16000 + $$ % 3 * 1200))
+lanes=3
+lane() { # number: plays every third seed at ports of its own
+    sed -n 's/^\([0-9][0-9]*\) .*/\1/p' "$here/seeds.txt" | awk -v l="$1" -v n=$lanes 'NR % n == l' | while read -r seed; do
+        "$build/cicada-soak" --node "$build/cicada-node" --first "$seed" --seconds 8 --port $((base + $1 * 400)) --keep "$work"
+    done > "$work/lane$1.txt" 2>&1
+}
+for l in $(seq 0 $((lanes - 1))); do lane "$l" & done
+wait
+broken=$(grep -h 'BROKEN\|^seed [0-9]*: ' "$work"/lane*.txt | grep -v ', kept$')
+played=$(grep -ch ', kept$\|, BROKEN$' "$work"/lane*.txt | awk '{n += $1} END {print n}')
+wanted=$(grep -c '^[0-9]' "$here/seeds.txt")
+if [ -n "$broken" ] || [ "$played" != "$wanted" ]; then
+    echo "FAILED: $played of $wanted seeds were played"
+    cat "$work"/lane*.txt
+    echo "logs are in $work"
+    exit 1
+fi
+rm -rf "$work"
+echo "passed"
--- a/test/soak/FaultProxy.cpp
+++ b/test/soak/FaultProxy.cpp
@@ -69,17 +69,16 @@
 
     void connect(const ConnectionPtr& connection)
     {
-        connection->target.async_connect(
-            toTcp(target), [state = shared_from_this(), connection](error_code error) {
-                if (error)
-                    return close(*connection, true);
-                error_code ignored;
-                connection->caller.set_option(tcp::no_delay(true), ignored);
-                connection->target.set_option(tcp::no_delay(true), ignored);
-                state->connections.insert(connection);
-                state->read(connection, true);
-                state->read(connection, false);
-            });
+        connection->target.async_connect(toTcp(target), [state = shared_from_this(), connection](error_code error) {
+            if (error)
+                return close(*connection, true);
+            error_code ignored;
+            connection->caller.set_option(tcp::no_delay(true), ignored);
+            connection->target.set_option(tcp::no_delay(true), ignored);
+            state->connections.insert(connection);
+            state->read(connection, true);
+            state->read(connection, false);
+        });
     }
 
     static void close(Connection& connection, bool withReset)
@@ -114,7 +113,7 @@
             });
     }
 
-    void hold(const ConnectionPtr& connection, bool fromCaller, std::string bytes)
+    void hold(const ConnectionPtr& connection, bool fromCaller, const std::string& bytes)
     {
         if (delay == absl::ZeroDuration()) {
             pipeOf(*connection, fromCaller).held += bytes;
--- a/test/soak/FaultProxy.h
+++ b/test/soak/FaultProxy.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** \file
- * A loopback proxy for TCP that harms what passes through it, as networks do: bytes are delayed, held back in one way or
- * both, connections are reset, or go silent for good while new ones work.
+ * A loopback proxy for TCP that harms what passes through it, as networks do: bytes are delayed, held back in one way
+ * or both, connections are reset, or go silent for good while new ones work.
  */
 
 #include "Settings.h"
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -83,7 +83,7 @@
     later(m_io, between(40, 160), [this] { submitNext(); });
 }
 
-void SoakCallers::submit(const std::string& id, const std::string& body, std::shared_ptr<Attempts> attempts)
+void SoakCallers::submit(const std::string& id, const std::string& body, const std::shared_ptr<Attempts>& attempts)
 {
     ++attempts->made;
     call("POST", id, body, [this, id, body, attempts](const HttpAnswer& answer) {
@@ -137,13 +137,13 @@
     });
 }
 
-void SoakCallers::call(const char* method, const std::string& id, std::string body,
-    absl::AnyInvocable<void(HttpAnswer)> callback)
+void SoakCallers::call(
+    const char* method, const std::string& id, std::string body, absl::AnyInvocable<void(HttpAnswer)> callback)
 {
     platform::HttpCall request { m_nodes[m_random() % m_nodes.size()], method, absl::StrCat(Grid::queuePrefix, id),
         std::move(body), {}, callTimeout };
-    request.headers = { { "Host", Grid::queueHost },
-        { deadlineHeader, absl::StrCat(absl::ToInt64Milliseconds(callTimeout)) } };
+    request.headers
+        = { { "Host", Grid::queueHost }, { deadlineHeader, absl::StrCat(absl::ToInt64Milliseconds(callTimeout)) } };
     m_http.send(std::move(request), std::move(callback));
 }
 
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -37,7 +37,7 @@
 
     void submitNext();
     SoakJob drawJob();
-    void submit(const std::string& id, const std::string& body, std::shared_ptr<Attempts> attempts);
+    void submit(const std::string& id, const std::string& body, const std::shared_ptr<Attempts>& attempts);
     void cancel(const std::string& id);
     void ask(const std::string& id);
     void call(const char* method, const std::string& id, std::string body,
--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -38,7 +38,8 @@
   -h, --help            print this text
 )";
 constexpr const char* host = "127.0.0.1";
-/** Everything must have ended so long after the last fault: a lease, a takeover, and the work itself many times over. */
+/** Everything must have ended so long after the last fault: a lease, a takeover, and the work itself many times over.
+ */
 constexpr absl::Duration settleLimit = absl::Seconds(60);
 constexpr int portsOfNode = 10;
 
@@ -143,10 +144,7 @@
     return success();
 }
 
-void Soak::play(absl::Duration length)
-{
-    m_io.run_for(std::chrono::milliseconds(absl::ToInt64Milliseconds(length)));
-}
+void Soak::play(absl::Duration length) { m_io.run_for(std::chrono::milliseconds(absl::ToInt64Milliseconds(length))); }
 
 void Soak::run()
 {
@@ -178,8 +176,8 @@
         accepted += job.isAccepted ? 1 : 0;
         refused += job.isRefused ? 1 : 0;
     }
-    return absl::StrCat(m_judge.jobs().size(), " jobs, ", accepted, " accepted, ", refused, " refused, ",
-        m_judge.starts(), " starts");
+    return absl::StrCat(
+        m_judge.jobs().size(), " jobs, ", accepted, " accepted, ", refused, " refused, ", m_judge.starts(), " starts");
 }
 
 void Soak::nextFault()
@@ -221,8 +219,9 @@
 {
     const auto kind = m_random() % 6;
     const absl::Duration length = between(300, 5000);
-    const auto number = std::find_if(m_proxies.begin(), m_proxies.end(), [&](const auto& p) { return p.get() == &proxy; })
-        - m_proxies.begin();
+    const auto number = std::find_if(m_proxies.begin(), m_proxies.end(), [&](const auto& p) {
+        return p.get() == &proxy;
+    }) - m_proxies.begin();
     note(absl::StrCat("link ", number, " kind ", kind, " for ", absl::ToInt64Milliseconds(length), " ms"));
     if (kind == 0)
         return proxy.reset();
--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -54,9 +54,8 @@
             io, absl::StrCat("i-", i), observer, g.m_layout.seed + static_cast<uint64_t>(i)));
         GridExecutor* executor = g.m_executors.back().get();
         BOOST_OUTCOME_TRY(serve(static_cast<uint16_t>(g.m_layout.firstExecutorPort + i),
-            [executor](const HttpRequest& request, HttpRespond respond) {
-                executor->handle(request, std::move(respond));
-            }));
+            [executor](
+                const HttpRequest& request, HttpRespond respond) { executor->handle(request, std::move(respond)); }));
         g.list(static_cast<size_t>(i));
     }
     g.m_store.put("servers/i-odd", "not JSON");
--- a/test/standin/GridStore.cpp
+++ b/test/standin/GridStore.cpp
@@ -14,7 +14,6 @@
 
     using platform::HttpRequest;
     using platform::HttpRespond;
-    using platform::HttpResponse;
     using platform::Json;
     using platform::parseBody;
     using SteadyClock = std::chrono::steady_clock;
@@ -189,8 +188,8 @@
     poll(parameter(query, "prefix"), after, SteadyClock::now() + toChrono(absl::Milliseconds(wait)), respond);
 }
 
-void GridStore::poll(const std::string& prefix, uint64_t after, SteadyTime until,
-    const std::shared_ptr<HttpRespond>& respond)
+void GridStore::poll(
+    const std::string& prefix, uint64_t after, SteadyTime until, const std::shared_ptr<HttpRespond>& respond)
 {
     if (after < m_oldest)
         return (*respond)({ 410, "{}" });
