--- /dev/null
+++ b/test/failure/HttpClientTest.cpp
@@ -0,0 +1,92 @@
+/** \file
+ * What the adapter's HTTP client says of calls whose connection breaks: whether they can have been received.
+ */
+
+#include "HttpClient.h"
+
+#include "absl/strings/match.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+using namespace cicada::platform;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+TEST_GROUP(HttpCalls)
+{
+    SystemClock clock;
+    boost::asio::io_context io { 1 };
+    HttpClient client { io, clock };
+    tcp::acceptor acceptor { io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0) };
+    tcp::socket served { io };
+    std::string input;
+    int requests = 0;
+
+    /** Answers the first request; reads the second one, then resets the connection and is gone. */
+    void serveOnceThenVanish()
+    {
+        acceptor.async_accept(served, [this](error_code) { readNext(); });
+    }
+    void readNext()
+    {
+        boost::asio::async_read_until(
+            served, boost::asio::dynamic_buffer(input), "\r\n\r\n", [this](error_code error, size_t size) {
+                if (error)
+                    return;
+                input.erase(0, size);
+                if (++requests == 2)
+                    return vanish();
+                boost::asio::write(
+                    served, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")));
+                readNext();
+            });
+    }
+    void vanish()
+    {
+        acceptor.close();
+        served.set_option(boost::asio::socket_base::linger(true, 0));
+        served.close();
+    }
+    HttpAnswer call(uint16_t port, bool mayRepeat = true)
+    {
+        HttpAnswer answer;
+        client.send({ { "127.0.0.1", port }, "GET", "/", "", {}, absl::Seconds(2), mayRepeat },
+            [&answer](HttpAnswer got) { answer = std::move(got); });
+        io.restart();
+        io.run_for(std::chrono::milliseconds(500));
+        return answer;
+    }
+};
+
+TEST(HttpCalls, aCallThatWasReceivedBeforeItsConnectionBrokeIsNotSaidToBeUnsent)
+{
+    const uint16_t port = acceptor.local_endpoint().port();
+    serveOnceThenVanish();
+    CHECK(call(port).outcome == HttpOutcome::Answered);
+    const HttpAnswer second = call(port);
+    LONGS_EQUAL(2, requests);
+    CHECK(second.outcome == HttpOutcome::NoReply);
+}
+
+TEST(HttpCalls, aCallThatMayNotBeRepeatedIsSentOnce)
+{
+    const uint16_t port = acceptor.local_endpoint().port();
+    serveOnceThenVanish();
+    CHECK(call(port).outcome == HttpOutcome::Answered);
+    CHECK(call(port, false).outcome == HttpOutcome::NoReply);
+    LONGS_EQUAL(2, requests);
+    LONGS_EQUAL(1, client.connectionsOpened());
+}
+
+TEST(HttpCalls, aCallThatNobodyAcceptsIsUnsent)
+{
+    const uint16_t port = acceptor.local_endpoint().port();
+    acceptor.close();
+    CHECK(call(port).outcome == HttpOutcome::NotSent);
+}
