--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The commands of the README. Each does its own set-up.
 BUILD ?= build
-JOBS ?= 10
+JOBS ?= 5
 SOURCES := $(shell git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'test/*.h' 'test/*.cpp' 'apps/*.cpp' 'platform/*.h' 'platform/*.cpp')
 
 .PHONY: setup build asan asan-test tsan test demo bench lint format format-check
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -158,7 +158,7 @@
     }
     void deposed(const std::string& why);
 
-    // CellPlacing.cpp: which steps may start, advice, and where tasks go.
+    // CellPlacing.cpp: which steps may start, and where tasks go.
     void advance(CellJob& job);
     void readyStep(CellJob& job, StepRef ref);
     void occurrenceDue(const std::string& id, uint32_t occurrence);
@@ -173,15 +173,17 @@
     /** The usable workers of the service, as of this round of placement. */
     const std::vector<CellWorker*>& usable(const std::string& service);
     std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
-    bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     bool placeWhole(CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, std::vector<Choice>& choices);
     std::vector<Choice> place(
         CellJob& job, StepRef ref, const std::vector<CellWorker*>& on, bool isWhole, const std::string& rackOnly);
+    void intend(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
+    std::vector<uint32_t> waitingTasks(const CellStep& step) const;
+
+    // CellAdvice.cpp: leave of the policy service.
+    bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     void askAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted);
     void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& asked, Instant askedAt,
         AdviceAnswer answer);
-    void intend(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
-    std::vector<uint32_t> waitingTasks(const CellStep& step) const;
 
     // CellRuns.cpp: orders to workers and what comes back.
     void sendStarts(const std::string& id, const std::vector<TaskRun>& runs);
--- a/src/Workload.cpp
+++ b/src/Workload.cpp
@@ -1,7 +1,11 @@
 #include "Workload.h"
 
+#include "Job.h"
+
 #include "absl/strings/str_cat.h"
 
+#include <limits>
+
 namespace cicada {
 
 namespace {
@@ -56,4 +60,26 @@
 
 std::string describeRun(const TaskRun& run) { return absl::StrCat(describeTask(run.task), "#", run.run); }
 
+Resources demandOf(const StepSpec& spec)
+{
+    Resources demand = spec.demand;
+    if (spec.usesIdleProcessors)
+        demand.cpuMillis = 0;
+    return demand;
+}
+
+uint64_t roomFor(const Resources& demand, const Resources& free)
+{
+    if (!fits(demand, free))
+        return 0;
+    int64_t count = std::numeric_limits<int32_t>::max();
+    if (demand.cpuMillis > 0)
+        count = std::min(count, free.cpuMillis / demand.cpuMillis);
+    if (demand.memoryMiB > 0)
+        count = std::min(count, free.memoryMiB / demand.memoryMiB);
+    if (demand.accelerators > 0)
+        count = std::min(count, free.accelerators / demand.accelerators);
+    return static_cast<uint64_t>(count);
+}
+
 } // namespace cicada
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -7,6 +7,7 @@
  */
 
 #include "CellHost.h"
+#include "WorldStore.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
@@ -33,45 +34,6 @@
     WritesLate,
 };
 
-/** The store's contents, shared by all entries. */
-class WorldStore {
-public:
-    explicit WorldStore(TimerQueue& timers)
-        : m_timers(timers)
-    {
-    }
-
-    TransactionReply transact(const Transaction&);
-    StorePage list(const std::string& prefix, const std::string& afterKey) const;
-    /** Changes after a revision, or nothing when they were dropped. */
-    std::optional<std::vector<StoreChange>> changesSince(const std::string& prefix, uint64_t revision) const;
-    uint64_t revision() const { return m_revision; }
-    uint64_t grant(absl::Duration ttl);
-    bool keep(uint64_t lease);
-    void endLease(uint64_t lease);
-    void dropHistory() { m_oldest = m_revision; }
-    const std::string* find(const std::string& key) const;
-    /** Writes as the operator or a worker does. */
-    void put(const std::string& key, const std::string& value);
-    void remove(const std::string& key);
-
-private:
-    struct Lease {
-        absl::Duration ttl;
-        Instant endsAt;
-    };
-    void expire(uint64_t lease);
-
-    TimerQueue& m_timers;
-    absl::btree_map<std::string, StoreEntry> m_entries;
-    absl::flat_hash_map<std::string, uint64_t> m_leaseOf;
-    std::vector<StoreChange> m_history;
-    absl::btree_map<uint64_t, Lease> m_leases;
-    uint64_t m_revision = 1;
-    uint64_t m_oldest = 0;
-    uint64_t m_lastLease = 0;
-};
-
 /** A worker as the platform's are: it keeps the highest token, and what runs holds a lease on its own clock. */
 struct WorldWorker {
     struct Run {
