Start a lost service task before batch work

Cause: a service that lost a task kept the latest start of its first start. Once that had passed, the step counted as late and came after all work that was on time, so under load above the capacity a lost task waited for as long as the load lasted.

Ruled out: advice (the steps asked first once they were placed at all), and full workers (batch tasks started meanwhile).

Change: the first criterion of the order is a module of its own, StepUrgency: a service with a task that ran before goes first, a service is never late. Cell aServiceIsBackInTimeWhileMoreUrgentWorkArrivesThanFits fails without it.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -13,6 +13,7 @@
 #include "CellWorker.h"
 #include "DurableWriter.h"
 #include "Metrics.h"
+#include "StepUrgency.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
@@ -104,8 +105,7 @@
     using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
     /** Sort key of a ready step; steps get capacity in this order. */
     struct Rank {
-        /** Work that can no longer finish on time comes after work that still can. */
-        bool isLate = false;
+        StepUrgency urgency = StepUrgency::OnTime;
         uint32_t priority = 0;
         Instant latestStart;
         std::string job;
@@ -113,8 +113,8 @@
 
         bool operator<(const Rank& other) const
         {
-            return std::tie(isLate, priority, latestStart, job, ref)
-                < std::tie(other.isLate, other.priority, other.latestStart, other.job, other.ref);
+            return std::tie(urgency, priority, latestStart, job, ref)
+                < std::tie(other.urgency, other.priority, other.latestStart, other.job, other.ref);
         }
     };
     /** Free capacity that one step withholds from all others during a placement round. */
@@ -162,10 +162,13 @@
     void advance(CellJob& job);
     void makeStepReady(CellJob& job, StepRef ref);
     void handleOccurrenceDue(const std::string& id, uint32_t occurrence);
+    Rank rankOf(CellJob& job, StepRef ref);
     void dequeueStep(CellJob& job, StepRef ref);
     void queueStep(CellJob& job, StepRef ref);
     void schedulePlacement();
     void runPlacementRound();
+    /** Sorts a step that could not be placed in full again if its urgency has changed. */
+    void updateRank(const Rank& rank);
     bool placeStep(const Rank& rank);
     /** Reserves free capacity for the gangs of the best rank; otherwise small tasks could keep a gang waiting
      * indefinitely. */
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -89,12 +89,20 @@
     queueStep(job, ref);
 }
 
-void Cell::dequeueStep(CellJob& job, StepRef ref)
+Cell::Rank Cell::rankOf(CellJob& job, StepRef ref)
 {
     const CellStep& step = job.step(ref);
-    const uint32_t priority = policyOf(job).priority;
-    for (const bool isLate : { false, true })
-        m_ready.erase({ isLate, priority, step.latestStart, job.spec.id, ref });
+    const StepUrgency urgency = urgencyOf(job.stepSpec(ref), step, m_parts.timers.clock().now());
+    return { urgency, policyOf(job).priority, step.latestStart, job.spec.id, ref };
+}
+
+void Cell::dequeueStep(CellJob& job, StepRef ref)
+{
+    Rank rank = rankOf(job, ref);
+    for (const StepUrgency urgency : { StepUrgency::LostService, StepUrgency::OnTime, StepUrgency::Late }) {
+        rank.urgency = urgency;
+        m_ready.erase(rank);
+    }
 }
 
 void Cell::queueStep(CellJob& job, StepRef ref)
@@ -103,8 +111,7 @@
     if (!step.isReady || isEnded(job.phase) || waitingTasks(step).empty())
         return;
     dequeueStep(job, ref);
-    const bool isLate = step.latestStart < m_parts.timers.clock().now();
-    m_ready.insert({ isLate, policyOf(job).priority, step.latestStart, job.spec.id, ref });
+    m_ready.insert(rankOf(job, ref));
     schedulePlacement();
 }
 
@@ -133,7 +140,6 @@
 {
     if (m_isSuperseded)
         return;
-    const Instant now = m_parts.timers.clock().now();
     const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
     m_usableWorkers.clear();
     std::vector<Reservation> reservations = reserveForGangs(ranks);
@@ -150,20 +156,28 @@
             reserved->hold();
         reserved += hasReservation ? 1 : 0;
         unplaced += isDone ? 0 : 1;
-        if (isDone) {
-            m_ready.erase(rank);
-        } else if (!rank.isLate && rank.latestStart < now) {
-            Rank late = rank;
-            late.isLate = true;
+        if (isDone)
             m_ready.erase(rank);
-            m_ready.insert(late);
-        }
+        else
+            updateRank(rank);
     }
     // Advice that arrives later is used in the next round, which makes new reservations.
     for (auto& [id, worker] : m_workers)
         worker.reserved = Resources();
 }
 
+void Cell::updateRank(const Rank& rank)
+{
+    CellJob* job = findJob(rank.job);
+    if (!job)
+        return;
+    const Rank current = rankOf(*job, rank.ref);
+    if (current.urgency == rank.urgency)
+        return;
+    m_ready.erase(rank);
+    m_ready.insert(current);
+}
+
 void Cell::Reservation::hold() const
 {
     for (const auto& [worker, freeCapacity] : freeCapacities)
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -6,6 +6,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace cicada;
@@ -173,6 +175,33 @@
     CHECK(ends("a", JobPhase::Cancelled));
 }
 
+TEST(Cell, aServiceIsBackInTimeWhileMoreUrgentWorkArrivesThanFits)
+{
+    constexpr absl::Duration restartBound = absl::Seconds(6);
+    Submission service = makeJob("service", 1, 4000);
+    service.steps[0].isService = true;
+    world.submit(0, service);
+    CHECK(world.runUntil([&] { return world.startsOf("service") == 1; }, absl::Seconds(3)));
+    // The service's own latest start is long past, that of each batch job is still to come.
+    world.run(absl::Seconds(5));
+    Instant lastSeen = world.now();
+    absl::Duration longestAbsence;
+    for (int i = 0; i < 150; ++i) {
+        world.submitOnce(i % 3, makeJob(absl::StrCat("batch", i), 8, 2000, absl::Seconds(1)));
+        for (int slice = 0; slice < 5; ++slice) {
+            world.run(absl::Milliseconds(20));
+            const bool isRunning = std::any_of(world.workers().begin(), world.workers().end(), [](const auto& worker) {
+                return std::any_of(worker.runs.begin(), worker.runs.end(),
+                    [](const auto& run) { return run.first.task.job == "service"; });
+            });
+            if (isRunning)
+                lastSeen = world.now();
+            longestAbsence = std::max(longestAbsence, world.now() - lastSeen);
+        }
+    }
+    CHECK(longestAbsence < restartBound);
+}
+
 TEST(Cell, adviceIsFollowedAndTicketsAreCarried)
 {
     world.policy().advice = { true, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
