Wait out the former owner's leases on a worker that was heard once

Cause: WorkerClock::leasesExpired knew only leases that this owner gave. A new owner that stops a run before the worker's first reply sends a second sync there before it has granted any lease; when the first is answered and the second isn't, the worker's leases counted as expired at once, and its runs were started again elsewhere.

Ruled out: a wrong estimate of the worker's clock (the run was listed again by the same incarnation), a late order.

Change: with the first reading of a worker's clock the longest lease that a former owner may have granted until then is recorded. Workers that answer are not affected: what they don't list is over at once, as before.

CellFailures leasesOfTheFormerOwnerAreWaitedOutOnAWorkerThatWasHeardOnce fails without the change (two runs at once, 1 s after the takeover). spec/Cells.m has the state 'heard, then silent' and a mutant without the rule, which is caught (414,642 states); the model itself is as large as before (10,303,055 states).

--- a/spec/Cells.m
+++ b/spec/Cells.m
@@ -23,6 +23,7 @@
   RULE_STORE_BEFORE_ACK: 1;  -- an end is acknowledged only once it is stored
   RULE_HEAR_INHERITED: 1;    -- a run that a former owner may have started is concluded only when its executor has reported
   RULE_WAIT_LEASE: 1;        -- or when every lease that it may hold has expired
+  RULE_FORMER_LEASE: 1;      -- also one that a former owner granted, on an executor that has reported to this owner
   RULE_DEADLINE: 1;          -- a start that arrives after the end of the lease that it grants is refused
   RULE_STOP_UNANSWERED: 1;   -- a start without a reply is stopped before a report that doesn't list its run counts
   RULE_STOP_IS_FINAL: 1;     -- an executor refuses a run that was stopped or has ended there
@@ -50,6 +51,7 @@
   stopped: array[Term] of boolean;
   stored: array[Term] of boolean;    -- its write took effect, but it has no reply yet
   heard: array[Term] of array[Executor] of boolean;
+  granted: array[Term] of array[Executor] of boolean; -- the owner has granted a lease there itself; kept for the mutant only
 
   -- The executors.
   fence: array[Executor] of 0..TERMS;
@@ -84,6 +86,7 @@
 
 procedure SendStart(t: Term);
 begin
+  if RULE_FORMER_LEASE = 0 then granted[t][at[t]] := true; end;
   orders[at[t]][run[t]] := t;
   expired[at[t]][run[t]] := false;
   lapsed[at[t]] := false;
@@ -112,6 +115,7 @@
     stored[t] := false;
     for e: Executor do
       heard[t][e] := false;
+      granted[t][e] := false;
     end;
   end;
   for e: Executor do
@@ -183,8 +187,12 @@
 ==>
 begin
   Present(e, t);
+  -- The first report carries no lease yet.
+  if heard[t][e] then
+    if RULE_FORMER_LEASE = 0 then granted[t][e] := true; end;
+    lapsed[e] := false;
+  end;
   heard[t][e] := true;
-  lapsed[e] := false;
   if ended[e] != 0 & state[t] != INTENDING then
     state[t] := ENDED;
   elsif at[t] = e & (state[t] = SENT | state[t] = INHERITED) then
@@ -200,7 +208,8 @@
 
 ruleset t: Term do rule "the owner gives a run up"
   (state[t] = SENT | state[t] = INHERITED) & (lapsed[at[t]] | RULE_WAIT_LEASE = 0) |
-  state[t] = INHERITED & RULE_HEAR_INHERITED = 0
+  state[t] = INHERITED & RULE_HEAR_INHERITED = 0 |
+  state[t] = INHERITED & RULE_FORMER_LEASE = 0 & heard[t][at[t]] & !granted[t][at[t]]
 ==>
 begin
   NothingOut(t);
@@ -293,6 +302,7 @@
   end;
   for t: Term do
     heard[t][e] := false;
+    granted[t][e] := false;
     if t < row then state[t] := AWAY; end;
   end;
 end end;
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -218,6 +218,8 @@
     void handleSyncFailure(CellWorker& worker, OrderStatus status);
     void endIncarnation(CellWorker& worker, absl::string_view why);
     void checkUnresponsive(CellWorker& worker);
+    absl::Duration leaseDuration() const;
+    void recordClock(CellWorker& worker, std::optional<int64_t> workerMillis);
     int64_t nextLeaseEnd(CellWorker& worker);
     void suspendPlacement(CellWorker& worker, absl::Duration duration, absl::string_view why);
     void checkStuckRuns();
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -66,8 +66,7 @@
 {
     CellWorker& worker = m_workers[id];
     const Instant now = m_parts.timers.clock().now();
-    if (reply.workerClockMillis)
-        worker.clock.addReading(*reply.workerClockMillis, now);
+    recordClock(worker, reply.workerClockMillis);
     const auto allocation = worker.allocations.find(run);
     if (allocation == worker.allocations.end())
         return;
@@ -193,8 +192,7 @@
             if (!target || target->generation != generation)
                 return;
             const Instant answeredAt = m_parts.timers.clock().now();
-            if (reply.workerClockMillis)
-                target->clock.addReading(*reply.workerClockMillis, answeredAt);
+            recordClock(*target, reply.workerClockMillis);
             if (reply.status == OrderStatus::Fenced)
                 return handleSuperseded("fenced-by-worker");
             if (reply.status == OrderStatus::OtherIncarnation)
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -58,10 +58,22 @@
         scheduleSync(worker, absl::ZeroDuration());
 }
 
+absl::Duration Cell::leaseDuration() const { return std::min(m_parts.bounds.maxLease, maxLeaseDuration); }
+
+void Cell::recordClock(CellWorker& worker, std::optional<int64_t> workerMillis)
+{
+    if (!workerMillis)
+        return;
+    // A former owner may have granted a lease just before this owner's first order fenced it.
+    if (!worker.clock.isKnown())
+        worker.clock.recordLease(*workerMillis + absl::ToInt64Milliseconds(leaseDuration()));
+    worker.clock.addReading(*workerMillis, m_parts.timers.clock().now());
+}
+
 int64_t Cell::nextLeaseEnd(CellWorker& worker)
 {
-    const absl::Duration lease = std::min(m_parts.bounds.maxLease, maxLeaseDuration);
-    const int64_t end = worker.clock.estimate(m_parts.timers.clock().now()) + absl::ToInt64Milliseconds(lease);
+    const int64_t end
+        = worker.clock.estimate(m_parts.timers.clock().now()) + absl::ToInt64Milliseconds(leaseDuration());
     worker.clock.recordLease(end);
     return end;
 }
@@ -143,8 +155,7 @@
     worker.hasReplied = true;
     worker.failedSyncs = 0;
     worker.lastReplyAt = now;
-    if (reply.workerClockMillis)
-        worker.clock.addReading(*reply.workerClockMillis, now);
+    recordClock(worker, reply.workerClockMillis);
     applyLists(worker, sentAt, reply);
     if (!wasUsable || !reply.ended.empty())
         schedulePlacement();
@@ -278,7 +289,7 @@
 {
     const Instant now = m_parts.timers.clock().now();
     const absl::Duration maxInheritedLease
-        = std::min(m_parts.bounds.maxLease, maxLeaseDuration) / WorkerClock::minClockRate + leaseMargin;
+        = leaseDuration() / WorkerClock::minClockRate + leaseMargin;
     const bool isExpired = worker.hasReplied ? worker.clock.leasesExpired(now) : now - m_ownedSince > maxInheritedLease;
     if (isExpired) {
         if (!worker.allocations.empty())
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -25,7 +25,7 @@
     void addReading(int64_t workerMillis, Instant now);
     /** The worker's clock at `now`, or slightly less. */
     int64_t estimate(Instant now) const;
-    /** Records that an order with this lease end was sent. */
+    /** Records that an order with this lease end was sent, by this owner or a former one. */
     void recordLease(int64_t leaseEndMillis) { m_latestLease = std::max(m_latestLease, leaseEndMillis); }
     /** Whether every lease that was granted has certainly expired at `now`. */
     bool leasesExpired(Instant now) const;
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -38,6 +38,17 @@
         for (int i = 0; i < count; ++i, ++jobs)
             world.submit(at, makeJob(absl::StrCat("job", jobs), 1 + static_cast<uint32_t>(jobs) % 4));
     }
+    WorldWorker& workerRunning(const std::string& job, uint32_t index)
+    {
+        for (WorldWorker& worker : world.workers()) {
+            for (const auto& [run, state] : worker.runs) {
+                if (run.task.job == job && run.task.index == index)
+                    return worker;
+            }
+        }
+        FAIL("no worker runs the task");
+        return world.workers().front();
+    }
     void expectAllEnd(absl::Duration limit = absl::Seconds(40))
     {
         for (int i = 0; i < jobs; ++i) {
@@ -280,6 +291,46 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, leasesOfTheFormerOwnerAreWaitedOutOnAWorkerThatWasHeardOnce)
+{
+    // A gang over two workers of one rack, the first of which runs another task as well.
+    Submission gang = makeJob("gang", 2, 3000, absl::Seconds(20));
+    gang.steps[0].isGang = true;
+    gang.steps[0].requiredLabel = "rack0";
+    world.submit(other(), gang);
+    CHECK(world.runUntil([&] { return world.startsOf("gang") == 2; }, absl::Seconds(3)));
+    WorldWorker& heardOnce = workerRunning("gang", 0);
+    WorldWorker& restarted = workerRunning("gang", 1);
+    for (WorldWorker& worker : world.workers())
+        worker.refuses = &worker != &heardOnce;
+    world.submit(other(), makeJob("long", 1, 1000, absl::Seconds(20)));
+    CHECK(world.runUntil([&] { return world.startsOf("long") == 1; }, absl::Seconds(5)));
+    for (WorldWorker& worker : world.workers()) {
+        worker.refuses = false;
+        worker.isDraining = worker.rack == "rack0" && &worker != &heardOnce;
+    }
+
+    // The new owner stops the rest of the broken gang before it has heard the worker, and so sends two syncs there.
+    heardOnce.syncDelay = absl::Milliseconds(100);
+    heardOnce.syncsUntilCut = 1;
+    const uint64_t formerToken = heardOnce.token;
+    world.crashWorker(static_cast<size_t>(&restarted - world.workers().data()), absl::Milliseconds(10));
+    world.kill(owner());
+    CHECK(world.runUntil([&] { return heardOnce.token != formerToken; }, absl::Seconds(3)));
+    // A third sync waits until the end that the first reply lists is stored.
+    world.setStore(owner(), StoreMood::Silent);
+    world.run(absl::Milliseconds(300));
+    world.setStore(owner(), StoreMood::Well);
+    world.run(absl::Seconds(4));
+    CHECK(heardOnce.isCut);
+    CHECK_EQUAL(0, heardOnce.runs.count({ { "gang", 0, 0, 0 }, 1 }));
+    // Nothing delays the work of the workers that went on answering.
+    world.submit(other(), makeJob("after", 8));
+    CHECK(world.runUntil([&] { return world.ask(owner(), "after") == JobPhase::Finished; }, absl::Seconds(3)));
+    LONGS_EQUAL(1, world.startsOf("long"));
+    CHECK(world.runUntil([&] { return world.startsOf("long") == 2; }, absl::Seconds(8)));
+}
+
 TEST(CellFailures, aPlannedStopHandsOverAtOnceWhileWorkGoesOn)
 {
     constexpr absl::Duration handoverBound = absl::Milliseconds(500);
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -343,13 +343,19 @@
         if (m_entry.isAlive)
             m_entry.timers.after(after, [shared, value]() mutable { (*shared)(std::move(value)); });
     };
-    m_world.m_timers.after(delay, [this, incarnation, order, reply, delay] {
+    size_t target = 0;
+    const WorldWorker* addressed = m_world.workerOf(incarnation, target);
+    const absl::Duration transit = delay + (addressed ? addressed->syncDelay : absl::ZeroDuration());
+    m_world.m_timers.after(transit, [this, incarnation, order, reply, delay] {
         size_t index = 0;
         WorldWorker* worker = m_world.workerOf(incarnation, index);
+        if (worker && worker->syncsUntilCut)
+            worker->isCut = worker->isCut || (*worker->syncsUntilCut)-- == 0;
         if (!worker || worker->isDown || worker->isCut) {
             SyncReply none;
             none.status = worker && worker->isDown ? OrderStatus::NotSent : OrderStatus::NoReply;
-            return reply(worker && worker->isDown ? delay : replyTimeout, none);
+            const bool endsAtOnce = worker && (worker->isDown || worker->syncsUntilCut);
+            return reply(endsAtOnce ? delay : replyTimeout, none);
         }
         if (order.fencingToken < worker->token) {
             SyncReply fenced;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -58,6 +58,10 @@
     bool isCut = false;
     bool isDown = false;
     bool isDraining = false;
+    /** Added to the time that a sync takes to reach the worker. */
+    absl::Duration syncDelay;
+    /** The worker is cut off once this many more syncs have reached it; calls then end without a reply at once. */
+    std::optional<size_t> syncsUntilCut;
     /** The share of orders that are carried out late and not answered. */
     double lateShare = 0;
     /** Every start is refused. */
