Count a run of an unknown job as all of its worker's capacity

Cause: a new owner that finds a run on a worker of which it has no job record (the job was cancelled and its specification removed, its stop was lost) allocated nothing for it, and placed other work beside it until the stop got through. Ruled out: the stop (sent at once, lost) and the late start itself. Also, inherited runs of steps that use leftover processors were charged their processors after a takeover; now as at placement.

Change: such a run counts as the worker's whole capacity until it ends. CellFailures aRunOfAnUnknownJobKeepsItsWorkerFullUntilItEnds fails without it.

The contract: an order names the incarnation, any other refuses it.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -118,7 +118,7 @@
                     CellWorker& worker = m_workers[tasks[i].worker];
                     worker.listed.incarnation.id = tasks[i].worker;
                     const TaskRun run { { id, k, s, i }, tasks[i].run };
-                    worker.allocate(run, job->spec.steps[s].demand);
+                    worker.allocate(run, demandOf(job->spec.steps[s]));
                     worker.allocations[run].isInherited = true;
                     ++activeRuns;
                 }
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -206,8 +206,9 @@
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
     const std::string& id = worker.listed.incarnation.id;
+    // The demand of a job that has been removed is not known; the run may use all that the worker has.
     if (!worker.allocations.contains(listed.run))
-        worker.allocate(listed.run, task ? job->spec.steps[name.step].demand : Resources());
+        worker.allocate(listed.run, task ? demandOf(job->spec.steps[name.step]) : worker.listed.capacity);
     RunAllocation& allocation = worker.allocations[listed.run];
     // A reply from before the run began may still be in flight.
     allocation.visibleFrom = std::min(allocation.visibleFrom, now);
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -331,6 +331,31 @@
     CHECK(world.runUntil([&] { return world.startsOf("long") == 2; }, absl::Seconds(8)));
 }
 
+TEST(CellFailures, aRunOfAnUnknownJobKeepsItsWorkerFullUntilItEnds)
+{
+    // Only this worker starts anything, so the jobs below meet there.
+    WorldWorker& only = world.workers()[0];
+    for (WorldWorker& worker : world.workers())
+        worker.refuses = &worker != &only;
+    world.submit(other(), makeJob("cancelled", 1, 4000, absl::Seconds(20)));
+    CHECK(world.runUntil([&] { return world.startsOf("cancelled") == 1; }, absl::Seconds(5)));
+    // The stop is lost. Once the cancel is stored, the job's specification is removed.
+    only.isCut = true;
+    world.cancel(other(), "cancelled");
+    world.run(absl::Milliseconds(2500));
+    only.isCut = false;
+    only.lateShare = 1;
+    world.kill(owner());
+    CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(2)));
+    world.run(absl::Milliseconds(100));
+    only.lateShare = 0;
+    CHECK_EQUAL(1, only.runs.size());
+    world.submit(other(), makeJob("next", 1, 1000));
+    world.run(absl::Milliseconds(400));
+    LONGS_EQUAL(0, world.startsOf("next"));
+    CHECK(world.runUntil([&] { return world.startsOf("next") == 1; }, absl::Seconds(8)));
+}
+
 TEST(CellFailures, aPlannedStopHandsOverAtOnceWhileWorkGoesOn)
 {
     constexpr absl::Duration handoverBound = absl::Milliseconds(500);
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -322,10 +322,11 @@
         if (!worker || worker->isDown || worker->isCut)
             return reply(worker && worker->isDown ? delay : replyTimeout, none);
         if (std::uniform_real_distribution<>(0, 1)(m_world.m_random) < worker->lateShare) {
-            // Carried out seconds later, after newer orders, in whatever life the worker then has.
-            m_world.m_timers.after(lateBy, [this, index, effect] {
+            // Carried out seconds later, after newer orders. An order names the incarnation that is to carry it out,
+            // and any other refuses it.
+            m_world.m_timers.after(lateBy, [this, index, effect, started = worker->started] {
                 WorldWorker& later = m_world.m_workers[index];
-                if (!later.isDown)
+                if (!later.isDown && later.started == started)
                     effect(later);
             });
             return reply(replyTimeout, none);
@@ -566,6 +567,7 @@
         m_jobs[run.task.job].active.erase(run.task);
     worker.runs.clear();
     worker.ended.clear();
+    worker.endsBeforeLapse.clear();
     worker.highestOver.clear();
     worker.waiting.clear();
     worker.token = 0;
@@ -863,7 +865,7 @@
     for (const EndedRun& ended : worker.ended) {
         if (ended.sequence > through) {
             left.push_back(ended);
-        } else if (ended.ending == RunEnding::Finished) {
+        } else if (ended.ending == RunEnding::Finished && !worker.endsBeforeLapse.contains(ended.sequence)) {
             Job& job = m_jobs[ended.run.task.job];
             // Tasks of services run again however they end.
             if (job.spec.steps[ended.run.task.step].isService)
@@ -890,6 +892,8 @@
     WorldWorker& worker = m_workers[index];
     if (worker.isDown || clockOf(worker) < worker.leaseEnd)
         return;
+    for (const EndedRun& ended : worker.ended)
+        worker.endsBeforeLapse.insert(ended.sequence);
     std::vector<TaskRun> runs;
     for (const auto& [run, state] : worker.runs)
         runs.push_back(run);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -52,6 +52,9 @@
     absl::flat_hash_map<TaskRun, Run> runs;
     absl::flat_hash_map<TaskName, uint32_t> highestOver;
     std::vector<EndedRun> ended;
+    /** Ends that the worker had listed when its lease expired. Acknowledging such an end later doesn't count: the owner
+     * may by then have started the task again. */
+    absl::flat_hash_set<uint64_t> endsBeforeLapse;
     uint64_t lastSequence = 0;
     uint64_t acknowledged = 0;
     std::vector<absl::AnyInvocable<void()>> waiting;
