Request advice only for workers below the step's limit

Cause: a step with a limit of tasks for each worker asked the policy service about the allowed workers with the most free processors, whether or not they had reached the limit. Once the advice on the others had expired, it asked about the same eight full workers again and again and was never placed.

Ruled out: capacity (most of the workers were free), refusals (all eight allowed each time), the order of steps.

Change: a request ranks and counts workers by the tasks that the step can still place there. Cell adviceIsRequestedForWorkersBelowTheLimitOfTheStep fails without it.

--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -79,13 +79,24 @@
 {
     CellStep& step = job.step(ref);
     const QueuePolicy& policy = policyOf(job);
-    const Resources demand = demandOf(job.stepSpec(ref));
-    const std::string& dataRack = job.stepSpec(ref).dataRack;
+    const StepSpec& spec = job.stepSpec(ref);
+    const Resources demand = demandOf(spec);
+    absl::flat_hash_map<std::string, uint32_t> activeRuns;
+    if (spec.maxPerWorker > 0)
+        activeRuns = step.activeRunsByWorker();
+    const auto placeableTasks = [&](const CellWorker& worker) {
+        const uint64_t fitting = countFittingTasks(demand, worker.free());
+        if (spec.maxPerWorker == 0)
+            return fitting;
+        const auto active = activeRuns.find(worker.listed.incarnation.id);
+        const uint32_t used = active == activeRuns.end() ? 0 : active->second;
+        return std::min<uint64_t>(fitting, used < spec.maxPerWorker ? spec.maxPerWorker - used : 0);
+    };
     const auto rankOf = [&](const CellWorker* worker) {
         const bool isAllowed = step.advice.allowed.contains(worker->listed.incarnation.id);
-        const bool isOnDataRack = !dataRack.empty() && worker->listed.rack == dataRack;
-        const bool hasCapacity = fits(demand, worker->free());
-        return std::make_tuple(!hasCapacity, !isOnDataRack, !isAllowed, -worker->free().cpuMillis);
+        const bool isOnDataRack = !spec.dataRack.empty() && worker->listed.rack == spec.dataRack;
+        const bool hasRoom = placeableTasks(*worker) > 0;
+        return std::make_tuple(!hasRoom, !isOnDataRack, !isAllowed, -worker->free().cpuMillis);
     };
     std::stable_sort(workers.begin(), workers.end(),
         [&](const CellWorker* a, const CellWorker* b) { return rankOf(a) < rankOf(b); });
@@ -98,8 +109,8 @@
     while (count < maxCount && (count < minWorkersPerRequest || expectedTasks < neededTasks)) {
         const CellWorker& worker = *workers[count++];
         const bool isAllowed = step.advice.allowed.contains(worker.listed.incarnation.id);
-        expectedTasks += static_cast<double>(std::min<uint64_t>(wanted, countFittingTasks(demand, worker.free())))
-            * (isAllowed ? 1 : share);
+        expectedTasks
+            += static_cast<double>(std::min<uint64_t>(wanted, placeableTasks(worker))) * (isAllowed ? 1 : share);
     }
     AdviceRequest adviceRequest { { job.spec.id, ref.occurrence, ref.step, 0 }, {} };
     for (size_t i = 0; i < count; ++i)
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -144,6 +144,16 @@
     return "queued";
 }
 
+absl::flat_hash_map<std::string, uint32_t> CellStep::activeRunsByWorker() const
+{
+    absl::flat_hash_map<std::string, uint32_t> counts;
+    for (const CellTask& task : tasks) {
+        if (task.hasActiveRun())
+            ++counts[task.worker];
+    }
+    return counts;
+}
+
 CellTask* CellJob::find(const TaskName& name)
 {
     if (name.occurrence >= occurrences.size() || name.step >= occurrences[name.occurrence].size())
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -86,6 +86,8 @@
     Instant latestStart = absl::InfiniteDuration();
 
     bool isFinished() const { return finished == tasks.size(); }
+    /** How many active runs of the step each worker has, by the worker's id. */
+    absl::flat_hash_map<std::string, uint32_t> activeRunsByWorker() const;
 };
 
 /** Identifies a step in its job. */
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -281,12 +281,8 @@
     const CellStep& step = job.step(ref);
     const Resources demand = demandOf(spec);
     absl::flat_hash_map<std::string, uint32_t> counts;
-    if (spec.maxPerWorker > 0) {
-        for (const CellTask& task : step.tasks) {
-            if (task.hasActiveRun())
-                ++counts[task.worker];
-        }
-    }
+    if (spec.maxPerWorker > 0)
+        counts = step.activeRunsByWorker();
     struct FreeCapacity {
         CellWorker* worker;
         Resources free;
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -289,8 +289,7 @@
 void Cell::checkUnresponsive(CellWorker& worker)
 {
     const Instant now = m_parts.timers.clock().now();
-    const absl::Duration maxInheritedLease
-        = leaseDuration() / WorkerClock::minClockRate + leaseMargin;
+    const absl::Duration maxInheritedLease = leaseDuration() / WorkerClock::minClockRate + leaseMargin;
     const bool isExpired = worker.hasReplied ? worker.clock.leasesExpired(now) : now - m_ownedSince > maxInheritedLease;
     if (isExpired) {
         if (!worker.allocations.empty())
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -212,6 +212,29 @@
     LONGS_EQUAL(40, world.startOrder().size());
 }
 
+TEST(Cell, adviceIsRequestedForWorkersBelowTheLimitOfTheStep)
+{
+    CellWorld wide { 3, 24, 1 };
+    wide.policy().advice = { true, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
+    for (size_t i = 0; i < wide.workers().size(); ++i)
+        wide.workers()[i].capacity.cpuMillis = i < 12 ? 8000 : 1500;
+    CHECK(wide.runUntil([&] { return wide.owner().has_value(); }, absl::Seconds(5)));
+    // The small workers are in use until all advice about them has expired.
+    for (int rack = 3; rack < 6; ++rack) {
+        Submission filler = makeJob(absl::StrCat("filler", rack), 4, 1500, absl::Seconds(6));
+        filler.steps[0].requiredLabel = absl::StrCat("rack", rack);
+        wide.submit(0, filler);
+    }
+    wide.run(absl::Seconds(1));
+    // The policy service allows 16 workers for each step, so every one of them is needed.
+    Submission spread = makeJob("spread", 16, 1000, absl::Seconds(90));
+    spread.steps[0].maxPerWorker = 1;
+    wide.submit(0, spread);
+    CHECK(wide.runUntil([&] { return wide.startsOf("spread") == 16; }, absl::Seconds(45)));
+    LONGS_EQUAL(1, wide.mostOnOneWorker("spread"));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
+
 TEST(Cell, aDrainingWorkerGetsNothingNew)
 {
     for (size_t i = 1; i < world.workers().size(); ++i)
