--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,7 @@
 format-check: setup
 	@clang-format --dry-run -Werror $(SOURCES)
 
-lint: build
-	@printf '%s\n' $(filter %.cpp,$(SOURCES)) | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+# Needs the commands that compile the sources, not what they build; without the precompiled header, which is the compiler's own.
+lint: setup
+	@cmake -S . -B $(BUILD)-lint -G Ninja -DCICADA_PRECOMPILE=OFF >/dev/null
+	@printf '%s\n' $(filter %.cpp,$(SOURCES)) | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD)-lint --quiet 2>/dev/null
