Keep ended jobs known through steps of the time of day

Cause: the end of a job is stored as time of day and removed 125 s later by the same clock; a step ahead, or an end stamped by a clock that stood back, took that from the promised 120 s. Other uses of the wall clock were searched: due times follow it as they should; after a takeover the age of a job, which only orders work, follows it too; leases, tickets, stops and retries don't.

Change: a margin of 30 s, and a manual clock whose wall time can step.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -7,6 +7,8 @@
     constexpr absl::Duration loadRetryDelay = absl::Milliseconds(200);
     constexpr absl::Duration expiryInterval = absl::Seconds(10);
     constexpr size_t maxWaitingRequests = 5000;
+    /** Added to the retention of ended jobs, whose ends are stored as time of day: that may step by seconds. */
+    constexpr absl::Duration clockStepMargin = absl::Seconds(30);
 
     std::string cellPrefix(absl::string_view kind, uint32_t cell)
     {
@@ -321,7 +323,7 @@
 void Cell::removeExpiredJobs()
 {
     const int64_t oldest = m_parts.timers.clock().wallMicros() / 1000
-        - absl::ToInt64Milliseconds(m_parts.bounds.endedRetention + absl::Seconds(5));
+        - absl::ToInt64Milliseconds(m_parts.bounds.endedRetention + clockStepMargin);
     std::vector<std::string> old;
     for (const auto& [id, job] : m_jobs) {
         if (isEnded(job->storedPhase) && job->endedUnixMillis < oldest)
--- a/src/Clock.cpp
+++ b/src/Clock.cpp
@@ -22,7 +22,11 @@
     return m_now;
 }
 
-int64_t ManualClock::wallMicros() const { return absl::ToInt64Microseconds(now()); }
+int64_t ManualClock::wallMicros() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return absl::ToInt64Microseconds(m_now + m_wallOffset);
+}
 
 void ManualClock::advance(absl::Duration by)
 {
@@ -30,4 +34,10 @@
     m_now += by;
 }
 
+void ManualClock::stepWall(absl::Duration by)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_wallOffset += by;
+}
+
 } // namespace cicada
--- a/src/Clock.h
+++ b/src/Clock.h
@@ -20,7 +20,8 @@
     virtual ~Clock() = default;
     /** Monotonic time since an arbitrary start. */
     virtual Instant now() const = 0;
-    /** Wall time in microseconds since 1970, for logs and spans only; no decision may depend on it. */
+    /** Wall time in microseconds since 1970, which may step by seconds either way. For logs, spans, due times, and the
+     * age of stored records. */
     virtual int64_t wallMicros() const = 0;
 };
 
@@ -38,9 +39,12 @@
     int64_t wallMicros() const override;
     /** Moves time forward; `by` must not be negative. */
     void advance(absl::Duration by);
+    /** Steps the wall time, either way; now() is not affected. */
+    void stepWall(absl::Duration by);
 
 private:
     mutable absl::Mutex m_mutex;
+    absl::Duration m_wallOffset ABSL_GUARDED_BY(m_mutex) = absl::ZeroDuration();
     Instant m_now ABSL_GUARDED_BY(m_mutex) = absl::ZeroDuration();
 };
 
