Bound the lease of a start by the age of its intent

Cause: an owner that was paused between sending an intent to the store and ordering the start granted a whole lease when it woke. If it alone could reach the worker, its successor had by then waited out the leases and started the task elsewhere: two runs at once. It was an assumption of spec/Cells.m that nothing in the code ensured.

Ruled out: checking the presence lease before an order (rows are claimed earlier, over lost links), bounding renewals by the last contact with the store (an outage of the store for all would end all running work).

Change: the lease of a start ends at most leaseDuration() and the successor's margin after the intent was sent; with less than half a second left the task waits for a new intent, which a former owner can't store. CellFailures anOwnerThatWakesLateOrdersNoStartOnAnOldIntent fails without it (two runs at once).

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -191,8 +191,9 @@
         AdviceReply reply);
 
     // CellRuns.cpp: orders to workers, their replies and the ends of runs.
-    void sendStarts(const std::string& id, const std::vector<TaskRun>& runs);
-    void sendStart(CellJob& job, const TaskRun& run);
+    /** Orders starts whose intents were sent to the store at `intendedAt` and are durable now. */
+    void sendStarts(const std::string& id, const std::vector<TaskRun>& runs, Instant intendedAt);
+    void sendStart(CellJob& job, const TaskRun& run, Instant intendedAt);
     void handleStartReply(const TaskRun& run, const std::string& worker, const OrderReply& reply);
     void handleStartFailure(const TaskRun& run, CellWorker& worker, OrderStatus why);
     void requestStop(CellWorker& worker, const TaskRun& run);
@@ -220,7 +221,9 @@
     void checkUnresponsive(CellWorker& worker);
     absl::Duration leaseDuration() const;
     void recordClock(CellWorker& worker, std::optional<int64_t> workerMillis);
-    int64_t nextLeaseEnd(CellWorker& worker);
+    int64_t nextLeaseEnd(CellWorker& worker, absl::Duration lease);
+    /** How long a lease may last that is granted on the strength of an intent sent at `intendedAt`. */
+    absl::Duration startLease(Instant intendedAt) const;
     void suspendPlacement(CellWorker& worker, absl::Duration duration, absl::string_view why);
     void checkStuckRuns();
 
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -388,7 +388,8 @@
     }
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
-    storeRuns(job, guarded([this, id = job.spec.id, runs] { sendStarts(id, runs); }));
+    const Instant now = m_parts.timers.clock().now();
+    storeRuns(job, guarded([this, id = job.spec.id, runs, now] { sendStarts(id, runs, now); }));
 }
 
 } // namespace cicada
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -8,6 +8,8 @@
 
     /** A stop that had no reply, or whose run is still listed, is sent again after this delay. */
     constexpr absl::Duration stopRetryDelay = absl::Milliseconds(500);
+    /** A start with less time left is not worth sending. */
+    constexpr absl::Duration minStartLease = absl::Milliseconds(500);
     constexpr absl::Duration refusalDelay = absl::Milliseconds(100);
     constexpr absl::Duration malformedDelay = absl::Seconds(2);
     constexpr absl::Duration unhealthySuspension = absl::Seconds(1);
@@ -18,28 +20,29 @@
 
 } // namespace
 
-void Cell::sendStarts(const std::string& id, const std::vector<TaskRun>& runs)
+void Cell::sendStarts(const std::string& id, const std::vector<TaskRun>& runs, Instant intendedAt)
 {
     CellJob* job = findJob(id);
     if (!job)
         return;
     for (const TaskRun& run : runs)
-        sendStart(*job, run);
+        sendStart(*job, run, intendedAt);
 }
 
-void Cell::sendStart(CellJob& job, const TaskRun& run)
+void Cell::sendStart(CellJob& job, const TaskRun& run, Instant intendedAt)
 {
     CellTask* task = job.find(run.task);
     if (!task || task->run != run.run || task->stage != TaskStage::StoringIntent)
         return;
     CellWorker* worker = findWorker(task->worker);
-    const bool isWanted = !isEnded(job.phase) && !m_isSuperseded;
+    const absl::Duration lease = startLease(intendedAt);
+    const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease;
     if (!worker || !isWanted || !worker->isUsable(m_parts.timers.clock().now())) {
         if (worker)
             handleStartFailure(run, *worker, OrderStatus::NotSent);
         return;
     }
-    StartOrder order { run, job.spec.payload, task->checkpoint, "", m_term.token, nextLeaseEnd(*worker) };
+    StartOrder order { run, job.spec.payload, task->checkpoint, "", m_term.token, nextLeaseEnd(*worker, lease) };
     const CellStep& step = job.step({ run.task.occurrence, run.task.step });
     const auto allowed = step.advice.allowed.find(task->worker);
     if (allowed != step.advice.allowed.end())
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -70,10 +70,17 @@
     worker.clock.addReading(*workerMillis, m_parts.timers.clock().now());
 }
 
-int64_t Cell::nextLeaseEnd(CellWorker& worker)
+absl::Duration Cell::startLease(Instant intendedAt) const
 {
-    const int64_t end
-        = worker.clock.estimate(m_parts.timers.clock().now()) + absl::ToInt64Milliseconds(leaseDuration());
+    // The store took the intent from this owner, so a successor came later, and it waits for leaseDuration() and the
+    // margin before it starts the task elsewhere. After a pause of this process that may be over.
+    const absl::Duration age = m_parts.timers.clock().now() - intendedAt;
+    return std::min(leaseDuration(), leaseDuration() + leaseMargin - age);
+}
+
+int64_t Cell::nextLeaseEnd(CellWorker& worker, absl::Duration lease)
+{
+    const int64_t end = worker.clock.estimate(m_parts.timers.clock().now()) + absl::ToInt64Milliseconds(lease);
     worker.clock.recordLease(end);
     return end;
 }
@@ -107,7 +114,7 @@
     const bool isResponsive = worker.hasReplied && worker.failedSyncs == 0;
     // The lease of a worker that does not reply is not extended, so that its runs end at a known time.
     if (isResponsive && worker.clock.isKnown() && !worker.allocations.empty())
-        order.leaseEndMillis = nextLeaseEnd(worker);
+        order.leaseEndMillis = nextLeaseEnd(worker, leaseDuration());
     if (mayWait && isResponsive && worker.pendingAcks.empty() && !worker.allocations.empty())
         order.wait = maxSyncWait;
     if (mayWait)
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -38,6 +38,11 @@
         for (int i = 0; i < count; ++i, ++jobs)
             world.submit(at, makeJob(absl::StrCat("job", jobs), 1 + static_cast<uint32_t>(jobs) % 4));
     }
+    /** Whether the store has the record of a run of the job. */
+    bool isIntendedFor(const std::string& job)
+    {
+        return world.store().find(absl::StrCat("cicada/run/0/", job)) != nullptr;
+    }
     WorldWorker& workerRunning(const std::string& job, uint32_t index)
     {
         for (WorldWorker& worker : world.workers()) {
@@ -229,6 +234,53 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, anOwnerThatWakesLateOrdersNoStartOnAnOldIntent)
+{
+    const size_t first = owner();
+    for (WorldWorker& worker : world.workers())
+        worker.refuses = &worker != &world.workers()[0];
+    world.submit(other(), makeJob("long", 1, 1000, absl::Seconds(20)));
+    // The owner freezes before it learns that its intent is stored, and alone can reach the worker.
+    for (int i = 0; i < 200 && !isIntendedFor("long"); ++i)
+        world.run(absl::Milliseconds(1));
+    CHECK(isIntendedFor("long"));
+    world.freeze(first, absl::Seconds(18));
+    world.cutFromOthers(0, first);
+    for (WorldWorker& worker : world.workers())
+        worker.refuses = false;
+    world.run(absl::Seconds(16));
+    LONGS_EQUAL(1, world.startsOf("long"));
+    world.run(absl::Seconds(3));
+    LONGS_EQUAL(1, world.startsOf("long"));
+}
+
+TEST(CellFailures, theTimeOfDayJumpsByWhichOnlyDueTimesAreMoved)
+{
+    Submission timed = makeJob("timed", 1);
+    timed.occurrences = 2;
+    timed.startUnixMillis = absl::ToInt64Milliseconds(world.now()) + 8000;
+    timed.intervalMillis = 4000;
+    world.submit(other(), timed);
+    for (const absl::Duration step : { absl::Seconds(3), absl::Seconds(-6), absl::Seconds(3) }) {
+        submitSome(8, other());
+        world.run(absl::Milliseconds(300));
+        world.stepWallClock(step);
+        const size_t killed = owner();
+        world.kill(killed);
+        world.run(absl::Milliseconds(1500));
+        world.start(killed);
+        LONGS_EQUAL(0, world.startsOf("timed"));
+    }
+    expectAllEnd();
+    CHECK(world.runUntil([&] { return world.ask(owner(), "timed") == JobPhase::Finished; }, absl::Seconds(15)));
+    // Ended jobs stay known for the retention, which is 120 s, whatever the time of day is.
+    world.submit(other(), makeJob("kept", 1));
+    CHECK(world.runUntil([&] { return world.ask(owner(), "kept") == JobPhase::Finished; }, absl::Seconds(5)));
+    world.stepWallClock(absl::Seconds(16));
+    world.run(absl::Seconds(119));
+    CHECK(world.ask(owner(), "kept") == JobPhase::Finished);
+}
+
 TEST(CellFailures, theOwnerIsCutFromTheOthers)
 {
     const size_t first = owner();
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -319,7 +319,8 @@
         Reply none;
         if (worker && worker->isDown)
             none.status = OrderStatus::NotSent;
-        if (!worker || worker->isDown || worker->isCut)
+        const bool isCut = worker && (worker->isCut || worker->cutFrom.contains(m_entry.name));
+        if (!worker || worker->isDown || isCut)
             return reply(worker && worker->isDown ? delay : replyTimeout, none);
         if (std::uniform_real_distribution<>(0, 1)(m_world.m_random) < worker->lateShare) {
             // Carried out seconds later, after newer orders. An order names the incarnation that is to carry it out,
@@ -352,7 +353,8 @@
         WorldWorker* worker = m_world.workerOf(incarnation, index);
         if (worker && worker->syncsUntilCut)
             worker->isCut = worker->isCut || (*worker->syncsUntilCut)-- == 0;
-        if (!worker || worker->isDown || worker->isCut) {
+        const bool isCut = worker && (worker->isCut || worker->cutFrom.contains(m_entry.name));
+        if (!worker || worker->isDown || isCut) {
             SyncReply none;
             none.status = worker && worker->isDown ? OrderStatus::NotSent : OrderStatus::NoReply;
             const bool endsAtOnce = worker && (worker->isDown || worker->syncsUntilCut);
@@ -537,6 +539,14 @@
 
 void CellWorld::freeze(size_t index, absl::Duration duration) { m_entries[index]->frozenUntil = now() + duration; }
 
+void CellWorld::cutFromOthers(size_t worker, size_t entry)
+{
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        if (i != entry)
+            m_workers[worker].cutFrom.insert(absl::StrCat("e", i));
+    }
+}
+
 void CellWorld::setStore(size_t index, StoreMood mood)
 {
     if (m_entries[index])
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -59,6 +59,8 @@
     uint64_t acknowledged = 0;
     std::vector<absl::AnyInvocable<void()>> waiting;
     bool isCut = false;
+    /** Entries that can't reach the worker. */
+    absl::btree_set<std::string> cutFrom;
     bool isDown = false;
     bool isDraining = false;
     /** Added to the time that a sync takes to reach the worker. */
@@ -112,6 +114,10 @@
     /** The owner is asked to stop: it lets its cells go and goes on answering. */
     void stop(size_t entry);
     void freeze(size_t entry, absl::Duration);
+    /** Cuts a worker off from all entries but this one. */
+    void cutFromOthers(size_t worker, size_t entry);
+    /** Steps the time of day of all entries. */
+    void stepWallClock(absl::Duration by) { m_clock.stepWall(by); }
     void setStore(size_t entry, StoreMood);
     /** Cuts an entry from the other entries, or heals that. */
     void cutPeers(size_t entry, bool isCut);
