Give up advice requests on a lost link at once, and use no slot of a stopping entry

Nothing can arrive over a lost link, and an entry that has announced its stop ends within seconds. Change: the requests on a lost link fail when the link is lost and are sent again; slots of stopping entries are left out. AdvisorSlots aRequestOnALostLinkFailsAtOnce needs the new call; before, the callback came at the time limit.

--- a/src/Advisor.cpp
+++ b/src/Advisor.cpp
@@ -155,6 +155,17 @@
     sendWaiting();
 }
 
+void AdvisorSlots::handleLinkLost(const std::string& entry)
+{
+    std::vector<uint64_t> lost;
+    for (const auto& [number, sent] : m_sent) {
+        if (sent.slot == entry)
+            lost.push_back(number);
+    }
+    for (const uint64_t number : lost)
+        finish(number, {});
+}
+
 void AdvisorSlots::handleRequest(const std::string& from, absl::string_view bytes)
 {
     uint64_t number = 0;
--- a/src/Advisor.h
+++ b/src/Advisor.h
@@ -60,6 +60,8 @@
     }
     /** Sends the request through the slot that is free first. `expected` is how long the service takes to handle it. */
     void request(AdviceRequest, absl::Duration expected, absl::AnyInvocable<void(AdviceReply)>);
+    /** Fails the requests that were sent through the entry's slot, as their replies can no longer arrive. */
+    void handleLinkLost(const std::string& entry);
     /** Number of requests that wait for a slot. */
     size_t waiting() const { return m_short.size() + m_long.size(); }
 
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -82,6 +82,8 @@
     /** The owner of the cell, or null when there is no known owner. */
     const CellRow* ownerOf(uint32_t cell) const;
     std::vector<EntryRecord> entries() const;
+    /** Whether the entry has announced a planned stop. */
+    bool isStopping(const std::string& entry) const;
     bool isOwned(uint32_t cell) const { return m_ownedCells.contains(cell); }
     /** Whether this entry's lease was renewed recently enough that no other entry can have claimed its cells. */
     bool isFresh() const { return m_presence.isFresh(); }
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -10,11 +10,14 @@
           [this](uint32_t cell) { return cellOf(cell); },
           [this](const std::string& peer) { return m_parts.peers.isLinked(peer); } })
 {
-    m_advisorSlots.setSlotFilter(
-        [this](const std::string& entry) { return m_cells.contains(cellOfKey(entry, m_directory.cellCount())); });
+    m_advisorSlots.setSlotFilter([this](const std::string& entry) {
+        return m_cells.contains(cellOfKey(entry, m_directory.cellCount())) && !m_directory.isStopping(entry);
+    });
     m_parts.peers.onLinkChange([this](const std::string& peer, bool isUp) {
         if (isUp)
             m_directory.announceOwnedCells(peer);
+        else
+            m_advisorSlots.handleLinkLost(peer);
         m_directory.evaluateCells();
         m_gateway.resendOpenRequests();
         if (m_onLinkChange)
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -63,6 +63,12 @@
     return found != m_stopping.end() && found->second == entry.incarnation;
 }
 
+bool CellDirectory::isStopping(const std::string& entry) const
+{
+    const auto found = m_entries.find(entry);
+    return found != m_entries.end() && isStopping(found->second);
+}
+
 std::vector<std::string> CellDirectory::linkedByCapacity() const
 {
     std::vector<const EntryRecord*> linked;
