Type how a worker's incarnation ends; ask rarely at an address that another one uses

The texts of the log decided what endIncarnation did. Now an enum does, the case of expired leases is a function of its own, and CellWorker resets itself. CellWorker::firstFailedAt, which nothing read, is gone.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -217,7 +217,9 @@
     void applyRunning(CellWorker& worker, const ListedRun& listed);
     void applyEnds(CellWorker& worker, std::vector<EndedRun>& ended);
     void handleSyncFailure(CellWorker& worker, OrderStatus status);
-    void endIncarnation(CellWorker& worker, absl::string_view why);
+    /** Every lease on the worker has expired: concludes all its runs. */
+    void concludeExpiredRuns(CellWorker& worker);
+    void endIncarnation(CellWorker& worker, IncarnationEnd end);
     void checkUnresponsive(CellWorker& worker);
     absl::Duration leaseDuration() const;
     void recordClock(CellWorker& worker, std::optional<int64_t> workerMillis);
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -91,17 +91,13 @@
     case OrderStatus::Fenced:
         return handleSuperseded("fenced-by-worker");
     case OrderStatus::OtherIncarnation:
-        return endIncarnation(worker, "other-life-answers");
+        return endIncarnation(worker, IncarnationEnd::OtherAnswered);
     case OrderStatus::NoReply:
         m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
         ++worker.failedSyncs;
-        if (worker.failedSyncs == 1)
-            worker.firstFailedAt = now;
         return sync(worker, false);
     case OrderStatus::NotSent:
         ++worker.failedSyncs;
-        if (worker.failedSyncs == 1)
-            worker.firstFailedAt = now;
         scheduleSync(worker, absl::Milliseconds(100));
         [[fallthrough]];
     default:
@@ -199,7 +195,7 @@
             if (reply.status == OrderStatus::Fenced)
                 return handleSuperseded("fenced-by-worker");
             if (reply.status == OrderStatus::OtherIncarnation)
-                return endIncarnation(*target, "other-life-answers");
+                return endIncarnation(*target, IncarnationEnd::OtherAnswered);
             const auto found = target->allocations.find(run);
             if (found == target->allocations.end())
                 return;
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -15,6 +15,8 @@
      * anyway. */
     constexpr absl::Duration ackTimeout = absl::Milliseconds(400);
     constexpr absl::Duration syncRetryDelay = absl::Milliseconds(250);
+    /** When another incarnation answers at the listed address, the listing is out of date and goes within seconds. */
+    constexpr absl::Duration staleAddressDelay = absl::Seconds(2);
     constexpr absl::Duration maxLeaseDuration = absl::Seconds(6);
     constexpr absl::Duration leaseMargin = absl::Milliseconds(1500);
     constexpr absl::Duration stuckCheckInterval = absl::Milliseconds(500);
@@ -23,6 +25,20 @@
     constexpr double stuckFactor = 3;
     constexpr absl::Duration stuckAfter = absl::Milliseconds(2500);
 
+    /** The stable name, for logs and metrics. */
+    absl::string_view incarnationEndName(IncarnationEnd end)
+    {
+        switch (end) {
+        case IncarnationEnd::RestartListed:
+            return "listed-with-a-new-start";
+        case IncarnationEnd::RestartReplied:
+            return "answers-with-a-new-start";
+        case IncarnationEnd::OtherAnswered:
+            return "other-incarnation-answers";
+        }
+        return "";
+    }
+
 } // namespace
 
 CellWorker* Cell::findWorker(const std::string& id)
@@ -45,16 +61,19 @@
         return;
     CellWorker& worker = m_workers[id];
     const bool isNew = !worker.isListed;
+    const Endpoint& address = listed->incarnation.address;
+    const bool hasMoved = address.host != worker.listed.incarnation.address.host
+        || address.port != worker.listed.incarnation.address.port;
     const bool isRestarted = worker.startedUnixMillis != 0 && listed->startedUnixMillis != 0
         && listed->startedUnixMillis > worker.startedUnixMillis;
     if (isNew || listed->isDraining != worker.listed.isDraining)
         m_parts.log.write("worker-listed", "worker", id, "service", listed->service, "rack", listed->rack, "draining",
             listed->isDraining, "started", listed->startedUnixMillis);
     if (isRestarted)
-        endIncarnation(worker, "listed-with-a-new-start");
+        endIncarnation(worker, IncarnationEnd::RestartListed);
     worker.listed = *listed;
     worker.isListed = true;
-    if (isNew || isRestarted)
+    if (isNew || isRestarted || hasMoved)
         scheduleSync(worker, absl::ZeroDuration());
 }
 
@@ -139,14 +158,14 @@
     if (reply.status == OrderStatus::Fenced)
         return handleSuperseded("fenced-by-worker");
     if (reply.status == OrderStatus::OtherIncarnation)
-        return endIncarnation(worker, "other-life-answers");
+        return endIncarnation(worker, IncarnationEnd::OtherAnswered);
     if (reply.status != OrderStatus::Done)
         return handleSyncFailure(worker, reply.status);
     const int64_t started = reply.startedUnixMillis;
     if (worker.startedUnixMillis != 0 && started != 0 && started != worker.startedUnixMillis) {
         if (started < worker.startedUnixMillis)
             return;
-        endIncarnation(worker, "answers-with-a-new-start");
+        endIncarnation(worker, IncarnationEnd::RestartReplied);
     }
     if (!worker.hasReplied) {
         m_parts.log.write("worker-heard", "worker", id, "token", m_term.token, "started", started, "running",
@@ -281,12 +300,9 @@
 
 void Cell::handleSyncFailure(CellWorker& worker, OrderStatus status)
 {
-    const Instant now = m_parts.timers.clock().now();
-    if (++worker.failedSyncs == 1) {
-        worker.firstFailedAt = now;
+    if (++worker.failedSyncs == 1)
         m_parts.log.write("worker-silent", "worker", worker.listed.incarnation.id, "status", orderStatusName(status),
             "runs", worker.allocations.size());
-    }
     checkUnresponsive(worker);
     if (!worker.isListed && worker.allocations.empty())
         return;
@@ -300,7 +316,7 @@
     const bool isExpired = worker.hasReplied ? worker.clock.leasesExpired(now) : now - m_ownedSince > maxInheritedLease;
     if (isExpired) {
         if (!worker.allocations.empty())
-            endIncarnation(worker, "leases-ended");
+            concludeExpiredRuns(worker);
         return;
     }
     if (!worker.allocations.empty() && !worker.hasReplied)
@@ -311,13 +327,25 @@
         }));
 }
 
-void Cell::endIncarnation(CellWorker& worker, absl::string_view why)
+void Cell::concludeExpiredRuns(CellWorker& worker)
+{
+    constexpr absl::string_view why = "leases-ended";
+    m_parts.log.write(
+        "worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs", worker.allocations.size());
+    std::vector<TaskRun> runs;
+    for (const auto& [run, allocation] : worker.allocations)
+        runs.push_back(run);
+    for (const TaskRun& run : runs)
+        concludeRun(worker, run, why);
+}
+
+void Cell::endIncarnation(CellWorker& worker, IncarnationEnd end)
 {
+    const absl::string_view why = incarnationEndName(end);
     m_parts.log.write(
         "worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs", worker.allocations.size());
-    const bool isSameIncarnation = why == "leases-ended";
     // A start in flight can still reach the next incarnation under the same id, and must be stopped there.
-    const bool mayStartArrive = why != "leases-ended" && why != "other-life-answers";
+    const bool mayStartArrive = end != IncarnationEnd::OtherAnswered;
     std::vector<TaskRun> runs;
     for (auto& [run, allocation] : worker.allocations) {
         if (mayStartArrive && allocation.wasSent && !allocation.wasConfirmed) {
@@ -331,26 +359,13 @@
     }
     for (const TaskRun& run : runs)
         concludeRun(worker, run, why);
-    if (isSameIncarnation)
-        return;
     for (const UnansweredStart& old : mayStartArrive ? worker.unansweredStarts : std::vector<UnansweredStart>()) {
         worker.allocate(old.run, old.demand);
         worker.allocations[old.run].isStopWanted = true;
     }
-    worker.unansweredStarts.clear();
-    ++worker.generation;
-    worker.isSyncing = false;
-    worker.isSyncScheduled = false;
-    worker.hasReplied = false;
-    worker.startedUnixMillis = 0;
-    worker.clock.reset();
-    worker.processedThrough = 0;
-    worker.acknowledgedThrough = 0;
-    worker.pendingAcks.clear();
-    worker.failedJobs.clear();
-    worker.failedSyncs = 0;
+    worker.beginIncarnation();
     if (worker.isListed)
-        scheduleSync(worker, syncRetryDelay);
+        scheduleSync(worker, mayStartArrive ? syncRetryDelay : staleAddressDelay);
 }
 
 void Cell::suspendPlacement(CellWorker& worker, absl::Duration duration, absl::string_view why)
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -30,6 +30,22 @@
 
 bool WorkerClock::leasesExpired(Instant now) const { return m_isKnown && estimate(now) > m_latestLease; }
 
+void CellWorker::beginIncarnation()
+{
+    unansweredStarts.clear();
+    ++generation;
+    isSyncing = false;
+    isSyncScheduled = false;
+    hasReplied = false;
+    startedUnixMillis = 0;
+    clock.reset();
+    processedThrough = 0;
+    acknowledgedThrough = 0;
+    pendingAcks.clear();
+    failedJobs.clear();
+    failedSyncs = 0;
+}
+
 void CellWorker::allocate(const TaskRun& run, const Resources& demand)
 {
     if (allocations.try_emplace(run, RunAllocation { demand }).second)
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -44,6 +44,16 @@
 /** Why a run is concluded that the worker does not list although the order must have reached it. */
 constexpr absl::string_view notListed = "not-listed";
 
+/** How the end of a worker's incarnation showed. */
+enum class IncarnationEnd {
+    /** The platform lists a later start of the worker. */
+    RestartListed,
+    /** The worker replied with a later start. */
+    RestartReplied,
+    /** An incarnation with another id answers at the worker's address. */
+    OtherAnswered,
+};
+
 /** Capacity allocated to a run. */
 struct RunAllocation {
     Resources demand;
@@ -92,7 +102,6 @@
     bool isSyncing = false;
     bool isSyncScheduled = false;
     int failedSyncs = 0;
-    Instant firstFailedAt = absl::ZeroDuration();
     Instant lastReplyAt = absl::ZeroDuration();
     /** No tasks are placed on the worker before this time. */
     Instant suspendedUntil = absl::ZeroDuration();
@@ -105,6 +114,8 @@
     /** Smoothed ratio of the duration of tasks here to their estimates; 1 is as estimated. */
     double slowdown = 1;
 
+    /** Forgets what was known of the last incarnation, except the allocations, which may outlast it. */
+    void beginIncarnation();
     void allocate(const TaskRun& run, const Resources& demand);
     void release(const TaskRun& run);
     Resources free() const;
