Use the field's words for successors, timeouts and bounds

heir, nobody, somebody, patience, leastLoaded, aboveAllUrgencies, and most..., least..., longest... for bounds in test/, in code, specifications and docs. Names and comments only; RULE_HEIR_READS is RULE_SUCCESSOR_READS.

--- a/spec/Authority.m
+++ b/spec/Authority.m
@@ -48,7 +48,7 @@
   Guardian: scalarset(3);
   Age: 0..HOLD;                 -- HOLD: expired, or none
   Cas: enum { NO_CAS, PENDING, APPLIED }; -- APPLIED: took effect, but the holder has no reply yet
-  Heir: enum { NO_HEIR, TAKING_OVER, ACTING };
+  Succession: enum { NO_SUCCESSOR, TAKING_OVER, ACTING };
 
 var
   -- The record in the store.
@@ -84,7 +84,7 @@
   knowsEpochs: boolean;         -- whether the back end checks epochs
   inFlight: boolean;            -- a start by the former owner, which checked its authority just before it was ended
   sinceEnd: 0..FLIGHT;
-  heir: Heir;
+  successor: Succession;
 
 function Acts(): boolean;
 begin
@@ -235,7 +235,7 @@
   knowsEpochs := epochs;
   inFlight := false;
   sinceEnd := 0;
-  heir := NO_HEIR;
+  successor := NO_SUCCESSOR;
 end end;
 
 rule "a tick passes"
@@ -448,18 +448,18 @@
 
 -- The successor and the back end.
 
-rule "the heir takes over"
-  ended & heir = NO_HEIR
+rule "the successor takes over"
+  ended & successor = NO_SUCCESSOR
 ==>
 begin
-  heir := TAKING_OVER;
+  successor := TAKING_OVER;
 end;
 
-rule "the heir gives work"
-  heir = TAKING_OVER & (knowsEpochs | RULE_WAIT_OUT_STARTS = 0 | sinceEnd >= FLIGHT)
+rule "the successor gives work"
+  successor = TAKING_OVER & (knowsEpochs | RULE_WAIT_OUT_STARTS = 0 | sinceEnd >= FLIGHT)
 ==>
 begin
-  heir := ACTING;
+  successor := ACTING;
   if knowsEpochs & RULE_PRESENT_EPOCH = 1 then
     inFlight := false; -- from now on the back end rejects the older epoch
   end;
@@ -470,7 +470,7 @@
 ==>
 begin
   inFlight := false;
-  assert "the back end takes work from two owners" heir != ACTING;
+  assert "the back end takes work from two owners" successor != ACTING;
 end;
 
 invariant "never two owners"
@@ -479,14 +479,14 @@
 -- From every reachable state a state with an owner is reachable, also after faults have stopped. The number of states is
 -- finite, so under any fair schedule (one that gives each enabled step a chance) the back end is owned again.
 liveness "owned again"
-  Acts() | heir = ACTING;
+  Acts() | successor = ACTING;
 
 -- The checker reports each of these states that is never reached; this shows that the model isn't vacuous.
-cover "the heir acts"
-  heir = ACTING;
+cover "the successor acts"
+  successor = ACTING;
 cover "the holder holds authority by its own CAS alone"
   Acts() & (forall g: Guardian do gone[g] end);
 cover "every guardian lapsed and the holder came back"
   Acts() & (exists g: Guardian do inSet[g] & lapsed[g] end);
-cover "a start is overtaken by the heir"
-  inFlight & heir = TAKING_OVER;
+cover "a start is overtaken by the successor"
+  inFlight & successor = TAKING_OVER;
--- a/spec/Cells.m
+++ b/spec/Cells.m
@@ -98,7 +98,7 @@
   if active[e] = r then active[e] := 0; end;
 end;
 
-startstate "nobody owns the cell"
+startstate "the cell has no owner"
 begin
   row := 0;
   storedRun := 0;
--- a/spec/Claims.m
+++ b/spec/Claims.m
@@ -22,7 +22,7 @@
   FAULTS: 3;                    -- ended homes, replaced executors and repeated starts, together
 
   RULE_COMMIT_FIRST: 1;         -- a claim is granted only once it is in the store
-  RULE_HEIR_READS: 1;           -- a successor reads the journals of all earlier homes before it grants a claim
+  RULE_SUCCESSOR_READS: 1;           -- a successor reads the journals of all earlier homes before it grants a claim
   RULE_GRANT_WITH_AUTHORITY: 1; -- a home checks its authority after the write took effect, before it grants
   RULE_LATEST_EPOCH: 1;         -- of two records of one claim, the one under the higher epoch counts
   RULE_RECORD_AGAIN: 1;         -- a successor gives leave for an earlier claim only after recording it under its own epoch
@@ -104,7 +104,7 @@
 -- Drops records replaced by one of a higher epoch: they make no difference to any later successor.
 procedure DropReplaced();
 begin
-  if RULE_LATEST_EPOCH = 1 & RULE_GRANT_WITH_AUTHORITY = 1 & RULE_HEIR_READS = 1 then
+  if RULE_LATEST_EPOCH = 1 & RULE_GRANT_WITH_AUTHORITY = 1 & RULE_SUCCESSOR_READS = 1 then
     for e: Epoch do
       for f: Epoch do
         if f > e & journal[f].claim != 0 then
@@ -256,7 +256,7 @@
   end;
 end end;
 
-rule "the heir records an earlier home's claim again"
+rule "the successor records an earlier home's claim again"
   ready & RULE_RECORD_AGAIN = 1 & known.claim != 0 & journal[epoch].claim != known.claim & writing.claim = 0
 ==>
 begin
@@ -344,11 +344,11 @@
   DropReplaced();
 end end;
 
-rule "the heir reads the journals"
+rule "the successor reads the journals"
   !ready
 ==>
 begin
-  if RULE_HEIR_READS = 1 then
+  if RULE_SUCCESSOR_READS = 1 then
     for e: Epoch do
       if journal[e].claim != 0 & (RULE_LATEST_EPOCH = 1 | journal[e].claim > known.claim) then
         known := journal[e];
@@ -528,7 +528,7 @@
   ran[2] & told[1] = NOTHING;
 cover "a second claim runs after the first was closed"
   ran[2] & told[1] = NOT_RUN;
-cover "a late write of an ended home differs from the heir's claim"
+cover "a late write of an ended home differs from the successor's claim"
   late[1].claim != 0 & epoch = 2 & writing.claim != 0 & writing.claimer != late[1].claimer;
 cover "a start is still on its way after not-run was said"
   exists x: Executor do starts[x][1] & saidNotRun[1] end;
--- a/src/JobRecords.cpp
+++ b/src/JobRecords.cpp
@@ -30,23 +30,23 @@
 {
 }
 
-void JobRecords::create(JobRecord record, absl::Duration patience, CreateCallback callback)
+void JobRecords::create(JobRecord record, absl::Duration timeout, CreateCallback callback)
 {
-    beginWrite(std::move(record), true, patience, std::move(callback));
+    beginWrite(std::move(record), true, timeout, std::move(callback));
 }
 
-void JobRecords::update(JobRecord record, absl::Duration patience, UpdateCallback callback)
+void JobRecords::update(JobRecord record, absl::Duration timeout, UpdateCallback callback)
 {
-    beginWrite(std::move(record), false, patience, std::move(callback));
+    beginWrite(std::move(record), false, timeout, std::move(callback));
 }
 
-void JobRecords::beginWrite(JobRecord record, bool isNew, absl::Duration patience, CreateCallback callback)
+void JobRecords::beginWrite(JobRecord record, bool isNew, absl::Duration timeout, CreateCallback callback)
 {
     const Instant now = m_clock.now();
     auto write = std::make_shared<Write>();
     write->record = std::move(record);
     write->isNew = isNew;
-    write->deadline = now + patience;
+    write->deadline = now + timeout;
     write->callback = std::move(callback);
     m_writes.push_back(write);
     // A new job is written without reading first; the stored record is read only if the write fails.
--- a/src/JobRecords.h
+++ b/src/JobRecords.h
@@ -29,9 +29,9 @@
 
     /** Stores a new job. Succeeds if the same job is stored already; a different job under its id is a Conflict. After
      * StoreUnavailable the job may or may not be stored, so it must be sent again under the same id. */
-    void create(JobRecord record, absl::Duration patience, CreateCallback callback);
-    /** Merges `record` into the stored record and calls back with the outcome. Retries until `patience` has passed. */
-    void update(JobRecord record, absl::Duration patience, UpdateCallback callback);
+    void create(JobRecord record, absl::Duration timeout, CreateCallback callback);
+    /** Merges `record` into the stored record and calls back with the outcome. Retries until `timeout` has passed. */
+    void update(JobRecord record, absl::Duration timeout, UpdateCallback callback);
     void read(const std::string& id, CreateCallback callback);
     /** Lists all jobs of a partition. */
     void list(uint32_t partition, ListCallback callback);
@@ -50,7 +50,7 @@
     };
     using WritePtr = std::shared_ptr<Write>;
 
-    void beginWrite(JobRecord record, bool isNew, absl::Duration patience, CreateCallback callback);
+    void beginWrite(JobRecord record, bool isNew, absl::Duration timeout, CreateCallback callback);
     void attempt(const WritePtr& write);
     void handleCurrent(const WritePtr& write, const StoreReply& reply);
     void put(const WritePtr& write, uint64_t index);
--- a/src/OwnershipPlan.cpp
+++ b/src/OwnershipPlan.cpp
@@ -70,7 +70,7 @@
         }
 
         /** The least loaded live entry of `region`, or of all regions when none is live there; null if none. */
-        const EntryId* leastLoaded(absl::string_view group, absl::string_view region) const
+        const EntryId* entryWithLeastLoad(absl::string_view group, absl::string_view region) const
         {
             const EntryId* best = nullptr;
             for (const auto& [entry, entryRegion] : m_live) {
@@ -116,12 +116,13 @@
     Loads loads(rows, membership);
     OwnershipMoves moves;
     for (const auto& [group, row] : rows) {
-        const EntryId* successor = membership.hasEnded(row.owner) ? loads.leastLoaded(group, row.region) : nullptr;
+        const EntryId* successor
+            = membership.hasEnded(row.owner) ? loads.entryWithLeastLoad(group, row.region) : nullptr;
         if (successor)
             moveTo(loads, moves, group, row.owner, *successor);
     }
     for (const auto& [group, region] : groups) {
-        const EntryId* owner = rows.contains(group) ? nullptr : loads.leastLoaded(group, region);
+        const EntryId* owner = rows.contains(group) ? nullptr : loads.entryWithLeastLoad(group, region);
         if (owner)
             moveTo(loads, moves, group, {}, *owner);
     }
@@ -135,7 +136,7 @@
     for (const auto& [group, row] : rows) {
         if (row.owner != self)
             continue;
-        const EntryId* other = loads.leastLoaded(group, row.region);
+        const EntryId* other = loads.entryWithLeastLoad(group, row.region);
         if (other && shouldHandOver(loads, group, row, *other))
             moveTo(loads, moves, group, self, *other);
     }
--- a/src/WorkerFleet.cpp
+++ b/src/WorkerFleet.cpp
@@ -169,8 +169,8 @@
 
 void WorkerFleet::checkpointLeaving(const Worker& worker)
 {
-    constexpr int aboveAllUrgencies = 10;
-    for (const RunStatus& run : preemptible(worker.info.name, aboveAllUrgencies))
+    constexpr int moreThanMaxUrgency = 10;
+    for (const RunStatus& run : preemptible(worker.info.name, moreThanMaxUrgency))
         stopRun(run.id, true);
 }
 
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -80,7 +80,7 @@
     job.steps[0].maxPerWorker = 2;
     world.submit(0, job);
     CHECK(ends("a", JobPhase::Finished));
-    LONGS_EQUAL(2, world.mostOnOneWorker("a"));
+    LONGS_EQUAL(2, world.maxOnOneWorker("a"));
 }
 
 TEST(Cell, aCancelledJobStopsAndStaysCancelled)
@@ -94,7 +94,7 @@
         CHECK(worker.runs.empty());
 }
 
-TEST(Cell, anUnknownJobIsSaidNotToExist) { CHECK(!world.ask(0, "nobody").has_value()); }
+TEST(Cell, anUnknownJobIsSaidNotToExist) { CHECK(!world.ask(0, "unknown").has_value()); }
 
 TEST(Cell, aTaskThatAlwaysFailsFailsItsJobAfterItsAttempts)
 {
@@ -185,7 +185,7 @@
     // The service's own latest start is long past, that of each batch job is still to come.
     world.run(absl::Seconds(5));
     Instant lastSeen = world.now();
-    absl::Duration longestAbsence;
+    absl::Duration maxAbsence;
     for (int i = 0; i < 150; ++i) {
         world.submitOnce(i % 3, makeJob(absl::StrCat("batch", i), 8, 2000, absl::Seconds(1)));
         for (int slice = 0; slice < 5; ++slice) {
@@ -196,10 +196,10 @@
             });
             if (isRunning)
                 lastSeen = world.now();
-            longestAbsence = std::max(longestAbsence, world.now() - lastSeen);
+            maxAbsence = std::max(maxAbsence, world.now() - lastSeen);
         }
     }
-    CHECK(longestAbsence < restartBound);
+    CHECK(maxAbsence < restartBound);
 }
 
 TEST(Cell, adviceIsFollowedAndTicketsAreCarried)
@@ -231,7 +231,7 @@
     spread.steps[0].maxPerWorker = 1;
     wide.submit(0, spread);
     CHECK(wide.runUntil([&] { return wide.startsOf("spread") == 16; }, absl::Seconds(45)));
-    LONGS_EQUAL(1, wide.mostOnOneWorker("spread"));
+    LONGS_EQUAL(1, wide.maxOnOneWorker("spread"));
     STRCMP_EQUAL("", wide.report().c_str());
 }
 
--- a/test/correctness/EventLogTest.cpp
+++ b/test/correctness/EventLogTest.cpp
@@ -17,7 +17,7 @@
 TEST(EventLogging, everyLineArrivesInWritesThatAReaderTakesWhole)
 {
     // Some readers take no more than this of one write.
-    constexpr size_t mostTaken = 8192;
+    constexpr size_t maxWriteBytes = 8192;
     constexpr int lines = 1000;
     int ends[2] = {};
     CHECK_EQUAL(0, socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends));
@@ -29,7 +29,7 @@
     std::string buffer(1 << 20, '\0');
     while (seen < lines) {
         const ssize_t size = recv(ends[0], buffer.data(), buffer.size(), 0);
-        CHECK(size > 0 && static_cast<size_t>(size) <= mostTaken);
+        CHECK(size > 0 && static_cast<size_t>(size) <= maxWriteBytes);
         if (size <= 0)
             break;
         for (ssize_t i = 0; i < size; ++i)
--- a/test/correctness/OwnershipTest.cpp
+++ b/test/correctness/OwnershipTest.cpp
@@ -91,7 +91,7 @@
     CHECK(cluster.violation().empty());
 }
 
-TEST(OwnershipTable, theLastEntryLeavesWithoutAnHeir)
+TEST(OwnershipTable, theLastEntryLeavesWithoutASuccessor)
 {
     EntryCluster cluster(1, 1, 2);
     startAll(cluster, 1);
--- a/test/correctness/ProfileRegistryTest.cpp
+++ b/test/correctness/ProfileRegistryTest.cpp
@@ -52,11 +52,11 @@
             node->node.setPeers(peers);
     }
 
-    Result<uint64_t> change(size_t node, ProfileChange change, absl::Duration patience = absl::Seconds(10))
+    Result<uint64_t> change(size_t node, ProfileChange change, absl::Duration timeout = absl::Seconds(10))
     {
         Result<uint64_t> result = Error { ErrorKind::Internal, "no answer", "" };
         nodes[node]->registry.change(std::move(change), [&result](Result<uint64_t> r) { result = std::move(r); });
-        world.run(patience);
+        world.run(timeout);
         return result;
     }
 };
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -121,7 +121,7 @@
     STRCMP_EQUAL("", wide.report().c_str());
 }
 
-TEST(CellFailures, theOwnerAndItsHeirDie)
+TEST(CellFailures, theOwnerAndItsSuccessorDie)
 {
     submitSome(10, other());
     world.run(absl::Milliseconds(400));
--- a/test/failure/ClaimsTest.cpp
+++ b/test/failure/ClaimsTest.cpp
@@ -78,7 +78,7 @@
     LONGS_EQUAL(1, writes);
 }
 
-TEST(ClaimsFailure, whenTheHomeDiesAfterTheRunTheHeirStillKnows)
+TEST(ClaimsFailure, whenTheHomeDiesAfterTheRunTheSuccessorStillKnows)
 {
     const std::string id = idAt(1);
     auto first = all.send(0, id);
@@ -91,7 +91,7 @@
     LONGS_EQUAL(1, all.starts(id));
 }
 
-TEST(ClaimsFailure, whenTheHomeDiesBeforeItGrantedTheHeirGrants)
+TEST(ClaimsFailure, whenTheHomeDiesBeforeItGrantedTheSuccessorGrants)
 {
     const std::string id = idAt(1);
     auto first = all.send(0, id);
@@ -101,7 +101,7 @@
     LONGS_EQUAL(1, all.starts(id));
 }
 
-TEST(ClaimsFailure, theHeirGrantsNothingBeforeItHasReadTheJournal)
+TEST(ClaimsFailure, theSuccessorGrantsNothingBeforeItHasReadTheJournal)
 {
     const std::string id = idAt(1);
     all.send(0, id);
--- a/test/failure/EntryKilled.sh
+++ b/test/failure/EntryKilled.sh
@@ -64,8 +64,8 @@
 sleep 2
 
 rm "$out/load"
-echo "most slots in use $(field mostInUse) of $slots, overfull $(field overfull), under an old epoch $(field oldEpoch)"
-[ "$(field mostInUse)" -le $slots ] || fail "a slot was used twice: $(counts)"
+echo "most slots in use $(field maxInUse) of $slots, overfull $(field overfull), under an old epoch $(field oldEpoch)"
+[ "$(field maxInUse)" -le $slots ] || fail "a slot was used twice: $(counts)"
 [ "$(field overfull)" = 0 ] || fail "an executor was given more than its slots hold: $(counts)"
 [ "$(field oldEpoch)" = 0 ] || fail "work came under an old epoch: $(counts)"
 for ((i = 0; i < executors; i++)); do
--- a/test/failure/JobsTest.cpp
+++ b/test/failure/JobsTest.cpp
@@ -78,12 +78,12 @@
         accept(twice, 2, 3, "work-ms=1500", R"(, "gang": true)");
     }
 
-    /** All jobs end within `patience`, and every promise held. */
-    void check(absl::Duration patience)
+    /** All jobs end within `timeout`, and every promise held. */
+    void check(absl::Duration timeout)
     {
         const std::string where = absl::StrCat("seed ", seed);
         for (size_t i = 0; i < ids.size(); ++i) {
-            CHECK_TEXT(jobs.runUntilEnded(ids[i], patience), absl::StrCat("no end of job ", i, ", ", where).c_str());
+            CHECK_TEXT(jobs.runUntilEnded(ids[i], timeout), absl::StrCat("no end of job ", i, ", ", where).c_str());
             const JobRecord record = jobs.stored(ids[i]);
             for (uint32_t task = 0; task < record.marks.size(); ++task) {
                 const uint64_t starts = jobs.startsOf(ids[i], task);
@@ -211,7 +211,7 @@
     }
 }
 
-TEST(Jobs, heirCanNotReachTheWorkersAtFirst)
+TEST(Jobs, successorCanNotReachTheWorkersAtFirst)
 {
     for (uint64_t seed = 1; seed <= seeds(20); ++seed) {
         Scene scene(seed);
--- a/test/failure/WorkerFails.sh
+++ b/test/failure/WorkerFails.sh
@@ -51,7 +51,7 @@
         sleep 1
         is running 0 && fail "nothing runs when the entry dies"
         kill -9 "$pid_entry_2"
-        # Where ownership is only computed from the list of members, somebody has to take the dead one off it.
+        # Where ownership is only computed from the list of members, the dead one has to be taken off it.
         sleep 6
         if http "http://$(entry 1)/v1/status" | grep -q '"owner":"entry-2"'; then
             http -X DELETE "http://$platform/v1/kv/cicada/config/members/entry-2" >/dev/null
@@ -73,7 +73,7 @@
 control
 echo
 for ((i = 0; i < jobs; i++)); do
-    # Workers live on, so that even what must not run twice is known to the heir.
+    # Workers live on, so that even what must not run twice is known to the successor.
     [ "$(state 1 "$(job_id 00000000 $i)")" = finished ] || fail "job $i: $(state 1 "$(job_id 00000000 $i)")"
 done
 is overlapping 0 || fail "a task ran in two places at once"
--- a/test/performance/BenchClaims.cpp
+++ b/test/performance/BenchClaims.cpp
@@ -1,6 +1,6 @@
 /** \file
- * What a claim costs: its latency and the store's writes at growing rates of requests, and what an heir reads. Time is
- * the paused clock's, with a store of 3 ms; the processor time is real.
+ * What a claim costs: its latency and the store's writes at growing rates of requests, and what a successor reads. Time
+ * is the paused clock's, with a store of 3 ms; the processor time is real.
  */
 
 #include "Journal.h"
--- a/test/performance/placement-bench.cpp
+++ b/test/performance/placement-bench.cpp
@@ -106,7 +106,7 @@
 }
 
 /** The least number of workers that the total demand of each resource allows; no packing can need fewer. */
-size_t leastWorkers(const std::vector<Resources>& tasks)
+size_t minWorkers(const std::vector<Resources>& tasks)
 {
     Resources total;
     for (const Resources& task : tasks)
@@ -122,7 +122,7 @@
 size_t workersUsed(const std::vector<Resources>& tasks, const char* scoreName)
 {
     WorkerLedger ledger;
-    const size_t fleet = leastWorkers(tasks) * 2;
+    const size_t fleet = minWorkers(tasks) * 2;
     for (size_t i = 0; i < fleet; ++i)
         ledger.upsert(makeWorker(i));
     const auto score = makePlacementScore(scoreName, seed);
@@ -192,7 +192,7 @@
     }
     std::mt19937_64 random(seed);
     const std::vector<Resources> tasks = makeTasks(5000, random);
-    const size_t bound = leastWorkers(tasks);
+    const size_t bound = minWorkers(tasks);
     absl::PrintF("\npacking of %d tasks; the total demand needs at least %d workers\n", tasks.size(), bound);
     absl::PrintF("%12s %8s %10s %22s\n", "score", "workers", "of bound", "in use after churn");
     absl::StrAppend(&text, "],\"bound\":", bound, ",\"packing\":[");
--- a/test/performance/policy-bench.cpp
+++ b/test/performance/policy-bench.cpp
@@ -50,8 +50,8 @@
     profile.expectedRun = (shortest + longest) / 2;
     workload.rate = share * steadyShare * allSlots / absl::ToDoubleSeconds(profile.expectedRun);
     workload.profile = std::move(profile);
-    workload.shortestRun = shortest;
-    workload.longestRun = longest;
+    workload.minRun = shortest;
+    workload.maxRun = longest;
     return workload;
 }
 
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -15,7 +15,7 @@
     using platform::Json;
 
     constexpr absl::Duration callTimeout = absl::Seconds(3);
-    constexpr int mostAttempts = 5;
+    constexpr int maxAttempts = 5;
     constexpr const char* deadlineHeader = "Cicadaspread-Deadline-Ms";
 
     std::string bodyOf(const SoakJob& job)
@@ -45,9 +45,9 @@
 {
 }
 
-absl::Duration SoakCallers::between(int64_t leastMillis, int64_t mostMillis)
+absl::Duration SoakCallers::between(int64_t minMillis, int64_t maxMillis)
 {
-    return absl::Milliseconds(std::uniform_int_distribution<int64_t>(leastMillis, mostMillis)(m_random));
+    return absl::Milliseconds(std::uniform_int_distribution<int64_t>(minMillis, maxMillis)(m_random));
 }
 
 void SoakCallers::start() { submitNext(); }
@@ -96,7 +96,7 @@
         }
         if (attempts->isSettled)
             return;
-        if (isAccepted || attempts->made >= mostAttempts) {
+        if (isAccepted || attempts->made >= maxAttempts) {
             attempts->isSettled = true;
             --m_handingIn;
             if (attempts->turnedAway == attempts->made)
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -42,7 +42,7 @@
     void ask(const std::string& id);
     void call(const char* method, const std::string& id, std::string body,
         absl::AnyInvocable<void(platform::HttpResult)> callback);
-    absl::Duration between(int64_t leastMillis, int64_t mostMillis);
+    absl::Duration between(int64_t minMillis, int64_t maxMillis);
 
     boost::asio::io_context& m_io;
     SoakJudge& m_judge;
--- a/test/soak/SoakJudge.cpp
+++ b/test/soak/SoakJudge.cpp
@@ -105,7 +105,7 @@
     if (state == "failed" && !hasFailedOut(job))
         violate(absl::StrCat("job ", id, " is shown as failed without having failed so often"));
     if (state == "cancelled" && !job.isCancelSent)
-        violate(absl::StrCat("job ", id, " is shown as cancelled and nobody cancelled it"));
+        violate(absl::StrCat("job ", id, " is shown as cancelled without having been cancelled"));
 }
 
 absl::Duration SoakJudge::workOf(const GridRun& run)
@@ -126,7 +126,7 @@
     const std::string what = absl::StrCat("task ", run.task, " run ", run.number, " on ", executor, ": ");
     const SoakJob* job = jobOf(run);
     if (!job)
-        return violate(what + "nobody asked for it");
+        return violate(what + "it was not asked for");
     m_startedJobs.insert(job->id);
     Task& task = m_tasks[run.task];
     if (job->isRefused)
--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -84,9 +84,9 @@
     void harmStore();
     void harmExecutor(size_t executor);
     void endFaults();
-    absl::Duration between(int64_t leastMillis, int64_t mostMillis)
+    absl::Duration between(int64_t minMillis, int64_t maxMillis)
     {
-        return absl::Milliseconds(std::uniform_int_distribution<int64_t>(leastMillis, mostMillis)(m_random));
+        return absl::Milliseconds(std::uniform_int_distribution<int64_t>(minMillis, maxMillis)(m_random));
     }
     void note(const std::string& what)
     {
--- a/test/standin/Cluster.sh
+++ b/test/standin/Cluster.sh
@@ -94,7 +94,7 @@
     for port in "${executor_ports[@]}"; do
         reply=$(http "http://127.0.0.1:$port/control")
         local most
-        most=$(field mostInUse "$reply")
+        most=$(field maxInUse "$reply")
         [ "$most" -gt "$most_in_use" ] && most_in_use=$most
         overfull=$((overfull + $(field overfull "$reply")))
         doubled=$((doubled + $(field doubled "$reply")))
--- a/test/standin/fake-executor.cpp
+++ b/test/standin/fake-executor.cpp
@@ -67,7 +67,7 @@
     absl::flat_hash_map<std::string, uint32_t> m_started;
     uint64_t m_epoch = 0;
     uint32_t m_inUse = 0;
-    uint32_t m_mostInUse = 0;
+    uint32_t m_maxInUse = 0;
     uint64_t m_overfull = 0;
     uint64_t m_oldEpoch = 0;
     uint64_t m_afterLeaving = 0;
@@ -123,7 +123,7 @@
     }
     m_afterLeaving += m_leaving != 0;
     ++m_started[id];
-    m_mostInUse = std::max(m_mostInUse, ++m_inUse);
+    m_maxInUse = std::max(m_maxInUse, ++m_inUse);
     m_runs[id].state = "running";
     const absl::Time until = m_failAll ? absl::Now() : absl::Now() + absl::Milliseconds(workMillis(request.body));
     while ((m_hang || absl::Now() < until) && m_runs[id].state == "running")
@@ -236,7 +236,7 @@
         runs += count;
         doubled += count > 1;
     }
-    response.set_content(Json { { "name", m_name }, { "slots", m_slots }, { "mostInUse", m_mostInUse },
+    response.set_content(Json { { "name", m_name }, { "slots", m_slots }, { "maxInUse", m_maxInUse },
                              { "inUse", m_inUse }, { "runs", runs }, { "doubled", doubled }, { "overfull", m_overfull },
                              { "oldEpoch", m_oldEpoch }, { "afterLeaving", m_afterLeaving } }
                              .dump(),
--- a/test/standin/fake-worker.cpp
+++ b/test/standin/fake-worker.cpp
@@ -73,20 +73,20 @@
     uint64_t starts = 0;
     uint64_t refused = 0;
     size_t running = 0;
-    double mostUsed = 0;
+    double maxUsed = 0;
     for (const WorkerModel& worker : m_workers) {
         overfull += worker.overfull;
         starts += worker.starts;
         refused += worker.refused;
         running += worker.running();
-        const double cpu = static_cast<double>(worker.mostCpu) / static_cast<double>(worker.capacity().cpuMillis);
-        const double memory = static_cast<double>(worker.mostMemory) / static_cast<double>(worker.capacity().memoryMiB);
-        mostUsed = std::max({ mostUsed, cpu, memory });
+        const double cpu = static_cast<double>(worker.maxCpu) / static_cast<double>(worker.capacity().cpuMillis);
+        const double memory = static_cast<double>(worker.maxMemory) / static_cast<double>(worker.capacity().memoryMiB);
+        maxUsed = std::max({ maxUsed, cpu, memory });
     }
     uint64_t startedTwice = 0;
     for (const auto& [task, count] : m_starts)
         startedTwice += count > 1;
-    return { { "overlapping", m_overlapping }, { "overfull", overfull }, { "mostUsed", mostUsed }, { "starts", starts },
+    return { { "overlapping", m_overlapping }, { "overfull", overfull }, { "maxUsed", maxUsed }, { "starts", starts },
         { "startedTwice", startedTwice }, { "tasks", m_starts.size() }, { "running", running },
         { "refused", refused } };
 }
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -758,7 +758,7 @@
     }
     Job& job = m_jobs[run.task.job];
     if (job.spec.steps.empty()) {
-        violate(absl::StrCat("a start of a job that nobody submitted: ", describeRun(run)));
+        violate(absl::StrCat("a start of a job that was not submitted: ", describeRun(run)));
         return reply;
     }
     const StepSpec& step = job.spec.steps[run.task.step];
@@ -786,7 +786,7 @@
     size_t here = 0;
     for (const auto& [other, state] : worker.runs)
         here += other.task.job == run.task.job && other.task.step == run.task.step ? 1 : 0;
-    job.mostOnOne = std::max(job.mostOnOne, here);
+    job.maxOnOne = std::max(job.maxOnOne, here);
     m_startOrder.push_back(run);
     m_lastStartAt = now();
     Resources used;
@@ -917,10 +917,10 @@
     return found == m_jobs.end() ? 0 : found->second.starts;
 }
 
-size_t CellWorld::mostOnOneWorker(const std::string& job) const
+size_t CellWorld::maxOnOneWorker(const std::string& job) const
 {
     const auto found = m_jobs.find(job);
-    return found == m_jobs.end() ? 0 : found->second.mostOnOne;
+    return found == m_jobs.end() ? 0 : found->second.maxOnOne;
 }
 
 Submission makeJob(const std::string& id, uint32_t tasks, int64_t cpuMillis, absl::Duration estimate)
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -132,7 +132,7 @@
     Instant lastStartAt() const { return m_lastStartAt; }
     size_t startsOf(const std::string& job) const;
     /** Most workers that a step of the job ran on with more than so many tasks at once. */
-    size_t mostOnOneWorker(const std::string& job) const;
+    size_t maxOnOneWorker(const std::string& job) const;
     const std::vector<TaskRun>& startOrder() const { return m_startOrder; }
 
     /** What broke a promise; empty when nothing did. */
@@ -157,7 +157,7 @@
         absl::flat_hash_set<TaskName> finishedAcked;
         size_t attempts = 0;
         size_t starts = 0;
-        size_t mostOnOne = 0;
+        size_t maxOnOne = 0;
     };
 
     void retrySubmit(size_t entry, const Submission& job);
--- a/test/support/ClaimsWorld.cpp
+++ b/test/support/ClaimsWorld.cpp
@@ -328,14 +328,14 @@
     }
 }
 
-void ClaimsWorld::killEntry(size_t entry, size_t heir, absl::Duration after)
+void ClaimsWorld::killEntry(size_t entry, size_t successor, absl::Duration after)
 {
     world.kill(entries[entry]->node());
     entries[entry]->dead = true;
     const std::string from = entries[entry]->node().name();
     m_killedAt[from] = world.now();
     world.run(after);
-    moveClaims(from, entries[heir]->node().name());
+    moveClaims(from, entries[successor]->node().name());
 }
 
 std::string ClaimsWorld::violations() const
--- a/test/support/ClaimsWorld.h
+++ b/test/support/ClaimsWorld.h
@@ -122,10 +122,10 @@
 
     /** Sends a request; its answer is in the result once there is one. */
     std::shared_ptr<ClaimedRequest> send(size_t entry, const std::string& id);
-    /** Gives all claim partitions of `from` to `to`, as after its end; with `to` empty nobody owns them. */
+    /** Gives all claim partitions of `from` to `to`, as after its end; with `to` empty they have no owner. */
     void moveClaims(const std::string& from, const std::string& to);
-    /** Ends an entry; its claims go to `heir` after `after`. */
-    void killEntry(size_t entry, size_t heir, absl::Duration after = absl::Seconds(2));
+    /** Ends an entry; its claims go to `successor` after `after`. */
+    void killEntry(size_t entry, size_t successor, absl::Duration after = absl::Seconds(2));
     void run(absl::Duration by) { world.run(by); }
     /** What went wrong so far; empty when every promise held. */
     std::string violations() const;
--- a/test/support/JobWorld.cpp
+++ b/test/support/JobWorld.cpp
@@ -302,9 +302,9 @@
     return decodeRecord(it->second.value).value();
 }
 
-bool JobWorld::runUntilEnded(const std::string& id, absl::Duration patience)
+bool JobWorld::runUntilEnded(const std::string& id, absl::Duration timeout)
 {
-    const absl::Duration until = m_world.now() + patience;
+    const absl::Duration until = m_world.now() + timeout;
     while (m_world.now() < until) {
         // Looks for the state in the text, since decoding the record each time would take most of the test.
         auto it = m_world.stored().find(jobKey(id));
--- a/test/support/JobWorld.h
+++ b/test/support/JobWorld.h
@@ -113,8 +113,8 @@
     Result<std::string> cancel(size_t entry, const std::string& id);
     /** The job's stored record. */
     JobRecord stored(const std::string& id);
-    /** Runs until the job's end is stored, at most `patience`. */
-    bool runUntilEnded(const std::string& id, absl::Duration patience);
+    /** Runs until the job's end is stored, at most `timeout`. */
+    bool runUntilEnded(const std::string& id, absl::Duration timeout);
 
     /** Tasks that ran in two places at once. */
     uint64_t overlaps() const { return m_overlaps; }
--- a/test/support/PolicyWorld.cpp
+++ b/test/support/PolicyWorld.cpp
@@ -174,7 +174,7 @@
 absl::Duration PolicyWorld::runTime(const Workload& workload)
 {
     std::uniform_real_distribution<double> between(0, 1);
-    const absl::Duration run = workload.shortestRun + (workload.longestRun - workload.shortestRun) * between(m_random);
+    const absl::Duration run = workload.minRun + (workload.maxRun - workload.minRun) * between(m_random);
     const bool straggles = workload.swings && between(m_random) < m_scenario.stragglers;
     return straggles ? run * stragglerFactor : run;
 }
@@ -204,7 +204,7 @@
 void PolicyWorld::prefill(size_t kind)
 {
     const Workload& workload = m_workloads[kind];
-    const double mean = absl::ToDoubleSeconds(workload.shortestRun + workload.longestRun) / 2;
+    const double mean = absl::ToDoubleSeconds(workload.minRun + workload.maxRun) / 2;
     const int held = static_cast<int>(workload.rate * mean);
     std::uniform_real_distribution<double> left(0, 1);
     for (int i = 0; i < held; ++i)
--- a/test/support/PolicyWorld.h
+++ b/test/support/PolicyWorld.h
@@ -22,8 +22,8 @@
     Profile profile;
     /** Arrivals each second over all entries. */
     double rate = 0;
-    absl::Duration shortestRun;
-    absl::Duration longestRun;
+    absl::Duration minRun;
+    absl::Duration maxRun;
     uint64_t bodyBytes = 0;
     /** Whether it belongs to the swing. */
     bool swings = false;
--- a/test/support/WorkerModel.h
+++ b/test/support/WorkerModel.h
@@ -77,8 +77,8 @@
         run.fails = failAll || absl::StrContains(message.command, "fail");
         m_runs[message.id] = run;
         const Resources total = used();
-        mostCpu = std::max(mostCpu, total.cpuMillis);
-        mostMemory = std::max(mostMemory, total.memoryMiB);
+        maxCpu = std::max(maxCpu, total.cpuMillis);
+        maxMemory = std::max(maxMemory, total.memoryMiB);
         overfull += !fits(total, m_capacity);
         ++starts;
         onChange(message.id, true);
@@ -133,8 +133,8 @@
     const std::string& name() const { return m_name; }
     const Resources& capacity() const { return m_capacity; }
 
-    int64_t mostCpu = 0;
-    int64_t mostMemory = 0;
+    int64_t maxCpu = 0;
+    int64_t maxMemory = 0;
     uint64_t overfull = 0;
     uint64_t starts = 0;
     uint64_t refused = 0;
