--- a/Makefile
+++ b/Makefile
@@ -9,16 +9,16 @@
 	@bash .ci/setup
 
 build: setup
-	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DCICADA_CCACHE=ON >/dev/null
 	@cmake --build $(BUILD) -j $(JOBS)
 
 asan: setup
-	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address >/dev/null
+	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address -DCICADA_CCACHE=ON >/dev/null
 	@cmake --build $(BUILD)-asan -j $(JOBS)
 
 # Runs only the tests of invalid and random input under the address sanitizer; the others take minutes there.
 asan-test: setup
-	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address >/dev/null
+	@cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCICADA_SANITIZER=address -DCICADA_CCACHE=ON >/dev/null
 	@cmake --build $(BUILD)-asan -j $(JOBS) --target test-error
 	@$(BUILD)-asan/test-error
 
@@ -44,4 +44,4 @@
 # Needs the commands that compile the sources, not what they build; without the precompiled header, which is the compiler's own.
 lint: setup
 	@cmake -S . -B $(BUILD)-lint -G Ninja -DCICADA_PRECOMPILE=OFF >/dev/null
-	@printf '%s\n' $(filter %.cpp,$(SOURCES)) | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD)-lint --quiet 2>/dev/null
+	@bash .ci/lint $(BUILD)-lint $(JOBS) $(filter %.cpp,$(SOURCES))
