--- /dev/null
+++ b/test/support/CellWorldWorkers.cpp
@@ -0,0 +1,222 @@
+/** \file
+ * The part of CellWorld that plays the workers: what they do on orders, when their runs and leases end, and what they
+ * list. The promises about runs are checked here.
+ */
+
+#include "CellWorld.h"
+
+#include "Job.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace cicada::test {
+
+namespace {
+
+    constexpr absl::Duration cancelBound = absl::Seconds(3);
+    constexpr int64_t maxLeaseMillis = 6000;
+
+} // namespace
+
+int64_t CellWorld::clockOf(const WorldWorker& worker) const
+{
+    return absl::ToInt64Milliseconds(now() - worker.startedAt) + 5000;
+}
+
+WorldWorker* CellWorld::workerOf(const WorkerIncarnation& incarnation, size_t& index)
+{
+    for (index = 0; index < m_workers.size(); ++index) {
+        if (m_workers[index].id == incarnation.id)
+            return &m_workers[index];
+    }
+    return nullptr;
+}
+
+absl::Duration CellWorld::workOf(const Submission& job, const TaskName& name) const
+{
+    return job.steps[name.step].estimate * (0.8 + 0.1 * (std::hash<std::string>()(describeTask(name)) % 5));
+}
+
+OrderReply CellWorld::startAt(WorldWorker& worker, const StartOrder& order)
+{
+    const TaskRun& run = order.run;
+    const auto index = static_cast<size_t>(&worker - m_workers.data());
+    OrderReply reply { OrderStatus::Done, clockOf(worker) };
+    if (order.fencingToken < worker.token) {
+        reply.status = OrderStatus::Fenced;
+        return reply;
+    }
+    worker.token = order.fencingToken;
+    if (worker.runs.contains(run))
+        return reply;
+    if (worker.refuses) {
+        reply.status = OrderStatus::Unhealthy;
+        return reply;
+    }
+    if (order.leaseEndMillis <= clockOf(worker)) {
+        reply.status = OrderStatus::LeaseExpired;
+        return reply;
+    }
+    const auto over = worker.highestOver.find(run.task);
+    if (over != worker.highestOver.end() && run.run <= over->second) {
+        reply.status = OrderStatus::StaleRun;
+        return reply;
+    }
+    Job& job = m_jobs[run.task.job];
+    if (job.spec.steps.empty()) {
+        violate(absl::StrCat("a start of a job that was not submitted: ", describeRun(run)));
+        return reply;
+    }
+    const StepSpec& step = job.spec.steps[run.task.step];
+    if (policy().advice.isNeeded && order.ticket.empty()) {
+        reply.status = OrderStatus::NoTicket;
+        return reply;
+    }
+    if (job.active.contains(run.task))
+        violate(absl::StrCat("two runs at once: ", describeRun(run), " on ", worker.id));
+    if (job.finishedAcked.contains(run.task))
+        violate(absl::StrCat("started after its end was acknowledged: ", describeRun(run)));
+    if (job.isCancelAcked && now() - job.cancelAckedAt > cancelBound)
+        violate(absl::StrCat("started long after its cancel: ", describeRun(run)));
+    const auto& answers = m_answers[run.task.job];
+    // An attempt that was never answered has not been rejected.
+    if (answers.size() == job.attempts && !m_accepted.contains(run.task.job)
+        && std::all_of(answers.begin(), answers.end(), [](GatewayStatus status) {
+               return status == GatewayStatus::Refused || status == GatewayStatus::Unreached;
+           }))
+        violate(absl::StrCat("a refused job runs: ", describeRun(run)));
+    const uint64_t serial = ++m_lastSerial;
+    worker.runs[run] = { step.demand, now() + workOf(job.spec, run.task), step.isGang, serial };
+    job.active[run.task] = index;
+    ++job.starts;
+    size_t here = 0;
+    for (const auto& [other, state] : worker.runs)
+        here += other.task.job == run.task.job && other.task.step == run.task.step ? 1 : 0;
+    job.maxOnOne = std::max(job.maxOnOne, here);
+    m_startOrder.push_back(run);
+    m_lastStartAt = now();
+    Resources used;
+    for (const auto& [other, state] : worker.runs)
+        used = used + state.demand;
+    if (!fits(used, worker.capacity))
+        violate(absl::StrCat("more than it can hold: ", worker.id, " with ", describeRun(run)));
+    extendLease(index, order.leaseEndMillis);
+    m_timers.after(workOf(job.spec, run.task), [this, index, run, serial] { runDone(index, run, serial); });
+    return reply;
+}
+
+void CellWorld::runDone(size_t index, const TaskRun& run, uint64_t serial)
+{
+    WorldWorker& worker = m_workers[index];
+    const auto found = worker.runs.find(run);
+    if (found == worker.runs.end() || found->second.serial != serial)
+        return;
+    if (found->second.isGang)
+        return endGang(run);
+    endRun(worker, run, worker.fails ? RunEnding::Failed : RunEnding::Finished);
+}
+
+void CellWorld::endGang(const TaskRun& first)
+{
+    std::vector<std::pair<size_t, TaskRun>> members;
+    bool fails = false;
+    for (size_t i = 0; i < m_workers.size(); ++i) {
+        for (const auto& [run, state] : m_workers[i].runs) {
+            const bool isMember = run.task.job == first.task.job && run.task.occurrence == first.task.occurrence
+                && run.task.step == first.task.step && run.run == first.run;
+            if (!isMember)
+                continue;
+            members.emplace_back(i, run);
+            fails = fails || m_workers[i].fails;
+        }
+    }
+    for (const auto& [index, run] : members) {
+        WorldWorker& worker = m_workers[index];
+        endRun(worker, run, worker.fails ? RunEnding::Failed : fails ? RunEnding::GangBroken : RunEnding::Finished);
+    }
+}
+
+void CellWorld::endRun(WorldWorker& worker, const TaskRun& run, RunEnding ending)
+{
+    worker.runs.erase(run);
+    m_jobs[run.task.job].active.erase(run.task);
+    uint32_t& highest = worker.highestOver[run.task];
+    highest = std::max(highest, run.run);
+    worker.ended.push_back({ ++worker.lastSequence, run, ending, "" });
+    auto waiting = std::move(worker.waiting);
+    worker.waiting.clear();
+    for (auto& wake : waiting)
+        wake();
+}
+
+OrderReply CellWorld::stopAt(WorldWorker& worker, const TaskRun& run, uint64_t token)
+{
+    if (token < worker.token)
+        return { OrderStatus::Fenced, clockOf(worker) };
+    worker.token = token;
+    if (worker.runs.contains(run)) {
+        endRun(worker, run, RunEnding::Stopped);
+    } else {
+        uint32_t& highest = worker.highestOver[run.task];
+        highest = std::max(highest, run.run);
+    }
+    return { OrderStatus::Done, clockOf(worker) };
+}
+
+SyncReply CellWorld::listAt(WorldWorker& worker)
+{
+    SyncReply reply;
+    reply.status = OrderStatus::Done;
+    reply.workerClockMillis = clockOf(worker);
+    reply.startedUnixMillis = worker.started;
+    for (const auto& [run, state] : worker.runs)
+        reply.running.push_back({ run, "", 10 });
+    reply.ended = worker.ended;
+    return reply;
+}
+
+void CellWorld::acknowledge(WorldWorker& worker, uint64_t through)
+{
+    std::vector<EndedRun> left;
+    for (const EndedRun& ended : worker.ended) {
+        if (ended.sequence > through) {
+            left.push_back(ended);
+        } else if (ended.ending == RunEnding::Finished && !worker.endsBeforeLapse.contains(ended.sequence)) {
+            Job& job = m_jobs[ended.run.task.job];
+            // Tasks of services run again however they end.
+            if (job.spec.steps[ended.run.task.step].isService)
+                continue;
+            job.finishedAcked.insert(ended.run.task);
+            if (job.active.contains(ended.run.task))
+                violate(absl::StrCat("runs though its end is acknowledged: ", describeRun(ended.run)));
+        }
+    }
+    worker.ended = std::move(left);
+}
+
+void CellWorld::extendLease(size_t index, int64_t end)
+{
+    WorldWorker& worker = m_workers[index];
+    const int64_t capped = std::min(end, clockOf(worker) + maxLeaseMillis);
+    worker.leaseEnd = std::max(worker.leaseEnd, capped);
+    const absl::Duration left = absl::Milliseconds(worker.leaseEnd - clockOf(worker));
+    m_timers.after(std::max(left, absl::ZeroDuration()), [this, index] { checkLease(index); });
+}
+
+void CellWorld::checkLease(size_t index)
+{
+    WorldWorker& worker = m_workers[index];
+    if (worker.isDown || clockOf(worker) < worker.leaseEnd)
+        return;
+    for (const EndedRun& ended : worker.ended)
+        worker.endsBeforeLapse.insert(ended.sequence);
+    std::vector<TaskRun> runs;
+    for (const auto& [run, state] : worker.runs)
+        runs.push_back(run);
+    for (const TaskRun& run : runs)
+        endRun(worker, run, RunEnding::LeaseEnded);
+}
+
+} // namespace cicada::test
