--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -254,7 +254,7 @@
     LONGS_EQUAL(1, world.startsOf("long"));
 }
 
-TEST(CellFailures, theTimeOfDayJumpsByWhichOnlyDueTimesAreMoved)
+TEST(CellFailures, jumpsOfTheTimeOfDayMoveOnlyDueTimes)
 {
     Submission timed = makeJob("timed", 1);
     timed.occurrences = 2;
