--- a/src/Cell.h
+++ b/src/Cell.h
@@ -223,7 +223,10 @@
     void concludeExpiredRuns(CellWorker& worker);
     void endIncarnation(CellWorker& worker, IncarnationEnd end);
     void checkUnresponsive(CellWorker& worker);
+    /** The lease that an owner grants with each order. */
     absl::Duration leaseDuration() const;
+    /** Takes over a clock reading from a reply; with the first one, also the lease that a former owner may have
+     * granted. */
     void recordClock(CellWorker& worker, std::optional<int64_t> workerMillis);
     int64_t nextLeaseEnd(CellWorker& worker, absl::Duration lease);
     /** How long a lease may last that is granted on the strength of an intent sent at `intendedAt`. */
