--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -321,11 +321,10 @@
         if (!worker || worker->isDown || isCut)
             return reply(worker && worker->isDown ? delay : replyTimeout, none);
         if (std::uniform_real_distribution<>(0, 1)(m_world.m_random) < worker->lateShare) {
-            // Carried out seconds later, after newer orders. An order names the incarnation that is to carry it out,
-            // and any other refuses it.
-            m_world.m_timers.after(lateBy, [this, index, effect, started = worker->started] {
+            // Carried out seconds later, after newer orders, in whatever incarnation the worker then has.
+            m_world.m_timers.after(lateBy, [this, index, effect] {
                 WorldWorker& later = m_world.m_workers[index];
-                if (!later.isDown && later.started == started)
+                if (!later.isDown)
                     effect(later);
             });
             return reply(replyTimeout, none);
