--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -238,11 +238,15 @@
 {
     const TaskName& name = ended.run.task;
     worker.release(ended.run);
-    m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.incarnation.id, "sequence",
-        ended.sequence, "ending", runEndingName(ended.ending));
-    m_parts.metrics.count(absl::StrCat("cicada_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
+    const bool isCurrent = task && task->run == ended.run.run && task->hasActiveRun();
+    m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.incarnation.id, "sequence",
+        ended.sequence, "ending", runEndingName(ended.ending), "current", isCurrent ? 1 : 0, "failuresBefore",
+        task ? task->failures : 0);
+    m_parts.metrics.count(absl::StrCat("cicada_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
+    if (task && !isCurrent)
+        m_parts.metrics.count(absl::StrCat("cicada_former_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
     if (job)
         job->hasBegun = true;
     // The effect of this end may already be applied and not yet durable, through the end of another member of the gang.
@@ -254,7 +258,7 @@
         changed.push_back(name.job);
         return taskFinished(*job, name, worker);
     }
-    if (task->run != ended.run.run || !task->hasActiveRun())
+    if (!isCurrent)
         return;
     changed.push_back(name.job);
     if (!ended.checkpoint.empty())
