--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -4,10 +4,14 @@
 
 #include "CellWorld.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 #include "CppUTest/TestHarness.h"
 
+#include <cstdlib>
+
 using namespace cicada;
 using namespace cicada::test;
 
@@ -493,6 +497,41 @@
         [&] { return world.ask((first + 1) % world.entryCount(), "gang") == JobPhase::Finished; }, absl::Seconds(30)));
 }
 
+TEST(CellFailures, aFailureHeardAfterItsRunWasGivenUpCountsAsAnAttempt)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.fails = true;
+    world.submit(other(), makeJob("late", 1, 1000, absl::Seconds(3)));
+    CHECK(world.runUntil([&] { return world.startsOf("late") == 1; }, absl::Seconds(3)));
+    WorldWorker& silent = workerRunning("late", 0);
+    silent.isCut = true;
+    CHECK(world.runUntil([&] { return world.startsOf("late") == 2; }, absl::Seconds(15)));
+    silent.isCut = false;
+    CHECK(world.runUntil([&] { return world.ask(owner(), "late") == JobPhase::Failed; }, absl::Seconds(20)));
+    LONGS_EQUAL(3, world.startsOf("late"));
+}
+
+TEST(CellFailures, aRestartedWorkersEndsAreNotAcknowledgedUnread)
+{
+    CellWorld one { 3, 1, 7 };
+    WorldWorker& worker = one.workers().front();
+    worker.listingDelay = absl::Seconds(8);
+    CHECK(one.runUntil([&] { return one.owner().has_value(); }, absl::Seconds(5)));
+    one.submit(0, makeJob("before", 1));
+    CHECK(one.runUntil([&] { return one.isAccepted("before") && one.allEnded(0); }, absl::Seconds(10)));
+    worker.lateShare = 1;
+    one.submit(0, makeJob("late", 1));
+    one.run(absl::Milliseconds(500));
+    one.crashWorker(0, absl::Seconds(1));
+    worker.isCut = true;
+    CHECK(one.runUntil([&] { return !worker.ended.empty(); }, absl::Seconds(5)));
+    worker.isCut = false;
+    worker.lateShare = 0;
+    one.run(absl::Seconds(10));
+    STRCMP_EQUAL("", one.report().c_str());
+    LONGS_EQUAL(1, one.startsOf("late"));
+}
+
 TEST(CellFailures, aCancelHoldsThroughATakeover)
 {
     world.submit(other(), makeJob("long", 20, 1000, absl::Seconds(4)));
@@ -572,38 +611,82 @@
     return job;
 }
 
-} // namespace
+/** How a world of overlapping faults differs from the standard one. */
+struct FaultMix {
+    /** The share of runs that fail. */
+    double failShare = 0;
+    /** The share of orders that are carried out and not answered. */
+    double unansweredShare = 0;
+    /** What a congested link adds to a call at most; zero for none. */
+    absl::Duration congestion;
+};
 
-TEST(CellFailures, faultsOverlapAtRandom)
+/** Plays overlapping faults and tells what broke; empty when nothing did. */
+std::string playFaults(uint64_t seed, const FaultMix& mix)
 {
-    constexpr uint64_t seeds = 60;
     constexpr int steps = 25;
-    for (uint64_t seed = 1; seed <= seeds; ++seed) {
-        CellWorld random(3 + seed % 3, 10, seed);
-        random.policy().advice = { seed % 2 == 0, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
-        std::mt19937_64 draw(seed * 7919);
-        int number = 0;
-        for (int step = 0; step < steps; ++step) {
-            for (int i = 0; i < 3; ++i) {
-                const size_t at = draw() % random.entryCount();
-                const Submission job = drawJob(draw, number++);
-                random.submit(at, job);
-                if (draw() % 8 == 0)
-                    random.submitOnce((at + 1) % random.entryCount(), job);
-            }
-            if (draw() % 6 == 0)
-                random.cancel(draw() % random.entryCount(), absl::StrCat("r", draw() % static_cast<uint64_t>(number)));
-            strike(random, draw);
-            random.run(absl::Milliseconds(static_cast<int64_t>(draw() % 900)));
-        }
-        for (WorldWorker& worker : random.workers()) {
-            worker.isCut = false;
-            worker.lateShare = 0;
+    CellWorld random(3 + seed % 3, 10, seed);
+    random.policy().advice = { seed % 2 == 0, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
+    for (WorldWorker& worker : random.workers()) {
+        worker.failShare = mix.failShare;
+        worker.unansweredShare = mix.unansweredShare;
+    }
+    std::mt19937_64 draw(seed * 7919);
+    int number = 0;
+    for (int step = 0; step < steps; ++step) {
+        for (int i = 0; i < 3; ++i) {
+            const size_t at = draw() % random.entryCount();
+            const Submission job = drawJob(draw, number++);
+            random.submit(at, job);
+            if (draw() % 8 == 0)
+                random.submitOnce((at + 1) % random.entryCount(), job);
         }
-        random.run(absl::Seconds(20));
-        const bool ended
-            = random.runUntil([&] { return random.allEnded(random.owner().value_or(0)); }, absl::Seconds(60));
-        const std::string report = absl::StrCat("seed ", seed, ": ", ended ? "" : "not all ended; ", random.report());
-        STRCMP_EQUAL(absl::StrCat("seed ", seed, ": ").c_str(), report.c_str());
+        if (draw() % 6 == 0)
+            random.cancel(draw() % random.entryCount(), absl::StrCat("r", draw() % static_cast<uint64_t>(number)));
+        if (mix.congestion > absl::ZeroDuration())
+            random.congest(draw() % random.entryCount(), mix.congestion * static_cast<double>(draw() % 3) / 2);
+        strike(random, draw);
+        random.run(absl::Milliseconds(static_cast<int64_t>(draw() % 900)));
     }
+    for (WorldWorker& worker : random.workers()) {
+        worker.isCut = false;
+        worker.lateShare = 0;
+    }
+    for (size_t i = 0; i < random.entryCount(); ++i)
+        random.congest(i, absl::ZeroDuration());
+    random.run(absl::Seconds(20));
+    const bool ended = random.runUntil([&] { return random.allEnded(random.owner().value_or(0)); }, absl::Seconds(60));
+    return absl::StrCat(ended ? "" : "not all ended; ", random.report());
+}
+
+/** The first and last seed to play: 1 to `last`, or those that CICADA_FAULT_SEEDS names, such as "61-1200". */
+std::pair<uint64_t, uint64_t> seedsToPlay(uint64_t last)
+{
+    std::pair<uint64_t, uint64_t> range(1, last);
+    const char* named = std::getenv("CICADA_FAULT_SEEDS");
+    const std::vector<std::string> ends = absl::StrSplit(named ? named : "", '-');
+    if (named
+        && !(ends.size() == 2 && absl::SimpleAtoi(ends[0], &range.first) && absl::SimpleAtoi(ends[1], &range.second)))
+        FAIL("CICADA_FAULT_SEEDS is not of the form first-last");
+    return range;
 }
+
+void expectKept(uint64_t last, const FaultMix& mix)
+{
+    std::string broken;
+    const auto [from, to] = seedsToPlay(last);
+    for (uint64_t seed = from; seed <= to; ++seed) {
+        const std::string report = playFaults(seed, mix);
+        if (!report.empty())
+            absl::StrAppend(&broken, "seed ", seed, ": ", report, "\n");
+    }
+    STRCMP_EQUAL("", broken.c_str());
+}
+
+} // namespace
+
+TEST(CellFailures, faultsOverlapAtRandom) { expectKept(60, {}); }
+
+TEST(CellFailures, attemptsAreCountedWhileFaultsOverlapAtRandom) { expectKept(60, { 0.4 }); }
+
+TEST(CellFailures, attemptsAreCountedOnCongestedLinks) { expectKept(60, { 0.4, 0.1, absl::Milliseconds(600) }); }
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -14,6 +14,7 @@
 
     constexpr absl::Duration callDelay = absl::Milliseconds(4);
     constexpr absl::Duration replyTimeout = absl::Milliseconds(1200);
+    constexpr absl::Duration orderTimeout = absl::Milliseconds(400);
     constexpr absl::Duration lateBy = absl::Milliseconds(3000);
     constexpr absl::Duration linkDelay = absl::Milliseconds(2);
     constexpr absl::Duration linkSilence = AsioPeerLinks::linkTimeout;
@@ -107,6 +108,9 @@
     template <typename Reply>
     void send(const WorkerIncarnation& incarnation, std::function<Reply(WorldWorker&)> effect,
         absl::AnyInvocable<void(Reply)> callback);
+    /** Carries out an order whose sender does not wait for the reply any more. */
+    void carryOut(
+        const WorkerIncarnation& incarnation, absl::Duration transit, std::function<void(WorldWorker&)> effect);
 
     CellWorld& m_world;
     WorldEntry& m_entry;
@@ -229,6 +233,7 @@
     bool isAlive = true;
     Instant frozenUntil = absl::ZeroDuration();
     bool isCut = false;
+    absl::Duration congestion;
     TimerQueue timers;
     EventLog log;
     Metrics metrics;
@@ -255,7 +260,7 @@
         return answer(callDelay, std::move(refused), std::move(callback));
     if (mood == StoreMood::Silent)
         return answer(replyTimeout, std::move(lost), std::move(callback));
-    const absl::Duration delay = m_world.delay() + distance;
+    const absl::Duration delay = m_world.delay() + distance + m_world.congestion(m_entry);
     if (isWrite && mood == StoreMood::WritesLate) {
         m_world.m_timers.after(lateBy, [effect] { effect(); });
         return answer(replyTimeout, std::move(lost), std::move(callback));
@@ -264,6 +269,10 @@
         m_world.m_timers.after(delay, [effect] { effect(); });
         return answer(replyTimeout, std::move(lost), std::move(callback));
     }
+    if (delay * 2 > replyTimeout) {
+        m_world.m_timers.after(delay, [effect] { effect(); });
+        return answer(replyTimeout, std::move(lost), std::move(callback));
+    }
     auto shared = std::make_shared<absl::AnyInvocable<void(Reply)>>(std::move(callback));
     m_world.m_timers.after(delay, [this, effect, shared, delay]() mutable {
         Reply reply = effect();
@@ -305,13 +314,18 @@
 void CellWorld::Orders::send(const WorkerIncarnation& incarnation, std::function<Reply(WorldWorker&)> effect,
     absl::AnyInvocable<void(Reply)> callback)
 {
-    const absl::Duration delay = m_world.delay();
+    const absl::Duration delay = m_world.delay() + m_world.congestion(m_entry);
+    const absl::Duration back = delay + m_world.congestion(m_entry);
     auto shared = std::make_shared<absl::AnyInvocable<void(Reply)>>(std::move(callback));
     const auto reply = [this, shared](absl::Duration after, Reply value) {
         if (m_entry.isAlive)
             m_entry.timers.after(after, [shared, value]() mutable { (*shared)(std::move(value)); });
     };
-    m_world.m_timers.after(delay, [this, incarnation, effect, reply, delay] {
+    if (delay + back > orderTimeout) {
+        reply(orderTimeout, Reply());
+        return carryOut(incarnation, delay, [effect](WorldWorker& worker) { effect(worker); });
+    }
+    m_world.m_timers.after(delay, [this, incarnation, effect, reply, delay, back] {
         size_t index = 0;
         WorldWorker* worker = m_world.workerOf(incarnation, index);
         Reply none;
@@ -329,7 +343,21 @@
             });
             return reply(replyTimeout, none);
         }
-        reply(delay, effect(*worker));
+        Reply done = effect(*worker);
+        const bool isLost = worker->unansweredShare > 0
+            && std::uniform_real_distribution<>(0, 1)(m_world.m_congestionRandom) < worker->unansweredShare;
+        isLost ? reply(replyTimeout, none) : reply(back, std::move(done));
+    });
+}
+
+void CellWorld::Orders::carryOut(
+    const WorkerIncarnation& incarnation, absl::Duration transit, std::function<void(WorldWorker&)> effect)
+{
+    m_world.m_timers.after(transit, [this, incarnation, effect = std::move(effect)] {
+        size_t index = 0;
+        WorldWorker* worker = m_world.workerOf(incarnation, index);
+        if (worker && !worker->isDown && !worker->isCut && !worker->cutFrom.contains(m_entry.name))
+            effect(*worker);
     });
 }
 
@@ -337,7 +365,7 @@
     const WorkerIncarnation& incarnation, SyncOrder order, absl::AnyInvocable<void(SyncReply)> callback)
 {
     auto shared = std::make_shared<absl::AnyInvocable<void(SyncReply)>>(std::move(callback));
-    const absl::Duration delay = m_world.delay();
+    const absl::Duration delay = m_world.delay() + m_world.congestion(m_entry);
     const auto reply = [this, shared](absl::Duration after, SyncReply value) {
         if (m_entry.isAlive)
             m_entry.timers.after(after, [shared, value]() mutable { (*shared)(std::move(value)); });
@@ -366,17 +394,18 @@
         m_world.acknowledge(*worker, order.acknowledgedThrough);
         if (order.leaseEndMillis)
             m_world.extendLease(index, *order.leaseEndMillis);
+        const absl::Duration back = delay + m_world.congestion(m_entry);
         const bool answersNow = order.wait == absl::ZeroDuration() || !worker->ended.empty();
         if (answersNow)
-            return reply(delay, m_world.listAt(*worker));
+            return reply(back, m_world.listAt(*worker));
         auto isDone = std::make_shared<bool>(false);
-        const auto finish = [this, index, isDone, reply, delay] {
+        const auto finish = [this, index, isDone, reply, back] {
             if (*isDone)
                 return;
             *isDone = true;
             const WorldWorker& at = m_world.m_workers[index];
             if (!at.isDown && !at.isCut)
-                reply(delay, m_world.listAt(m_world.m_workers[index]));
+                reply(back, m_world.listAt(m_world.m_workers[index]));
             else
                 reply(replyTimeout, SyncReply());
         };
@@ -437,6 +466,7 @@
 CellWorld::CellWorld(size_t entries, size_t workers, uint64_t seed)
     : m_timers(m_clock)
     , m_random(seed)
+    , m_congestionRandom(seed)
     , m_store(m_timers)
 {
     m_clock.advance(absl::Seconds(1000));
@@ -462,6 +492,19 @@
     return absl::Microseconds(std::uniform_int_distribution<int64_t>(500, 5000)(m_random));
 }
 
+absl::Duration CellWorld::congestion(const WorldEntry& entry)
+{
+    if (entry.congestion == absl::ZeroDuration())
+        return absl::ZeroDuration();
+    return entry.congestion * std::uniform_real_distribution<>(0, 1)(m_congestionRandom);
+}
+
+void CellWorld::congest(size_t index, absl::Duration extra)
+{
+    if (m_entries[index])
+        m_entries[index]->congestion = extra;
+}
+
 void CellWorld::run(absl::Duration duration)
 {
     const Instant until = now() + duration;
@@ -574,6 +617,7 @@
         m_jobs[run.task.job].active.erase(run.task);
     worker.runs.clear();
     worker.ended.clear();
+    worker.endedAt.clear();
     worker.endsBeforeLapse.clear();
     worker.highestOver.clear();
     worker.waiting.clear();
@@ -586,7 +630,7 @@
         reborn.isDown = false;
         reborn.started += 100000;
         reborn.startedAt = now();
-        listWorker(reborn);
+        m_timers.after(reborn.listingDelay, [this, index] { listWorker(m_workers[index]); });
     });
 }
 
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -3,10 +3,12 @@
 /** \file
  * A whole deployment on a paused clock: entries made of the real parts, a store, workers, a policy service and links
  * between entries, all of which can be made to fail. It judges what callers and workers see: no task runs twice at
- * once or after an acknowledged end, no worker holds more than it has, no refused job runs, no accepted one is lost.
+ * once, after it has finished or after its last attempt has failed, no worker holds more than it has, no refused job
+ * runs, no accepted one is lost.
  */
 
 #include "CellHost.h"
+#include "TaskHistory.h"
 #include "WorldStore.h"
 
 #include "absl/container/btree_map.h"
@@ -52,6 +54,8 @@
     absl::flat_hash_map<TaskRun, Run> runs;
     absl::flat_hash_map<TaskName, uint32_t> highestOver;
     std::vector<EndedRun> ended;
+    /** When each listed end happened, by its sequence number. */
+    absl::flat_hash_map<uint64_t, Instant> endedAt;
     /** Ends that the worker had listed when its lease expired. Acknowledging such an end later doesn't count: the owner
      * may by then have started the task again. */
     absl::flat_hash_set<uint64_t> endsBeforeLapse;
@@ -63,16 +67,22 @@
     absl::btree_set<std::string> cutFrom;
     bool isDown = false;
     bool isDraining = false;
+    /** How long the platform's list takes to show a restart. */
+    absl::Duration listingDelay;
     /** Added to the time that a sync takes to reach the worker. */
     absl::Duration syncDelay;
     /** The worker is cut off once this many more syncs have reached it; calls then end without a reply at once. */
     std::optional<size_t> syncsUntilCut;
     /** The share of orders that are carried out late and not answered. */
     double lateShare = 0;
+    /** The share of orders that are carried out and not answered. */
+    double unansweredShare = 0;
     /** Every start is refused. */
     bool refuses = false;
     /** Every run fails. */
     bool fails = false;
+    /** The share of runs that fail. */
+    double failShare = 0;
 };
 
 class CellWorld;
@@ -114,6 +124,9 @@
     /** The owner is asked to stop: it lets its cells go and goes on answering. */
     void stop(size_t entry);
     void freeze(size_t entry, absl::Duration);
+    /** Each call of the entry to workers and the store takes up to `extra` longer each way, so that calls overtake each
+     * other. */
+    void congest(size_t entry, absl::Duration extra);
     /** Cuts a worker off from all entries but this one. */
     void cutFromOthers(size_t worker, size_t entry);
     /** Steps the time of day of all entries. */
@@ -157,6 +170,7 @@
         Instant cancelAckedAt;
         absl::btree_map<TaskName, size_t> active;
         absl::flat_hash_set<TaskName> finishedAcked;
+        absl::btree_map<TaskName, TaskHistory> histories;
         size_t attempts = 0;
         size_t starts = 0;
         size_t maxOnOne = 0;
@@ -170,18 +184,24 @@
     SyncReply listAt(WorldWorker&);
     void endRun(WorldWorker&, const TaskRun&, RunEnding);
     void runDone(size_t worker, const TaskRun&, uint64_t serial);
+    bool drawFailure(const WorldWorker&);
     /** The members of a gang end together, well or not. */
     void endGang(const TaskRun& first);
     void checkLease(size_t worker);
     void extendLease(size_t worker, int64_t end);
     void acknowledge(WorldWorker&, uint64_t through);
+    void judge(const TaskName&);
     void listWorker(const WorldWorker&);
     WorldWorker* workerOf(const WorkerIncarnation&, size_t& index);
     absl::Duration delay();
+    /** What a congested link adds to a call, one way. */
+    absl::Duration congestion(const WorldEntry&);
 
     ManualClock m_clock;
     TimerQueue m_timers;
     std::mt19937_64 m_random;
+    /** A source of its own, so that worlds without congested links play as before. */
+    std::mt19937_64 m_congestionRandom;
     WorldStore m_store;
     std::vector<WorldWorker> m_workers;
     std::vector<std::unique_ptr<WorldEntry>> m_entries;
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -91,6 +91,8 @@
     worker.runs[run] = { step.demand, now() + workOf(job.spec, run.task), step.isGang, serial };
     job.active[run.task] = index;
     ++job.starts;
+    job.histories[run.task].recordStart(now());
+    judge(run.task);
     size_t here = 0;
     for (const auto& [other, state] : worker.runs)
         here += other.task.job == run.task.job && other.task.step == run.task.step ? 1 : 0;
@@ -115,27 +117,40 @@
         return;
     if (found->second.isGang)
         return endGang(run);
-    endRun(worker, run, worker.fails ? RunEnding::Failed : RunEnding::Finished);
+    endRun(worker, run, drawFailure(worker) ? RunEnding::Failed : RunEnding::Finished);
+}
+
+bool CellWorld::drawFailure(const WorldWorker& worker)
+{
+    if (worker.failShare > 0)
+        return std::uniform_real_distribution<>(0, 1)(m_random) < worker.failShare;
+    return worker.fails;
 }
 
 void CellWorld::endGang(const TaskRun& first)
 {
-    std::vector<std::pair<size_t, TaskRun>> members;
+    struct Member {
+        WorldWorker& worker;
+        TaskRun run;
+        bool fails;
+    };
+    std::vector<Member> members;
     bool fails = false;
-    for (size_t i = 0; i < m_workers.size(); ++i) {
-        for (const auto& [run, state] : m_workers[i].runs) {
+    for (WorldWorker& worker : m_workers) {
+        for (const auto& [run, state] : worker.runs) {
             const bool isMember = run.task.job == first.task.job && run.task.occurrence == first.task.occurrence
                 && run.task.step == first.task.step && run.run == first.run;
             if (!isMember)
                 continue;
-            members.emplace_back(i, run);
-            fails = fails || m_workers[i].fails;
+            members.push_back({ worker, run, drawFailure(worker) });
+            fails = fails || members.back().fails;
         }
     }
-    for (const auto& [index, run] : members) {
-        WorldWorker& worker = m_workers[index];
-        endRun(worker, run, worker.fails ? RunEnding::Failed : fails ? RunEnding::GangBroken : RunEnding::Finished);
-    }
+    for (const Member& member : members)
+        endRun(member.worker, member.run,
+            member.fails ? RunEnding::Failed
+                : fails  ? RunEnding::GangBroken
+                         : RunEnding::Finished);
 }
 
 void CellWorld::endRun(WorldWorker& worker, const TaskRun& run, RunEnding ending)
@@ -145,6 +160,7 @@
     uint32_t& highest = worker.highestOver[run.task];
     highest = std::max(highest, run.run);
     worker.ended.push_back({ ++worker.lastSequence, run, ending, "" });
+    worker.endedAt[worker.lastSequence] = now();
     auto waiting = std::move(worker.waiting);
     worker.waiting.clear();
     for (auto& wake : waiting)
@@ -183,19 +199,32 @@
     for (const EndedRun& ended : worker.ended) {
         if (ended.sequence > through) {
             left.push_back(ended);
-        } else if (ended.ending == RunEnding::Finished && !worker.endsBeforeLapse.contains(ended.sequence)) {
-            Job& job = m_jobs[ended.run.task.job];
-            // Tasks of services run again however they end.
-            if (job.spec.steps[ended.run.task.step].isService)
-                continue;
-            job.finishedAcked.insert(ended.run.task);
-            if (job.active.contains(ended.run.task))
-                violate(absl::StrCat("runs though its end is acknowledged: ", describeRun(ended.run)));
+            continue;
         }
+        Job& job = m_jobs[ended.run.task.job];
+        // Tasks of services run again however they end.
+        if (job.spec.steps[ended.run.task.step].isService)
+            continue;
+        const bool hasLapsed = worker.endsBeforeLapse.contains(ended.sequence);
+        job.histories[ended.run.task].recordAcknowledgedEnd(
+            ended.ending, hasLapsed ? now() : worker.endedAt[ended.sequence]);
+        judge(ended.run.task);
+        if (ended.ending != RunEnding::Finished || hasLapsed)
+            continue;
+        job.finishedAcked.insert(ended.run.task);
+        if (job.active.contains(ended.run.task))
+            violate(absl::StrCat("runs though its end is acknowledged: ", describeRun(ended.run)));
     }
     worker.ended = std::move(left);
 }
 
+void CellWorld::judge(const TaskName& task)
+{
+    const std::string violation = m_jobs[task.job].histories[task].violation(m_policy.maxAttempts);
+    if (!violation.empty())
+        violate(absl::StrCat(violation, ": ", describeTask(task)));
+}
+
 void CellWorld::extendLease(size_t index, int64_t end)
 {
     WorldWorker& worker = m_workers[index];
