Count a failed run that was given up before its end was heard

Cause: the owner counted a failed end only if its run was the task's current and active one. A run is given up without its end where its worker can't be heard until its leases have expired (or its start is concluded otherwise); the task starts again, the worker is heard, lists the end 'failed', and the owner dropped it and acknowledged it. Each such run was one attempt more. Ends that finished were always taken into account, whichever run they were of.

Why this works: a job keeps which runs failed, by number, not only how many, so an end counts once whenever it comes, and also when a next owner is told of it again. A gang keeps them as a whole, as before. The run record has the numbers beside the count; a record of a former version counts as many attempts as it says, and former versions read the new one.

Ruled out: losing the count in a takeover (the record is read under the new token, ends are acknowledged once it is stored); counting twice within a gang (its run counts once, whichever members fail).

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -203,7 +203,10 @@
     /** Concludes a run without a reported end, as it never started or was lost with its worker: frees its capacity and
      * queues its task again. */
     void concludeRun(CellWorker& worker, const TaskRun& run, absl::string_view why);
-    void taskFailed(CellJob& job, CellTask& task, const TaskName& name, CellWorker& worker);
+    /** Suspends placement on a worker where runs of several jobs in a row have failed. */
+    void recordWorkerFailure(CellWorker& worker, const std::string& job);
+    /** Counts a failed run against the attempts of its task, or of its gang; false if it was counted before. */
+    bool countFailure(CellJob& job, const TaskRun& run);
     void taskFinished(CellJob& job, const TaskName& name, CellWorker& worker);
     void applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed);
 
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -10,10 +10,14 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    using TaskFields
-        = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t, std::string>;
-    /** A gang's occurrence and step, and the last run that was counted as failed. */
-    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t>;
+    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, and the failed runs,
+     * which records of former versions lack. */
+    using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
+        std::string, std::vector<uint32_t>>;
+    /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. */
+    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>>;
+    /** Stands for a failed run of which only the number of attempts is known. */
+    constexpr uint32_t unknownRun = 0;
     using PolicyFields = std::tuple<std::string, std::string, uint32_t, uint32_t, double, int64_t, int64_t, bool,
         double, double, int64_t>;
 
@@ -113,13 +117,19 @@
             "Check whether another program writes below the same prefix of the store." };
     }
 
-    void restore(CellTask& task, const TaskFields& fields)
+    void restore(CellTask& task, const TaskFields& fields, std::vector<uint32_t>& failedRuns)
     {
         uint32_t form = StoredWaiting;
         uint32_t ignored = 0;
-        std::tie(
-            ignored, ignored, ignored, form, task.run, task.failures, task.worker, task.workerStarted, task.checkpoint)
+        uint32_t failures = 0;
+        std::vector<uint32_t> ownFailedRuns;
+        std::tie(ignored, ignored, ignored, form, task.run, failures, task.worker, task.workerStarted, task.checkpoint,
+            ownFailedRuns)
             = fields;
+        if (failedRuns.empty())
+            failedRuns = std::move(ownFailedRuns);
+        if (failedRuns.size() < failures)
+            failedRuns.resize(failures, unknownRun);
         task.stage = form == StoredFinished ? TaskStage::Finished
             : form == StoredActive          ? TaskStage::Starting
                                             : TaskStage::Waiting;
@@ -162,6 +172,28 @@
     return name.index < tasks.size() ? &tasks[name.index] : nullptr;
 }
 
+std::vector<uint32_t>& CellJob::failedRunsOf(const TaskName& name)
+{
+    CellStep& step = occurrences[name.occurrence][name.step];
+    return spec.steps[name.step].isGang ? step.failedRuns : step.tasks[name.index].failedRuns;
+}
+
+uint32_t CellJob::failuresOf(const TaskName& name) const
+{
+    const CellStep& step = occurrences[name.occurrence][name.step];
+    const bool isGang = spec.steps[name.step].isGang;
+    return static_cast<uint32_t>(isGang ? step.failedRuns.size() : step.tasks[name.index].failedRuns.size());
+}
+
+bool CellJob::recordFailure(const TaskRun& run)
+{
+    std::vector<uint32_t>& failed = failedRunsOf(run.task);
+    if (std::find(failed.begin(), failed.end(), run.run) != failed.end())
+        return false;
+    failed.push_back(run.run);
+    return true;
+}
+
 bool CellJob::allFinished() const
 {
     for (const auto& steps : occurrences) {
@@ -254,16 +286,17 @@
     for (uint32_t k = 0; k < job.occurrences.size() && !isEnded(job.phase); ++k) {
         for (uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
             const auto& all = job.occurrences[k][s].tasks;
-            if (job.occurrences[k][s].lastFailedRun > 0)
-                gangs.emplace_back(k, s, job.occurrences[k][s].lastFailedRun);
+            const std::vector<uint32_t>& failed = job.occurrences[k][s].failedRuns;
+            if (!failed.empty())
+                gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed);
             for (uint32_t i = 0; i < all.size(); ++i) {
                 const CellTask& task = all[i];
                 if (task.stage == TaskStage::Waiting && task.run == 0)
                     continue;
                 const bool hasFinished = task.stage == TaskStage::Finished;
-                tasks.emplace_back(k, s, i, storedForm(task), task.run, task.failures,
+                tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf({ job.spec.id, k, s, i }),
                     hasFinished ? std::string() : task.worker, task.workerStarted,
-                    hasFinished ? std::string() : task.checkpoint);
+                    hasFinished ? std::string() : task.checkpoint, task.failedRuns);
             }
         }
     }
@@ -281,20 +314,23 @@
         return malformed("run record");
     job.phase = static_cast<JobPhase>(phase);
     job.storedPhase = job.phase;
+    for (const auto& [occurrence, step, lastFailedRun, failedRuns] : gangs) {
+        if (!job.find({ job.spec.id, occurrence, step, 0 }))
+            return malformed("run record");
+        std::vector<uint32_t>& kept = job.step({ occurrence, step }).failedRuns;
+        kept = failedRuns;
+        if (kept.empty())
+            kept.push_back(lastFailedRun);
+    }
     for (const TaskFields& fields : tasks) {
         const TaskName name { job.spec.id, std::get<0>(fields), std::get<1>(fields), std::get<2>(fields) };
         CellTask* task = job.find(name);
         if (!task)
             return malformed("run record");
-        restore(*task, fields);
+        restore(*task, fields, job.failedRunsOf(name));
         if (task->stage == TaskStage::Finished)
             ++job.step({ name.occurrence, name.step }).finished;
     }
-    for (const auto& [occurrence, step, run] : gangs) {
-        if (!job.find({ job.spec.id, occurrence, step, 0 }))
-            return malformed("run record");
-        job.step({ occurrence, step }).lastFailedRun = run;
-    }
     return success();
 }
 
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -40,7 +40,8 @@
     TaskStage stage = TaskStage::Waiting;
     /** The number of the current run, or of the last run while the task waits. */
     uint32_t run = 0;
-    uint32_t failures = 0;
+    /** The runs that ended as failed, whether or not another run had begun by then. A gang's are kept by its step. */
+    std::vector<uint32_t> failedRuns;
     /** The worker of the current run. */
     std::string worker;
     /** The start time of that worker's incarnation, in milliseconds since 1970; 0 if unknown. */
@@ -76,8 +77,8 @@
     std::vector<CellTask> tasks;
     StepAdvice advice;
     uint32_t finished = 0;
-    /** For a gang: the last run that was counted as failed. */
-    uint32_t lastFailedRun = 0;
+    /** For a gang: the runs in which a member ended as failed. */
+    std::vector<uint32_t> failedRuns;
     bool isReady = false;
     Instant readyAt = absl::ZeroDuration();
     /** No placement before this time, which is set after refusals. */
@@ -120,6 +121,11 @@
     const StepSpec& stepSpec(StepRef ref) const { return spec.steps[ref.step]; }
     /** The task, or null when the job has no such task. */
     CellTask* find(const TaskName&);
+    /** The runs of the task, or of its gang, that ended as failed; each counts as one attempt. */
+    std::vector<uint32_t>& failedRunsOf(const TaskName&);
+    uint32_t failuresOf(const TaskName&) const;
+    /** Records that a run of the task ended as failed; false if that was known. */
+    bool recordFailure(const TaskRun&);
     bool allFinished() const;
     /** The sum of estimates on the longest path from `step` on, through the steps that depend on it. */
     absl::Duration criticalPathFrom(uint32_t step) const;
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -243,7 +243,7 @@
     const bool isCurrent = task && task->run == ended.run.run && task->hasActiveRun();
     m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.incarnation.id, "sequence",
         ended.sequence, "ending", runEndingName(ended.ending), "current", isCurrent ? 1 : 0, "failuresBefore",
-        task ? task->failures : 0);
+        task ? job->failuresOf(name) : 0);
     m_parts.metrics.count(absl::StrCat("cicada_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
     if (task && !isCurrent)
         m_parts.metrics.count(absl::StrCat("cicada_former_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
@@ -258,44 +258,41 @@
         changed.push_back(name.job);
         return taskFinished(*job, name, worker);
     }
-    if (!isCurrent)
+    if (isCurrent) {
+        changed.push_back(name.job);
+        if (!ended.checkpoint.empty())
+            task->checkpoint = ended.checkpoint;
+        task->stage = TaskStage::Waiting;
+    }
+    if (ended.ending == RunEnding::Failed) {
+        if (isCurrent)
+            recordWorkerFailure(worker, name.job);
+        // A run that was concluded without its end, as its worker could not be heard, may turn out to have failed.
+        if (countFailure(*job, ended.run))
+            changed.push_back(name.job);
+    }
+    if (!isCurrent || isEnded(job->phase))
         return;
-    changed.push_back(name.job);
-    if (!ended.checkpoint.empty())
-        task->checkpoint = ended.checkpoint;
-    task->stage = TaskStage::Waiting;
     const StepRef ref { name.occurrence, name.step };
-    if (ended.ending == RunEnding::Failed)
-        taskFailed(*job, *task, name, worker);
-    if (isEnded(job->phase))
-        return;
     stopRemainingGang(*job, ref);
     queueStep(*job, ref);
 }
 
-void Cell::taskFailed(CellJob& job, CellTask& task, const TaskName& name, CellWorker& worker)
+void Cell::recordWorkerFailure(CellWorker& worker, const std::string& job)
 {
-    worker.failedJobs.insert(name.job);
+    worker.failedJobs.insert(job);
     if (worker.failedJobs.size() >= failedJobsToSuspend)
         suspendPlacement(worker, failureSuspension, "runs-fail");
-    const StepSpec& spec = job.spec.steps[name.step];
-    if (spec.isService)
-        return;
-    CellStep& step = job.step({ name.occurrence, name.step });
-    if (spec.isGang) {
-        // A gang fails as a whole, once per run, however many of its members fail.
-        if (step.lastFailedRun == task.run)
-            return;
-        step.lastFailedRun = task.run;
-        const uint32_t failures = task.failures + 1;
-        for (CellTask& member : step.tasks)
-            member.failures = failures;
-    } else {
-        ++task.failures;
-    }
-    const uint32_t allowed = policyOf(job).maxAttempts;
-    if (task.failures >= std::max(1u, allowed))
-        endJob(job, JobPhase::Failed, absl::StrCat("task-failed-", task.failures, "-times"));
+}
+
+bool Cell::countFailure(CellJob& job, const TaskRun& run)
+{
+    if (job.spec.steps[run.task.step].isService || !job.recordFailure(run))
+        return false;
+    const uint32_t failures = job.failuresOf(run.task);
+    if (failures >= std::max(1u, policyOf(job).maxAttempts))
+        endJob(job, JobPhase::Failed, absl::StrCat("task-failed-", failures, "-times"));
+    return true;
 }
 
 void Cell::taskFinished(CellJob& job, const TaskName& name, CellWorker& worker)
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -360,9 +360,8 @@
 void Cell::endIncarnation(CellWorker& worker, IncarnationEnd end)
 {
     const absl::string_view why = incarnationEndName(end);
-    m_parts.log.write(
-        "worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs", worker.allocations.size(),
-        "acknowledgedThrough", worker.acknowledgedThrough);
+    m_parts.log.write("worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs",
+        worker.allocations.size(), "acknowledgedThrough", worker.acknowledgedThrough);
     // A start in flight can still reach the next incarnation under the same id, and must be stopped there.
     const bool mayStartArrive = end != IncarnationEnd::OtherAnswered;
     std::vector<TaskRun> runs;
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "CellJob.h"
+#include "Pack.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -41,9 +42,10 @@
     step.tasks[1].stage = TaskStage::Running;
     step.tasks[1].run = 4;
     step.tasks[1].worker = "w";
-    step.tasks[1].failures = 1;
+    step.tasks[1].failedRuns = { 3 };
     step.tasks[1].checkpoint = "c";
-    step.lastFailedRun = 3;
+    job->spec.steps[1].isGang = true;
+    job->step({ 0, 1 }).failedRuns = { 3, 1 };
     auto read = decodeJobRecord("0123456789abcdef", encodeJobRecord(*job));
     CHECK(read.has_value());
     CHECK(applyRunRecord(*read.value(), encodeRunRecord(*job)).has_value());
@@ -51,16 +53,32 @@
     LONGS_EQUAL(1, again.finished);
     CHECK(again.tasks[0].stage == TaskStage::Finished);
     // A next owner must not count another member's failure in the same run.
-    LONGS_EQUAL(3, again.lastFailedRun);
+    CHECK((std::vector<uint32_t> { 3, 1 }) == read.value()->step({ 0, 1 }).failedRuns);
     // A run that may be out is taken as started until its worker was heard.
     CHECK(again.tasks[1].stage == TaskStage::Starting);
     LONGS_EQUAL(4, again.tasks[1].run);
     STRCMP_EQUAL("w", again.tasks[1].worker.c_str());
-    LONGS_EQUAL(1, again.tasks[1].failures);
+    CHECK((std::vector<uint32_t> { 3 }) == again.tasks[1].failedRuns);
     STRCMP_EQUAL("c", again.tasks[1].checkpoint.c_str());
     CHECK(again.tasks[2].stage == TaskStage::Waiting);
 }
 
+TEST(CellRecords, attemptsInARecordOfAFormerVersionCount)
+{
+    using OldTask
+        = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t, std::string>;
+    using OldGang = std::tuple<uint32_t, uint32_t, uint32_t>;
+    auto job = sample();
+    job->spec.steps[1].isGang = true;
+    const std::vector<OldTask> tasks = { { 0, 0, 1, 0, 4, 2, "w", 0, "" }, { 0, 1, 0, 0, 5, 3, "w", 0, "" } };
+    const std::vector<OldGang> gangs = { { 0, 1, 5 } };
+    const std::string record = Internal::packFields(1u, int64_t { 0 }, tasks, gangs, true);
+    CHECK(applyRunRecord(*job, record).has_value());
+    LONGS_EQUAL(2, job->failuresOf({ job->spec.id, 0, 0, 1 }));
+    LONGS_EQUAL(3, job->failuresOf({ job->spec.id, 0, 1, 0 }));
+    CHECK(!job->recordFailure({ { job->spec.id, 0, 1, 0 }, 5 }));
+}
+
 TEST(CellRecords, aRecordUnderAnotherIdIsNotTaken)
 {
     CHECK(!decodeJobRecord("ffffffffffffffff", encodeJobRecord(*sample())).has_value());
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -687,6 +687,6 @@
 
 TEST(CellFailures, faultsOverlapAtRandom) { expectKept(60, {}); }
 
-TEST(CellFailures, attemptsAreCountedWhileFaultsOverlapAtRandom) { expectKept(60, { 0.4 }); }
+TEST(CellFailures, attemptsAreCountedWhileFaultsOverlapAtRandom) { expectKept(60, { 0.4, 0, absl::ZeroDuration() }); }
 
 TEST(CellFailures, attemptsAreCountedOnCongestedLinks) { expectKept(60, { 0.4, 0.1, absl::Milliseconds(600) }); }
