Acknowledge no ends that a restarted worker lists and nobody has read

Cause: an acknowledgement is a sequence number, and the numbers begin anew when a worker restarts, also under its old id, which is all that a call can name. The owner sent the number of the former incarnation with every sync until it had learned of the restart, also in the sync that it sends to a worker that stopped replying, and the HTTP client repeated a sync on a new connection when the old one broke. The next incarnation then forgot ends that nobody had read; their runs were not listed any more and their tasks started again.

The worker lists its ends again until it gets one. What is left: a sync with an acknowledgement and a start that are both carried out by the next incarnation before the owner has heard of it.

--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -147,8 +147,11 @@
     const Instant now = m_parts.timers.clock().now();
     SyncOrder order;
     order.fencingToken = m_term.token;
-    order.acknowledgedThrough = worker.acknowledgedThrough;
     const bool isResponsive = worker.hasReplied && worker.failedSyncs == 0;
+    // Sequence numbers begin anew when a worker restarts, as one that does not reply may have; ends that nobody has
+    // read must not be acknowledged there.
+    if (isResponsive && worker.acknowledgedThrough > worker.forgottenThrough)
+        order.acknowledgedThrough = worker.acknowledgedThrough;
     // The lease of a worker that does not reply is not extended, so that its runs end at a known time.
     if (isResponsive && worker.clock.isKnown() && !worker.allocations.empty())
         order.leaseEndMillis = nextLeaseEnd(worker, leaseDuration());
@@ -158,15 +161,18 @@
         worker.isSyncing = true;
     m_parts.metrics.count("cicada_worker_syncs");
     m_parts.orders.sync(worker.listed.incarnation, order,
-        guarded(
-            [this, id = worker.listed.incarnation.id, generation = worker.generation, now, mayWait](SyncReply reply) {
-                CellWorker* target = findWorker(id);
-                if (!target || target->generation != generation)
-                    return;
-                if (mayWait)
-                    target->isSyncing = false;
-                handleSync(id, now, std::move(reply));
-            }));
+        guarded([this, id = worker.listed.incarnation.id, generation = worker.generation, now, mayWait,
+                    acknowledged = order.acknowledgedThrough](SyncReply reply) {
+            CellWorker* target = findWorker(id);
+            if (!target || target->generation != generation)
+                return;
+            if (mayWait)
+                target->isSyncing = false;
+            const bool isDone = reply.status == OrderStatus::Done;
+            handleSync(id, now, std::move(reply));
+            if (isDone && target->generation == generation)
+                target->forgottenThrough = std::max(target->forgottenThrough, acknowledged);
+        }));
 }
 
 void Cell::handleSync(const std::string& id, Instant sentAt, SyncReply reply)
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -41,6 +41,7 @@
     clock.reset();
     processedThrough = 0;
     acknowledgedThrough = 0;
+    forgottenThrough = 0;
     pendingAcks.clear();
     failedJobs.clear();
     failedSyncs = 0;
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -95,6 +95,8 @@
 
     uint64_t processedThrough = 0;
     uint64_t acknowledgedThrough = 0;
+    /** The worker has replied to an acknowledgement of the ends up to this one, so it need not be sent again. */
+    uint64_t forgottenThrough = 0;
     /** Processed ends that are not acknowledged: the last sequence number of each batch, and whether it is durable. */
     std::deque<std::pair<uint64_t, bool>> pendingAcks;
 
--- a/src/WorkerOrders.h
+++ b/src/WorkerOrders.h
@@ -111,6 +111,7 @@
 /** Renews the lease, acknowledges ends and requests the lists of running and ended runs. */
 struct SyncOrder {
     uint64_t fencingToken = 0;
+    /** The worker forgets its ends up to this sequence number; 0 acknowledges none. */
     uint64_t acknowledgedThrough = 0;
     /** Without a value the lease is not renewed. */
     std::optional<int64_t> leaseEndMillis;
--- a/test/failure/HttpClientTest.cpp
+++ b/test/failure/HttpClientTest.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "HttpClient.h"
+#include "WorkerLink.h"
 
 #include "absl/strings/match.h"
 
@@ -84,6 +85,23 @@
     LONGS_EQUAL(1, client.connectionsOpened());
 }
 
+TEST(HttpCalls, anAcknowledgementIsNotSentAgainToAWorkerThatMayHaveRestarted)
+{
+    EventLog log("test", -1);
+    WorkerLink link(client, log);
+    const WorkerIncarnation worker { "w", { "127.0.0.1", acceptor.local_endpoint().port() } };
+    serveOnceThenVanish();
+    for (const uint64_t acknowledged : { 0, 3 }) {
+        SyncOrder order;
+        order.acknowledgedThrough = acknowledged;
+        link.sync(worker, order, [](const SyncReply&) {});
+        io.restart();
+        io.run_for(std::chrono::milliseconds(200));
+    }
+    LONGS_EQUAL(2, requests);
+    LONGS_EQUAL(1, client.connectionsOpened());
+}
+
 TEST(HttpCalls, aCallThatNobodyAcceptsIsUnsent)
 {
     const uint16_t port = acceptor.local_endpoint().port();
