Remove an ended job's run record only after its job record

What callers saw (test world): a job that has failed for good, or has finished, runs again some minutes later.

Cause: the job record of an ended job is removed a second and a half after its end, and the run record when the end need not be known any more (150 s). An owner that takes over in between loads both and never removed the job record; at the expiry it removed the run record alone. The next owner read a job record without a run record: a job that was never started. A write of the job record that takes effect late leaves the same behind.

Evidence: aFailedJobStaysFailedWhenItsRecordsExpireAfterATakeover failed before: 6 starts of 3 allowed.

Why this works: a new owner removes the job records of ended jobs, and the expiry removes the run record once the job record is certainly gone (its removal is conditional on the revision, so a late write shows as a failed condition and is removed, too).

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -137,7 +137,9 @@
         checkUnresponsive(worker);
     std::vector<CellJob*> active;
     for (auto& [id, job] : m_jobs) {
-        if (!isEnded(job->phase))
+        if (isEnded(job->phase))
+            m_writer.writeDeferred(jobKey(id));
+        else
             active.push_back(job.get());
     }
     for (CellJob* job : active)
@@ -336,7 +338,8 @@
     for (const std::string& id : old) {
         m_jobs.erase(id);
         m_endedJobs.erase(id);
-        m_writer.write(runKey(id), {});
+        // The run record goes last: a job record without one reads as a job that was never started.
+        m_writer.write(jobKey(id), guarded([this, id] { m_writer.write(runKey(id), {}); }));
     }
     m_parts.timers.after(expiryInterval, guarded([this] { removeExpiredJobs(); }));
 }
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -511,6 +511,22 @@
     LONGS_EQUAL(3, world.startsOf("late"));
 }
 
+TEST(CellFailures, aFailedJobStaysFailedWhenItsRecordsExpireAfterATakeover)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.fails = true;
+    world.submit(other(), makeJob("job", 1));
+    CHECK(world.runUntil([&] { return world.ask(owner(), "job") == JobPhase::Failed; }, absl::Seconds(20)));
+    for (const absl::Duration pause : { absl::Seconds(200), absl::Seconds(5) }) {
+        world.kill(owner());
+        CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+        world.run(pause);
+    }
+    LONGS_EQUAL(3, world.startsOf("job"));
+    POINTERS_EQUAL(nullptr, world.store().find("cicada/job/0/job"));
+    POINTERS_EQUAL(nullptr, world.store().find("cicada/run/0/job"));
+}
+
 TEST(CellFailures, aRestartedWorkersEndsAreNotAcknowledgedUnread)
 {
     CellWorld one { 3, 1, 7 };
