Number requests to peers so that a reply to a former process is not taken for another's

What callers saw (test world): a job is answered as accepted that was never stored, and is later said not to exist. The same could answer a query or a cancel with another job's state, and give a step another step's advice.

Cause: an owner sends its reply to an entry by name, and the entry finds the request by a number that began at 1 in each process. An entry that was killed and started again while the owner's write was under way got the reply to its former process, and took it for the reply to its own request with that number.

With numbers that begin at the same one, both tests fail: aReplyToAnEntrysFormerProcessIsNotTakenForAnotherJob and aRestartedEntryUsesOtherNumbersForItsRequests.

Why this works: each process begins at a random 62-bit number, so a number of a former process names no request of the next one.

The same elsewhere: advice (AdvisorSlots), and in the project's own interface queries of jobs, places and claims; all use RequestNumbers now. Claims had such tokens already. Holds of JobController stay as they are: racks compare their order, and JobSync reconciles them after a restart.

--- a/src/Advisor.cpp
+++ b/src/Advisor.cpp
@@ -116,7 +116,7 @@
     const absl::Duration queued = std::max(state.busyUntil - now, absl::ZeroDuration());
     state.busyUntil = now + queued + waiting.expected;
     ++state.inFlight;
-    const uint64_t number = ++m_lastNumber;
+    const uint64_t number = m_numbers.next();
     const absl::Duration timeout = queued + waiting.expected + replySlack;
     m_sent[number] = { slot, now, queued + waiting.expected, std::move(waiting.callback) };
     m_timers.after(timeout, [this, number] { finish(number, {}); });
--- a/src/Advisor.h
+++ b/src/Advisor.h
@@ -9,6 +9,7 @@
 
 #include "EventLog.h"
 #include "PeerBus.h"
+#include "RequestNumbers.h"
 #include "TimerQueue.h"
 #include "Workload.h"
 
@@ -104,7 +105,7 @@
     std::deque<Waiting> m_short;
     std::deque<Waiting> m_long;
     absl::btree_map<uint64_t, Sent> m_sent;
-    uint64_t m_lastNumber = 0;
+    RequestNumbers m_numbers;
     /** The minimum expected duration of recent requests; the others count as long relative to it. */
     absl::Duration m_minExpected = absl::InfiniteDuration();
     Instant m_minExpectedAt = absl::ZeroDuration();
--- a/src/ClaimsClient.cpp
+++ b/src/ClaimsClient.cpp
@@ -173,7 +173,7 @@
 {
     if (held.holder == m_self)
         return callback(locateLocally(held.token));
-    const uint64_t locateId = m_nextLocateId++;
+    const uint64_t locateId = m_locateNumbers.next();
     m_pendingLocates[locateId] = { std::move(callback), m_clock.now() + locateTimeout };
     m_peers.send(held.holder, locateService, encode(LocateRequest { locateId, id, held.token }));
 }
--- a/src/ClaimsClient.h
+++ b/src/ClaimsClient.h
@@ -9,6 +9,7 @@
 #include "ClaimsMessages.h"
 #include "Ownership.h"
 #include "PeerBus.h"
+#include "RequestNumbers.h"
 #include "Settings.h"
 
 #include "absl/container/btree_map.h"
@@ -147,7 +148,7 @@
     const Clock& m_clock;
     const absl::Duration m_retention;
     uint64_t m_nextToken;
-    uint64_t m_nextLocateId = 1;
+    RequestNumbers m_locateNumbers;
     absl::flat_hash_map<uint64_t, std::unique_ptr<Attempt>> m_attempts;
     absl::btree_set<uint64_t> m_live;
     /** Ended attempts, oldest first. */
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -317,7 +317,7 @@
         return false;
     const std::string& peer = peers[m_peerChoice->choose(peers, m_random)].name;
     PlaceRequest placeRequest;
-    placeRequest.askId = m_nextPlaceRequestId++;
+    placeRequest.askId = m_placeRequestNumbers.next();
     placeRequest.requestId = waiting.item.requestId;
     placeRequest.service = waiting.item.service;
     placeRequest.profile = waiting.item.profile.name;
--- a/src/Dispatcher.h
+++ b/src/Dispatcher.h
@@ -11,6 +11,7 @@
 #include "PlacementMessages.h"
 #include "PolicyOptions.h"
 #include "Profile.h"
+#include "RequestNumbers.h"
 #include "RunTimes.h"
 #include "SlotLedger.h"
 
@@ -172,7 +173,7 @@
     absl::flat_hash_map<uint64_t, uint64_t> m_placeRequests;
     std::deque<std::pair<Instant, uint64_t>> m_sentPlaceRequests;
     uint64_t m_nextTicket = 1;
-    uint64_t m_nextPlaceRequestId = 1;
+    RequestNumbers m_placeRequestNumbers;
     Instant m_nextReconciliation = absl::ZeroDuration();
     PlacementCounts m_counts;
 };
--- a/src/JobDirectory.cpp
+++ b/src/JobDirectory.cpp
@@ -85,7 +85,7 @@
     const std::string owner = ownerOf(id);
     if (owner.empty())
         return replyFromStore(id, cancel, std::move(callback));
-    const uint64_t queryId = ++m_lastQuery;
+    const uint64_t queryId = m_queryNumbers.next();
     m_queries[queryId] = { id, cancel, m_parts.clock.now() + queryTimeout, std::move(callback) };
     m_parts.peers.send(owner, jobServiceQuery, encode(JobQuery { queryId, id, cancel }));
 }
--- a/src/JobDirectory.h
+++ b/src/JobDirectory.h
@@ -6,6 +6,7 @@
  */
 
 #include "JobController.h"
+#include "RequestNumbers.h"
 
 #include <string>
 #include <vector>
@@ -58,7 +59,7 @@
 
     Parts m_parts;
     absl::btree_map<uint64_t, Query> m_queries;
-    uint64_t m_lastQuery = 0;
+    RequestNumbers m_queryNumbers;
     std::vector<Notice> m_notices;
 };
 
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -123,7 +123,7 @@
 
 void JobGateway::openRequest(Request request, absl::Duration timeout)
 {
-    const uint64_t number = ++m_lastNumber;
+    const uint64_t number = m_numbers.next();
     request.openedAt = m_parts.timers.clock().now();
     m_open.emplace(number, std::move(request));
     m_parts.timers.after(timeout, [this, number] { expire(number); });
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -9,6 +9,7 @@
 #include "Cell.h"
 #include "CellDirectory.h"
 #include "PeerBus.h"
+#include "RequestNumbers.h"
 
 #include "absl/container/btree_map.h"
 
@@ -100,7 +101,7 @@
 
     Parts m_parts;
     absl::btree_map<uint64_t, Request> m_open;
-    uint64_t m_lastNumber = 0;
+    RequestNumbers m_numbers;
 };
 
 } // namespace cicada
--- a/test/correctness/AdvisorSlotsTest.cpp
+++ b/test/correctness/AdvisorSlotsTest.cpp
@@ -22,11 +22,13 @@
 public:
     std::vector<std::string> peers { "a", "b", "c" };
     std::vector<std::string> sentTo;
+    std::vector<std::string> sent;
 
     void handle(absl::string_view, Handler) override { }
-    bool send(absl::string_view peer, absl::string_view, std::string) override
+    bool send(absl::string_view peer, absl::string_view, std::string bytes) override
     {
         sentTo.emplace_back(peer);
+        sent.push_back(std::move(bytes));
         return true;
     }
     void setPeers(absl::Span<const PeerAddress>) override { }
@@ -73,3 +75,29 @@
     for (const std::string& peer : bus.sentTo)
         CHECK(peer != "b");
 }
+
+TEST(AdvisorSlots, aRestartedEntryUsesOtherNumbersForItsRequests)
+{
+    const auto numberOf = [](const std::string& bytes) {
+        uint64_t number = 0;
+        std::string job;
+        uint32_t occurrence = 0;
+        uint32_t step = 0;
+        std::vector<std::string> workers;
+        int64_t timeoutMillis = 0;
+        const auto read
+            = Internal::unpackFields(bytes, "advice request", number, job, occurrence, step, workers, timeoutMillis);
+        CHECK(read.has_value());
+        return number;
+    };
+    AdvisorSlots restarted { "self", advisor, bus, timers, log };
+    std::vector<uint64_t> first;
+    for (AdvisorSlots* process : { &slots, &restarted }) {
+        bus.sent.clear();
+        for (int i = 0; i < 2; ++i)
+            process->request({}, absl::Seconds(1), [](const AdviceReply&) {});
+        CHECK(!bus.sent.empty());
+        first.push_back(numberOf(bus.sent.front()));
+    }
+    CHECK(first[0] != first[1]);
+}
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -511,6 +511,24 @@
     LONGS_EQUAL(3, world.startsOf("late"));
 }
 
+TEST(CellFailures, aReplyToAnEntrysFormerProcessIsNotTakenForAnotherJob)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CellWorld small { 3, 4, seed };
+        CHECK(small.runUntil([&] { return small.owner().has_value(); }, absl::Seconds(5)));
+        const size_t at = (small.owner().value() + 1) % small.entryCount();
+        small.congest(small.owner().value(), absl::Milliseconds(400));
+        small.submitOnce(at, makeJob("former", 1));
+        small.run(absl::Milliseconds(50));
+        small.kill(at);
+        small.start(at);
+        small.run(absl::Milliseconds(150));
+        small.submitOnce(at, makeJob("next", 1));
+        CHECK(small.runUntil([&] { return !small.answersTo("next").empty(); }, absl::Seconds(4)));
+        CHECK(!small.isAccepted("next") || small.store().find("cicada/job/0/next"));
+    }
+}
+
 TEST(CellFailures, aFailedJobStaysFailedWhenItsRecordsExpireAfterATakeover)
 {
     for (WorldWorker& worker : world.workers())
