Take a run that a full list of ends leaves out as unknown, not as over

What callers saw (test world): tasks that have ended are started again.

Cause: a run that a worker lists neither as running nor as ended is concluded, and its task starts again. A worker lists 500 ends at a time; while the store is away nothing is acknowledged, and further ends are left out of the list. The ends came later, of runs that had been given up.

Evidence: runsWhoseEndsAWorkerHasNoRoomToListAreNotStartedAgain failed before: 69 starts of 40 tasks.

Why this works: a list that is full says nothing of a run that it does not name; the next one does, after an acknowledgement.

--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -238,7 +238,8 @@
         if (isStoringIntent || allocation.isStarting)
             continue;
         // The reply was given under this owner's token, so orders of an earlier owner can no longer take effect.
-        if (allocation.isInherited || allocation.visibleFrom < sentAt)
+        const bool isListedUnlessEnded = allocation.isInherited || allocation.visibleFrom < sentAt;
+        if (isListedUnlessEnded && reply.hasAllEnds)
             gone.push_back(run);
         else if (allocation.visibleFrom == absl::InfiniteDuration())
             stop.push_back(run);
--- a/src/WorkerOrders.h
+++ b/src/WorkerOrders.h
@@ -126,6 +126,8 @@
     int64_t startedUnixMillis = 0;
     std::vector<ListedRun> running;
     std::vector<EndedRun> ended;
+    /** False when more runs may have ended than the reply has room for. */
+    bool hasAllEnds = true;
 };
 
 /** Sends orders to workers. Used on the decision thread only; callbacks run on it too, and never within the call. */
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -545,6 +545,20 @@
     POINTERS_EQUAL(nullptr, world.store().find("cicada/run/0/job"));
 }
 
+TEST(CellFailures, runsWhoseEndsAWorkerHasNoRoomToListAreNotStartedAgain)
+{
+    for (WorldWorker& worker : world.workers())
+        worker.maxListedEnds = 1;
+    world.submit(other(), makeJob("many", 40));
+    CHECK(world.runUntil([&] { return world.startsOf("many") == 40; }, absl::Seconds(5)));
+    const size_t at = owner();
+    world.setStore(at, StoreMood::Busy);
+    world.run(absl::Milliseconds(1000));
+    world.setStore(at, StoreMood::Well);
+    CHECK(world.runUntil([&] { return world.ask(owner(), "many") == JobPhase::Finished; }, absl::Seconds(30)));
+    LONGS_EQUAL(40, world.startsOf("many"));
+}
+
 TEST(CellFailures, aRestartedWorkersEndsAreNotAcknowledgedUnread)
 {
     CellWorld one { 3, 1, 7 };
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -79,6 +79,8 @@
     double unansweredShare = 0;
     /** Every start is refused. */
     bool refuses = false;
+    /** The most ends that the worker lists at a time. */
+    size_t maxListedEnds = 500;
     /** Every run fails. */
     bool fails = false;
     /** The share of runs that fail. */
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -189,7 +189,9 @@
     reply.startedUnixMillis = worker.started;
     for (const auto& [run, state] : worker.runs)
         reply.running.push_back({ run, "", 10 });
-    reply.ended = worker.ended;
+    const size_t count = std::min(worker.ended.size(), worker.maxListedEnds);
+    reply.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<ptrdiff_t>(count));
+    reply.hasAllEnds = count < worker.maxListedEnds;
     return reply;
 }
 
