Judge attempts in the soak

The soak's judge counted failed runs only to check that a job was shown as failed rightly, so it could not show a start beyond a task's attempts. It uses the history of the test world now; ends count from their acknowledgement on.

--- a/test/soak/SoakJudge.cpp
+++ b/test/soak/SoakJudge.cpp
@@ -139,6 +139,10 @@
         violate(what + "an earlier step has not ended");
     if (job->cancelAckedAt && m_clock.now() - *job->cancelAckedAt > cancelBound)
         violate(what + "its job was cancelled before");
+    task.history.recordStart(m_clock.now());
+    const std::string violation = task.history.violation(Grid::maxAttempts);
+    if (!violation.empty())
+        violate(what + violation);
     task.runsAt = executor;
     int64_t& used = m_used[executor];
     used += job->cpuMillis;
@@ -161,8 +165,11 @@
 
 void SoakJudge::acknowledged(const GridRun& run, const std::string& how)
 {
+    Task& task = m_tasks[run.task];
     if (how == "done")
-        m_tasks[run.task].isDoneAcknowledged = true;
+        task.isDoneAcknowledged = true;
+    if (how == "failed")
+        task.history.recordAcknowledgedEnd(RunEnding::Failed, m_clock.now());
 }
 
 std::vector<std::string> SoakJudge::openJobs() const
--- a/test/soak/SoakJudge.h
+++ b/test/soak/SoakJudge.h
@@ -2,11 +2,12 @@
 
 /** \file
  * Judges the promises while the soak runs, from what callers were told and what executors saw: a task never runs twice
- * at once or after an acknowledged end, no executor holds more than it has, a refused job never starts, an accepted one
- * is never lost, and nothing is shown that did not happen.
+ * at once, after an acknowledged end or beyond its attempts, no executor holds more than it has, a refused job never
+ * starts, an accepted one is never lost, and nothing is shown that did not happen.
  */
 
 #include "GridExecutor.h"
+#include "TaskHistory.h"
 
 #include "Clock.h"
 
@@ -78,6 +79,7 @@
         bool wasDone = false;
         bool isDoneAcknowledged = false;
         uint32_t failures = 0;
+        TaskHistory history;
     };
 
     SoakJob* jobOf(const GridRun&);
