--- a/src/WorkerOrders.h
+++ b/src/WorkerOrders.h
@@ -111,6 +111,7 @@
 /** Renews the lease, acknowledges ends and requests the lists of running and ended runs. */
 struct SyncOrder {
     uint64_t fencingToken = 0;
+    /** The worker forgets its ends up to this sequence number; 0 acknowledges none. */
     uint64_t acknowledgedThrough = 0;
     /** Without a value the lease is not renewed. */
     std::optional<int64_t> leaseEndMillis;
@@ -125,6 +126,8 @@
     int64_t startedUnixMillis = 0;
     std::vector<ListedRun> running;
     std::vector<EndedRun> ended;
+    /** False when more runs may have ended than the reply has room for. */
+    bool hasAllEnds = true;
 };
 
 /** Sends orders to workers. Used on the decision thread only; callbacks run on it too, and never within the call. */
