--- a/src/Cell.h
+++ b/src/Cell.h
@@ -203,14 +203,12 @@
     /** Concludes a run without a reported end, as it never started or was lost with its worker: frees its capacity and
      * queues its task again. */
     void concludeRun(CellWorker& worker, const TaskRun& run, absl::string_view why);
-    /** Suspends placement on a worker where runs of several jobs in a row have failed. */
-    void recordWorkerFailure(CellWorker& worker, const std::string& job);
     /** Counts a failed run against the attempts of its task, or of its gang; false if it was counted before. */
     bool countFailure(CellJob& job, const TaskRun& run);
     void taskFinished(CellJob& job, const TaskName& name, CellWorker& worker);
     void applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed);
 
-    // CellSync.cpp: synchronization of each worker's state, and its lease.
+    // CellSync.cpp: synchronization of each worker's state.
     void handleListed(const std::string& id, const ListedWorker* listed);
     CellWorker* findWorker(const std::string& id);
     /** Stops the services' tasks on a worker that has begun to drain, so that they start elsewhere before it leaves. */
@@ -221,6 +219,8 @@
     void applyLists(CellWorker& worker, Instant sentAt, SyncReply& reply);
     void applyRunning(CellWorker& worker, const ListedRun& listed);
     void applyEnds(CellWorker& worker, std::vector<EndedRun>& ended);
+
+    // CellLeases.cpp: leases, and the runs of workers that do not reply or have restarted.
     void handleSyncFailure(CellWorker& worker, OrderStatus status);
     /** Every lease on the worker has expired: concludes all its runs. */
     void concludeExpiredRuns(CellWorker& worker);
@@ -234,7 +234,11 @@
     int64_t nextLeaseEnd(CellWorker& worker, absl::Duration lease);
     /** How long a lease may last that is granted on the strength of an intent sent at `intendedAt`. */
     absl::Duration startLease(Instant intendedAt) const;
+
+    // CellSuspensions.cpp: workers that get nothing to run for a while.
     void suspendPlacement(CellWorker& worker, absl::Duration duration, absl::string_view why);
+    /** Suspends placement on a worker where runs of several jobs in a row have failed. */
+    void recordWorkerFailure(CellWorker& worker, const std::string& job);
     void checkStuckRuns();
 
     Parts m_parts;
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -13,9 +13,6 @@
     constexpr absl::Duration refusalDelay = absl::Milliseconds(100);
     constexpr absl::Duration malformedDelay = absl::Seconds(2);
     constexpr absl::Duration unhealthySuspension = absl::Seconds(1);
-    constexpr absl::Duration failureSuspension = absl::Seconds(3);
-    /** When this many different jobs in a row fail on a worker, the worker itself is assumed to be the cause. */
-    constexpr size_t failedJobsToSuspend = 3;
     constexpr double slowdownWeight = 0.15;
 
 } // namespace
@@ -278,13 +275,6 @@
     queueStep(*job, ref);
 }
 
-void Cell::recordWorkerFailure(CellWorker& worker, const std::string& job)
-{
-    worker.failedJobs.insert(job);
-    if (worker.failedJobs.size() >= failedJobsToSuspend)
-        suspendPlacement(worker, failureSuspension, "runs-fail");
-}
-
 bool Cell::countFailure(CellJob& job, const TaskRun& run)
 {
     if (job.spec.steps[run.task.step].isService || !job.recordFailure(run))
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -14,30 +14,6 @@
     /** How long a sync is delayed so that it can acknowledge ends that are not durable yet; then the lease is renewed
      * anyway. */
     constexpr absl::Duration ackTimeout = absl::Milliseconds(400);
-    constexpr absl::Duration syncRetryDelay = absl::Milliseconds(250);
-    /** When another incarnation answers at the listed address, the listing is out of date and goes within seconds. */
-    constexpr absl::Duration staleAddressDelay = absl::Seconds(2);
-    constexpr absl::Duration maxLeaseDuration = absl::Seconds(6);
-    constexpr absl::Duration leaseMargin = absl::Milliseconds(1500);
-    constexpr absl::Duration stuckCheckInterval = absl::Milliseconds(500);
-    constexpr absl::Duration maxSuspension = absl::Seconds(20);
-    /** A run without progress counts as stuck after this many times its estimate, but not before `stuckAfter`. */
-    constexpr double stuckFactor = 3;
-    constexpr absl::Duration stuckAfter = absl::Milliseconds(2500);
-
-    /** The stable name, for logs and metrics. */
-    absl::string_view incarnationEndName(IncarnationEnd end)
-    {
-        switch (end) {
-        case IncarnationEnd::RestartListed:
-            return "listed-with-a-new-start";
-        case IncarnationEnd::RestartReplied:
-            return "answers-with-a-new-start";
-        case IncarnationEnd::OtherAnswered:
-            return "other-incarnation-answers";
-        }
-        return "";
-    }
 
 } // namespace
 
@@ -95,33 +71,6 @@
     }
 }
 
-absl::Duration Cell::leaseDuration() const { return std::min(m_parts.bounds.maxLease, maxLeaseDuration); }
-
-void Cell::recordClock(CellWorker& worker, std::optional<int64_t> workerMillis)
-{
-    if (!workerMillis)
-        return;
-    // A former owner may have granted a lease just before this owner's first order fenced it.
-    if (!worker.clock.isKnown())
-        worker.clock.recordLease(*workerMillis + absl::ToInt64Milliseconds(leaseDuration()));
-    worker.clock.addReading(*workerMillis, m_parts.timers.clock().now());
-}
-
-absl::Duration Cell::startLease(Instant intendedAt) const
-{
-    // The store took the intent from this owner, so a successor came later, and it waits for leaseDuration() and the
-    // margin before it starts the task elsewhere. After a pause of this process that may be over.
-    const absl::Duration age = m_parts.timers.clock().now() - intendedAt;
-    return std::min(leaseDuration(), leaseDuration() + leaseMargin - age);
-}
-
-int64_t Cell::nextLeaseEnd(CellWorker& worker, absl::Duration lease)
-{
-    const int64_t end = worker.clock.estimate(m_parts.timers.clock().now()) + absl::ToInt64Milliseconds(lease);
-    worker.clock.recordLease(end);
-    return end;
-}
-
 void Cell::scheduleSync(CellWorker& worker, absl::Duration delay)
 {
     if (worker.isSyncing || m_isSuperseded)
@@ -323,120 +272,4 @@
     m_parts.timers.after(absl::ZeroDuration(), guarded(durable));
 }
 
-void Cell::handleSyncFailure(CellWorker& worker, OrderStatus status)
-{
-    if (++worker.failedSyncs == 1)
-        m_parts.log.write("worker-silent", "worker", worker.listed.incarnation.id, "status", orderStatusName(status),
-            "runs", worker.allocations.size());
-    checkUnresponsive(worker);
-    if (!worker.isListed && worker.allocations.empty())
-        return;
-    scheduleSync(worker, syncRetryDelay * std::min(worker.failedSyncs, 8));
-}
-
-void Cell::checkUnresponsive(CellWorker& worker)
-{
-    const Instant now = m_parts.timers.clock().now();
-    const absl::Duration maxInheritedLease = leaseDuration() / WorkerClock::minClockRate + leaseMargin;
-    const bool isExpired = worker.hasReplied ? worker.clock.leasesExpired(now) : now - m_ownedSince > maxInheritedLease;
-    if (isExpired) {
-        if (!worker.allocations.empty())
-            concludeExpiredRuns(worker);
-        return;
-    }
-    if (!worker.allocations.empty() && !worker.hasReplied)
-        m_parts.timers.after(absl::Milliseconds(500), guarded([this, id = worker.listed.incarnation.id] {
-            CellWorker* target = findWorker(id);
-            if (target && !target->hasReplied)
-                checkUnresponsive(*target);
-        }));
-}
-
-void Cell::concludeExpiredRuns(CellWorker& worker)
-{
-    constexpr absl::string_view why = "leases-ended";
-    m_parts.log.write(
-        "worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs", worker.allocations.size());
-    std::vector<TaskRun> runs;
-    for (const auto& [run, allocation] : worker.allocations)
-        runs.push_back(run);
-    for (const TaskRun& run : runs)
-        concludeRun(worker, run, why);
-}
-
-void Cell::endIncarnation(CellWorker& worker, IncarnationEnd end)
-{
-    const absl::string_view why = incarnationEndName(end);
-    m_parts.log.write("worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs",
-        worker.allocations.size(), "acknowledgedThrough", worker.acknowledgedThrough);
-    // A start in flight can still reach the next incarnation under the same id, and must be stopped there.
-    const bool mayStartArrive = end != IncarnationEnd::OtherAnswered;
-    std::vector<TaskRun> runs;
-    for (auto& [run, allocation] : worker.allocations) {
-        if (mayStartArrive && allocation.wasSent && !allocation.wasConfirmed) {
-            allocation.isStarting = false;
-            allocation.isStopWanted = true;
-            allocation.visibleFrom = absl::InfiniteDuration();
-            allocation.stopSentAt = absl::ZeroDuration() - absl::Hours(1);
-        } else {
-            runs.push_back(run);
-        }
-    }
-    for (const TaskRun& run : runs)
-        concludeRun(worker, run, why);
-    for (const UnansweredStart& old : mayStartArrive ? worker.unansweredStarts : std::vector<UnansweredStart>()) {
-        worker.allocate(old.run, old.demand);
-        worker.allocations[old.run].isStopWanted = true;
-    }
-    worker.beginIncarnation();
-    if (worker.isListed)
-        scheduleSync(worker, mayStartArrive ? syncRetryDelay : staleAddressDelay);
-}
-
-void Cell::suspendPlacement(CellWorker& worker, absl::Duration duration, absl::string_view why)
-{
-    const Instant now = m_parts.timers.clock().now();
-    // At most half of the workers are suspended: when most of them fail, the cause lies elsewhere.
-    const auto suspended = std::count_if(
-        m_workers.begin(), m_workers.end(), [&](const auto& item) { return item.second.suspendedUntil > now; });
-    if (static_cast<size_t>(suspended) * 2 >= m_workers.size())
-        return;
-    const absl::Duration length = std::min(maxSuspension, duration * (1 << std::min(worker.suspensionCount, 4)));
-    ++worker.suspensionCount;
-    worker.suspendedUntil = std::max(worker.suspendedUntil, now + length);
-    worker.failedJobs.clear();
-    m_parts.log.write(
-        "worker-rests", "worker", worker.listed.incarnation.id, "why", why, "ms", absl::ToInt64Milliseconds(length));
-    m_parts.timers.after(length, guarded([this] { schedulePlacement(); }));
-}
-
-void Cell::checkStuckRuns()
-{
-    const Instant now = m_parts.timers.clock().now();
-    for (auto& [id, worker] : m_workers) {
-        if (worker.failedSyncs > 0 || !worker.hasReplied)
-            continue;
-        std::vector<TaskRun> stuck;
-        for (const auto& [run, allocation] : worker.allocations) {
-            CellJob* job = findJob(run.task.job);
-            const CellTask* task = job ? job->find(run.task) : nullptr;
-            if (!task || task->stage != TaskStage::Running || allocation.isStopWanted)
-                continue;
-            const StepSpec& spec = job->spec.steps[run.task.step];
-            const bool isStuck = !spec.isService && task->percent >= 0
-                && now - task->progressAt > std::max(stuckAfter, spec.estimate * stuckFactor);
-            if (isStuck)
-                stuck.push_back(run);
-        }
-        for (const TaskRun& run : stuck) {
-            m_parts.log.write("run-stuck", "run", describeRun(run), "worker", id);
-            requestStop(worker, run);
-        }
-        if (stuck.size() >= 2)
-            suspendPlacement(worker, absl::Seconds(5), "runs-stand-still");
-    }
-    m_parts.timers.after(stuckCheckInterval, guarded([this] { checkStuckRuns(); }));
-    schedulePlacement();
-}
-
 } // namespace cicada
