--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -97,8 +97,8 @@
     SyncOrder order;
     order.fencingToken = m_term.token;
     const bool isResponsive = worker.hasReplied && worker.failedSyncs == 0;
-    // Sequence numbers begin anew when a worker restarts, as one that does not reply may have; ends that nobody has
-    // read must not be acknowledged there.
+    // A worker that does not reply may have restarted, and its sequence numbers begin anew then: an acknowledgement for
+    // its former incarnation would make it forget unread ends.
     if (isResponsive && worker.acknowledgedThrough > worker.forgottenThrough)
         order.acknowledgedThrough = worker.acknowledgedThrough;
     // The lease of a worker that does not reply is not extended, so that its runs end at a known time.
