--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
-"""An idle executor crashes and starts again under its id, and a job comes before its new entry is read."""
+"""Another writer leaves an entry among the executors' that can't be read, and one process of the system after another ends by it."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -8,38 +9,84 @@
 sys.path.insert(0, str(FOLDER.parent / "standin"))
 import grid as g
 
-EXECUTORS = 8
-JOBS = 4
-# The site file says under [discovery]: beat_ms = 1500, lag_ms = 800. A new boot registers this long after its start.
-REGISTERED_AFTER_S = 0.4
-DOWN_S = 0.3
+JOBS = 6
+# "A process that exits or is killed is restarted after a short delay".
+RESTART_DELAY_S = 1
+WATCHED_S = 20
+FINISH_S = 14
+# Well-formed JSON that doesn't fit into a double: JSON's grammar has no largest exponent. The address has no listener.
+ENTRY = '{"service":"service-a","address":"127.0.0.1:9","zone":"zone-a","state":"ready","coldRemainingMs":1e999}'
+
+
+class Supervisor:
+    """Starts processes that end by themselves again, as the platform does."""
+
+    def __init__(self, grid):
+        self.grid, self.is_over, self.ends = grid, False, {}
+        self.watchers = [asyncio.create_task(self.watch(entry)) for entry in grid.entries]
+
+    async def watch(self, entry):
+        while True:
+            status = await entry.process.wait()
+            if self.is_over:
+                return
+            self.grid.record.write(f"{entry.name} ended by itself with status {status}")
+            self.ends[entry.name] = self.ends.get(entry.name, 0) + 1
+            await asyncio.sleep(RESTART_DELAY_S)
+            if self.is_over:
+                return
+            await entry.start()
+            self.grid.record.write(f"{entry.name} was started again")
+
+    async def end(self):
+        self.is_over = True
+        while not all(watcher.done() for watcher in self.watchers):
+            for entry in self.grid.entries:
+                entry.signal(signal.SIGKILL)
+            await asyncio.sleep(0.05)
 
 
 async def play(grid, trouble):
-    for i in range(EXECUTORS):
+    for i in range(8):
         grid.add_executor(f"x-{i}", "service-a", f"rack-{i % 2}")
     grid.configure([g.route("queue-a", "/jobs/", "service-a")])
+    grid.default_work = 4
     await grid.begin(3)
     await asyncio.sleep(1)
-    # One task on each executor.
-    job = {"spec": "text", "steps": [{"count": EXECUTORS, "cpu": 4000, "memMb": 1000, "estimateMs": 800, "maxPerServer": 1}]}
-    ids = []
+    job = {"spec": "text", "steps": [{"count": 2, "cpu": 4000, "memMb": 1000, "estimateMs": 4000}]}
+    accepted = []
     for number in range(JOBS):
-        executor = grid.executors[number % EXECUTORS]
-        if trouble:
-            executor.crash()
-            grid.record.write(f"crash {executor.id}")
-            await asyncio.sleep(DOWN_S)
-            await executor.boot()
-            grid.record.write(f"boot {executor.id} born {executor.born}")
-            asyncio.get_running_loop().call_later(REGISTERED_AFTER_S, executor.register)
-        ids.append(f"{number + 1:016x}")
-        status, _ = await g.call(grid.entries[number % 3].callers, "POST", "/jobs/" + ids[-1], job)
-        grid.record.write(f"submit {ids[-1]} answered {status}")
-        await asyncio.sleep(4)
-    for id in ids:
-        status, body = await g.call(grid.entries[0].callers, "GET", "/jobs/" + id)
-        grid.record.write(f"state {id} answered {status} {body}")
+        id = f"{number + 1:016x}"
+        status, _ = await g.call(grid.entries[number % 3].callers, "POST", "/jobs/" + id, job)
+        grid.record.write(f"submit {id} answered {status}")
+        if status == 200:
+            accepted.append(id)
+    await asyncio.sleep(1)
+    supervisor = Supervisor(grid)
+    try:
+        await watch_jobs(grid, trouble, accepted)
+    finally:
+        await supervisor.end()
+    often = [name for name, count in supervisor.ends.items() if count >= 3]
+    if len(often) >= 2:
+        grid.record.break_rule(f"Fault: processes ended by themselves, {supervisor.ends}")
+
+
+async def watch_jobs(grid, trouble, accepted):
+    if trouble:
+        grid.store.put("servers/other-writer", ENTRY)
+        grid.record.write(f"another writer stores servers/other-writer: {ENTRY}")
+    await asyncio.sleep(WATCHED_S + FINISH_S)
+    for id in accepted:
+        answers = []
+        # A client's retries reach other entries.
+        for entry in grid.entries:
+            answers.append(await g.call(entry.callers, "GET", "/jobs/" + id, timeout=3))
+            grid.record.write(f"state {id} at {entry.name} answered {answers[-1]}")
+            if answers[-1][0] == 200:
+                break
+        if answers[-1] != (200, {"state": "completed"}):
+            grid.record.break_rule(f"LOST: accepted job {id} of 4 s is not shown as completed {WATCHED_S + FINISH_S} s after its acceptance: {answers}")
 
 
 g.main(FOLDER, play)
--- a/review/standin/grid.py
+++ b/review/standin/grid.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import os
 import random
@@ -30,6 +31,8 @@
 GRACE_S = 6
 CONTACT_MS = 4000
 STORE_ANSWER_S = 0.004
+HISTORY_S = 20
+HEARTBEAT_S = 1.5
 
 BEGUN = time.monotonic()
 
@@ -39,23 +42,39 @@
     return time.monotonic() - BEGUN
 
 
-given_ports = set()
+class Ports:
+    """A block of ports of this script's own. A socket at the block's first port keeps other scripts out of it."""
 
+    SIZE = 400
 
-def free_ports(count):
-    """Ports outside the range from which connections take theirs, none of them twice."""
-    ports = []
-    while len(ports) < count:
-        port = random.randint(12000, 31000)
-        with socket.socket() as probe:
+    def __init__(self):
+        self.guard = socket.socket()
+        for first in random.sample(range(10000, 30000, self.SIZE), 20000 // self.SIZE):
             try:
-                probe.bind((HOST, port))
+                self.guard.bind((HOST, first))
+                self.next = first + 1
+                self.end = first + self.SIZE
+                return
             except OSError:
                 continue
-        if port not in given_ports:
-            given_ports.add(port)
-            ports.append(port)
-    return ports
+        raise RuntimeError("no block of ports is free")
+
+    def take(self, count):
+        ports = []
+        while len(ports) < count:
+            if self.next == self.end:
+                raise RuntimeError("the block of ports is used up")
+            with socket.socket() as probe:
+                try:
+                    probe.bind((HOST, self.next))
+                    ports.append(self.next)
+                except OSError:
+                    pass
+            self.next += 1
+        return ports
+
+
+PORTS = Ports()
 
 
 class Record:
@@ -135,7 +154,8 @@
         self.http = HttpServer(port, self.handle)
         self.items = {}
         self.revision = 1
-        self.events = []
+        self.events = collections.deque()
+        self.oldest = 0
         self.leases = {}
         self.last_lease = 0
         self.changed = asyncio.Event()
@@ -160,7 +180,9 @@
         self.note({"key": key, "revision": self.revision, "deleted": True})
 
     def note(self, event):
-        self.events.append((self.revision, event))
+        self.events.append((now(), self.revision, event))
+        while self.events[0][0] < now() - HISTORY_S:
+            self.oldest = self.events.popleft()[1]
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -173,7 +195,7 @@
         content = json.loads(body) if body else {}
         if path == "/cicadaspread/kv-key":
             item = self.items.get(arguments["key"])
-            return (200, {"item": item, "storeRevision": self.revision}) if item else (404, {})
+            return (200, dict(item, storeRevision=self.revision)) if item else (404, {})
         if path == "/cicadaspread/kv-range":
             return self.range(arguments)
         if path == "/cicadaspread/kv-txn":
@@ -199,7 +221,14 @@
         until = now() + min(30000, int(arguments["waitMs"])) / 1000
         while True:
             changed = self.changed
-            found = [event for revision, event in self.events if revision > after and event["key"].startswith(prefix)]
+            if after < self.oldest:
+                return 410, {}
+            found = []
+            for _, revision, event in reversed(self.events):
+                if revision <= after:
+                    break
+                if event["key"].startswith(prefix):
+                    found.insert(0, event)
             if found or now() >= until:
                 await asyncio.sleep(STORE_ANSWER_S)
                 return 200, {"events": found, "storeRevision": self.revision}
@@ -285,7 +314,7 @@
         self.grid, self.id, self.port, self.service, self.rack, self.kind = grid, name, port, service, rack, kind
         self.capacity = {"cpu": cpu, "memMb": memory, "gpu": 0}
         self.sequence = 0
-        self.is_up, self.http = False, None
+        self.is_up, self.is_registered, self.http = False, False, None
         self.state = "ready"
 
     async def boot(self):
@@ -295,10 +324,12 @@
         self.fence, self.lease_end, self.last_end = 0, 0, 0
         self.runs, self.over, self.ends = {}, {}, []
         self.changed = asyncio.Event()
-        self.is_up = True
+        self.is_up, self.is_registered = True, False
         await self.http.start()
 
     def register(self):
+        """Writes the entry in the store; the heartbeats follow."""
+        self.is_registered, self.registered_at = True, now()
         self.sequence += 1
         self.grid.store.put("servers/" + self.id, json.dumps(
             {"service": self.service, "address": f"{HOST}:{self.port}", "zone": "zone-a", "version": "v1", "slots": 8, "state": self.state,
@@ -306,7 +337,7 @@
 
     def crash(self):
         """The process is killed: connections are reset, what ran is gone."""
-        self.is_up = False
+        self.is_up, self.is_registered = False, False
         self.http.stop()
         for run in self.runs.values():
             self.grid.ended(run, "lost")
@@ -403,7 +434,7 @@
 
     def __init__(self, grid, name, processor_share=0.25, speed=1):
         self.grid, self.name, self.process = grid, name, None
-        callers, ready, peers, metrics = free_ports(4)
+        callers, ready, peers, metrics = PORTS.take(4)
         self.callers, self.ready = callers, ready
         self.settings = grid.folder / f"{name}.json"
         self.log = grid.folder / f"{name}.log"
@@ -456,10 +487,12 @@
     def __init__(self, folder, case_folder):
         self.folder = Path(folder)
         self.record = Record(Path(case_folder) / "record.txt")
-        ports = free_ports(2)
+        ports = PORTS.take(2)
         self.store, self.advisor = Store(ports[0]), Advisor(ports[1])
-        self.executors, self.entries = [], []
+        self.executors, self.entries, self.beats = [], [], None
         self.needs_ticket = True
+        # Whether the jobs are `longRunning`: their tasks start again however they end.
+        self.tasks_last = False
         self.stop_ms = STOP_GRACE_MS * 3 // 4
         self.alive, self.done_acknowledged, self.starts, self.ends = {}, {}, [], []
         self.version = 0
@@ -470,7 +503,7 @@
         return self.work_seconds.get(run.task.split(".")[0], self.default_work)
 
     def add_executor(self, name, service, rack, **options):
-        executor = Executor(self, name, free_ports(1)[0], service, rack, **options)
+        executor = Executor(self, name, PORTS.take(1)[0], service, rack, **options)
         self.executors.append(executor)
         return executor
 
@@ -485,7 +518,7 @@
         for other in self.alive.get(run.task, []):
             self.record.break_rule(f"TWICE: {run.task} run {run.number} begins at {run.executor.id} while run {other.number} is at work at {other.executor.id}, "
                                    f"which is up, since {now() - other.begun:.3f} s")
-        if run.task in self.done_acknowledged:
+        if run.task in self.done_acknowledged and not self.tasks_last:
             self.record.break_rule(f"TWICE: {run.task} run {run.number} begins at {run.executor.id} after run {self.done_acknowledged[run.task]} ended done, acknowledged")
         self.alive.setdefault(run.task, []).append(run)
 
@@ -504,6 +537,7 @@
         for executor in self.executors:
             await executor.boot()
             executor.register()
+        self.beats = asyncio.create_task(self.beat())
         self.entries = [Entry(self, f"entry-{i}", **options) for i in range(entries)]
         for entry in self.entries:
             await entry.start()
@@ -514,7 +548,19 @@
             await asyncio.sleep(0.1)
         raise RuntimeError(f"the entries did not get ready: {answers}")
 
+    async def beat(self):
+        """Writes the executors' heartbeats, and removes the entry of one that was silent for three of them."""
+        while True:
+            await asyncio.sleep(0.1)
+            for executor in self.executors:
+                if executor.is_registered and now() - executor.registered_at >= HEARTBEAT_S:
+                    executor.register()
+                elif not executor.is_up and now() - executor.registered_at >= 3 * HEARTBEAT_S:
+                    self.store.remove("servers/" + executor.id)
+
     async def end(self):
+        if self.beats:
+            self.beats.cancel()
         for entry in self.entries:
             if entry.process and entry.process.returncode is None:
                 entry.signal(signal.SIGCONT)
