--- a/review/standin/grid.py
+++ b/review/standin/grid.py
@@ -313,6 +313,8 @@
     def __init__(self, grid, name, port, service, rack, kind="a", cpu=64000, memory=262144):
         self.grid, self.id, self.port, self.service, self.rack, self.kind = grid, name, port, service, rack, kind
         self.capacity = {"cpu": cpu, "memMb": memory, "gpu": 0}
+        # Where it is reached; a proxy may stand there.
+        self.listed_port = port
         self.sequence = 0
         self.is_up, self.is_registered, self.http = False, False, None
         self.state = "ready"
@@ -332,7 +334,7 @@
         self.is_registered, self.registered_at = True, now()
         self.sequence += 1
         self.grid.store.put("servers/" + self.id, json.dumps(
-            {"service": self.service, "address": f"{HOST}:{self.port}", "zone": "zone-a", "version": "v1", "slots": 8, "state": self.state,
+            {"service": self.service, "address": f"{HOST}:{self.listed_port}", "zone": "zone-a", "version": "v1", "slots": 8, "state": self.state,
              "coldRemainingMs": 0, "sequence": self.sequence, "capacity": self.capacity, "labels": [self.kind, self.rack], "born": self.born}))
 
     def crash(self):
