--- a/src/HttpStore.cpp
+++ b/src/HttpStore.cpp
@@ -9,6 +9,8 @@
 
 #include <httplib.h>
 
+#include <optional>
+
 namespace cicada {
 
 namespace {
@@ -27,6 +29,20 @@
         Remove,
     };
 
+    /** One entry of a list; nothing when it does not have the form of one. */
+    std::optional<StoreEntry> decodeEntry(const Internal::Json& item)
+    {
+        if (!item.is_object() || !item.contains("Key") || !item["Key"].is_string() || !item.contains("ModifyIndex")
+            || !item["ModifyIndex"].is_number_unsigned())
+            return std::nullopt;
+        StoreEntry entry;
+        entry.key = item["Key"].get<std::string>();
+        entry.index = item["ModifyIndex"].get<uint64_t>();
+        if (item.contains("Value") && item["Value"].is_string())
+            absl::Base64Unescape(item["Value"].get<std::string>(), &entry.value);
+        return entry;
+    }
+
     std::vector<StoreEntry> decodeEntries(const std::string& body)
     {
         std::vector<StoreEntry> entries;
@@ -34,12 +50,8 @@
         if (!document.is_array())
             return entries;
         for (const auto& item : document) {
-            StoreEntry entry;
-            entry.key = item.value("Key", "");
-            entry.index = item.value("ModifyIndex", uint64_t { 0 });
-            if (item.contains("Value") && item["Value"].is_string())
-                absl::Base64Unescape(item["Value"].get<std::string>(), &entry.value);
-            entries.push_back(std::move(entry));
+            if (auto entry = decodeEntry(item))
+                entries.push_back(std::move(*entry));
         }
         return entries;
     }
--- a/src/Json.cpp
+++ b/src/Json.cpp
@@ -50,7 +50,8 @@
             "Reduce the nesting." };
     try {
         return Json::parse(text.begin(), text.end());
-    } catch (const Json::parse_error& error) {
+    } catch (const Json::exception& error) {
+        // Besides text that is not JSON, the parser throws for numbers that a double can't hold.
         return Error { kind, absl::StrCat("The ", what, " is not valid JSON: ", error.what(), "."),
             "Correct the text at that position." };
     }
--- a/src/Json.h
+++ b/src/Json.h
@@ -18,7 +18,8 @@
 /** Documents are read and written recursively, so the nesting is bounded to protect the stack of the thread. */
 constexpr size_t maxJsonNesting = 64;
 
-/** Parses `text`; `what` names the document in the error. Nesting deeper than maxJsonNesting is an error. */
+/** Parses `text`; `what` names the document in the error. Nesting deeper than maxJsonNesting and numbers that a double
+ * can't hold are errors. */
 Result<Json> parseJson(absl::string_view text, absl::string_view what, ErrorKind kind);
 /** Checks `document` against a JSON schema. The error names the first field that does not fit. */
 Result<void> checkSchema(const Json& document, absl::string_view schema, absl::string_view what, ErrorKind kind);
--- a/test/error/AdapterTest.cpp
+++ b/test/error/AdapterTest.cpp
@@ -4,6 +4,7 @@
 
 #include "Catalog.h"
 #include "JobApi.h"
+#include "JsonBody.h"
 #include "NodeSettings.h"
 
 #include "absl/strings/match.h"
@@ -80,6 +81,39 @@
     refused(absl::StrCat(R"({"spec":")", std::string(5000, 'x'), R"(","steps":[{"count":1}]})"), "payload");
 }
 
+TEST(Adapter, aNumberBeyondADoubleIsAnErrorAndNeverAnException)
+{
+    for (const std::string& number : { std::string("1e999"), std::string("-1e999"), std::string(400, '9') }) {
+        refused(with(goodJob, "900", number), "JSON");
+        refused(with(goodJob, "\"spec\"", absl::StrCat("\"unused\":", number, ",\"spec\"")), "JSON");
+        CHECK(!parseNodeSettings(with(goodSettings, "6000", number)).has_value());
+        size_t skipped = 0;
+        CHECK(!readConfiguration(absl::StrCat(R"({"version":3,"routes":[],"x":)", number, "}"), skipped));
+    }
+}
+
+TEST(Adapter, anIntegerJustBeyondItsTypeIsNotTakenForAnother)
+{
+    const Json object = Json::parse(R"({"int64":9223372036854775808,"uint32":4294967296,"real":9223372036854775808.0,
+        "negative":-1,"largest":9223372036854775807,"whole":900.0})");
+    int64_t signedNumber = 0;
+    uint32_t unsignedNumber = 0;
+    CHECK(!readField(object, "int64", signedNumber));
+    CHECK(!readField(object, "real", signedNumber));
+    CHECK(!readField(object, "uint32", unsignedNumber));
+    CHECK(!readField(object, "negative", unsignedNumber));
+    CHECK(readField(object, "largest", signedNumber));
+    CHECK_EQUAL(std::numeric_limits<int64_t>::max(), signedNumber);
+    CHECK(readField(object, "whole", unsignedNumber));
+    CHECK_EQUAL(900, unsignedNumber);
+    refused(R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})", "after");
+}
+
+TEST(Adapter, textThatIsNotUtf8IsWrittenWithoutAnException)
+{
+    STRCMP_EQUAL("{\"spec\":\"a\xef\xbf\xbd\"}", bodyText({ { "spec", "a\xff" } }).c_str());
+}
+
 TEST(Adapter, stepsWaitForEarlierStepsOnly)
 {
     refused(R"({"steps":[{"count":1,"after":[0]}]})", "does not come before");
--- a/test/error/FuzzTest.cpp
+++ b/test/error/FuzzTest.cpp
@@ -18,6 +18,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <random>
 #include <string>
 #include <vector>
@@ -34,6 +35,9 @@
 constexpr size_t maxRandomBytes = 200;
 /** Deep enough to exhaust a thread's stack where each level takes a call. */
 constexpr size_t deepNesting = 200000;
+/** Numbers that no type holds. */
+const std::vector<std::string> hugeNumbers = { "1e999", "-1e999", std::string(400, '9'), "9223372036854775808",
+    "-9223372036854775809", "18446744073709551616" };
 
 /** Makes inputs out of valid ones. */
 class Mutator {
@@ -69,7 +73,7 @@
     void change(std::string& bytes)
     {
         const size_t at = below(bytes.size());
-        switch (below(5)) {
+        switch (below(6)) {
         case 0:
             bytes.resize(at);
             return;
@@ -82,12 +86,25 @@
         case 3:
             bytes.insert(at, arbitrary().substr(0, 4));
             return;
+        case 4:
+            replaceNumber(bytes);
+            return;
         default:
             bytes.insert(at, bytes.substr(at, below(40)));
             return;
         }
     }
 
+    /** Puts a huge number in the place of one of the numbers. */
+    void replaceNumber(std::string& bytes)
+    {
+        const size_t at = bytes.find_first_of("0123456789", below(bytes.size()));
+        if (at == std::string::npos)
+            return;
+        const size_t end = std::min(bytes.size(), bytes.find_first_not_of("0123456789", at));
+        bytes.replace(at, end - at, hugeNumbers[below(hugeNumbers.size())]);
+    }
+
     std::mt19937_64 m_random;
 };
 
