--- a/src/CellLeases.cpp
+++ b/src/CellLeases.cpp
@@ -39,9 +39,11 @@
 {
     if (!workerMillis)
         return;
-    // A former owner may have granted a lease just before this owner's first order fenced it.
+    // A former owner may have granted a lease just before this owner's first order fenced it; and an order that was
+    // meant for an earlier incarnation may have granted as much as the worker allows, as its end is a time on another
+    // clock.
     if (!worker.clock.isKnown())
-        worker.clock.recordLease(*workerMillis + absl::ToInt64Milliseconds(leaseDuration()));
+        worker.clock.recordLease(*workerMillis + absl::ToInt64Milliseconds(m_parts.bounds.maxLease));
     worker.clock.addReading(*workerMillis, m_parts.timers.clock().now());
 }
 
@@ -74,8 +76,10 @@
 void Cell::checkUnresponsive(CellWorker& worker)
 {
     const Instant now = m_parts.timers.clock().now();
-    const absl::Duration maxInheritedLease = leaseDuration() / WorkerClock::minClockRate + leaseMargin;
-    const bool isExpired = worker.hasReplied ? worker.clock.leasesExpired(now) : now - m_ownedSince > maxInheritedLease;
+    // Of an incarnation that has not replied, the clock is not known, only since when no order was sent to it.
+    const absl::Duration maxUnknownLease = m_parts.bounds.maxLease / WorkerClock::minClockRate + leaseMargin;
+    const Instant silentSince = std::max(m_ownedSince, worker.incarnationKnownAt);
+    const bool isExpired = worker.hasReplied ? worker.clock.leasesExpired(now) : now - silentSince > maxUnknownLease;
     if (isExpired) {
         if (!worker.allocations.empty())
             concludeExpiredRuns(worker);
@@ -106,18 +110,23 @@
     const absl::string_view why = incarnationEndName(end);
     m_parts.log.write("worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs",
         worker.allocations.size(), "acknowledgedThrough", worker.acknowledgedThrough);
-    // A start in flight can still reach the next incarnation under the same id, and must be stopped there.
+    // A start can have reached the next incarnation under the same id before its begin was known here.
     const bool mayStartArrive = end != IncarnationEnd::OtherAnswered;
     std::vector<TaskRun> runs;
     for (auto& [run, allocation] : worker.allocations) {
-        if (mayStartArrive && allocation.wasSent && !allocation.wasConfirmed) {
-            allocation.isStarting = false;
-            allocation.isStopWanted = true;
-            allocation.visibleFrom = absl::InfiniteDuration();
-            allocation.stopSentAt = absl::ZeroDuration() - absl::Hours(1);
-        } else {
+        const bool wasOrdered = allocation.wasSent || allocation.isInherited;
+        if (!mayStartArrive || !wasOrdered || allocation.wasListed) {
             runs.push_back(run);
+            continue;
         }
+        allocation.isStarting = false;
+        // Either incarnation may have confirmed the run; the next one's list tells which.
+        if (allocation.wasConfirmed || allocation.isInherited)
+            continue;
+        // The start is in flight and must be stopped there.
+        allocation.isStopWanted = true;
+        allocation.visibleFrom = absl::InfiniteDuration();
+        allocation.stopSentAt = absl::ZeroDuration() - absl::Hours(1);
     }
     for (const TaskRun& run : runs)
         concludeRun(worker, run, why);
@@ -125,7 +134,7 @@
         worker.allocate(old.run, old.demand);
         worker.allocations[old.run].isStopWanted = true;
     }
-    worker.beginIncarnation();
+    worker.beginIncarnation(m_parts.timers.clock().now());
     if (worker.isListed)
         scheduleSync(worker, mayStartArrive ? syncRetryDelay : staleAddressDelay);
 }
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -136,8 +136,10 @@
         return handleSyncFailure(worker, reply.status);
     const int64_t started = reply.startedUnixMillis;
     if (worker.startedUnixMillis != 0 && started != 0 && started != worker.startedUnixMillis) {
-        if (started < worker.startedUnixMillis)
-            return;
+        // A reply that a later incarnation's has overtaken. An earlier start in the reply to a newer request is that of
+        // a worker whose time of day was set back.
+        if (started < worker.startedUnixMillis && sentAt < worker.lastReplyAt)
+            return scheduleSync(worker, absl::ZeroDuration());
         endIncarnation(worker, IncarnationEnd::RestartReplied);
     }
     if (!worker.hasReplied) {
@@ -213,6 +215,7 @@
     // A reply from before the run began may still be in flight.
     allocation.visibleFrom = std::min(allocation.visibleFrom, now);
     allocation.wasConfirmed = true;
+    allocation.wasListed = true;
     const bool isCurrent = task && task->run == listed.run.run && task->hasActiveRun() && task->worker == id;
     if (!isCurrent || isEnded(job->phase)) {
         allocation.isStopWanted = true;
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -30,10 +30,11 @@
 
 bool WorkerClock::leasesExpired(Instant now) const { return m_isKnown && estimate(now) > m_latestLease; }
 
-void CellWorker::beginIncarnation()
+void CellWorker::beginIncarnation(Instant now)
 {
     unansweredStarts.clear();
     ++generation;
+    incarnationKnownAt = now;
     isSyncing = false;
     isSyncScheduled = false;
     hasReplied = false;
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -65,8 +65,11 @@
     bool isStarting = false;
     /** The start order was sent. */
     bool wasSent = false;
-    /** The worker has confirmed the run, so its start is no longer in flight. */
+    /** The worker has confirmed the run, so its start is no longer in flight. The reply to a start does not tell which
+     * incarnation gave it. */
     bool wasConfirmed = false;
+    /** The current incarnation has listed the run. */
+    bool wasListed = false;
     bool isStopWanted = false;
     Instant stopSentAt = absl::ZeroDuration() - absl::Hours(1);
 };
@@ -101,6 +104,8 @@
     std::deque<std::pair<uint64_t, bool>> pendingAcks;
 
     uint64_t generation = 0;
+    /** When the current incarnation became known; zero for the first one. */
+    Instant incarnationKnownAt = absl::ZeroDuration();
     bool isSyncing = false;
     bool isSyncScheduled = false;
     int failedSyncs = 0;
@@ -117,7 +122,7 @@
     double slowdown = 1;
 
     /** Forgets what was known of the last incarnation, except the allocations, which may outlast it. */
-    void beginIncarnation();
+    void beginIncarnation(Instant now);
     void allocate(const TaskRun& run, const Resources& demand);
     void release(const TaskRun& run);
     Resources free() const;
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -33,6 +33,24 @@
 
     size_t owner() { return world.owner().value(); }
     size_t other() { return (owner() + 1) % world.entryCount(); }
+    /** A worker restarts while it is idle, and a task of a job starts there before the list shows the restart. The last
+     * worker takes tasks only after that. */
+    void startOnRestartedWorker(CellWorld & idle, WorldWorker & restarted, absl::Duration listingDelay)
+    {
+        CHECK(idle.runUntil([&] { return idle.owner().has_value(); }, absl::Seconds(5)));
+        // An owner of long standing: when its term began says nothing of what the worker may hold.
+        idle.run(absl::Seconds(20));
+        WorldWorker& last = idle.workers().back();
+        last.refuses = true;
+        restarted.listingDelay = listingDelay;
+        idle.crashWorker(static_cast<size_t>(&restarted - idle.workers().data()), absl::Milliseconds(300));
+        idle.run(absl::Milliseconds(302));
+        Submission job = makeJob("job", 4, 1000, absl::Seconds(14));
+        job.steps[0].maxPerWorker = 1;
+        idle.submit(0, job);
+        CHECK(idle.runUntil([&] { return !restarted.runs.empty(); }, absl::Seconds(1)));
+        last.refuses = false;
+    }
     void submitSome(int count, size_t at)
     {
         for (int i = 0; i < count; ++i, ++jobs)
@@ -302,6 +320,68 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, aRunThatTheNextIncarnationConfirmedIsNotStartedAgain)
+{
+    for (const int64_t listedAfterMillis : { 100, 400, 1500, 8000 }) {
+        CellWorld idle { 3, 4, 7 };
+        CHECK(idle.runUntil([&] { return idle.owner().has_value(); }, absl::Seconds(5)));
+        idle.run(absl::Seconds(1));
+        idle.workers()[0].listingDelay = absl::Milliseconds(listedAfterMillis);
+        idle.crashWorker(0, absl::Milliseconds(300));
+        idle.run(absl::Milliseconds(310));
+        Submission job = makeJob("job", 4, 1000, absl::Seconds(2));
+        job.steps[0].maxPerWorker = 1;
+        idle.submit(0, job);
+        CHECK(idle.runUntil([&] { return idle.ask(0, "job") == JobPhase::Finished; }, absl::Seconds(10)));
+        LONGS_EQUAL(4, idle.startsOf("job"));
+        STRCMP_EQUAL("", idle.report().c_str());
+    }
+}
+
+TEST(CellFailures, aRunConfirmedByANextIncarnationThatIsCutOffWaitsForTheLongestLease)
+{
+    // The second one is cut off once the owner has heard of the restart, the first before.
+    for (const int64_t heardMillis : { 0, 25 }) {
+        CellWorld idle { 3, 5, 7, absl::Seconds(10) };
+        WorldWorker& restarted = idle.workers()[0];
+        startOnRestartedWorker(idle, restarted, absl::Milliseconds(60));
+        idle.run(absl::Milliseconds(heardMillis));
+        restarted.isCut = true;
+        idle.run(absl::Seconds(20));
+        STRCMP_EQUAL("", idle.report().c_str());
+        LONGS_EQUAL(5, idle.startsOf("job"));
+    }
+}
+
+TEST(CellFailures, restartsUnderTheSameIdBesideOrdersAndATakeoverStartNothingTwice)
+{
+    for (int64_t offset = 0; offset <= 600; offset += 60) {
+        CellWorld idle { 3, 5, 7 };
+        idle.workers()[1].listingDelay = absl::Milliseconds(1500);
+        startOnRestartedWorker(idle, idle.workers()[0], absl::Milliseconds(400));
+        idle.run(absl::Milliseconds(offset));
+        idle.crashWorker(0, absl::Milliseconds(100));
+        idle.crashWorker(1, absl::Milliseconds(50));
+        idle.run(absl::Milliseconds(300 - offset / 2));
+        idle.kill(idle.owner().value());
+        idle.run(absl::Seconds(1));
+        const size_t at = idle.owner().value();
+        CHECK(idle.runUntil([&] { return idle.ask(at, "job") == JobPhase::Finished; }, absl::Seconds(60)));
+        STRCMP_EQUAL("", idle.report().c_str());
+    }
+}
+
+TEST(CellFailures, aRestartedWorkerWhoseTimeOfDayWasSetBackIsHeardAgain)
+{
+    submitSome(12, other());
+    world.run(absl::Milliseconds(350));
+    for (size_t i = 0; i < 6; ++i) {
+        world.workers()[i].startedStepMillis = -500;
+        world.crashWorker(i, absl::Milliseconds(200));
+    }
+    expectAllEnd(absl::Seconds(10));
+}
+
 TEST(CellFailures, ordersAreCarriedOutLate)
 {
     for (WorldWorker& worker : world.workers())
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -219,7 +219,7 @@
         , policy(world, *this)
         , links(world, *this)
         , host(CellHost::Parts { door, orders, policy, links, timers, log, metrics,
-              { entryName, incarnation, entryName + ":1", "region", 0.25 }, {},
+              { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
               [this, &world] {
                   auto made = std::make_unique<CellWorld::Roster>(world);
                   roster = made.get();
@@ -463,11 +463,12 @@
         m_onChange(peer, isUp);
 }
 
-CellWorld::CellWorld(size_t entries, size_t workers, uint64_t seed)
+CellWorld::CellWorld(size_t entries, size_t workers, uint64_t seed, absl::Duration maxLease)
     : m_timers(m_clock)
     , m_random(seed)
     , m_congestionRandom(seed)
     , m_store(m_timers)
+    , m_maxLease(maxLease)
 {
     m_clock.advance(absl::Seconds(1000));
     m_policy = { "queue", "service", 1, 3, 2, absl::Seconds(1), absl::Seconds(3), {} };
@@ -628,7 +629,7 @@
     m_timers.after(away, [this, index] {
         WorldWorker& reborn = m_workers[index];
         reborn.isDown = false;
-        reborn.started += 100000;
+        reborn.started += reborn.startedStepMillis;
         reborn.startedAt = now();
         m_timers.after(reborn.listingDelay, [this, index] { listWorker(m_workers[index]); });
     });
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -69,6 +69,8 @@
     bool isDraining = false;
     /** How long the platform's list takes to show a restart. */
     absl::Duration listingDelay;
+    /** What a restart adds to the start time that the worker states; negative for a time of day that was set back. */
+    int64_t startedStepMillis = 100000;
     /** Added to the time that a sync takes to reach the worker. */
     absl::Duration syncDelay;
     /** The worker is cut off once this many more syncs have reached it; calls then end without a reply at once. */
@@ -95,7 +97,8 @@
 /** The deployment. */
 class CellWorld {
 public:
-    CellWorld(size_t entries, size_t workers, uint64_t seed);
+    /** `maxLease` is the longest lease that workers grant. */
+    CellWorld(size_t entries, size_t workers, uint64_t seed, absl::Duration maxLease = absl::Seconds(6));
     ~CellWorld();
 
     /** Lets time pass. */
@@ -218,6 +221,7 @@
     std::vector<std::string> m_violations;
     uint64_t m_lastSerial = 0;
     uint64_t m_lastLife = 0;
+    const absl::Duration m_maxLease;
     Instant m_lastStartAt = absl::ZeroDuration();
 };
 
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -16,7 +16,6 @@
 namespace {
 
     constexpr absl::Duration cancelBound = absl::Seconds(3);
-    constexpr int64_t maxLeaseMillis = 6000;
 
 } // namespace
 
@@ -230,7 +229,7 @@
 void CellWorld::extendLease(size_t index, int64_t end)
 {
     WorldWorker& worker = m_workers[index];
-    const int64_t capped = std::min(end, clockOf(worker) + maxLeaseMillis);
+    const int64_t capped = std::min(end, clockOf(worker) + absl::ToInt64Milliseconds(m_maxLease));
     worker.leaseEnd = std::max(worker.leaseEnd, capped);
     const absl::Duration left = absl::Milliseconds(worker.leaseEnd - clockOf(worker));
     m_timers.after(std::max(left, absl::ZeroDuration()), [this, index] { checkLease(index); });
