--- a/src/Cell.h
+++ b/src/Cell.h
@@ -14,9 +14,11 @@
 #include "DurableWriter.h"
 #include "Metrics.h"
 #include "StepUrgency.h"
+#include "UnmetDemands.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
+#include "absl/types/span.h"
 
 #include <functional>
 #include <map>
@@ -125,6 +127,15 @@
         void hold() const;
         void release() const;
     };
+    /** What a placement round did with a step. */
+    enum class StepOutcome {
+        /** No task of it waits any more. */
+        Placed,
+        /** It was tried on the workers, and tasks still wait. */
+        Unplaced,
+        /** It can't start now, which showed without trying the workers. */
+        Skipped,
+    };
     struct Choice {
         uint32_t index = 0;
         CellWorker* worker = nullptr;
@@ -165,15 +176,9 @@
     Rank rankOf(CellJob& job, StepRef ref);
     void dequeueStep(CellJob& job, StepRef ref);
     void queueStep(CellJob& job, StepRef ref);
-    void schedulePlacement();
-    void runPlacementRound();
-    /** Sorts a step that could not be placed in full again if its urgency has changed. */
-    void updateRank(const Rank& rank);
-    bool placeStep(const Rank& rank);
-    /** Reserves free capacity for the gangs of the best rank; otherwise small tasks could keep a gang waiting
-     * indefinitely. */
-    std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
-    Reservation reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers);
+    StepOutcome placeStep(const Rank& rank);
+    /** Whether a usable worker has room for one task of the step. */
+    bool hasRoomForTask(CellJob& job, const StepSpec& spec);
     /** The usable workers of the service, cached for the current placement round. */
     const std::vector<CellWorker*>& usableWorkers(const std::string& service);
     std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
@@ -184,6 +189,22 @@
     void storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
     std::vector<uint32_t> waitingTasks(const CellStep& step) const;
 
+    // CellRounds.cpp: which steps are looked at in a placement round.
+    void schedulePlacement();
+    void scheduleContinuation();
+    void runPlacementRound();
+    /** Looks at steps that the pass from the front did not get to, which ended before `end`. Without this, steps in
+     * front that can't start would keep those behind them from capacity that only the latter can use. */
+    void continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations);
+    /** Places steps from `first` on until the pass has cost enough; returns the first one that was not looked at. */
+    size_t placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations);
+    /** Sorts a step that could not be placed in full again if its urgency has changed. */
+    void updateRank(const Rank& rank);
+    /** Reserves free capacity for the gangs of the best rank; otherwise small tasks could keep a gang waiting
+     * indefinitely. */
+    std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
+    Reservation reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers);
+
     // CellAdvice.cpp: permission from the policy service.
     bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     void requestStepAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted);
@@ -247,6 +268,9 @@
     bool m_isLoaded = false;
     bool m_isSuperseded = false;
     bool m_isPlacementScheduled = false;
+    bool m_isContinuationScheduled = false;
+    /** The next round also looks at steps behind those that the pass from the front gets to. */
+    bool m_isContinuationDue = false;
     const Instant m_ownedSince;
     DurableWriter m_writer;
     JobTable m_jobs;
@@ -255,7 +279,11 @@
     /** A std::map keeps the addresses of workers stable: steps hold pointers to the workers on which they may run. */
     std::map<std::string, CellWorker> m_workers;
     absl::btree_set<Rank> m_ready;
+    /** Where the last continued pass ended; nothing when it got to the last step. */
+    std::optional<Rank> m_continueAt;
     absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usableWorkers;
+    /** Found in the current placement round. */
+    UnmetDemands m_unmetDemands;
     absl::flat_hash_map<std::string, std::vector<Reply>> m_acceptReplies;
     std::vector<absl::AnyInvocable<void()>> m_requestsUntilLoaded;
     /** By queue: the share of workers named in advice requests that the policy service allowed. */
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-    /** Placements that fall within this interval are batched. */
-    constexpr absl::Duration placementDelay = absl::Milliseconds(5);
-    /** A placement round ends after this many steps that found no capacity; the remaining steps wait for the next
-     * round. */
-    constexpr size_t maxUnplacedSteps = 150;
-    /** Waiting gangs may reserve free capacity on at most this share of the workers. */
-    constexpr double maxReservedShare = 0.15;
-    constexpr absl::Duration reservationDelay = absl::Milliseconds(300);
-
     bool hasLabel(const ListedWorker& worker, const std::string& label)
     {
         return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -125,131 +116,6 @@
     return waiting;
 }
 
-void Cell::schedulePlacement()
-{
-    if (m_isPlacementScheduled || m_ready.empty())
-        return;
-    m_isPlacementScheduled = true;
-    m_parts.timers.after(placementDelay, guarded([this] {
-        m_isPlacementScheduled = false;
-        runPlacementRound();
-    }));
-}
-
-void Cell::runPlacementRound()
-{
-    if (m_isSuperseded)
-        return;
-    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
-    m_usableWorkers.clear();
-    std::vector<Reservation> reservations = reserveForGangs(ranks);
-    auto reserved = reservations.begin();
-    size_t unplaced = 0;
-    for (const Rank& rank : ranks) {
-        if (unplaced >= maxUnplacedSteps)
-            break;
-        const bool hasReservation = reserved != reservations.end() && reserved->rank == &rank;
-        if (hasReservation)
-            reserved->release();
-        const bool isDone = placeStep(rank);
-        if (hasReservation && !isDone)
-            reserved->hold();
-        reserved += hasReservation ? 1 : 0;
-        unplaced += isDone ? 0 : 1;
-        if (isDone)
-            m_ready.erase(rank);
-        else
-            updateRank(rank);
-    }
-    // Advice that arrives later is used in the next round, which makes new reservations.
-    for (auto& [id, worker] : m_workers)
-        worker.reserved = Resources();
-}
-
-void Cell::updateRank(const Rank& rank)
-{
-    CellJob* job = findJob(rank.job);
-    if (!job)
-        return;
-    const Rank current = rankOf(*job, rank.ref);
-    if (current.urgency == rank.urgency)
-        return;
-    m_ready.erase(rank);
-    m_ready.insert(current);
-}
-
-void Cell::Reservation::hold() const
-{
-    for (const auto& [worker, freeCapacity] : freeCapacities)
-        worker->reserved = worker->reserved + freeCapacity;
-}
-
-void Cell::Reservation::release() const
-{
-    for (const auto& [worker, freeCapacity] : freeCapacities)
-        worker->reserved = worker->reserved - freeCapacity;
-}
-
-std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<Rank>& ranks)
-{
-    const auto maxReserved = static_cast<size_t>(static_cast<double>(m_workers.size()) * maxReservedShare);
-    const Instant now = m_parts.timers.clock().now();
-    std::vector<Reservation> reservations;
-    size_t reserved = 0;
-    for (const Rank& rank : ranks) {
-        if (reserved >= maxReserved)
-            break;
-        CellJob* job = findJob(rank.job);
-        if (!job || !job->stepSpec(rank.ref).isGang || now - job->step(rank.ref).readyAt < reservationDelay)
-            continue;
-        Reservation reservation = reserveFor(*job, rank, maxReserved - reserved);
-        if (reservation.freeCapacities.empty())
-            continue;
-        reserved += reservation.freeCapacities.size();
-        reservation.hold();
-        reservations.push_back(std::move(reservation));
-    }
-    return reservations;
-}
-
-Cell::Reservation Cell::reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers)
-{
-    const StepSpec& spec = job.stepSpec(rank.ref);
-    const CellStep& step = job.step(rank.ref);
-    const Instant now = m_parts.timers.clock().now();
-    std::vector<CellWorker*> eligible;
-    for (const auto& [id, entry] : step.advice.allowed) {
-        if (entry.worker->isUsable(now))
-            eligible.push_back(entry.worker);
-    }
-    if (!policyOf(job).advice.isNeeded)
-        eligible = candidates(job, spec);
-    // Workers with the most free processors are likely to have enough capacity first.
-    std::sort(eligible.begin(), eligible.end(), [](const CellWorker* a, const CellWorker* b) {
-        return std::make_tuple(-a->free().cpuMillis, absl::string_view(a->listed.incarnation.id))
-            < std::make_tuple(-b->free().cpuMillis, absl::string_view(b->listed.incarnation.id));
-    });
-    Reservation reservation { &rank, {} };
-    const Resources demand = demandOf(spec);
-    uint64_t remaining = step.tasks.size();
-    for (CellWorker* worker : eligible) {
-        if (remaining == 0 || reservation.freeCapacities.size() == maxWorkers)
-            break;
-        const uint64_t tasks = std::min(remaining, countFittingTasks(demand, worker->listed.capacity));
-        const Resources free = worker->free();
-        const auto count = static_cast<int64_t>(tasks);
-        reservation.freeCapacities.emplace_back(worker,
-            Resources { std::max<int64_t>(0, std::min(free.cpuMillis, demand.cpuMillis * count)),
-                std::max<int64_t>(0, std::min(free.memoryMiB, demand.memoryMiB * count)),
-                std::max<int64_t>(0, std::min(free.accelerators, demand.accelerators * count)) });
-        remaining -= tasks;
-    }
-    // A gang that can't fit even on all these workers would block them for nothing.
-    if (remaining > 0)
-        reservation.freeCapacities.clear();
-    return reservation;
-}
-
 const std::vector<CellWorker*>& Cell::usableWorkers(const std::string& service)
 {
     const auto [found, isNew] = m_usableWorkers.try_emplace(service);
@@ -343,28 +209,45 @@
     return !choices.empty();
 }
 
-bool Cell::placeStep(const Rank& rank)
+bool Cell::hasRoomForTask(CellJob& job, const StepSpec& spec)
+{
+    const std::string& service = policyOf(job).service;
+    const Resources demand = demandOf(spec);
+    if (m_unmetDemands.includes(service, spec.requiredLabel, demand))
+        return false;
+    const std::vector<CellWorker*>& workers = usableWorkers(service);
+    const bool hasRoom = std::any_of(workers.begin(), workers.end(), [&](const CellWorker* worker) {
+        return hasLabel(worker->listed, spec.requiredLabel) && fits(demand, worker->free());
+    });
+    if (!hasRoom)
+        m_unmetDemands.add(service, spec.requiredLabel, demand);
+    return hasRoom;
+}
+
+Cell::StepOutcome Cell::placeStep(const Rank& rank)
 {
     CellJob* job = findJob(rank.job);
     if (!job || isEnded(job->phase))
-        return true;
+        return StepOutcome::Placed;
     CellStep& step = job->step(rank.ref);
     const StepSpec& spec = job->stepSpec(rank.ref);
     const size_t waiting = waitingTasks(step).size();
     if (waiting == 0)
-        return true;
-    const Instant now = m_parts.timers.clock().now();
+        return StepOutcome::Placed;
     // A gang starts again only when no member of its last run is active.
-    if ((spec.isGang && waiting < step.tasks.size()) || step.notBefore > now)
-        return false;
+    const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
+    if (mustWait || !hasRoomForTask(*job, spec))
+        return StepOutcome::Skipped;
     if (policyOf(*job).advice.isNeeded)
-        return placeWithAdvice(rank, *job, waiting);
+        return placeWithAdvice(rank, *job, waiting) ? StepOutcome::Placed : StepOutcome::Unplaced;
+    if (!job->isStored)
+        return StepOutcome::Skipped;
     const std::vector<CellWorker*> all = candidates(*job, spec);
     std::vector<Choice> choices;
-    if (!job->isStored || !chooseWorkersForStep(*job, rank.ref, all, choices))
-        return false;
+    if (!chooseWorkersForStep(*job, rank.ref, all, choices))
+        return StepOutcome::Unplaced;
     storeIntent(*job, rank.ref, choices);
-    return choices.size() == waiting;
+    return choices.size() == waiting ? StepOutcome::Placed : StepOutcome::Unplaced;
 }
 
 void Cell::storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices)
--- /dev/null
+++ b/src/CellRounds.cpp
@@ -0,0 +1,192 @@
+/** \file
+ * The part of Cell that decides which steps are looked at in a placement round, and which capacity is withheld for
+ * gangs.
+ */
+
+#include "Cell.h"
+
+#include "Job.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    /** Placements that fall within this interval are batched. */
+    constexpr absl::Duration placementDelay = absl::Milliseconds(5);
+    /** A pass over the ready steps ends when it has cost this much. */
+    constexpr size_t maxRoundCost = 1500;
+    /** What a step costs that was tried on the workers, and one that need not be tried. */
+    constexpr size_t unplacedStepCost = 10;
+    constexpr size_t skippedStepCost = 1;
+    /** Steps that a pass from the front does not get to are passed over in turn at this interval. */
+    constexpr absl::Duration continuationDelay = absl::Milliseconds(50);
+    /** Waiting gangs may reserve free capacity on at most this share of the workers. */
+    constexpr double maxReservedShare = 0.15;
+    constexpr absl::Duration reservationDelay = absl::Milliseconds(300);
+
+} // namespace
+
+void Cell::schedulePlacement()
+{
+    if (m_isPlacementScheduled || m_ready.empty())
+        return;
+    m_isPlacementScheduled = true;
+    m_parts.timers.after(placementDelay, guarded([this] {
+        m_isPlacementScheduled = false;
+        runPlacementRound();
+    }));
+}
+
+void Cell::scheduleContinuation()
+{
+    if (m_isContinuationScheduled)
+        return;
+    m_isContinuationScheduled = true;
+    m_parts.timers.after(continuationDelay, guarded([this] {
+        m_isContinuationScheduled = false;
+        m_isContinuationDue = true;
+        schedulePlacement();
+    }));
+}
+
+void Cell::runPlacementRound()
+{
+    if (m_isSuperseded)
+        return;
+    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    m_usableWorkers.clear();
+    m_unmetDemands.clear();
+    const std::vector<Reservation> reservations = reserveForGangs(ranks);
+    const size_t end = placeFrom(ranks, 0, reservations);
+    if (m_isContinuationDue)
+        continueRound(ranks, end, reservations);
+    if (end < ranks.size())
+        scheduleContinuation();
+    // Advice that arrives later is used in the next round, which makes new reservations.
+    for (auto& [id, worker] : m_workers)
+        worker.reserved = Resources();
+}
+
+void Cell::continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations)
+{
+    m_isContinuationDue = false;
+    size_t first = end;
+    if (m_continueAt)
+        first = std::max<size_t>(end, std::lower_bound(ranks.begin(), ranks.end(), *m_continueAt) - ranks.begin());
+    const size_t next = placeFrom(ranks, first, reservations);
+    m_continueAt = next < ranks.size() ? std::optional<Rank>(ranks[next]) : std::nullopt;
+}
+
+size_t Cell::placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations)
+{
+    const auto* reserved = std::find_if(reservations.begin(), reservations.end(),
+        [&](const Reservation& reservation) { return reservation.rank >= ranks.data() + first; });
+    size_t cost = 0;
+    size_t index = first;
+    for (; index < ranks.size() && cost < maxRoundCost; ++index) {
+        const Rank& rank = ranks[index];
+        const bool hasReservation = reserved != reservations.end() && reserved->rank == &rank;
+        if (hasReservation) {
+            reserved->release();
+            m_unmetDemands.clear();
+        }
+        const StepOutcome outcome = placeStep(rank);
+        if (hasReservation && outcome != StepOutcome::Placed)
+            reserved->hold();
+        reserved += hasReservation ? 1 : 0;
+        if (outcome == StepOutcome::Placed)
+            m_ready.erase(rank);
+        else
+            updateRank(rank);
+        cost += outcome == StepOutcome::Unplaced ? unplacedStepCost : skippedStepCost;
+    }
+    return index;
+}
+
+void Cell::updateRank(const Rank& rank)
+{
+    CellJob* job = findJob(rank.job);
+    if (!job)
+        return;
+    const StepUrgency urgency = urgencyOf(job->stepSpec(rank.ref), job->step(rank.ref), m_parts.timers.clock().now());
+    if (urgency == rank.urgency)
+        return;
+    m_ready.erase(rank);
+    m_ready.insert(rankOf(*job, rank.ref));
+}
+
+void Cell::Reservation::hold() const
+{
+    for (const auto& [worker, freeCapacity] : freeCapacities)
+        worker->reserved = worker->reserved + freeCapacity;
+}
+
+void Cell::Reservation::release() const
+{
+    for (const auto& [worker, freeCapacity] : freeCapacities)
+        worker->reserved = worker->reserved - freeCapacity;
+}
+
+std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<Rank>& ranks)
+{
+    const auto maxReserved = static_cast<size_t>(static_cast<double>(m_workers.size()) * maxReservedShare);
+    const Instant now = m_parts.timers.clock().now();
+    std::vector<Reservation> reservations;
+    size_t reserved = 0;
+    for (const Rank& rank : ranks) {
+        if (reserved >= maxReserved)
+            break;
+        CellJob* job = findJob(rank.job);
+        if (!job || !job->stepSpec(rank.ref).isGang || now - job->step(rank.ref).readyAt < reservationDelay)
+            continue;
+        Reservation reservation = reserveFor(*job, rank, maxReserved - reserved);
+        if (reservation.freeCapacities.empty())
+            continue;
+        reserved += reservation.freeCapacities.size();
+        reservation.hold();
+        reservations.push_back(std::move(reservation));
+    }
+    return reservations;
+}
+
+Cell::Reservation Cell::reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers)
+{
+    const StepSpec& spec = job.stepSpec(rank.ref);
+    const CellStep& step = job.step(rank.ref);
+    const Instant now = m_parts.timers.clock().now();
+    std::vector<CellWorker*> eligible;
+    for (const auto& [id, entry] : step.advice.allowed) {
+        if (entry.worker->isUsable(now))
+            eligible.push_back(entry.worker);
+    }
+    if (!policyOf(job).advice.isNeeded)
+        eligible = candidates(job, spec);
+    // Workers with the most free processors are likely to have enough capacity first.
+    std::sort(eligible.begin(), eligible.end(), [](const CellWorker* a, const CellWorker* b) {
+        return std::make_tuple(-a->free().cpuMillis, absl::string_view(a->listed.incarnation.id))
+            < std::make_tuple(-b->free().cpuMillis, absl::string_view(b->listed.incarnation.id));
+    });
+    Reservation reservation { &rank, {} };
+    const Resources demand = demandOf(spec);
+    uint64_t remaining = step.tasks.size();
+    for (CellWorker* worker : eligible) {
+        if (remaining == 0 || reservation.freeCapacities.size() == maxWorkers)
+            break;
+        const uint64_t tasks = std::min(remaining, countFittingTasks(demand, worker->listed.capacity));
+        const Resources free = worker->free();
+        const auto count = static_cast<int64_t>(tasks);
+        reservation.freeCapacities.emplace_back(worker,
+            Resources { std::max<int64_t>(0, std::min(free.cpuMillis, demand.cpuMillis * count)),
+                std::max<int64_t>(0, std::min(free.memoryMiB, demand.memoryMiB * count)),
+                std::max<int64_t>(0, std::min(free.accelerators, demand.accelerators * count)) });
+        remaining -= tasks;
+    }
+    // A gang that can't fit even on all these workers would block them for nothing.
+    if (remaining > 0)
+        reservation.freeCapacities.clear();
+    return reservation;
+}
+
+} // namespace cicada
--- a/test/correctness/CellTest.cpp
+++ b/test/correctness/CellTest.cpp
@@ -272,3 +272,27 @@
     for (size_t i = 1; i < world.workers().size(); ++i)
         CHECK(world.workers()[i].highestOver.empty() && world.workers()[i].runs.empty());
 }
+
+TEST(Cell, manyStepsThatCanNotStartKeepNoOthersFromIdleWorkers)
+{
+    constexpr absl::Duration idleBound = absl::Seconds(3);
+    constexpr int stepsInFront = 600;
+    constexpr absl::Duration allLateAfter = absl::Seconds(10);
+    for (const bool areWide : { false, true }) {
+        CellWorld busy { 3, 8, 1 };
+        CHECK(busy.runUntil([&] { return busy.owner().has_value(); }, absl::Seconds(5)));
+        for (size_t i = 0; i < busy.workers().size(); ++i)
+            busy.crashWorker(i, allLateAfter);
+        for (int i = 0; i < stepsInFront; ++i) {
+            Submission front = makeJob(absl::StrCat("front", i), areWide ? 40 : 1);
+            front.steps[0].isGang = areWide;
+            front.steps[0].requiredLabel = areWide ? "" : "missing";
+            busy.submit(static_cast<size_t>(i) % 3, front);
+        }
+        busy.run(absl::Seconds(2));
+        busy.submit(0, makeJob("behind", 2));
+        busy.run(allLateAfter);
+        CHECK(busy.runUntil([&] { return busy.startsOf("behind") == 2; }, idleBound));
+        STRCMP_EQUAL("", busy.report().c_str());
+    }
+}
