--- /dev/null
+++ b/test/failure/NodeStart.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# The daemon's first moments: signals before it handles them. Prints its own verdict.
+set -u
+build=$1
+work=$(mktemp -d)
+pids=()
+trap 'kill -9 "${pids[@]}" 2>/dev/null; rm -rf "$work"' EXIT
+fail() { echo "FAILED: $1"; tail -n 25 "$work"/*.log; exit 1; }
+base=$((25000 + $$ % 15 * 60))
+await() { # seconds, what, command: until it succeeds
+    for _ in $(seq $(($1 * 10))); do eval "$3" && return; sleep 0.1; done
+    fail "$2"
+}
+settings() { # number of the entry, first port, maximum lease
+    cat <<JSON
+{"name":"e$1","region":"r","failureDomain":"z","callers":"127.0.0.1:$2","readiness":"127.0.0.1:$(($2 + 1))",
+"peers":"127.0.0.1:$(($2 + 2))","metrics":"127.0.0.1:$(($2 + 3))","store":"127.0.0.1:$base","advisor":"127.0.0.1:$((base + 1))",
+"processorShare":0.25,"processorSpeed":1,"bounds":{"maxLeaseMs":$3,"endedRetentionS":120,"plannedStopS":6}}
+JSON
+}
+start() { # number of the entry
+    "$build/cicada-node" --settings "$work/e$1.json" >> "$work/e$1.log" 2>&1 &
+    entry=$!
+    pids+=($!)
+}
+ready() { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$1/cicadaspread/ready")" = 200 ]; }
+logged() { grep -q "$2" "$work/e$1.log"; }
+
+"$build/fake-grid" "$base" > "$work/grid.log" 2>&1 &
+pids+=($!)
+
+# The settings come through a pipe, so that the process waits in its start until they are written.
+for signal in TERM HUP; do
+    mkfifo "$work/e0.json"
+    ln "$work/e0.json" "$work/pipe"
+    : > "$work/e0.log"
+    start 0
+    sleep 0.3
+    kill -s $signal "$entry"
+    sleep 0.1
+    kill -0 "$entry" 2>/dev/null || fail "SIG$signal ended the process before it was ready for signals"
+    rm "$work/e0.json"
+    settings 0 $((base + 40)) 6000 > "$work/e0.json"
+    settings 0 $((base + 40)) 6000 > "$work/pipe"
+    rm "$work/pipe"
+    [ $signal = HUP ] && { await 5 "an early SIGHUP reloads" 'logged 0 event=reloaded'; kill -TERM "$entry"; }
+    await 10 "an early SIG$signal is handled" "logged 0 event=stopped"
+    wait "$entry" || fail "a planned stop ends with $?"
+    rm "$work/e0.json"
+done
+
+echo "passed"
