Wait for an address that is in use instead of ending at the start

Reproduced: a callers', readiness or peers' port that another socket has for a moment ends the process at once with exit code 1.

Cause: Node::create() took any failure to listen as final; only metrics were borne.

Evidence: NodeStart.sh, 'the process ended as its port was in use' on the former build; passes now. That the users' cases are these is likely for some, not shown.

An address that is wrong still ends the start with its error. The two servers share listenAt().

--- a/src/AsioPeerLinks.cpp
+++ b/src/AsioPeerLinks.cpp
@@ -1,5 +1,6 @@
 #include "AsioPeerLinks.h"
 
+#include "TcpListener.h"
 #include "Wire.h"
 
 #include "absl/container/btree_map.h"
@@ -28,6 +29,7 @@
     constexpr absl::Duration maxDialDelay = absl::Milliseconds(1200);
     constexpr absl::Duration dialTimeout = absl::Milliseconds(1500);
     constexpr size_t maxQueuedBytes = 8 << 20;
+    constexpr int listenBacklog = 128;
     constexpr const char* heartbeatService = "link.heartbeat";
 
     std::optional<tcp::endpoint> resolve(const std::string& host, uint16_t port)
@@ -301,24 +303,14 @@
         State::closeSocket(*link);
 }
 
-Result<void> AsioPeerLinks::listen(const Endpoint& address)
+Result<ListenStatus> AsioPeerLinks::listen(const Endpoint& address)
 {
-    const auto endpoint = resolve(address.host, address.port);
-    error_code error;
-    if (endpoint) {
-        m_state->acceptor.open(tcp::v4(), error);
-        m_state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        m_state->acceptor.bind(*endpoint, error);
-        if (!error)
-            m_state->acceptor.listen(128, error);
+    BOOST_OUTCOME_TRY(status, Internal::listenAt(m_state->acceptor, address, listenBacklog));
+    if (status == ListenStatus::Listening) {
+        m_state->accept();
+        m_state->maintain();
     }
-    if (!endpoint || error)
-        return Error { ErrorKind::InvalidSettings,
-            absl::StrCat("Cannot listen for peers at ", address.host, ":", address.port, "."),
-            "Check that the address is this machine's and that no other process has the port." };
-    m_state->accept();
-    m_state->maintain();
-    return success();
+    return status;
 }
 
 void AsioPeerLinks::onLinkChange(std::function<void(const std::string& peer, bool isUp)> change)
--- a/src/AsioPeerLinks.h
+++ b/src/AsioPeerLinks.h
@@ -7,6 +7,7 @@
  */
 
 #include "EventLog.h"
+#include "ListenStatus.h"
 #include "Metrics.h"
 #include "PeerBus.h"
 #include "Settings.h"
@@ -29,8 +30,8 @@
     AsioPeerLinks(boost::asio::io_context& io, std::string self, TimerQueue& timers, EventLog& log, Metrics& metrics);
     ~AsioPeerLinks() override;
 
-    /** Listens for links at the address. */
-    Result<void> listen(const Endpoint& address);
+    /** Listens for links at the address; may be called again while that is in use. */
+    Result<ListenStatus> listen(const Endpoint& address);
     void onLinkChange(std::function<void(const std::string& peer, bool isUp)>) override;
     void handle(absl::string_view service, Handler) override;
     bool send(absl::string_view peer, absl::string_view service, std::string bytes) override;
--- a/test/failure/NodeStart.sh
+++ b/test/failure/NodeStart.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The daemon's first moments: signals before it handles them. Prints its own verdict.
+# The daemon's first moments: signals before it handles them, a port that is in use. Prints its own verdict.
 set -u
 build=$1
 work=$(mktemp -d)
@@ -49,4 +49,17 @@
     rm "$work/e0.json"
 done
 
+# Another process has the callers' port for a while.
+settings 1 $((base + 45)) 6000 > "$work/e1.json"
+start 1
+first=$entry
+await 15 "the first entry gets ready" "ready $((base + 46))"
+settings 2 $((base + 50)) 6000 | sed "s/\"callers\":\"127.0.0.1:[0-9]*\"/\"callers\":\"127.0.0.1:$((base + 45))\"/" > "$work/e2.json"
+start 2
+sleep 1
+kill -0 "$entry" 2>/dev/null || fail "the process ended as its port was in use"
+ready $((base + 51)) && fail "an entry is ready though it has no port for callers"
+kill -9 "$first"
+await 15 "the second entry gets ready once the port is free" "ready $((base + 51))"
+
 echo "passed"
--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -41,9 +41,12 @@
 {
     std::unique_ptr<Grid> grid(new Grid(io, std::move(layout)));
     Grid& g = *grid;
-    const auto serve = [&](uint16_t port, HttpHandler handler) {
+    const auto serve = [&](uint16_t port, HttpHandler handler) -> Result<void> {
         g.m_servers.push_back(std::make_unique<HttpServer>(io, std::move(handler)));
-        return g.m_servers.back()->listen({ g.m_layout.host, port });
+        BOOST_OUTCOME_TRY(status, g.m_servers.back()->listen({ g.m_layout.host, port }));
+        if (status == ListenStatus::Listening)
+            return success();
+        return Error { ErrorKind::InvalidSettings, absl::StrCat("Port ", port, " is in use."), "Choose other ports." };
     };
     BOOST_OUTCOME_TRY(serve(g.m_layout.storePort,
         [&g](const HttpRequest& request, HttpResponder respond) { g.m_store.handle(request, std::move(respond)); }));
