--- a/test/failure/NodeStart.sh
+++ b/test/failure/NodeStart.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# The daemon's first moments: signals before it handles them, a port that is in use. Prints its own verdict.
+# The daemon's first moments: signals before it handles them, a port that is in use, a settings file
+# that changes without a signal. Prints its own verdict.
 set -u
 build=$1
 work=$(mktemp -d)
@@ -62,4 +63,10 @@
 kill -9 "$first"
 await 15 "the second entry gets ready once the port is free" "ready $((base + 51))"
 
+# The settings change without a signal.
+settings 2 $((base + 50)) 5000 > "$work/new.json"
+mv "$work/new.json" "$work/e2.json"
+await 5 "changed settings are read" 'logged 2 "event=reloaded maxLeaseMs=5000"'
+kill -9 "$entry"
+
 echo "passed"
