--- a/src/AsioPeerLinks.cpp
+++ b/src/AsioPeerLinks.cpp
@@ -91,9 +91,15 @@
         acceptor.async_accept(link->socket, [state = shared_from_this(), link](error_code error) {
             if (state->isStopped || !state->acceptor.is_open())
                 return;
-            if (!error)
+            if (!error) {
                 state->open(link);
-            state->accept();
+                return state->accept();
+            }
+            state->timers.after(absl::FromChrono(Internal::acceptRetryDelay), [weak = state->weak_from_this()] {
+                const auto again = weak.lock();
+                if (again && !again->isStopped)
+                    again->accept();
+            });
         });
     }
 
--- a/src/TcpListener.h
+++ b/src/TcpListener.h
@@ -11,8 +11,14 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
+
 namespace cicada::Internal {
 
+/** How long to wait after a connection could not be accepted, as when all descriptors are in use. Trying again at once
+ * would take the whole processor. */
+constexpr std::chrono::milliseconds acceptRetryDelay(100);
+
 /** Opens `acceptor` and listens at `address`. It is closed again unless the result is Listening. */
 Result<ListenStatus> listenAt(boost::asio::ip::tcp::acceptor& acceptor, const Endpoint& address, int backlog);
 
--- a/test/failure/NodeStart.sh
+++ b/test/failure/NodeStart.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# The daemon's first moments: signals before it handles them, a port that is in use, a settings file
-# that changes without a signal. Prints its own verdict.
+# The daemon's first moments and scarce descriptors: signals before it handles them, a port that is in use, a settings file that
+# changes without a signal, more connections than descriptors. Prints its own verdict.
 set -u
 build=$1
 work=$(mktemp -d)
@@ -69,4 +69,22 @@
 await 5 "changed settings are read" 'logged 2 "event=reloaded maxLeaseMs=5000"'
 kill -9 "$entry"
 
+# More idle connections than there are descriptors.
+settings 3 $((base + 55)) 6000 > "$work/e3.json"
+ulimit -S -n 64
+start 3
+ulimit -S -n "$(ulimit -H -n)"
+await 15 "the entry with few descriptors gets ready" "ready $((base + 56))"
+held=()
+for _ in $(seq 90); do
+    exec {fd}<> "/dev/tcp/127.0.0.1/$((base + 55))" && held+=("$fd")
+done
+ticks() { awk '{print $14 + $15}' "/proc/$entry/stat"; }
+before=$(ticks)
+sleep 2
+used=$(($(ticks) - before))
+[ "$used" -lt 40 ] || fail "$used hundredths of a second of processor time in 2 s beside idle connections"
+ready $((base + 56)) || fail "no readiness beside idle connections"
+status=$(curl -s -m 4 -o /dev/null -w '%{http_code}' -H 'Host: a.example' "http://127.0.0.1:$((base + 55))/jobs/00000000000000ff")
+[ "$status" = 410 ] || fail "a caller beside idle connections got $status"
 echo "passed"
--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr size_t maxConnections = 100000;
+
     using platform::HttpHandler;
     using platform::HttpRequest;
     using platform::HttpResponder;
@@ -42,7 +44,7 @@
     std::unique_ptr<Grid> grid(new Grid(io, std::move(layout)));
     Grid& g = *grid;
     const auto serve = [&](uint16_t port, HttpHandler handler) -> Result<void> {
-        g.m_servers.push_back(std::make_unique<HttpServer>(io, std::move(handler)));
+        g.m_servers.push_back(std::make_unique<HttpServer>(io, maxConnections, std::move(handler)));
         BOOST_OUTCOME_TRY(status, g.m_servers.back()->listen({ g.m_layout.host, port }));
         if (status == ListenStatus::Listening)
             return success();
