--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr size_t maxConnections = 100000;
+
     using platform::HttpHandler;
     using platform::HttpRequest;
     using platform::HttpResponder;
@@ -41,9 +43,12 @@
 {
     std::unique_ptr<Grid> grid(new Grid(io, std::move(layout)));
     Grid& g = *grid;
-    const auto serve = [&](uint16_t port, HttpHandler handler) {
-        g.m_servers.push_back(std::make_unique<HttpServer>(io, std::move(handler)));
-        return g.m_servers.back()->listen({ g.m_layout.host, port });
+    const auto serve = [&](uint16_t port, HttpHandler handler) -> Result<void> {
+        g.m_servers.push_back(std::make_unique<HttpServer>(io, maxConnections, std::move(handler)));
+        BOOST_OUTCOME_TRY(status, g.m_servers.back()->listen({ g.m_layout.host, port }));
+        if (status == ListenStatus::Listening)
+            return success();
+        return Error { ErrorKind::InvalidSettings, absl::StrCat("Port ", port, " is in use."), "Choose other ports." };
     };
     BOOST_OUTCOME_TRY(serve(g.m_layout.storePort,
         [&g](const HttpRequest& request, HttpResponder respond) { g.m_store.handle(request, std::move(respond)); }));
