--- a/test/failure/Soak.sh
+++ b/test/failure/Soak.sh
@@ -4,7 +4,7 @@
 build=$1
 here=$(cd "$(dirname "$0")/../soak" && pwd)
 work=$(mktemp -d)
-base=$((16000 + $$ % 3 * 1200))
+base=$((16000 + $$ % 2 * 1600))
 lanes=3
 lane() { # number: plays every third seed at ports of its own
     sed -n 's/^\([0-9][0-9]*\) .*/\1/p' "$here/seeds.txt" | awk -v l="$1" -v n=$lanes 'NR % n == l' | while read -r seed; do
@@ -12,10 +12,13 @@
     done > "$work/lane$1.txt" 2>&1
 }
 for l in $(seq 0 $((lanes - 1))); do lane "$l" & done
+for seed in 1 2; do
+    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --cells 2 --seconds 12 --port $((base + lanes * 400)) --keep "$work"
+done > "$work/lane$lanes.txt" 2>&1 &
 wait
 broken=$(grep -h 'BROKEN\|^seed [0-9]*: ' "$work"/lane*.txt | grep -v ', kept$')
 played=$(grep -ch ', kept$\|, BROKEN$' "$work"/lane*.txt | awk '{n += $1} END {print n}')
-wanted=$(grep -c '^[0-9]' "$here/seeds.txt")
+wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 2))
 if [ -n "$broken" ] || [ "$played" != "$wanted" ]; then
     echo "FAILED: $played of $wanted seeds were played"
     cat "$work"/lane*.txt
--- a/test/soak/NodeProcess.h
+++ b/test/soak/NodeProcess.h
@@ -25,6 +25,7 @@
     uint16_t peersReachedAt = 0;
     uint16_t storePort = 0;
     uint16_t advisorPort = 0;
+    double processorShare = 0;
 };
 
 /** A process that can be killed, paused, asked to stop, and started again. */
--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -33,6 +33,7 @@
   -s, --seconds N       how long faults come, for each seed (default 20)
   -e, --entries N       processes of the daemon (default 4)
   -x, --executors N     executors (default 12)
+  -l, --cells N         cells; with several, whole racks are lost and restarts are listed late (default 1)
   -p, --port N          the first of the loopback ports that are used (default 20000)
   -k, --keep FOLDER     where logs go and stay (default: a folder that is removed when all is well)
   -h, --help            print this text
@@ -42,6 +43,9 @@
  */
 constexpr absl::Duration settleLimit = absl::Seconds(60);
 constexpr int portsOfNode = 10;
+/** As many workers as the daemon gives to a cell for each processor of its owner. */
+constexpr double workersPerProcessor = 800;
+constexpr double defaultShare = 0.25;
 
 struct Options {
     std::string node;
@@ -50,6 +54,7 @@
     absl::Duration length = absl::Seconds(20);
     size_t entries = 4;
     int executors = 12;
+    int cells = 1;
     uint16_t port = 20000;
     std::string folder;
 };
@@ -83,6 +88,8 @@
     void keepAlive();
     void harmStore();
     void harmExecutor(size_t executor);
+    void loseRack(size_t rack);
+    void restartExecutor(size_t number);
     void endFaults();
     absl::Duration between(int64_t minMillis, int64_t maxMillis)
     {
@@ -135,7 +142,8 @@
         BOOST_OUTCOME_TRY(addProxy(offset + 4, offset + 2));
         BOOST_OUTCOME_TRY(addProxy(offset + 5, 0));
         NodePlan plan { m_options.node, m_options.folder, absl::StrCat("s", m_seed, "-e", i), host, port(offset),
-            port(offset + 4), port(offset + 5), port(1) };
+            port(offset + 4), port(offset + 5), port(1),
+            m_options.cells == 1 ? defaultShare : executors / workersPerProcessor / m_options.cells };
         m_nodes.push_back(std::make_unique<NodeProcess>(std::move(plan)));
         BOOST_OUTCOME_TRY(m_nodes.back()->start());
         addresses.push_back({ host, port(offset) });
@@ -192,6 +200,8 @@
 {
     const size_t node = m_random() % m_nodes.size();
     const size_t executor = m_random() % m_grid->executors().size();
+    if (m_options.cells > 1 && m_random() % 5 == 0)
+        return loseRack(m_random() % GridLayout::racks);
     switch (m_random() % 10) {
     case 0:
     case 1:
@@ -307,8 +317,7 @@
     note(absl::StrCat("executor ", number, " kind ", kind, " for ", absl::ToInt64Milliseconds(length), " ms"));
     switch (kind) {
     case 0:
-        executor.rebirth();
-        return m_grid->list(number);
+        return restartExecutor(number);
     case 1:
         executor.setLateShare(0.2);
         return later(m_io, length, [&executor] { executor.setLateShare(0); });
@@ -321,6 +330,25 @@
     }
 }
 
+void Soak::restartExecutor(size_t number)
+{
+    m_grid->executors()[number]->rebirth();
+    if (m_options.cells == 1)
+        return m_grid->list(number);
+    later(m_io, between(0, 1500), [this, number] { m_grid->list(number); });
+}
+
+void Soak::loseRack(size_t rack)
+{
+    const absl::Duration length = between(2000, 9000);
+    note(absl::StrCat("rack ", rack, " is lost for ", absl::ToInt64Milliseconds(length), " ms"));
+    for (size_t i = rack; i < m_grid->executors().size(); i += GridLayout::racks) {
+        // The proxies of the executors come first.
+        m_proxies[i]->cut(true, true);
+        later(m_io, length, [this, i] { m_proxies[i]->heal(); });
+    }
+}
+
 void Soak::endFaults()
 {
     m_isCalm = true;
@@ -370,6 +398,8 @@
         return read("--seconds", 1, 3600, [&](int64_t n) { options.length = absl::Seconds(n); });
     case 'e':
         return read("--entries", 2, 200, [&](int64_t n) { options.entries = static_cast<size_t>(n); });
+    case 'l':
+        return read("--cells", 1, 100, [&](int64_t n) { options.cells = static_cast<int>(n); });
     case 'x':
         return read("--executors", 1, 500, [&](int64_t n) { options.executors = static_cast<int>(n); });
     default:
@@ -382,11 +412,11 @@
     const option names[] = { { "node", required_argument, nullptr, 'n' }, { "first", required_argument, nullptr, 'f' },
         { "count", required_argument, nullptr, 'c' }, { "seconds", required_argument, nullptr, 's' },
         { "entries", required_argument, nullptr, 'e' }, { "executors", required_argument, nullptr, 'x' },
-        { "port", required_argument, nullptr, 'p' }, { "keep", required_argument, nullptr, 'k' },
-        { "help", no_argument, nullptr, 'h' }, {} };
+        { "cells", required_argument, nullptr, 'l' }, { "port", required_argument, nullptr, 'p' },
+        { "keep", required_argument, nullptr, 'k' }, { "help", no_argument, nullptr, 'h' }, {} };
     Options options;
     bool isWrong = false;
-    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:p:k:h", names, nullptr)) != -1;) {
+    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:p:k:h", names, nullptr)) != -1;) {
         if (name == 'n')
             options.node = optarg;
         else if (name == 'k')
--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -19,7 +19,6 @@
     using platform::parseBody;
 
     constexpr const char* service = "s";
-    constexpr int racks = 3;
 
     /** Every worker is allowed. */
     HttpResponse advise(const std::string& body)
@@ -86,7 +85,8 @@
     const Json capacity = { { "cpu", GridLayout::cpuMillis }, { "memMb", GridLayout::memoryMiB }, { "gpu", 0 } };
     const Json entry = { { "service", service }, { "address", absl::StrCat(m_layout.host, ":", port) }, { "zone", "z" },
         { "version", "v1" }, { "slots", 8 }, { "state", isDraining ? "draining" : "ready" }, { "capacity", capacity },
-        { "labels", { "a", absl::StrCat("r", number % racks) } }, { "born", executor.born() }, { "sequence", 1 } };
+        { "labels", { "a", absl::StrCat("r", number % GridLayout::racks) } }, { "born", executor.born() },
+        { "sequence", 1 } };
     m_store.put(absl::StrCat("servers/", executor.id()), entry.dump());
 }
 
--- a/test/standin/Grid.h
+++ b/test/standin/Grid.h
@@ -24,6 +24,8 @@
     int registeredOffset = 0;
     uint64_t seed = 1;
 
+    /** The executors are in the racks in turn. */
+    static constexpr size_t racks = 3;
     static constexpr int64_t cpuMillis = 4000;
     static constexpr int64_t memoryMiB = 8000;
 };
