Reproduce the users' own TWICE: a successor that did not wait out a lease of its predecessor

The test plays what fits it: a worker restarts under its id while it is idle, the owner starts a task there with the end of a lease on the former clock, so that the worker grants 10 s; the owner dies, and its successor can't hear the worker. That this is what the users saw is likely, not shown: their log is cut before the start.

--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -353,6 +353,18 @@
     }
 }
 
+TEST(CellFailures, leasesThatAFormerOwnerGaveARestartedWorkerAreWaitedOutByItsSuccessor)
+{
+    CellWorld idle { 3, 5, 7, absl::Seconds(10) };
+    WorldWorker& restarted = idle.workers()[0];
+    startOnRestartedWorker(idle, restarted, absl::Milliseconds(400));
+    restarted.isCut = true;
+    idle.kill(idle.owner().value());
+    idle.run(absl::Seconds(20));
+    STRCMP_EQUAL("", idle.report().c_str());
+    LONGS_EQUAL(5, idle.startsOf("job"));
+}
+
 TEST(CellFailures, restartsUnderTheSameIdBesideOrdersAndATakeoverStartNothingTwice)
 {
     for (int64_t offset = 0; offset <= 600; offset += 60) {
