--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -156,8 +156,8 @@
 /** Encode the run record, and apply one to a job that decodeJobRecord() has just created. */
 std::string encodeRunRecord(const CellJob&);
 Result<void> applyRunRecord(CellJob&, absl::string_view bytes);
-/** Encode and decode the mark that stands in place of both records of a job that is in another cell; nothing when the bytes
- * are no such mark. */
+/** Encode and decode the mark that stands in place of both records of a job that is in another cell; nothing when the
+ * bytes are no such mark. */
 std::string encodeTransferMark(uint32_t cell);
 std::optional<uint32_t> transferMarkOf(absl::string_view bytes);
 /** Reads a run record that has no job record: the job has ended, and only its phase and end time are kept. */
