--- a/src/Cell.h
+++ b/src/Cell.h
@@ -319,7 +319,8 @@
      */
     void adoptJob(const std::string& id, absl::AnyInvocable<void(bool isCertain)> then);
     void adoptRecords(const std::string& id, const StoreEntry& record, const std::optional<StoreEntry>& run);
-    void readRecord(const std::string& key, absl::AnyInvocable<void(bool isRead, std::optional<StoreEntry>)> then);
+    void readRecord(
+        const std::string& key, absl::AnyInvocable<void(bool isRead, const std::optional<StoreEntry>&)> then);
     /** Calls `then` with `reply` if the job is here or nowhere, and replies otherwise. */
     void whenLocated(const std::string& id, bool isRedirected, Reply reply, absl::AnyInvocable<void(Reply)> then);
     /** Replies with the cell to which the job was transferred, or calls `then` with `reply`. */
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -329,24 +329,18 @@
 {
     if (findJob(id) || m_endedJobs.contains(id))
         return then(true);
-    readRecord(runKey(id), [this, id, then = std::move(then)](bool isRead, std::optional<StoreEntry> run) mutable {
-        if (!isRead)
-            return then(false);
-        readRecord(jobKey(id),
-            [this, id, run, then = std::move(then)](bool isJobRead, std::optional<StoreEntry> record) mutable {
-                if (isJobRead && record && !transferMarkOf(record->value))
-                    adoptRecords(id, *record, run);
-                then(isJobRead);
-            });
-    });
-}
-
-void Cell::readRecord(const std::string& key, absl::AnyInvocable<void(bool isRead, std::optional<StoreEntry>)> then)
-{
-    m_parts.store.listPage(key, "", guarded([key, then = std::move(then)](const StorePage& page) mutable {
-        const StoreEntry* entry = findEntry(page.entries, key);
-        then(page.isValid, entry ? std::optional<StoreEntry>(*entry) : std::nullopt);
-    }));
+    readRecord(
+        runKey(id), [this, id, then = std::move(then)](bool isRead, const std::optional<StoreEntry>& run) mutable {
+            if (!isRead)
+                return then(false);
+            readRecord(jobKey(id),
+                [this, id, run, then = std::move(then)](
+                    bool isJobRead, const std::optional<StoreEntry>& record) mutable {
+                    if (isJobRead && record && !transferMarkOf(record->value))
+                        adoptRecords(id, *record, run);
+                    then(isJobRead);
+                });
+        });
 }
 
 void Cell::adoptRecords(const std::string& id, const StoreEntry& record, const std::optional<StoreEntry>& run)
