--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -343,6 +343,15 @@
         });
 }
 
+void Cell::readRecord(
+    const std::string& key, absl::AnyInvocable<void(bool isRead, const std::optional<StoreEntry>&)> then)
+{
+    m_parts.store.listPage(key, "", guarded([key, then = std::move(then)](const StorePage& page) mutable {
+        const StoreEntry* entry = findEntry(page.entries, key);
+        then(page.isValid, entry ? std::optional<StoreEntry>(*entry) : std::nullopt);
+    }));
+}
+
 void Cell::adoptRecords(const std::string& id, const StoreEntry& record, const std::optional<StoreEntry>& run)
 {
     // Another call may have read them meanwhile, and this owner may have changed them since.
