--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -243,7 +243,8 @@
         const double took = absl::ToDoubleMilliseconds(m_parts.timers.clock().now() - begun);
         m_parts.metrics.observe("cicada_store_accept_ms", took);
         m_parts.log.write("job-stored", "job", id, "queue", stored->policy.queue, "priority", stored->policy.priority,
-            "steps", stored->spec.steps.size(), "tookMs", static_cast<int64_t>(took));
+            "steps", stored->spec.steps.size(), "widest", widestStep(stored->spec), "tookMs",
+            static_cast<int64_t>(took));
         std::vector<Reply> replies = std::move(m_acceptReplies[id]);
         m_acceptReplies.erase(id);
         if (!isEnded(stored->phase))
@@ -315,7 +316,8 @@
     const absl::Duration took = m_parts.timers.clock().now() - job.acceptedAt;
     m_parts.log.write("job-ended", "job", job.spec.id, "phase", jobPhaseName(phase), "cause", cause, "queue",
         job.policy.queue, "tookMs", absl::ToInt64Milliseconds(took));
-    m_parts.metrics.count(absl::StrCat("cicada_jobs_ended{phase=\"", jobPhaseName(phase), "\"}"));
+    const absl::string_view width = widthClass(widestStep(job.spec));
+    m_parts.metrics.count(absl::StrCat("cicada_jobs_ended{phase=\"", jobPhaseName(phase), "\",width=\"", width, "\"}"));
     m_parts.metrics.observe("cicada_job_ms", absl::ToDoubleMilliseconds(took));
     for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
         for (uint32_t s = 0; s < job.occurrences[k].size(); ++s)
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -147,6 +147,18 @@
         /** It can't start now, which showed without trying the workers. */
         Skipped,
     };
+    /** For how many tasks of a step there is room on the workers that may run it. */
+    struct StepRoom {
+        uint64_t whenEmpty = 0;
+        /** With capacity that is reserved for other steps counted as free. */
+        uint64_t unreserved = 0;
+        uint64_t free = 0;
+        /** Workers that the queue's policy was seen to allow, and the room there. */
+        uint64_t allowedWorkers = 0;
+        uint64_t allowedWhenEmpty = 0;
+        uint64_t freeAllowed = 0;
+        uint64_t freeWithTicket = 0;
+    };
     /** A transfer of a job to another cell of which it is not known that it is done. */
     struct Transfer {
         uint32_t destination = 0;
@@ -237,6 +249,11 @@
     std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
     Reservation reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers);
 
+    // CellWaits.cpp: why a ready step waits.
+    StepRoom measureRoom(CellJob& job, StepRef ref);
+    /** Logs the state of a step that waits, at intervals. */
+    void reportWait(CellJob& job, StepRef ref);
+
     // CellAdvice.cpp: permission from the policy service.
     bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     void requestStepAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted);
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -84,6 +84,8 @@
     std::vector<uint32_t> failedRuns;
     bool isReady = false;
     Instant readyAt = absl::ZeroDuration();
+    /** When it was last logged why the step waits. */
+    Instant waitReportedAt = absl::ZeroDuration();
     /** No placement before this time, which is set after refusals. */
     Instant notBefore = absl::ZeroDuration();
     /** The latest start with which the job is still on time, by the estimates. */
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -110,6 +110,7 @@
     CellJob* job = findJob(rank.job);
     if (!job)
         return;
+    reportWait(*job, rank.ref);
     const StepUrgency urgency = urgencyOf(job->stepSpec(rank.ref), job->step(rank.ref), m_parts.timers.clock().now());
     if (urgency == rank.urgency)
         return;
--- /dev/null
+++ b/src/CellWaits.cpp
@@ -0,0 +1,77 @@
+/** \file
+ * The part of Cell that logs why a ready step waits: where its tasks would fit, and what keeps them from there.
+ */
+
+#include "Cell.h"
+
+#include "Job.h"
+
+namespace cicada {
+
+namespace {
+
+    /** A step that has waited this long is reported, and again each time that as long has passed. */
+    constexpr absl::Duration reportInterval = absl::Seconds(2);
+
+    absl::string_view urgencyName(StepUrgency urgency)
+    {
+        switch (urgency) {
+        case StepUrgency::LostService:
+            return "lost-service";
+        case StepUrgency::OnTime:
+            return "on-time";
+        case StepUrgency::Late:
+            return "late";
+        }
+        return "unknown";
+    }
+
+} // namespace
+
+Cell::StepRoom Cell::measureRoom(CellJob& job, StepRef ref)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    const CellStep& step = job.step(ref);
+    const Resources demand = demandOf(spec);
+    const Instant now = m_parts.timers.clock().now();
+    StepRoom room;
+    for (const CellWorker* worker : candidates(job, spec)) {
+        const uint64_t whenEmpty = countFittingTasks(demand, worker->listed.capacity);
+        const uint64_t unreserved = countFittingTasks(demand, worker->listed.capacity - worker->used);
+        const uint64_t fitting = countFittingTasks(demand, worker->free());
+        room.whenEmpty += whenEmpty;
+        room.unreserved += unreserved;
+        room.free += fitting;
+        const auto allowed = step.advice.allowed.find(worker->listed.incarnation.id);
+        if (allowed == step.advice.allowed.end())
+            continue;
+        ++room.allowedWorkers;
+        room.allowedWhenEmpty += whenEmpty;
+        room.freeAllowed += fitting;
+        if (allowed->second.validUntil > now)
+            room.freeWithTicket += fitting;
+    }
+    return room;
+}
+
+void Cell::reportWait(CellJob& job, StepRef ref)
+{
+    const Instant now = m_parts.timers.clock().now();
+    CellStep& step = job.step(ref);
+    if (now - std::max(step.readyAt, step.waitReportedAt) < reportInterval)
+        return;
+    step.waitReportedAt = now;
+    const StepSpec& spec = job.stepSpec(ref);
+    const Resources demand = demandOf(spec);
+    const StepRoom room = measureRoom(job, ref);
+    m_parts.log.write("step-waits", "job", job.spec.id, "occurrence", ref.occurrence, "step", ref.step, "waitedMs",
+        absl::ToInt64Milliseconds(now - step.readyAt), "tasks", step.tasks.size(), "waiting", waitingTasks(step).size(),
+        "gang", spec.isGang, "cpuMillis", demand.cpuMillis, "memoryMiB", demand.memoryMiB, "urgency",
+        urgencyName(urgencyOf(spec, step, now)), "ready", m_ready.size(), "stored", job.isStored, "backoff",
+        step.notBefore > now, "asking", step.advice.isRequestInFlight, "asked", step.advice.queried.size(), "allowed",
+        room.allowedWorkers, "roomWhenEmpty", room.whenEmpty, "roomUnreserved", room.unreserved, "roomFree", room.free,
+        "allowedWhenEmpty", room.allowedWhenEmpty, "freeAllowed", room.freeAllowed, "freeWithTicket",
+        room.freeWithTicket);
+}
+
+} // namespace cicada
--- a/src/Workload.cpp
+++ b/src/Workload.cpp
@@ -61,6 +61,25 @@
 
 std::string describeRun(const TaskRun& run) { return absl::StrCat(describeTask(run.task), "#", run.run); }
 
+uint32_t widestStep(const Submission& job)
+{
+    uint32_t widest = 0;
+    for (const StepSpec& step : job.steps)
+        widest = std::max(widest, step.taskCount);
+    return widest;
+}
+
+absl::string_view widthClass(uint32_t width)
+{
+    if (width < 16)
+        return "1-15";
+    if (width < 32)
+        return "16-31";
+    if (width < 64)
+        return "32-63";
+    return "64+";
+}
+
 Resources demandOf(const StepSpec& spec)
 {
     Resources demand = spec.demand;
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -100,6 +100,10 @@
 
 /** The capacity that one task of the step takes up on its worker. */
 Resources demandOf(const StepSpec&);
+/** The number of tasks of the job's widest step. */
+uint32_t widestStep(const Submission&);
+/** The class to which metrics count a job of this width. */
+absl::string_view widthClass(uint32_t width);
 /** The number of tasks with this demand that fit into the free capacity. */
 uint64_t countFittingTasks(const Resources& demand, const Resources& free);
 
