--- a/test/failure/HttpClientTest.cpp
+++ b/test/failure/HttpClientTest.cpp
@@ -6,12 +6,18 @@
 #include "WorkerLink.h"
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <functional>
+#include <optional>
+#include <thread>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace cicada;
@@ -108,3 +114,36 @@
     acceptor.close();
     CHECK(call(port).outcome == HttpOutcome::NotSent);
 }
+
+TEST(HttpCalls, aLargeResponseIsReadInFewTurnsOfABusyLoop)
+{
+    constexpr size_t bodyBytes = 400 << 10;
+    constexpr int maxTurns = 40;
+    const uint16_t port = acceptor.local_endpoint().port();
+    std::thread server([this] {
+        boost::asio::io_context own;
+        tcp::socket peer = acceptor.accept(own);
+        std::string request;
+        boost::asio::read_until(peer, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        error_code ignored;
+        boost::asio::write(peer,
+            boost::asio::buffer(absl::StrCat(
+                "HTTP/1.1 200 OK\r\nContent-Length: ", bodyBytes, "\r\n\r\n", std::string(bodyBytes, 'x'))),
+            ignored);
+    });
+    std::optional<HttpResult> answer;
+    client.send({ { "127.0.0.1", port }, "GET", "/", "", {}, absl::Seconds(5) },
+        [&answer](HttpResult got) { answer = std::move(got); });
+    int turns = 0;
+    std::function<void()> work = [&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        ++turns;
+        if (!answer)
+            boost::asio::post(io, work);
+    };
+    boost::asio::post(io, work);
+    io.run();
+    LONGS_EQUAL(bodyBytes, answer->body.size());
+    server.join();
+    CHECK(turns <= maxTurns);
+}
