--- a/src/Cell.h
+++ b/src/Cell.h
@@ -359,6 +359,7 @@
     bool m_isSuperseded = false;
     bool m_isPlacementScheduled = false;
     bool m_isContinuationScheduled = false;
+    absl::Duration m_lastRoundTook;
     /** The next round also looks at steps behind those that the pass from the front gets to. */
     bool m_isContinuationDue = false;
     const Instant m_ownedSince;
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -15,6 +15,9 @@
 
     /** Placements that fall within this interval are batched. */
     constexpr absl::Duration placementDelay = absl::Milliseconds(5);
+    /** A round is followed by a pause of this many times what it took, so that orders, replies and watches have their
+     * share of the thread however many steps wait. */
+    constexpr double pausePerRoundTime = 2;
     /** A pass over the ready steps ends when it has cost this much. */
     constexpr size_t maxRoundCost = 1500;
     /** What a step costs that was tried on the workers, and one that need not be tried. */
@@ -33,9 +36,11 @@
     if (m_isPlacementScheduled || m_ready.empty())
         return;
     m_isPlacementScheduled = true;
-    m_parts.timers.after(placementDelay, guarded([this] {
+    m_parts.timers.after(std::max(placementDelay, m_lastRoundTook * pausePerRoundTime), guarded([this] {
         m_isPlacementScheduled = false;
+        const Instant begun = m_parts.timers.clock().now();
         runPlacementRound();
+        m_lastRoundTook = m_parts.timers.clock().now() - begun;
     }));
 }
 
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -235,22 +235,6 @@
 
 std::string jobKey(absl::string_view id) { return absl::StrCat(jobPrefix(jobPartition(id)), id); }
 
-bool fits(const Resources& demand, const Resources& freeCapacity)
-{
-    return demand.cpuMillis <= freeCapacity.cpuMillis && demand.memoryMiB <= freeCapacity.memoryMiB
-        && demand.accelerators <= freeCapacity.accelerators;
-}
-
-Resources operator+(const Resources& a, const Resources& b)
-{
-    return { a.cpuMillis + b.cpuMillis, a.memoryMiB + b.memoryMiB, a.accelerators + b.accelerators };
-}
-
-Resources operator-(const Resources& a, const Resources& b)
-{
-    return { a.cpuMillis - b.cpuMillis, a.memoryMiB - b.memoryMiB, a.accelerators - b.accelerators };
-}
-
 Result<void> checkEverFits(const JobSpec& spec, const BackEnds& backEnds)
 {
     const BackEnd* largest = nullptr;
--- a/src/Job.h
+++ b/src/Job.h
@@ -108,9 +108,21 @@
 std::string jobKey(absl::string_view id);
 
 /** Whether `demand` fits into `freeCapacity` for every kind of resource. */
-bool fits(const Resources& demand, const Resources& freeCapacity);
-Resources operator+(const Resources&, const Resources&);
-Resources operator-(const Resources&, const Resources&);
+inline bool fits(const Resources& demand, const Resources& freeCapacity)
+{
+    return demand.cpuMillis <= freeCapacity.cpuMillis && demand.memoryMiB <= freeCapacity.memoryMiB
+        && demand.accelerators <= freeCapacity.accelerators;
+}
+
+inline Resources operator+(const Resources& a, const Resources& b)
+{
+    return { a.cpuMillis + b.cpuMillis, a.memoryMiB + b.memoryMiB, a.accelerators + b.accelerators };
+}
+
+inline Resources operator-(const Resources& a, const Resources& b)
+{
+    return { a.cpuMillis - b.cpuMillis, a.memoryMiB - b.memoryMiB, a.accelerators - b.accelerators };
+}
 
 /** Rejects a job that exceeds the capacity of every worker; the error names the largest known worker. */
 Result<void> checkEverFits(const JobSpec&, const BackEnds&);
