--- a/src/Advisor.h
+++ b/src/Advisor.h
@@ -63,8 +63,8 @@
     void request(AdviceRequest, absl::Duration expected, absl::AnyInvocable<void(AdviceReply)>);
     /** Fails the requests that were sent through the entry's slot, as their replies can no longer arrive. */
     void handleLinkLost(const std::string& entry);
-    /** Number of requests that wait for a slot. */
-    size_t waiting() const { return m_short.size() + m_long.size(); }
+    /** Number of requests that wait for the slots which one of this expected duration could use. */
+    size_t waitingBefore(absl::Duration expected) { return isLong(expected) ? m_long.size() : m_short.size(); }
 
 private:
     struct Waiting {
--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -128,7 +128,8 @@
                     CellWorker& worker = m_workers[tasks[i].worker];
                     worker.listed.incarnation.id = tasks[i].worker;
                     const TaskRun run { { id, k, s, i }, tasks[i].run };
-                    worker.allocate(run, demandOf(job->spec.steps[s]));
+                    const StepSpec& spec = job->spec.steps[s];
+                    worker.allocate(run, demandOf(spec), spec.isService);
                     worker.allocations[run].isInherited = true;
                     ++activeRuns;
                 }
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -173,6 +173,27 @@
         uint32_t cell = 0;
         Instant checkedAt;
     };
+    /** What counts as room on a worker. */
+    enum class RoomBasis {
+        FreeNow,
+        /** Also what other batch runs still hold. */
+        InTime,
+    };
+    /** A worker on which a step may be allowed to run. */
+    struct AdviceCandidate {
+        CellWorker* worker = nullptr;
+        /** How many of the step's tasks there is room for. */
+        uint64_t placeable = 0;
+        /** The queue's policy was seen to allow it. */
+        bool isAllowed = false;
+        bool isOnDataRack = false;
+    };
+    /** The one reservation that has no limit on its workers. */
+    struct ExclusiveReservation {
+        std::string job;
+        StepRef ref;
+        Instant until;
+    };
     struct Choice {
         uint32_t index = 0;
         CellWorker* worker = nullptr;
@@ -244,10 +265,25 @@
     size_t placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations);
     /** Sorts a step that could not be placed in full again if its urgency has changed. */
     void updateRank(const Rank& rank);
-    /** Reserves free capacity for the gangs of the best rank; otherwise small tasks could keep a gang waiting
-     * indefinitely. */
+
+    // CellReservations.cpp: capacity that is withheld for gangs.
     std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
     Reservation reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers);
+    /** Ends the exclusive reservation when it is due, and gives it to the next gang. */
+    void updateExclusive(absl::Span<const Rank> ranks);
+    void endExclusive();
+    bool isExclusive(const std::string& job, StepRef ref) const;
+    /** Whether the gang waits in vain for the reservations that are given by rank. */
+    bool mayBeExclusive(CellJob& job, StepRef ref);
+    /** Whether the share of the workers that is reserved by rank is less than the gang needs. */
+    bool needsMoreThanShare(CellJob& job, const StepSpec& spec);
+    /** Of the gangs for which there would be room in time, the one that has waited longest; null for none. */
+    const Rank* findLongestWaiting(absl::Span<const Rank> ranks);
+    /** Whether all tasks of the gang would fit once the runs of others have ended. */
+    bool canGatherRoom(CellJob& job, StepRef ref);
+    uint64_t roomInTime(const StepSpec& spec, absl::Span<CellWorker* const> workers) const;
+    /** Requests advice until all tasks of the gang would fit on workers that are known to be allowed. */
+    void learnAllowedWorkers(CellJob& job, StepRef ref);
 
     // CellWaits.cpp: why a ready step waits.
     StepRoom measureRoom(CellJob& job, StepRef ref);
@@ -256,7 +292,17 @@
 
     // CellAdvice.cpp: permission from the policy service.
     bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
-    void requestStepAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted);
+    bool canAskForAdvice(CellJob& job, StepRef ref);
+    /** Usable workers that may run the step, as far as is known. */
+    std::vector<CellWorker*> allowedWorkers(CellJob& job, StepRef ref);
+    std::vector<CellWorker*> unqueriedWorkers(CellJob& job, StepRef ref);
+    /** Asks which of the workers may run the step, until enough of them can be expected to take the wanted tasks. */
+    void requestStepAdvice(
+        CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, size_t wanted, RoomBasis basis);
+    /** The workers with what they could take of the step, those first that are best asked. */
+    std::vector<AdviceCandidate> rankForAdvice(
+        CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis);
+    void sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers);
     void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& queried, Instant requestedAt,
         AdviceReply reply);
 
@@ -372,6 +418,8 @@
     absl::btree_set<Rank> m_ready;
     /** Where the last continued pass ended; nothing when it got to the last step. */
     std::optional<Rank> m_continueAt;
+    std::optional<ExclusiveReservation> m_exclusive;
+    Instant m_nextExclusiveSearch = absl::ZeroDuration();
     absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usableWorkers;
     /** Found in the current placement round. */
     UnmetDemands m_unmetDemands;
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -15,6 +15,7 @@
     /** The minimum remaining validity of a ticket when a start is decided, as the intent is stored and the order sent
      * first. */
     constexpr absl::Duration ticketMargin = absl::Milliseconds(350);
+    /** The policy service accepts no more. */
     constexpr size_t maxWorkersPerRequest = 100;
     constexpr size_t minWorkersPerRequest = 8;
     /** The share of workers that a queue's policy is assumed to allow before its first reply. */
@@ -33,22 +34,11 @@
 {
     const Instant now = m_parts.timers.clock().now();
     CellStep& step = job.step(rank.ref);
-    const StepSpec& spec = job.stepSpec(rank.ref);
-    const std::string& service = policyOf(job).service;
+    std::vector<CellWorker*> allowed = allowedWorkers(job, rank.ref);
     std::vector<CellWorker*> withTicket;
-    std::vector<CellWorker*> allowed;
-    for (const auto& [id, entry] : step.advice.allowed) {
-        if (!entry.worker->isUsable(now) || entry.worker->listed.service != service)
-            continue;
-        allowed.push_back(entry.worker);
-        if (entry.validUntil > now + ticketMargin)
-            withTicket.push_back(entry.worker);
-    }
-    // The hash table has no defined order; sorting keeps placement deterministic.
-    const auto byId
-        = [](const CellWorker* a, const CellWorker* b) { return a->listed.incarnation.id < b->listed.incarnation.id; };
-    std::sort(allowed.begin(), allowed.end(), byId);
-    std::sort(withTicket.begin(), withTicket.end(), byId);
+    std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(withTicket), [&](const CellWorker* worker) {
+        return step.advice.allowed.at(worker->listed.incarnation.id).validUntil > now + ticketMargin;
+    });
     std::vector<Choice> choices;
     if (job.isStored && chooseWorkersForStep(job, rank.ref, withTicket, choices)) {
         const bool isFullyPlaced = choices.size() == waiting;
@@ -56,68 +46,123 @@
         if (isFullyPlaced)
             return true;
     }
-    const bool mustWait = step.advice.isRequestInFlight || (!job.isStored && !withTicket.empty())
-        || m_parts.advisorSlots.waiting() >= maxWaitingAdviceRequests;
-    if (!mustWait) {
-        // Send a request only when its reply could let a task start now.
-        if (chooseWorkersForStep(job, rank.ref, allowed, choices)) {
-            requestStepAdvice(job, rank.ref, allowed, choices.size());
-        } else {
-            std::vector<CellWorker*> withUnqueried = allowed;
-            for (CellWorker* worker : candidates(job, spec)) {
-                if (!step.advice.queried.contains(worker->listed.incarnation.id))
-                    withUnqueried.push_back(worker);
-            }
-            if (withUnqueried.size() > allowed.size() && chooseWorkersForStep(job, rank.ref, withUnqueried, choices))
-                requestStepAdvice(job, rank.ref, withUnqueried, choices.size());
-        }
+    if (!canAskForAdvice(job, rank.ref) || (!job.isStored && !withTicket.empty()))
+        return false;
+    // Send a request only when its reply could let a task start now.
+    if (chooseWorkersForStep(job, rank.ref, allowed, choices)) {
+        requestStepAdvice(job, rank.ref, allowed, choices.size(), RoomBasis::FreeNow);
+        return false;
     }
+    const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, rank.ref);
+    allowed.insert(allowed.end(), unqueried.begin(), unqueried.end());
+    if (!unqueried.empty() && chooseWorkersForStep(job, rank.ref, allowed, choices))
+        requestStepAdvice(job, rank.ref, allowed, choices.size(), RoomBasis::FreeNow);
     return false;
 }
 
-void Cell::requestStepAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> workers, size_t wanted)
+bool Cell::canAskForAdvice(CellJob& job, StepRef ref)
 {
-    CellStep& step = job.step(ref);
-    const QueuePolicy& policy = policyOf(job);
+    const CellStep& step = job.step(ref);
+    const AdvicePolicy& advice = policyOf(job).advice;
+    const absl::Duration expected = advice.perCall + advice.perWorker * static_cast<double>(minWorkersPerRequest);
+    return step.advice.requestsInFlight == 0 && step.notBefore <= m_parts.timers.clock().now()
+        && m_parts.advisorSlots.waitingBefore(expected) < maxWaitingAdviceRequests;
+}
+
+std::vector<CellWorker*> Cell::allowedWorkers(CellJob& job, StepRef ref)
+{
+    if (!policyOf(job).advice.isNeeded)
+        return candidates(job, job.stepSpec(ref));
+    const Instant now = m_parts.timers.clock().now();
+    const std::string& service = policyOf(job).service;
+    std::vector<CellWorker*> allowed;
+    for (const auto& [id, entry] : job.step(ref).advice.allowed) {
+        if (entry.worker->isUsable(now) && entry.worker->listed.service == service)
+            allowed.push_back(entry.worker);
+    }
+    return allowed;
+}
+
+std::vector<CellWorker*> Cell::unqueriedWorkers(CellJob& job, StepRef ref)
+{
+    std::vector<CellWorker*> unqueried;
+    if (!policyOf(job).advice.isNeeded)
+        return unqueried;
+    const CellStep& step = job.step(ref);
+    for (CellWorker* worker : candidates(job, job.stepSpec(ref))) {
+        if (!step.advice.queried.contains(worker->listed.incarnation.id))
+            unqueried.push_back(worker);
+    }
+    return unqueried;
+}
+
+std::vector<Cell::AdviceCandidate> Cell::rankForAdvice(
+    CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis)
+{
+    const CellStep& step = job.step(ref);
     const StepSpec& spec = job.stepSpec(ref);
     const Resources demand = demandOf(spec);
     absl::flat_hash_map<std::string, uint32_t> activeRuns;
     if (spec.maxPerWorker > 0)
         activeRuns = step.activeRunsByWorker();
-    const auto placeableTasks = [&](const CellWorker& worker) {
-        const uint64_t fitting = countFittingTasks(demand, worker.free());
-        if (spec.maxPerWorker == 0)
-            return fitting;
-        const auto active = activeRuns.find(worker.listed.incarnation.id);
-        const uint32_t used = active == activeRuns.end() ? 0 : active->second;
-        return std::min<uint64_t>(fitting, used < spec.maxPerWorker ? spec.maxPerWorker - used : 0);
-    };
-    const auto rankOf = [&](const CellWorker* worker) {
-        const bool isAllowed = step.advice.allowed.contains(worker->listed.incarnation.id);
+    std::vector<AdviceCandidate> candidates;
+    for (CellWorker* worker : workers) {
+        const std::string& id = worker->listed.incarnation.id;
+        const Resources free = basis == RoomBasis::FreeNow ? worker->free() : worker->freeInTime();
+        uint64_t placeable = countFittingTasks(demand, free);
+        if (spec.maxPerWorker > 0) {
+            const uint32_t used = activeRuns.contains(id) ? activeRuns[id] : 0;
+            placeable = std::min<uint64_t>(placeable, used < spec.maxPerWorker ? spec.maxPerWorker - used : 0);
+        }
         const bool isOnDataRack = !spec.dataRack.empty() && worker->listed.rack == spec.dataRack;
-        const bool hasRoom = placeableTasks(*worker) > 0;
-        return std::make_tuple(!hasRoom, !isOnDataRack, !isAllowed, -worker->free().cpuMillis);
+        candidates.push_back({ worker, placeable, step.advice.allowed.contains(id), isOnDataRack });
+    }
+    const auto rankOf = [](const AdviceCandidate& candidate) {
+        return std::make_tuple(candidate.placeable == 0, !candidate.isOnDataRack, !candidate.isAllowed,
+            -candidate.worker->free().cpuMillis);
     };
-    std::stable_sort(workers.begin(), workers.end(),
-        [&](const CellWorker* a, const CellWorker* b) { return rankOf(a) < rankOf(b); });
+    std::stable_sort(candidates.begin(), candidates.end(),
+        [&](const AdviceCandidate& a, const AdviceCandidate& b) { return rankOf(a) < rankOf(b); });
+    return candidates;
+}
+
+void Cell::requestStepAdvice(
+    CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, size_t wanted, RoomBasis basis)
+{
     const double share
-        = std::max(minAllowedShare, m_allowedShare.try_emplace(policy.queue, initialAllowedShare).first->second);
-    const size_t maxCount = std::min(maxWorkersPerRequest, workers.size());
+        = std::max(minAllowedShare, m_allowedShare.try_emplace(policyOf(job).queue, initialAllowedShare).first->second);
     const double neededTasks = static_cast<double>(wanted) * spareFactor;
     double expectedTasks = 0;
-    size_t count = 0;
-    while (count < maxCount && (count < minWorkersPerRequest || expectedTasks < neededTasks)) {
-        const CellWorker& worker = *workers[count++];
-        const bool isAllowed = step.advice.allowed.contains(worker.listed.incarnation.id);
-        expectedTasks
-            += static_cast<double>(std::min<uint64_t>(wanted, placeableTasks(worker))) * (isAllowed ? 1 : share);
+    std::vector<CellWorker*> asked;
+    for (const AdviceCandidate& candidate : rankForAdvice(job, ref, workers, basis)) {
+        if (asked.size() >= minWorkersPerRequest && expectedTasks >= neededTasks)
+            break;
+        // Further requests are worth their time only for workers with room.
+        if (asked.size() >= maxWorkersPerRequest && candidate.placeable == 0)
+            break;
+        asked.push_back(candidate.worker);
+        const auto tasks = static_cast<double>(std::min<uint64_t>(wanted, candidate.placeable));
+        expectedTasks += tasks * (candidate.isAllowed ? 1 : share);
     }
+    // Tickets expire soon, so those that are needed together are requested at once.
+    const size_t requests = (asked.size() + maxWorkersPerRequest - 1) / maxWorkersPerRequest;
+    for (size_t i = 0; i < requests; ++i) {
+        const size_t first = asked.size() * i / requests;
+        const size_t end = asked.size() * (i + 1) / requests;
+        sendAdviceRequest(job, ref, absl::MakeConstSpan(asked).subspan(first, end - first));
+    }
+}
+
+void Cell::sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers)
+{
+    const QueuePolicy& policy = policyOf(job);
     AdviceRequest adviceRequest { { job.spec.id, ref.occurrence, ref.step, 0 }, {} };
-    for (size_t i = 0; i < count; ++i)
-        adviceRequest.workers.push_back(workers[i]->listed.incarnation.id);
-    step.advice.isRequestInFlight = true;
+    for (const CellWorker* worker : workers)
+        adviceRequest.workers.push_back(worker->listed.incarnation.id);
+    ++job.step(ref).advice.requestsInFlight;
     m_parts.metrics.count("cicada_advice_questions");
-    const absl::Duration expected = policy.advice.perCall + policy.advice.perWorker * static_cast<double>(count);
+    const absl::Duration expected
+        = policy.advice.perCall + policy.advice.perWorker * static_cast<double>(workers.size());
     const std::vector<std::string> queried = adviceRequest.workers;
     m_parts.advisorSlots.request(std::move(adviceRequest), expected,
         guarded([this, id = job.spec.id, ref, queried, now = m_parts.timers.clock().now()](
@@ -131,7 +176,7 @@
     if (!job)
         return;
     CellStep& step = job->step(ref);
-    step.advice.isRequestInFlight = false;
+    step.advice.requestsInFlight -= std::min(step.advice.requestsInFlight, 1U);
     if (isEnded(job->phase))
         return;
     const Instant now = m_parts.timers.clock().now();
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -9,6 +9,7 @@
 #include "Clock.h"
 #include "WorkerOrders.h"
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
@@ -70,8 +71,10 @@
         std::string ticket;
         Instant validUntil;
     };
-    bool isRequestInFlight = false;
-    absl::flat_hash_map<std::string, Allowed> allowed;
+    /** One question may take several requests at once. */
+    uint32_t requestsInFlight = 0;
+    /** By the worker's id; ordered, which keeps placement deterministic. */
+    absl::btree_map<std::string, Allowed> allowed;
     absl::flat_hash_set<std::string> queried;
 };
 
@@ -84,6 +87,8 @@
     std::vector<uint32_t> failedRuns;
     bool isReady = false;
     Instant readyAt = absl::ZeroDuration();
+    /** For a gang: it gets no exclusive reservation before this time. */
+    Instant noExclusiveBefore = absl::ZeroDuration();
     /** When it was last logged why the step waits. */
     Instant waitReportedAt = absl::ZeroDuration();
     /** No placement before this time, which is set after refusals. */
@@ -101,6 +106,10 @@
     uint32_t occurrence = 0;
     uint32_t step = 0;
 
+    friend bool operator==(const StepRef& a, const StepRef& b)
+    {
+        return a.occurrence == b.occurrence && a.step == b.step;
+    }
     friend bool operator<(const StepRef& a, const StepRef& b)
     {
         return std::tie(a.occurrence, a.step) < std::tie(b.occurrence, b.step);
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -247,10 +247,11 @@
 
 void Cell::storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices)
 {
-    const Resources demand = demandOf(job.stepSpec(ref));
+    const StepSpec& spec = job.stepSpec(ref);
+    const Resources demand = demandOf(spec);
     CellStep& step = job.step(ref);
     uint32_t run = 0;
-    if (job.stepSpec(ref).isGang) {
+    if (spec.isGang) {
         for (const CellTask& task : step.tasks)
             run = std::max(run, task.run);
     }
@@ -262,7 +263,7 @@
         task.worker = choice.worker->listed.incarnation.id;
         task.workerStarted = choice.worker->startedUnixMillis;
         runs.push_back({ { job.spec.id, ref.occurrence, ref.step, choice.index }, task.run });
-        choice.worker->allocate(runs.back(), demand);
+        choice.worker->allocate(runs.back(), demand, spec.isService);
     }
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -1,6 +1,5 @@
 /** \file
- * The part of Cell that decides which steps are looked at in a placement round, and which capacity is withheld for
- * gangs.
+ * The part of Cell that decides which steps are looked at in a placement round.
  */
 
 #include "Cell.h"
@@ -25,9 +24,6 @@
     constexpr size_t skippedStepCost = 1;
     /** Steps that a pass from the front does not get to are passed over in turn at this interval. */
     constexpr absl::Duration continuationDelay = absl::Milliseconds(50);
-    /** Waiting gangs may reserve free capacity on at most this share of the workers. */
-    constexpr double maxReservedShare = 0.15;
-    constexpr absl::Duration reservationDelay = absl::Milliseconds(300);
 
 } // namespace
 
@@ -123,76 +119,4 @@
     m_ready.insert(rankOf(*job, rank.ref));
 }
 
-void Cell::Reservation::hold() const
-{
-    for (const auto& [worker, freeCapacity] : freeCapacities)
-        worker->reserved = worker->reserved + freeCapacity;
-}
-
-void Cell::Reservation::release() const
-{
-    for (const auto& [worker, freeCapacity] : freeCapacities)
-        worker->reserved = worker->reserved - freeCapacity;
-}
-
-std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<Rank>& ranks)
-{
-    const auto maxReserved = static_cast<size_t>(static_cast<double>(m_workers.size()) * maxReservedShare);
-    const Instant now = m_parts.timers.clock().now();
-    std::vector<Reservation> reservations;
-    size_t reserved = 0;
-    for (const Rank& rank : ranks) {
-        if (reserved >= maxReserved)
-            break;
-        CellJob* job = findJob(rank.job);
-        if (!job || !job->stepSpec(rank.ref).isGang || now - job->step(rank.ref).readyAt < reservationDelay)
-            continue;
-        Reservation reservation = reserveFor(*job, rank, maxReserved - reserved);
-        if (reservation.freeCapacities.empty())
-            continue;
-        reserved += reservation.freeCapacities.size();
-        reservation.hold();
-        reservations.push_back(std::move(reservation));
-    }
-    return reservations;
-}
-
-Cell::Reservation Cell::reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers)
-{
-    const StepSpec& spec = job.stepSpec(rank.ref);
-    const CellStep& step = job.step(rank.ref);
-    const Instant now = m_parts.timers.clock().now();
-    std::vector<CellWorker*> eligible;
-    for (const auto& [id, entry] : step.advice.allowed) {
-        if (entry.worker->isUsable(now))
-            eligible.push_back(entry.worker);
-    }
-    if (!policyOf(job).advice.isNeeded)
-        eligible = candidates(job, spec);
-    // Workers with the most free processors are likely to have enough capacity first.
-    std::sort(eligible.begin(), eligible.end(), [](const CellWorker* a, const CellWorker* b) {
-        return std::make_tuple(-a->free().cpuMillis, absl::string_view(a->listed.incarnation.id))
-            < std::make_tuple(-b->free().cpuMillis, absl::string_view(b->listed.incarnation.id));
-    });
-    Reservation reservation { &rank, {} };
-    const Resources demand = demandOf(spec);
-    uint64_t remaining = step.tasks.size();
-    for (CellWorker* worker : eligible) {
-        if (remaining == 0 || reservation.freeCapacities.size() == maxWorkers)
-            break;
-        const uint64_t tasks = std::min(remaining, countFittingTasks(demand, worker->listed.capacity));
-        const Resources free = worker->free();
-        const auto count = static_cast<int64_t>(tasks);
-        reservation.freeCapacities.emplace_back(worker,
-            Resources { std::max<int64_t>(0, std::min(free.cpuMillis, demand.cpuMillis * count)),
-                std::max<int64_t>(0, std::min(free.memoryMiB, demand.memoryMiB * count)),
-                std::max<int64_t>(0, std::min(free.accelerators, demand.accelerators * count)) });
-        remaining -= tasks;
-    }
-    // A gang that can't fit even on all these workers would block them for nothing.
-    if (remaining > 0)
-        reservation.freeCapacities.clear();
-    return reservation;
-}
-
 } // namespace cicada
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -91,8 +91,7 @@
     for (const CellWorker* worker : usableWorkers(query.service)) {
         if (!hasLabel(worker->listed, query.requiredLabel))
             continue;
-        const uint64_t fitting = countFittingTasks(query.demand, worker->free());
-        room += query.maxPerWorker > 0 ? std::min<uint64_t>(fitting, query.maxPerWorker) : fitting;
+        room += countFittingTasks(query.demand, worker->free(), query.maxPerWorker);
     }
     return room;
 }
@@ -135,7 +134,8 @@
     const absl::Duration stay = std::min(maxStay, minStay * (1 << std::min(job.transfers, 4U)));
     if (waited < noRoomDelay || now - job.arrivedAt < stay || now - job.searchedAt < m_searchInterval)
         return false;
-    if (!isTransferable(job))
+    // A gang for which room is being gathered here would begin anew elsewhere.
+    if (!isTransferable(job) || isExclusive(job.spec.id, ref))
         return false;
     const StepSpec& spec = job.stepSpec(ref);
     if (waited >= unplacedDelay || !hasRoomForTask(job, spec))
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -53,10 +53,13 @@
     failedSyncs = 0;
 }
 
-void CellWorker::allocate(const TaskRun& run, const Resources& demand)
+void CellWorker::allocate(const TaskRun& run, const Resources& demand, bool isOfService)
 {
-    if (allocations.try_emplace(run, RunAllocation { demand }).second)
-        used = used + demand;
+    if (!allocations.try_emplace(run, RunAllocation { demand, isOfService }).second)
+        return;
+    used = used + demand;
+    if (isOfService)
+        usedByServices = usedByServices + demand;
 }
 
 void CellWorker::release(const TaskRun& run)
@@ -65,11 +68,15 @@
     if (found == allocations.end())
         return;
     used = used - found->second.demand;
+    if (found->second.isOfService)
+        usedByServices = usedByServices - found->second.demand;
     allocations.erase(found);
 }
 
 Resources CellWorker::free() const { return listed.capacity - used - reserved; }
 
+Resources CellWorker::freeInTime() const { return listed.capacity - usedByServices; }
+
 bool CellWorker::isUsable(Instant now) const
 {
     return isListed && hasReplied && clock.isKnown() && !listed.isDraining && failedSyncs == 0 && suspendedUntil <= now;
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -60,6 +60,8 @@
 /** Capacity allocated to a run. */
 struct RunAllocation {
     Resources demand;
+    /** The run lasts until its job is cancelled, so its capacity does not become free by waiting. */
+    bool isOfService = false;
     /** When the worker replied to the start or a stop; a list requested later shows the run unless it has ended. */
     Instant visibleFrom = absl::InfiniteDuration();
     /** An earlier owner may have ordered the run. */
@@ -99,6 +101,8 @@
     WorkerClock clock;
     absl::flat_hash_map<TaskRun, RunAllocation> allocations;
     Resources used;
+    /** The part of `used` that services hold. */
+    Resources usedByServices;
     /** Capacity reserved for steps with a better rank, in the current placement round. */
     Resources reserved;
 
@@ -129,9 +133,11 @@
 
     /** Forgets what was known of the last incarnation, except the allocations, which may outlast it. */
     void beginIncarnation(Instant now);
-    void allocate(const TaskRun& run, const Resources& demand);
+    void allocate(const TaskRun& run, const Resources& demand, bool isOfService = false);
     void release(const TaskRun& run);
     Resources free() const;
+    /** What is free once all runs but those of services have ended. */
+    Resources freeInTime() const;
     bool isUsable(Instant now) const;
     /** Records that a start without a reply is given up now. */
     void recordUnanswered(const TaskRun& run, Instant now);
--- a/src/Workload.cpp
+++ b/src/Workload.cpp
@@ -102,4 +102,10 @@
     return static_cast<uint64_t>(count);
 }
 
+uint64_t countFittingTasks(const Resources& demand, const Resources& free, uint32_t maxPerWorker)
+{
+    const uint64_t fitting = countFittingTasks(demand, free);
+    return maxPerWorker > 0 ? std::min<uint64_t>(fitting, maxPerWorker) : fitting;
+}
+
 } // namespace cicada
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -106,6 +106,8 @@
 absl::string_view widthClass(uint32_t width);
 /** The number of tasks with this demand that fit into the free capacity. */
 uint64_t countFittingTasks(const Resources& demand, const Resources& free);
+/** As above, with at most `maxPerWorker` tasks on a worker; 0 for no limit. */
+uint64_t countFittingTasks(const Resources& demand, const Resources& free, uint32_t maxPerWorker);
 
 /** Checks a submission; the error names the field and the remedy. */
 Result<void> checkSubmission(const Submission&);
--- a/test/correctness/AdvisorSlotsTest.cpp
+++ b/test/correctness/AdvisorSlotsTest.cpp
@@ -47,12 +47,12 @@
     RecordingBus bus;
     AdvisorSlots slots { "self", advisor, bus, timers, log };
 
-    void request(absl::AnyInvocable<void(AdviceReply)> callback)
+    void request(absl::AnyInvocable<void(AdviceReply)> callback, absl::Duration expected = absl::Seconds(1))
     {
         AdviceRequest adviceRequest;
         adviceRequest.step.job = "job";
         adviceRequest.workers = { "w" };
-        slots.request(std::move(adviceRequest), absl::Seconds(1), std::move(callback));
+        slots.request(std::move(adviceRequest), expected, std::move(callback));
     }
 };
 
@@ -101,3 +101,13 @@
     }
     CHECK(first[0] != first[1]);
 }
+
+TEST(AdvisorSlots, shortRequestsThatWaitDoNotHoldBackALongOne)
+{
+    constexpr absl::Duration shortTime = absl::Milliseconds(20);
+    constexpr int shortRequests = 30;
+    for (int i = 0; i < shortRequests; ++i)
+        request([](const AdviceReply&) {}, shortTime);
+    CHECK(slots.waitingBefore(shortTime) > 0);
+    LONGS_EQUAL(0, slots.waitingBefore(absl::Seconds(1)));
+}
--- /dev/null
+++ b/test/correctness/WideStepsTest.cpp
@@ -0,0 +1,102 @@
+/** \file
+ * Gangs that need a large part of a cell's workers at the same moment.
+ */
+
+#include "CellWorld.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace cicada;
+using namespace cicada::test;
+
+namespace {
+
+/** The capacity of each worker of a CellWorld. */
+constexpr int64_t workerCpuMillis = 4000;
+
+Submission makeGang(const std::string& id, uint32_t tasks, int64_t cpuMillis)
+{
+    Submission job = makeJob(id, tasks, cpuMillis);
+    job.steps[0].isGang = true;
+    return job;
+}
+
+/** Hands in narrow jobs that together keep `workers` workers busy, for as long as `duration`. */
+void runBeside(CellWorld& world, int workers, absl::Duration duration, const std::string& prefix)
+{
+    constexpr absl::Duration interval = absl::Milliseconds(100);
+    // A task holds a quarter of a worker for 600 ms.
+    const int tasksPerInterval = workers * 4 / 6;
+    const int rounds = static_cast<int>(duration / interval);
+    for (int i = 0; i < rounds; ++i) {
+        world.submitOnce(static_cast<size_t>(i) % 3, makeJob(absl::StrCat(prefix, i), tasksPerInterval));
+        world.run(interval);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(WideSteps) { void startWorld(CellWorld & world, bool needsAdvice) { if (needsAdvice) world.policy().advice
+    = { true, absl::Milliseconds(10), absl::Milliseconds(0.1), absl::Seconds(2) };
+CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+world.run(absl::Seconds(1));
+}
+}
+;
+
+TEST(WideSteps, aGangThatNeedsTicketsOfSeveralRequestsStarts)
+{
+    // The policy service allows 160 of these workers, and answers for 100 of them in a request.
+    CellWorld world { 3, 240, 1 };
+    world.setCells(1);
+    startWorld(world, true);
+    world.submit(0, makeGang("gang", 150, workerCpuMillis));
+    CHECK(world.runUntil([&] { return world.startsOf("gang") == 150; }, absl::Seconds(6)));
+    STRCMP_EQUAL("", world.report().c_str());
+}
+
+TEST(WideSteps, narrowWorkThatKeepsArrivingDoesNotKeepAGangWaiting)
+{
+    for (const bool needsAdvice : { false, true }) {
+        CellWorld world { 3, 24, 1 };
+        startWorld(world, needsAdvice);
+        runBeside(world, 23, absl::Seconds(3), "before");
+        world.submit(0, makeGang("gang", 12, workerCpuMillis));
+        runBeside(world, 23, absl::Seconds(10), "beside");
+        LONGS_EQUAL(12, world.startsOf("gang"));
+        STRCMP_EQUAL("", world.report().c_str());
+    }
+}
+
+TEST(WideSteps, aGangThatServicesLeaveNoRoomForKeepsNothingFromNarrowWork)
+{
+    CellWorld world { 3, 24, 1 };
+    startWorld(world, false);
+    Submission service = makeJob("service", 13, 1000, absl::Minutes(10));
+    service.steps[0].isService = true;
+    service.steps[0].maxPerWorker = 1;
+    world.submit(0, service);
+    CHECK(world.runUntil([&] { return world.startsOf("service") == 13; }, absl::Seconds(2)));
+    world.submit(0, makeGang("gang", 12, workerCpuMillis));
+    world.run(absl::Seconds(2));
+    // All that the service leaves free, if nothing else holds it.
+    world.submit(0, makeJob("narrow", 83));
+    CHECK(world.runUntil([&] { return world.startsOf("narrow") == 83; }, absl::Seconds(1)));
+    LONGS_EQUAL(0, world.startsOf("gang"));
+    STRCMP_EQUAL("", world.report().c_str());
+}
+
+TEST(WideSteps, gangsThatWaitStartOneAfterTheOther)
+{
+    CellWorld world { 3, 24, 1 };
+    startWorld(world, true);
+    runBeside(world, 23, absl::Seconds(3), "before");
+    for (int i = 0; i < 3; ++i)
+        world.submit(static_cast<size_t>(i), makeGang(absl::StrCat("gang", i), 12, workerCpuMillis));
+    runBeside(world, 23, absl::Seconds(20), "beside");
+    for (int i = 0; i < 3; ++i)
+        LONGS_EQUAL(12, world.startsOf(absl::StrCat("gang", i)));
+    STRCMP_EQUAL("", world.report().c_str());
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -17,6 +17,7 @@
     constexpr absl::Duration replyTimeout = absl::Milliseconds(1200);
     constexpr absl::Duration orderTimeout = absl::Milliseconds(400);
     constexpr absl::Duration lateBy = absl::Milliseconds(3000);
+    constexpr size_t maxWorkersInAdvice = 100;
     constexpr absl::Duration linkDelay = absl::Milliseconds(2);
     constexpr absl::Duration linkSilence = AsioPeerLinks::linkTimeout;
 
@@ -419,6 +420,8 @@
 void CellWorld::Policy::request(
     const AdviceRequest& question, absl::Duration, absl::AnyInvocable<void(AdviceReply)> callback)
 {
+    if (question.workers.size() > maxWorkersInAdvice)
+        m_world.violate("an advice request names too many workers");
     AdviceReply answer;
     answer.isValid = true;
     answer.validity = absl::Seconds(2);
