A new owner reads jobs before their runs: a job that arrives meanwhile keeps them

Cause: a new owner listed the run records of its cell, then the job records. A transfer from another cell writes both at once. Committed between the two listings, it left a job without its runs, and all of them were ordered anew. The earlier suspicion, adoptJob(), has the same order of reads; it was not seen to do harm, as a caller or a notice leads there only after the transfer.

Fix: the job's record is read first, in both places. Runs read later are at least as new. A run record whose job isn't there yet is left to the notice of its arrival. A job of which adoptJob() finds one record only has left again, and is read again. The table of runs that wait for their job's record is gone.

Evidence: CellTransfers aJobThatArrivesWhileItsNewCellIsLoadedKeepsItsFinishedSteps failed before (4 starts instead of 2, "started after its end was acknowledged").

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -52,7 +52,8 @@
 void Cell::start()
 {
     m_parts.log.write("cell-taken", "cell", m_term.cell, "token", m_term.token);
-    load(runKey(""), "", [this] { load(jobKey(""), "", [this] { finishLoading(); }); });
+    // A job can arrive from another cell between the two, and then without its runs all of them would be ordered again.
+    load(jobKey(""), "", [this] { load(runKey(""), "", [this] { finishLoading(); }); });
 }
 
 void Cell::load(const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void()> then)
@@ -79,13 +80,10 @@
         }));
 }
 
-void Cell::loadRunRecord(const std::string& id, const StoreEntry& entry) { m_loadedRuns[id] = entry.value; }
-
 void Cell::loadJobRecord(const std::string& id, const StoreEntry& entry)
 {
     if (const auto cell = transferMarkOf(entry.value)) {
         m_marks[id] = { *cell, m_parts.timers.clock().now() };
-        m_loadedRuns.erase(id);
         return;
     }
     auto job = decodeJobRecord(id, entry.value);
@@ -93,29 +91,32 @@
         m_parts.log.write("job-record-unreadable", "job", id, "revision", entry.index, "error", job.error().message);
         return;
     }
-    const auto runs = m_loadedRuns.find(id);
-    if (runs != m_loadedRuns.end()) {
-        auto applied = applyRunRecord(*job.value(), runs->second);
+    m_jobs[id] = std::move(job.value());
+}
+
+void Cell::loadRunRecord(const std::string& id, const StoreEntry& entry)
+{
+    if (CellJob* job = findJob(id)) {
+        auto applied = applyRunRecord(*job, entry.value);
         if (!applied)
             m_parts.log.write("run-record-unreadable", "job", id, "error", applied.error().message);
-        m_loadedRuns.erase(runs);
+        return;
     }
-    m_jobs[id] = std::move(job.value());
+    if (transferMarkOf(entry.value))
+        return;
+    int64_t ended = 0;
+    auto phase = endedPhaseOf(entry.value, ended);
+    if (phase)
+        m_endedJobs[id] = { phase.value(), ended };
+    else
+        // A job that has arrived since the job records were read; the notice of its arrival is read next.
+        m_parts.log.write("run-record-without-job", "job", id, "error", phase.error().message);
 }
 
 void Cell::finishLoading()
 {
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
     const Instant now = m_parts.timers.clock().now();
-    for (const auto& [id, record] : m_loadedRuns) {
-        int64_t ended = 0;
-        auto phase = endedPhaseOf(record, ended);
-        if (phase)
-            m_endedJobs[id] = { phase.value(), ended };
-        else
-            m_parts.log.write("run-record-unreadable", "job", id, "error", phase.error().message);
-    }
-    m_loadedRuns.clear();
     size_t activeRuns = 0;
     for (auto& [id, job] : m_jobs) {
         job->acceptedAt = now - absl::Milliseconds(std::max<int64_t>(0, nowUnix - job->acceptedUnixMillis));
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -212,6 +212,7 @@
     void load(const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void()> then);
     void finishLoading();
     void loadJobRecord(const std::string& id, const StoreEntry& entry);
+    /** Applies a run record to its job, whose record has been read before it. */
     void loadRunRecord(const std::string& id, const StoreEntry& entry);
     std::optional<std::string> valueOf(const std::string& key) const;
     void runWhenLoaded(absl::AnyInvocable<void()> request);
@@ -381,7 +382,7 @@
     /** Reads the records of a job that may have arrived. `then` hears whether it is certain now that it has or has not.
      */
     void adoptJob(const std::string& id, absl::AnyInvocable<void(bool isCertain)> then);
-    void adoptRecords(const std::string& id, const StoreEntry& record, const std::optional<StoreEntry>& run);
+    void adoptRecords(const std::string& id, const StoreEntry& record, const StoreEntry& run);
     void readRecord(
         const std::string& key, absl::AnyInvocable<void(bool isRead, const std::optional<StoreEntry>&)> then);
     /** Calls `then` with `reply` if the job is here or nowhere, and replies otherwise. */
@@ -427,8 +428,6 @@
     std::vector<absl::AnyInvocable<void()>> m_requestsUntilLoaded;
     /** By queue: the share of workers named in advice requests that the policy service allowed. */
     absl::flat_hash_map<std::string, double> m_allowedShare;
-    /** Run records whose job record has not been read yet. */
-    absl::flat_hash_map<std::string, std::string> m_loadedRuns;
     absl::flat_hash_map<std::string, Transfer> m_transfers;
     absl::flat_hash_map<std::string, std::vector<absl::AnyInvocable<void()>>> m_requestsWhileMoving;
     absl::flat_hash_map<std::string, Mark> m_marks;
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -329,16 +329,19 @@
 {
     if (findJob(id) || m_endedJobs.contains(id))
         return then(true);
+    // The job's record first: runs read before it may be older than the transfer that brought the job.
     readRecord(
-        runKey(id), [this, id, then = std::move(then)](bool isRead, const std::optional<StoreEntry>& run) mutable {
-            if (!isRead)
-                return then(false);
-            readRecord(jobKey(id),
-                [this, id, run, then = std::move(then)](
-                    bool isJobRead, const std::optional<StoreEntry>& record) mutable {
-                    if (isJobRead && record && !transferMarkOf(record->value))
-                        adoptRecords(id, *record, run);
-                    then(isJobRead);
+        jobKey(id), [this, id, then = std::move(then)](bool isRead, const std::optional<StoreEntry>& record) mutable {
+            if (!isRead || !record || transferMarkOf(record->value))
+                return then(isRead);
+            readRecord(runKey(id),
+                [this, id, record, then = std::move(then)](
+                    bool isRunRead, const std::optional<StoreEntry>& run) mutable {
+                    // A job that has arrived has both records. Without one it has left again meanwhile.
+                    const bool isHere = isRunRead && run && !transferMarkOf(run->value);
+                    if (isHere)
+                        adoptRecords(id, *record, *run);
+                    then(isHere);
                 });
         });
 }
@@ -352,17 +355,15 @@
     }));
 }
 
-void Cell::adoptRecords(const std::string& id, const StoreEntry& record, const std::optional<StoreEntry>& run)
+void Cell::adoptRecords(const std::string& id, const StoreEntry& record, const StoreEntry& run)
 {
     // Another call may have read them meanwhile, and this owner may have changed them since.
     if (findJob(id) || m_endedJobs.contains(id))
         return;
     m_writer.setStoredRevision(record.key, record.index);
-    if (run) {
-        m_writer.setStoredRevision(run->key, run->index);
-        m_loadedRuns[id] = run->value;
-    }
+    m_writer.setStoredRevision(run.key, run.index);
     loadJobRecord(id, record);
+    loadRunRecord(id, run);
     CellJob* job = findJob(id);
     if (!job)
         return;
--- a/test/failure/CellTransfersTest.cpp
+++ b/test/failure/CellTransfersTest.cpp
@@ -2,7 +2,9 @@
  * Jobs that move to a cell with room, and what is kept while they do.
  */
 
+#include "CellJob.h"
 #include "CellWorld.h"
+#include "Pack.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -292,3 +294,30 @@
         POINTERS_EQUAL(nullptr, world->store().find(absl::StrCat("cicada/arrival/1/", id)));
     }
 }
+
+TEST(CellTransfers, aJobThatArrivesWhileItsNewCellIsLoadedKeepsItsFinishedSteps)
+{
+    Submission job = makeJob(CellWorld::jobIn(1, cells, 1), 2);
+    job.steps.push_back(job.steps.front());
+    job.steps[1].after = { 0 };
+    job.steps[1].requiredLabel = "no-worker-has-it";
+    world->submit(0, job);
+    CHECK(world->runUntil([&] { return world->startsOf(job.id) == 2; }, absl::Seconds(2)));
+    world->run(absl::Seconds(2));
+    // What the other cell's owner writes at once when it transfers the job.
+    Transaction transfer;
+    for (const char* kind : { "job", "run" }) {
+        const std::string key = absl::StrCat("cicada/", kind, "/1/", job.id);
+        transfer.writes.push_back({ key, *world->store().find(key), 0 });
+    }
+    transfer.writes.push_back({ absl::StrCat("cicada/arrival/1/", job.id), Internal::packFields(0U, 1), 0 });
+    const size_t former = world->ownerOf(1).value();
+    world->kill(former);
+    for (const char* kind : { "job", "run" })
+        world->store().put(absl::StrCat("cicada/", kind, "/1/", job.id), encodeTransferMark(0));
+    world->store().afterNextList({ "cicada/job/1/", "cicada/run/1/" }, [&] { world->store().transact(transfer); });
+    const size_t other = (former + 1) % world->entryCount();
+    CHECK(world->runUntil([&] { return world->ask(other, job.id).has_value(); }, absl::Seconds(8)));
+    world->run(absl::Seconds(4));
+    LONGS_EQUAL(2, world->startsOf(job.id));
+}
--- a/test/support/WorldStore.cpp
+++ b/test/support/WorldStore.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/match.h"
 
+#include <algorithm>
+
 namespace cicada::test {
 
 TransactionReply WorldStore::transact(const Transaction& transaction)
@@ -41,7 +43,7 @@
     return reply;
 }
 
-StorePage WorldStore::list(const std::string& prefix, const std::string& afterKey) const
+StorePage WorldStore::list(const std::string& prefix, const std::string& afterKey)
 {
     constexpr size_t pageSize = 50;
     StorePage page;
@@ -56,9 +58,19 @@
         }
         page.entries.push_back(it->second);
     }
+    if (std::find(m_awaitedPrefixes.begin(), m_awaitedPrefixes.end(), prefix) != m_awaitedPrefixes.end()) {
+        m_awaitedPrefixes.clear();
+        m_afterList();
+    }
     return page;
 }
 
+void WorldStore::afterNextList(std::vector<std::string> prefixes, absl::AnyInvocable<void()> action)
+{
+    m_awaitedPrefixes = std::move(prefixes);
+    m_afterList = std::move(action);
+}
+
 std::optional<std::vector<StoreChange>> WorldStore::changesSince(const std::string& prefix, uint64_t revision) const
 {
     if (revision < m_oldest)
--- a/test/support/WorldStore.h
+++ b/test/support/WorldStore.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/functional/any_invocable.h"
 
 #include <optional>
 #include <string>
@@ -26,7 +27,9 @@
     }
 
     TransactionReply transact(const Transaction&);
-    StorePage list(const std::string& prefix, const std::string& afterKey) const;
+    StorePage list(const std::string& prefix, const std::string& afterKey);
+    /** Does something once, right after the next listing of one of the prefixes has been read. */
+    void afterNextList(std::vector<std::string> prefixes, absl::AnyInvocable<void()> action);
     /** Changes after a revision, or nothing when they were dropped. */
     std::optional<std::vector<StoreChange>> changesSince(const std::string& prefix, uint64_t revision) const;
     uint64_t revision() const { return m_revision; }
@@ -54,6 +57,8 @@
     uint64_t m_revision = 1;
     uint64_t m_oldest = 0;
     uint64_t m_lastLease = 0;
+    std::vector<std::string> m_awaitedPrefixes;
+    absl::AnyInvocable<void()> m_afterList;
 };
 
 } // namespace cicada::test
