An owner reads its cell's row before it says that a job doesn't exist

Cause, as traced then: an entry that has lost its links to all others is superseded after 0.3 s. Until a write, a reply of a worker or 1.2 s tell it, it answered from memory, as its own lease in the store was fresh; the successor had accepted the job meanwhile.

Fix: such a reply waits for a read of the cell's row that was sent after the job was looked up. Replies that come meanwhile share the next read, so a cell has at most one in flight. If the row is another's, or the store doesn't answer, the request is sent again to the owner, as for any entry that doesn't own the cell.

Elsewhere: a cancel of a job that is not known is answered the same way and waits, too. "Moved" needs no read: the owner of the cell that it names replies.

Evidence: CellFailures anOwnerThatIsCutFromTheOthersDoesNotSayThatItsSuccessorsJobsDoNotExist failed before ("job0 was accepted and is said not to exist").

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -31,6 +31,10 @@
         for (Reply& reply : replies)
             reply({ CellOutcome::NotOwner });
     }
+    for (auto* replies : { &m_goneReplies, &m_confirmedReplies }) {
+        for (Reply& reply : *replies)
+            reply({ CellOutcome::NotOwner });
+    }
     for (auto& request : m_requestsUntilLoaded)
         request();
     for (auto& [id, requests] : m_requestsWhileMoving) {
@@ -275,7 +279,7 @@
             return located({ CellOutcome::Found, ended->second.first });
         const CellJob* job = findJob(id);
         if (!job || !job->isStored)
-            return located({ CellOutcome::Gone });
+            return replyGone(std::move(located));
         if (isEnded(job->storedPhase))
             return located({ CellOutcome::Found, job->storedPhase });
         located({ CellOutcome::Found, job->hasBegun ? JobPhase::Running : JobPhase::Queued });
@@ -303,7 +307,7 @@
         return reply({ CellOutcome::Cancelled });
     CellJob* job = findJob(id);
     if (!job)
-        return reply({ CellOutcome::Gone });
+        return replyGone(std::move(reply));
     if (!isEnded(job->phase))
         endJob(*job, JobPhase::Cancelled, "caller");
     if (isEnded(job->storedPhase))
@@ -311,6 +315,28 @@
     storeRuns(*job, [reply = std::move(reply)]() mutable { reply({ CellOutcome::Cancelled }); });
 }
 
+void Cell::replyGone(Reply reply)
+{
+    m_goneReplies.push_back(std::move(reply));
+    if (m_confirmedReplies.empty())
+        confirmGone();
+}
+
+void Cell::confirmGone()
+{
+    m_confirmedReplies = std::exchange(m_goneReplies, {});
+    readRecord(m_term.row, [this](bool isRead, const std::optional<StoreEntry>& row) {
+        const bool isOwner = isRead && row && row->index == m_term.token;
+        for (Reply& reply : std::exchange(m_confirmedReplies, {}))
+            reply({ isOwner ? CellOutcome::Gone : CellOutcome::NotOwner });
+        if (isRead && !isOwner)
+            return handleSuperseded("row-changed");
+        const bool isConfirming = !m_confirmedReplies.empty();
+        if (!isConfirming && !m_goneReplies.empty())
+            confirmGone();
+    });
+}
+
 void Cell::endJob(CellJob& job, JobPhase phase, absl::string_view cause)
 {
     job.phase = phase;
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -218,6 +218,10 @@
     void runWhenLoaded(absl::AnyInvocable<void()> request);
     void acceptJob(Submission, QueuePolicy, Reply);
     void cancelJob(const std::string& id, Reply);
+    /** Says that the job does not exist once a read of the cell's row, sent after the job was looked up, shows that
+     * this entry owns the cell; another owner may have accepted it otherwise. */
+    void replyGone(Reply);
+    void confirmGone();
     void storeJob(CellJob& job);
     /** Stores the job's runs; `done` is called once they are durable. */
     void storeRuns(CellJob& job, DurableWriter::Done done);
@@ -425,6 +429,9 @@
     /** Found in the current placement round. */
     UnmetDemands m_unmetDemands;
     absl::flat_hash_map<std::string, std::vector<Reply>> m_acceptReplies;
+    /** Replies that the job does not exist, and those of them for which the cell's row is being read. */
+    std::vector<Reply> m_goneReplies;
+    std::vector<Reply> m_confirmedReplies;
     std::vector<absl::AnyInvocable<void()>> m_requestsUntilLoaded;
     /** By queue: the share of workers named in advice requests that the policy service allowed. */
     absl::flat_hash_map<std::string, double> m_allowedShare;
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -311,6 +311,27 @@
     expectAllEnd();
 }
 
+TEST(CellFailures, anOwnerThatIsCutFromTheOthersDoesNotSayThatItsSuccessorsJobsDoNotExist)
+{
+    world.run(absl::Seconds(1));
+    const size_t first = owner();
+    // Neither a worker nor the store tells it that it has been superseded.
+    for (size_t i = 0; i < world.workers().size(); ++i)
+        world.cutFromOthers(i, other());
+    world.setStore(first, StoreMood::Silent);
+    world.cutPeers(first, true);
+    const std::string id = absl::StrCat("job", jobs);
+    submitSome(1, (first + 1) % world.entryCount());
+    CHECK(world.runUntil([&] { return world.isAccepted(id); }, absl::Seconds(6)));
+    world.ask(first, id);
+    CHECK(world.violations().empty());
+    for (WorldWorker& worker : world.workers())
+        worker.cutFrom.clear();
+    world.setStore(first, StoreMood::Well);
+    world.cutPeers(first, false);
+    expectAllEnd();
+}
+
 TEST(CellFailures, aWorkerIsRebornUnderItsId)
 {
     submitSome(25, other());
