Soak: each lane keeps its settings and logs in a folder of its own

Cause: settings and logs are named after the seed, and two lanes play seed 1 at the same time, in the same folder since the lanes keep their logs. An entry that reads the other lane's file, or half of it, ends at its start. The daemon is not at fault.

--- a/test/failure/Soak.sh
+++ b/test/failure/Soak.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # A short soak of the daemon as processes, with the seeds of test/soak/seeds.txt, some beside each other. Prints its own verdict.
+# Each lane has a folder of its own: settings and logs are named after the seed, which two lanes may play at once.
 set -u
 build=$1
 here=$(cd "$(dirname "$0")/../soak" && pwd)
@@ -8,12 +9,12 @@
 lanes=3
 lane() { # number: plays every third seed at ports of its own
     sed -n 's/^\([0-9][0-9]*\) .*/\1/p' "$here/seeds.txt" | awk -v l="$1" -v n=$lanes 'NR % n == l' | while read -r seed; do
-        "$build/cicada-soak" --node "$build/cicada-node" --first "$seed" --seconds 8 --port $((base + $1 * 400)) --keep "$work"
+        "$build/cicada-soak" --node "$build/cicada-node" --first "$seed" --seconds 8 --port $((base + $1 * 400)) --keep "$work/lane$1"
     done > "$work/lane$1.txt" 2>&1
 }
 for l in $(seq 0 $((lanes - 1))); do lane "$l" & done
 for seed in 1 2; do
-    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --cells 2 --seconds 12 --port $((base + lanes * 400)) --keep "$work"
+    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --cells 2 --seconds 12 --port $((base + lanes * 400)) --keep "$work/lane$lanes"
 done > "$work/lane$lanes.txt" 2>&1 &
 wait
 broken=$(grep -h 'BROKEN\|^seed [0-9]*: ' "$work"/lane*.txt | grep -v ', kept$')
