A gang keeps the room for which it requests tickets, and learns of workers once

Cause: tickets live for 2.5 s and a request takes 0.6 to 1.2 s. A gang asked again and again about the workers that it knew to allow it, and nothing kept their room meanwhile; when the tickets came, other work had it. Each request mixed renewals with new workers. The share of workers that a policy allows was estimated from all replies, renewals included, so it came out too high (shared leads: 0.49 to 0.67 for 0.35) and too few were asked. Another cell was taken to have room when it had just enough workers, though the policy allows a part of them. Change: (1) which workers allow a step does not change, so a gang asks each worker once for that, also while it can't start; (2) once all of it fits on allowed workers, it asks for tickets of just the chosen ones and keeps their capacity until the reply, on at most a quarter of the workers, one gang always; (3) AllowedShare counts first questions only; (4) a transfer needs room for the gang by that share; a gang that holds enough valid tickets stays. Workers of the tests now refuse expired tickets.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -9,6 +9,7 @@
  */
 
 #include "Advisor.h"
+#include "AllowedShare.h"
 #include "CellJob.h"
 #include "CellWorker.h"
 #include "DurableWriter.h"
@@ -288,8 +289,8 @@
     /** Whether all tasks of the gang would fit once the runs of others have ended. */
     bool canGatherRoom(CellJob& job, StepRef ref);
     uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis) const;
-    /** Requests advice until all tasks of the gang would fit on workers that are known to be allowed. */
-    void learnAllowedWorkers(CellJob& job, StepRef ref);
+    /** The capacity that the gang keeps while tickets are requested; empty for none. */
+    Reservation ticketReservationOf(CellJob& job, const Rank& rank);
 
     // CellWaits.cpp: why a ready step waits.
     StepRoom measureRoom(CellJob& job, StepRef ref);
@@ -299,20 +300,36 @@
     // CellAdvice.cpp: permission from the policy service.
     bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     bool canAskForAdvice(CellJob& job, StepRef ref);
+    /** Requests what a gang needs to start: tickets for workers that have room for all of it, or else knowledge of
+     * which workers are allowed. */
+    void requestGangAdvice(CellJob& job, StepRef ref, const std::vector<CellWorker*>& allowed);
+    /** Requests advice until twice what the gang needs, or so, would fit on workers that are known to be allowed. */
+    void learnAllowedWorkers(CellJob& job, StepRef ref);
+    /** Requests tickets for the chosen workers, and keeps their capacity for the gang until the reply. */
+    void requestTickets(CellJob& job, StepRef ref, absl::Span<const Choice> choices);
+    /** Whether the gang may keep capacity on this many workers. */
+    bool mayReserveForTickets(CellJob& job, StepRef ref, size_t workers);
     /** Usable workers that may run the step, as far as is known. */
     std::vector<CellWorker*> allowedWorkers(CellJob& job, StepRef ref);
+    /** Those of them for which a start that is decided now would carry a valid ticket. */
+    std::vector<CellWorker*> workersWithTicket(CellJob& job, StepRef ref);
     std::vector<CellWorker*> unqueriedWorkers(CellJob& job, StepRef ref);
     /** Usable workers that may run the step, and those about which nobody has been asked yet. */
     std::vector<CellWorker*> possibleWorkers(CellJob& job, StepRef ref);
     /** Asks which of the workers may run the step, until enough of them can be expected to take the wanted tasks. */
     void requestStepAdvice(
         CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, size_t wanted, RoomBasis basis);
+    /** Asks about all of the workers, in as few requests as possible. */
+    void sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers);
     /** The workers with what they could take of the step, those first that are best asked. */
     std::vector<AdviceCandidate> rankForAdvice(
         CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis);
     void sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers);
     void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& queried, Instant requestedAt,
         AdviceReply reply);
+    /** Takes over which of the workers are allowed, with their tickets. */
+    void recordAdvice(CellStep& step, const std::string& queue, absl::Span<const std::string> queried,
+        std::vector<Ticket> tickets, Instant validUntil);
 
     // CellRuns.cpp: orders to workers, their replies and the ends of runs.
     /** Orders starts whose intents were sent to the store at `intendedAt` and are durable now. */
@@ -369,6 +386,9 @@
     /** As roomFor(), whatever waits here. */
     uint64_t freeRoomFor(const RoomQuery& query);
     RoomQuery roomQueryOf(CellJob& job, const StepSpec& spec);
+    /** For how many tasks another cell needs room, so that the step can start there: the queue's policy allows only
+     * part of the workers. */
+    uint64_t roomNeededBy(CellJob& job, const StepSpec& spec);
     void searchRoom();
     /** Whether the step has waited long enough for room here that it may be sought elsewhere. */
     bool needsTransfer(CellJob& job, StepRef ref);
@@ -439,8 +459,8 @@
     std::vector<Reply> m_goneReplies;
     std::vector<Reply> m_confirmedReplies;
     std::vector<absl::AnyInvocable<void()>> m_requestsUntilLoaded;
-    /** By queue: the share of workers named in advice requests that the policy service allowed. */
-    absl::flat_hash_map<std::string, double> m_allowedShare;
+    /** By queue. */
+    absl::flat_hash_map<std::string, AllowedShare> m_allowedShares;
     absl::flat_hash_map<std::string, Transfer> m_transfers;
     absl::flat_hash_map<std::string, std::vector<absl::AnyInvocable<void()>>> m_requestsWhileMoving;
     absl::flat_hash_map<std::string, Mark> m_marks;
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -18,36 +18,37 @@
     /** The policy service accepts no more. */
     constexpr size_t maxWorkersPerRequest = 100;
     constexpr size_t minWorkersPerRequest = 8;
-    /** The share of workers that a queue's policy is assumed to allow before its first reply. */
-    constexpr double initialAllowedShare = 0.5;
-    constexpr double minAllowedShare = 0.05;
-    constexpr double shareWeight = 0.1;
     /** A request covers this many times the tasks that wait, as other steps may take some of the capacity meanwhile. */
     constexpr double spareFactor = 1.6;
     constexpr absl::Duration adviceRetryDelay = absl::Milliseconds(300);
     /** With this many requests waiting, a further one would be stale by the time its step gets capacity. */
     constexpr size_t maxWaitingAdviceRequests = 12;
+    /** How long beyond the service's own time a gang keeps its capacity for the reply with its tickets. */
+    constexpr absl::Duration ticketReplySlack = absl::Milliseconds(600);
+    /** Gangs that wait for tickets may keep capacity on this share of the workers; one may always. */
+    constexpr double maxTicketReservedShare = 0.25;
 
 } // namespace
 
 bool Cell::placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting)
 {
-    const Instant now = m_parts.timers.clock().now();
     CellStep& step = job.step(rank.ref);
     const std::vector<CellWorker*> allowed = allowedWorkers(job, rank.ref);
-    std::vector<CellWorker*> withTicket;
-    std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(withTicket), [&](const CellWorker* worker) {
-        return step.advice.allowed.at(worker->listed.incarnation.id).validUntil > now + ticketMargin;
-    });
+    const std::vector<CellWorker*> withTicket = workersWithTicket(job, rank.ref);
     std::vector<Choice> choices;
     if (job.isStored && chooseWorkersForStep(job, rank.ref, withTicket, choices)) {
         const bool isFullyPlaced = choices.size() == waiting;
+        step.advice.reservation.reset();
         storeIntent(job, rank.ref, choices);
         if (isFullyPlaced)
             return true;
     }
     if (!canAskForAdvice(job, rank.ref) || (!job.isStored && !withTicket.empty()))
         return false;
+    if (job.stepSpec(rank.ref).isGang) {
+        requestGangAdvice(job, rank.ref, allowed);
+        return false;
+    }
     // Send a request only when its reply could let a task start now.
     if (chooseWorkersForStep(job, rank.ref, allowed, choices)) {
         requestStepAdvice(job, rank.ref, allowed, choices.size(), RoomBasis::FreeNow);
@@ -59,6 +60,74 @@
     return false;
 }
 
+void Cell::requestGangAdvice(CellJob& job, StepRef ref, const std::vector<CellWorker*>& allowed)
+{
+    std::vector<Choice> choices;
+    if (job.isStored && chooseWorkersForStep(job, ref, allowed, choices))
+        return requestTickets(job, ref, choices);
+    const uint64_t needed = job.stepSpec(ref).taskCount;
+    const uint64_t free = roomOn(job.stepSpec(ref), allowed, RoomBasis::FreeNow);
+    const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, ref);
+    const uint64_t mayBeFree = roomOn(job.stepSpec(ref), unqueried, RoomBasis::FreeNow);
+    if (free < needed && free + mayBeFree >= needed)
+        return requestStepAdvice(job, ref, unqueried, needed - free, RoomBasis::FreeNow);
+    learnAllowedWorkers(job, ref);
+}
+
+void Cell::learnAllowedWorkers(CellJob& job, StepRef ref)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    if (!policyOf(job).advice.isNeeded || !canAskForAdvice(job, ref))
+        return;
+    const uint64_t known = roomOn(spec, allowedWorkers(job, ref), RoomBasis::InTime);
+    const auto wanted = static_cast<uint64_t>(spec.taskCount * spareFactor);
+    if (known >= wanted)
+        return;
+    const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, ref);
+    if (!unqueried.empty())
+        requestStepAdvice(job, ref, unqueried, wanted - known, RoomBasis::InTime);
+}
+
+bool Cell::mayReserveForTickets(CellJob& job, StepRef ref, size_t workers)
+{
+    if (isExclusive(job.spec.id, ref))
+        return true;
+    const Instant now = m_parts.timers.clock().now();
+    size_t reserved = 0;
+    for (const Rank& rank : m_ready) {
+        CellJob* other = rank.job == job.spec.id && rank.ref == ref ? nullptr : findJob(rank.job);
+        const auto* reservation = other ? &other->step(rank.ref).advice.reservation : nullptr;
+        if (reservation && *reservation && (*reservation)->until > now)
+            reserved += (*reservation)->tasksByWorker.size();
+    }
+    const double limit = static_cast<double>(m_workers.size()) * maxTicketReservedShare;
+    return reserved == 0 || static_cast<double>(reserved + workers) <= limit;
+}
+
+void Cell::requestTickets(CellJob& job, StepRef ref, absl::Span<const Choice> choices)
+{
+    StepAdvice& advice = job.step(ref).advice;
+    TicketReservation reservation;
+    std::vector<CellWorker*> workers;
+    for (const Choice& choice : choices) {
+        const auto entry = std::find(workers.begin(), workers.end(), choice.worker);
+        if (entry == workers.end()) {
+            workers.push_back(choice.worker);
+            reservation.tasksByWorker.emplace_back(choice.worker, 1);
+        } else {
+            ++reservation.tasksByWorker[entry - workers.begin()].second;
+        }
+    }
+    sendAdviceRequests(job, ref, workers);
+    if (!mayReserveForTickets(job, ref, workers.size()))
+        return;
+    const AdvicePolicy& policy = policyOf(job).advice;
+    const auto named = static_cast<double>(std::min(workers.size(), maxWorkersPerRequest));
+    reservation.until = m_parts.timers.clock().now() + policy.perCall + policy.perWorker * named + ticketReplySlack;
+    advice.reservation = std::move(reservation);
+    m_parts.metrics.count("cicada_ticket_reservations");
+}
+
 bool Cell::canAskForAdvice(CellJob& job, StepRef ref)
 {
     const CellStep& step = job.step(ref);
@@ -82,6 +151,17 @@
     return allowed;
 }
 
+std::vector<CellWorker*> Cell::workersWithTicket(CellJob& job, StepRef ref)
+{
+    const Instant validUntil = m_parts.timers.clock().now() + ticketMargin;
+    std::vector<CellWorker*> withTicket = allowedWorkers(job, ref);
+    const auto& entries = job.step(ref).advice.allowed;
+    const auto hasExpired
+        = [&](const CellWorker* worker) { return entries.at(worker->listed.incarnation.id).validUntil <= validUntil; };
+    withTicket.erase(std::remove_if(withTicket.begin(), withTicket.end(), hasExpired), withTicket.end());
+    return withTicket;
+}
+
 std::vector<CellWorker*> Cell::unqueriedWorkers(CellJob& job, StepRef ref)
 {
     std::vector<CellWorker*> unqueried;
@@ -136,8 +216,7 @@
 void Cell::requestStepAdvice(
     CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, size_t wanted, RoomBasis basis)
 {
-    const double share
-        = std::max(minAllowedShare, m_allowedShare.try_emplace(policyOf(job).queue, initialAllowedShare).first->second);
+    const double share = m_allowedShares[policyOf(job).queue].estimate();
     const double neededTasks = static_cast<double>(wanted) * spareFactor;
     double expectedTasks = 0;
     std::vector<CellWorker*> asked;
@@ -151,12 +230,17 @@
         const auto tasks = static_cast<double>(std::min<uint64_t>(wanted, candidate.placeable));
         expectedTasks += tasks * (candidate.isAllowed ? 1 : share);
     }
+    sendAdviceRequests(job, ref, asked);
+}
+
+void Cell::sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers)
+{
     // Tickets expire soon, so those that are needed together are requested at once.
-    const size_t requests = (asked.size() + maxWorkersPerRequest - 1) / maxWorkersPerRequest;
+    const size_t requests = (workers.size() + maxWorkersPerRequest - 1) / maxWorkersPerRequest;
     for (size_t i = 0; i < requests; ++i) {
-        const size_t first = asked.size() * i / requests;
-        const size_t end = asked.size() * (i + 1) / requests;
-        sendAdviceRequest(job, ref, absl::MakeConstSpan(asked).subspan(first, end - first));
+        const size_t first = workers.size() * i / requests;
+        const size_t end = workers.size() * (i + 1) / requests;
+        sendAdviceRequest(job, ref, workers.subspan(first, end - first));
     }
 }
 
@@ -167,6 +251,7 @@
     for (const CellWorker* worker : workers)
         adviceRequest.workers.push_back(worker->listed.incarnation.id);
     ++job.step(ref).advice.requestsInFlight;
+    ++job.step(ref).advice.requests;
     m_parts.metrics.count("cicada_advice_questions");
     const absl::Duration expected
         = policy.advice.perCall + policy.advice.perWorker * static_cast<double>(workers.size());
@@ -188,25 +273,45 @@
         return;
     const Instant now = m_parts.timers.clock().now();
     if (!reply.isValid) {
+        step.advice.reservation.reset();
         step.notBefore = std::max(step.notBefore, now + adviceRetryDelay);
         m_parts.timers.after(adviceRetryDelay, guarded([this] { schedulePlacement(); }));
         return;
     }
     const QueuePolicy& policy = policyOf(*job);
     const absl::Duration validity = reply.validity > absl::ZeroDuration() ? reply.validity : policy.advice.validity;
-    for (const std::string& worker : queried)
-        step.advice.queried.insert(worker);
-    for (Ticket& ticket : reply.tickets)
-        if (CellWorker* worker = findWorker(ticket.worker))
-            step.advice.allowed[ticket.worker] = { worker, std::move(ticket.text), now + validity };
-    double& share = m_allowedShare.try_emplace(policy.queue, initialAllowedShare).first->second;
-    const double observedShare = static_cast<double>(reply.tickets.size()) / std::max<double>(1, queried.size());
-    share += (observedShare - share) * shareWeight;
+    const size_t tickets = reply.tickets.size();
+    recordAdvice(step, policy.queue, queried, std::move(reply.tickets), now + validity);
     m_parts.log.write("advice-taken", "job", id, "occurrence", ref.occurrence, "step", ref.step, "asked",
-        queried.size(), "allowed", reply.tickets.size(), "validMs", absl::ToInt64Milliseconds(validity), "tookMs",
+        queried.size(), "allowed", tickets, "validMs", absl::ToInt64Milliseconds(validity), "tookMs",
         absl::ToInt64Milliseconds(now - requestedAt));
     m_parts.metrics.observe("cicada_advice_ms", absl::ToDoubleMilliseconds(now - requestedAt));
     schedulePlacement();
 }
 
+void Cell::recordAdvice(CellStep& step, const std::string& queue, absl::Span<const std::string> queried,
+    std::vector<Ticket> tickets, Instant validUntil)
+{
+    absl::flat_hash_set<std::string> refused;
+    size_t asked = 0;
+    for (const std::string& worker : queried) {
+        refused.insert(worker);
+        asked += step.advice.queried.insert(worker).second ? 1 : 0;
+    }
+    size_t allowed = 0;
+    for (Ticket& ticket : tickets) {
+        refused.erase(ticket.worker);
+        CellWorker* worker = findWorker(ticket.worker);
+        if (!worker)
+            continue;
+        const auto [entry, isNew] = step.advice.allowed.try_emplace(ticket.worker);
+        entry->second = { worker, std::move(ticket.text), validUntil };
+        allowed += isNew ? 1 : 0;
+    }
+    // A worker that was allowed may have started again as another kind.
+    for (const std::string& worker : refused)
+        step.advice.allowed.erase(worker);
+    m_allowedShares[queue].add(asked, allowed);
+}
+
 } // namespace cicada
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -64,7 +64,14 @@
 
 struct CellWorker;
 
-/** The policy service's replies for one step. */
+/** Capacity that a gang keeps on the workers chosen for it while tickets for them are requested. */
+struct TicketReservation {
+    /** Each worker with the number of tasks that it is to run. */
+    std::vector<std::pair<CellWorker*, uint32_t>> tasksByWorker;
+    Instant until = absl::ZeroDuration();
+};
+
+/** The policy service's replies for one step. Which workers it allows does not change; tickets expire. */
 struct StepAdvice {
     struct Allowed {
         CellWorker* worker = nullptr;
@@ -76,6 +83,9 @@
     /** By the worker's id; ordered, which keeps placement deterministic. */
     absl::btree_map<std::string, Allowed> allowed;
     absl::flat_hash_set<std::string> queried;
+    /** How many requests were sent for the step. */
+    uint32_t requests = 0;
+    std::optional<TicketReservation> reservation;
 };
 
 /** State of one step of one occurrence. */
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -52,16 +52,25 @@
         reservation.hold();
         reservations.push_back(std::move(reservation));
     };
+    absl::flat_hash_set<const Rank*> served;
+    for (const Rank& rank : ranks) {
+        CellJob* job = findJob(rank.job);
+        Reservation reservation = job ? ticketReservationOf(*job, rank) : Reservation();
+        if (reservation.freeCapacities.empty())
+            continue;
+        served.insert(&rank);
+        hold(std::move(reservation));
+    }
     const auto exclusive = std::find_if(
         ranks.begin(), ranks.end(), [this](const Rank& rank) { return isExclusive(rank.job, rank.ref); });
-    if (exclusive != ranks.end())
+    if (exclusive != ranks.end() && served.insert(&*exclusive).second)
         hold(reserveFor(*findJob(exclusive->job), *exclusive, m_workers.size()));
     size_t reserved = 0;
     for (const Rank& rank : ranks) {
         if (reserved >= maxReserved)
             break;
         CellJob* job = findJob(rank.job);
-        if (!job || isExclusive(rank.job, rank.ref) || !job->stepSpec(rank.ref).isGang
+        if (!job || served.contains(&rank) || !job->stepSpec(rank.ref).isGang
             || now - job->step(rank.ref).readyAt < reservationDelay)
             continue;
         Reservation reservation = reserveFor(*job, rank, maxReserved - reserved);
@@ -204,17 +213,20 @@
     return roomOn(spec, possibleWorkers(job, ref), RoomBasis::InTime) >= spec.taskCount;
 }
 
-void Cell::learnAllowedWorkers(CellJob& job, StepRef ref)
+Cell::Reservation Cell::ticketReservationOf(CellJob& job, const Rank& rank)
 {
-    const StepSpec& spec = job.stepSpec(ref);
-    if (!policyOf(job).advice.isNeeded || !canAskForAdvice(job, ref))
-        return;
-    const uint64_t known = roomOn(spec, allowedWorkers(job, ref), RoomBasis::InTime);
-    if (known >= spec.taskCount)
-        return;
-    const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, ref);
-    if (!unqueried.empty())
-        requestStepAdvice(job, ref, unqueried, spec.taskCount - known, RoomBasis::InTime);
+    Reservation reservation { &rank, {} };
+    const auto& tickets = job.step(rank.ref).advice.reservation;
+    if (!tickets || tickets->until <= m_parts.timers.clock().now())
+        return reservation;
+    const Resources demand = demandOf(job.stepSpec(rank.ref));
+    for (const auto& [worker, tasks] : tickets->tasksByWorker) {
+        Resources held;
+        for (uint32_t i = 0; i < tasks; ++i)
+            held = held + demand;
+        reservation.freeCapacities.emplace_back(worker, held);
+    }
+    return reservation;
 }
 
 } // namespace cicada
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -17,6 +17,7 @@
 #include "Pack.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cicada {
 
@@ -98,8 +99,15 @@
 
 RoomQuery Cell::roomQueryOf(CellJob& job, const StepSpec& spec)
 {
-    return { policyOf(job).service, spec.requiredLabel, demandOf(spec), spec.isGang ? spec.taskCount : 1,
-        spec.maxPerWorker };
+    return { policyOf(job).service, spec.requiredLabel, demandOf(spec), roomNeededBy(job, spec), spec.maxPerWorker };
+}
+
+uint64_t Cell::roomNeededBy(CellJob& job, const StepSpec& spec)
+{
+    if (!spec.isGang)
+        return 1;
+    const double share = policyOf(job).advice.isNeeded ? m_allowedShares[policyOf(job).queue].estimate() : 1;
+    return static_cast<uint64_t>(std::ceil(spec.taskCount / share));
 }
 
 void Cell::searchRoom()
@@ -149,7 +157,8 @@
     const CellStep& step = job.step(ref);
     if (!spec.isGang || !policyOf(job).advice.isNeeded)
         return false;
-    if (step.advice.requestsInFlight > 0)
+    if (step.advice.requestsInFlight > 0
+        || roomOn(spec, workersWithTicket(job, ref), RoomBasis::InTime) >= spec.taskCount)
         return true;
     return !step.advice.queried.empty()
         && roomOn(spec, possibleWorkers(job, ref), RoomBasis::FreeNow) >= spec.taskCount;
--- a/test/correctness/WideStepsTest.cpp
+++ b/test/correctness/WideStepsTest.cpp
@@ -126,3 +126,26 @@
         STRCMP_EQUAL("", world.report().c_str());
     }
 }
+
+TEST(WideSteps, workThatArrivesDuringARequestForTicketsDoesNotTakeTheRoomOfTheGang)
+{
+    CellWorld world { 3, 240, 1 };
+    world.setCells(1);
+    startWorld(world, false);
+    world.setAdviceDelay(absl::Milliseconds(700));
+    world.setTicketValidity(absl::Seconds(1));
+    QueuePolicy gangs = world.policy();
+    gangs.advice = { true, absl::Milliseconds(700), absl::ZeroDuration(), absl::Seconds(1) };
+    constexpr int gangCount = 8;
+    for (int i = 0; i < gangCount; ++i) {
+        const std::string id = absl::StrCat("gang", i);
+        world.setQueueOf(id, gangs);
+    }
+    runBeside(world, 225, absl::Seconds(2), "before");
+    for (int i = 0; i < gangCount; ++i)
+        world.submit(static_cast<size_t>(i) % 3, makeGang(absl::StrCat("gang", i), 20, workerCpuMillis));
+    runBeside(world, 225, absl::Seconds(15), "beside");
+    for (int i = 0; i < gangCount; ++i)
+        LONGS_EQUAL(20, world.startsOf(absl::StrCat("gang", i)));
+    STRCMP_EQUAL("", world.report().c_str());
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -229,7 +229,7 @@
               { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
-              [&world](const std::string&) { return &world.m_policy; } })
+              [&world](const std::string& queue) { return &world.policyOfJob(queue); } })
     {
     }
     std::string name;
@@ -424,7 +424,9 @@
         m_world.violate("an advice request names too many workers");
     AdviceReply answer;
     answer.isValid = true;
-    answer.validity = absl::Seconds(2);
+    answer.validity = m_world.m_ticketValidity;
+    const std::string ticket
+        = absl::StrCat(absl::ToInt64Milliseconds(m_world.now() + m_world.m_adviceDelay + answer.validity));
     // Every worker but one in three is allowed, the same ones each time for a step.
     const size_t draw = std::hash<std::string>()(absl::StrCat(question.step.job, question.step.step));
     for (size_t i = 0; i < m_world.m_workers.size(); ++i) {
@@ -432,7 +434,7 @@
         const bool isAsked
             = std::find(question.workers.begin(), question.workers.end(), worker) != question.workers.end();
         if (isAsked && (i + draw) % 3 != 0)
-            answer.tickets.push_back({ worker, "ticket" });
+            answer.tickets.push_back({ worker, ticket });
     }
     m_entry.timers.after(
         m_world.m_adviceDelay, [answer, callback = std::move(callback)]() mutable { callback(std::move(answer)); });
@@ -699,11 +701,12 @@
     WorldEntry* at = m_entries[entry].get();
     if (!at || !at->isAlive)
         return;
-    at->host.gateway().submit(job, m_policy, absl::Milliseconds(2800), [this, id = job.id](GatewayReply reply) {
-        m_answers[id].push_back(reply.status);
-        if (reply.status == GatewayStatus::Accepted)
-            m_accepted.insert(id);
-    });
+    at->host.gateway().submit(
+        job, policyOfJob(job.id), absl::Milliseconds(2800), [this, id = job.id](GatewayReply reply) {
+            m_answers[id].push_back(reply.status);
+            if (reply.status == GatewayStatus::Accepted)
+                m_accepted.insert(id);
+        });
 }
 
 void CellWorld::submit(size_t entry, const Submission& job)
@@ -806,6 +809,18 @@
     return found == m_jobs.end() ? 0 : found->second.maxOnOne;
 }
 
+void CellWorld::setQueueOf(const std::string& job, QueuePolicy policy)
+{
+    policy.queue = job;
+    m_policiesOfJobs[job] = std::move(policy);
+}
+
+const QueuePolicy& CellWorld::policyOfJob(const std::string& job) const
+{
+    const auto found = m_policiesOfJobs.find(job);
+    return found == m_policiesOfJobs.end() ? m_policy : found->second;
+}
+
 Submission makeJob(const std::string& id, uint32_t tasks, int64_t cpuMillis, absl::Duration estimate)
 {
     Submission job;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -155,8 +155,12 @@
     size_t entryCount() const { return m_entries.size(); }
     Instant now() const { return m_clock.now(); }
     QueuePolicy& policy() { return m_policy; }
+    /** Puts the job, which is handed in later, into a queue of its own, which has this policy otherwise. */
+    void setQueueOf(const std::string& job, QueuePolicy policy);
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
+    /** How long tickets are valid from the policy service's answer on. */
+    void setTicketValidity(absl::Duration validity) { m_ticketValidity = validity; }
     Instant lastStartAt() const { return m_lastStartAt; }
     size_t startsOf(const std::string& job) const;
     /** Most workers that a step of the job ran on with more than so many tasks at once. */
@@ -189,6 +193,7 @@
         size_t maxOnOne = 0;
     };
 
+    const QueuePolicy& policyOfJob(const std::string& job) const;
     void retrySubmit(size_t entry, const Submission& job);
     void violate(const std::string& what);
     int64_t clockOf(const WorldWorker&) const;
@@ -221,7 +226,10 @@
     std::vector<std::unique_ptr<WorldEntry>> m_dead;
     absl::btree_set<size_t> m_far;
     QueuePolicy m_policy;
+    /** Policies of queues that hold one job, by its id, which is also the queue's name. */
+    absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
+    absl::Duration m_ticketValidity = absl::Seconds(2);
     absl::btree_map<std::string, Job> m_jobs;
     absl::btree_set<std::string> m_accepted;
     absl::btree_set<std::string> m_sawEnd;
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -7,6 +7,7 @@
 
 #include "Job.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -69,7 +70,10 @@
         return reply;
     }
     const StepSpec& step = job.spec.steps[run.task.step];
-    if (policy().advice.isNeeded && order.ticket.empty()) {
+    int64_t ticketEnd = 0;
+    const bool isTicketValid
+        = absl::SimpleAtoi(order.ticket, &ticketEnd) && absl::ToInt64Milliseconds(now()) <= ticketEnd;
+    if (policyOfJob(run.task.job).advice.isNeeded && !isTicketValid) {
         reply.status = OrderStatus::NoTicket;
         return reply;
     }
