Dispatcher: waiting requests, grants and service state have files of their own

WaitingRequests is the table of waiting requests with the place requests in flight; DispatcherPlacing.cpp and DispatcherPeers.cpp are parts of the class. The names of the messages stand in PlacementMessages.h only. No behaviour changes.

--- a/src/Dispatcher.h
+++ b/src/Dispatcher.h
@@ -14,12 +14,8 @@
 #include "RequestNumbers.h"
 #include "RunTimes.h"
 #include "SlotLedger.h"
+#include "WaitingRequests.h"
 
-#include "absl/container/btree_set.h"
-#include "absl/container/flat_hash_map.h"
-#include "absl/functional/any_invocable.h"
-
-#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -28,34 +24,7 @@
 namespace cicada {
 
 class LoadReporter;
-
-/** The parts of a request that its placement depends on. */
-struct WorkItem {
-    std::string requestId;
-    std::string service;
-    Profile profile;
-    /** The size of the body, which is what sending the request to another region costs. */
-    uint64_t bodyBytes = 0;
-    /** Arrival time. The wait bound counts from here even if the request is placed again; zero means now. */
-    Instant arrivedAt = absl::ZeroDuration();
-};
-
-/** Permission to send one start to an executor, once. */
-struct StartGrant {
-    uint64_t id = 0;
-    /** The entry whose ledger holds the slot. */
-    std::string owner;
-    std::string executor;
-    Endpoint address;
-    uint64_t epoch = 0;
-    /** On this process's clock; the start must not be sent after it. */
-    Instant startBy = absl::ZeroDuration();
-    /** The service and the profile of the run. */
-    std::string service {};
-    std::string profile {};
-    bool isLong = false;
-    absl::Duration maxRun = absl::InfiniteDuration();
-};
+struct ServiceState;
 
 /** The configuration of a dispatcher. */
 struct DispatcherOptions {
@@ -84,7 +53,7 @@
 /** Queues requests and finds slots for them. Used on the decision thread only. */
 class Dispatcher {
 public:
-    using Decision = absl::AnyInvocable<void(Result<StartGrant>)>;
+    using Decision = PlacementDecision;
 
     /** All arguments must outlive the dispatcher. `maxQueued` bounds the number of waiting requests. */
     Dispatcher(std::string self, const BackEnds&, SlotLedger&, PeerBus&, const Clock&, size_t maxQueued,
@@ -114,10 +83,6 @@
     static constexpr absl::Duration minCrossRegionWait = absl::Milliseconds(80);
 
 private:
-    struct Waiting;
-    struct ServiceState;
-    using WaitingPtr = std::unique_ptr<Waiting>;
-
     Result<void> checkPlaceable(const WorkItem& item) const;
     AdmissionInput admissionInputFor(const WorkItem& item, const QueuedRequest& request, ServiceState& state) const;
     Result<void> checkAdmissible(const WorkItem& item, const AdmissionInput& input) const;
@@ -127,25 +92,30 @@
     void dispatch(const std::string& service);
     bool placeNext(const std::string& service, ServiceState& state);
     bool placeLocally(uint64_t ticket, ServiceState& state);
+    /** Notes a run that is given a slot, to find out when it has become a long one. */
+    void trackRun(const SlotGrant& slot, const std::string& service, const std::string& profile,
+        absl::Duration declaredRun, bool isLong);
     bool requestPeerSlot(uint64_t ticket, ServiceState& state);
-    std::vector<PeerCandidate> candidatePeersFor(const Waiting& waiting, const ServiceState& state) const;
+    std::vector<PeerCandidate> candidatePeersFor(const WaitingRequest& waiting, const ServiceState& state) const;
     bool mayStart(absl::string_view service, bool isLong, const ServiceState& state) const;
 
     uint32_t freeLocalSlots(absl::string_view service, bool isLong, const ServiceState& state) const;
     absl::Duration estimateWait(
         absl::string_view service, const QueuedRequest& request, const ServiceState& state) const;
 
-    WaitingPtr removeWaiting(uint64_t ticket);
     void rejectWaiting(uint64_t ticket, const Error& error);
     void completeWithGrant(uint64_t ticket, StartGrant grant, bool isAcrossRegions);
     void expireRequests(Instant now);
     void expirePlaceRequests(Instant now);
     bool isInOtherRegion(absl::string_view executor, absl::string_view owner) const;
 
+    void listenToPeers();
     void finishLocalRun(uint64_t grantId, const RunReport& report);
     void handleLoadDigest(absl::string_view from, absl::string_view bytes);
     void handlePlaceDone(absl::string_view bytes);
     void handlePlaceRequest(absl::string_view from, absl::string_view bytes);
+    /** Takes a slot for the peer and enters it into the reply, if there is one. */
+    void grantSlot(absl::string_view peer, const PlaceRequest& placeRequest, PlaceReply& reply);
     void handlePlaceReply(absl::string_view from, absl::string_view bytes);
     void reportLoad(Instant now);
 
@@ -166,12 +136,7 @@
     /** A map with stable iterators, because a decision callback may submit a request for a new service during
      * iteration. */
     std::map<std::string, std::unique_ptr<ServiceState>> m_services;
-    absl::flat_hash_map<uint64_t, WaitingPtr> m_waiting;
-    absl::flat_hash_map<std::string, uint64_t> m_byRequest;
-    absl::btree_set<std::pair<Instant, uint64_t>> m_deadlines;
-    /** Tickets by place request id, and the place requests in the order in which they were sent. */
-    absl::flat_hash_map<uint64_t, uint64_t> m_placeRequests;
-    std::deque<std::pair<Instant, uint64_t>> m_sentPlaceRequests;
+    WaitingRequests m_waiting;
     uint64_t m_nextTicket = 1;
     RequestNumbers m_placeRequestNumbers;
     Instant m_nextReconciliation = absl::ZeroDuration();
--- a/src/LoadReporter.cpp
+++ b/src/LoadReporter.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr absl::string_view loadService = "load";
     /** The approximate size in bytes that a frame adds to its payload: length, names, tags. */
     constexpr size_t frameOverhead = 40;
 
--- a/src/PlacementMessages.cpp
+++ b/src/PlacementMessages.cpp
@@ -34,16 +34,16 @@
 Result<PlaceRequest> decodePlaceRequest(absl::string_view bytes)
 {
     PlaceRequest m;
-    BOOST_OUTCOME_TRY(
-        unpackFields(bytes, "place-ask", m.askId, m.requestId, m.service, m.profile, m.isLong, m.expectedRunMicros));
+    BOOST_OUTCOME_TRY(unpackFields(
+        bytes, placeRequestService, m.askId, m.requestId, m.service, m.profile, m.isLong, m.expectedRunMicros));
     return m;
 }
 
 Result<PlaceReply> decodePlaceReply(absl::string_view bytes)
 {
     PlaceReply m;
-    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-reply", m.askId, m.granted, m.grantId, m.executor, m.address, m.epoch,
-        m.startWithinMicros, m.freeSlots, m.freeForLong));
+    BOOST_OUTCOME_TRY(unpackFields(bytes, placeReplyService, m.askId, m.granted, m.grantId, m.executor, m.address,
+        m.epoch, m.startWithinMicros, m.freeSlots, m.freeForLong));
     return m;
 }
 
@@ -52,7 +52,7 @@
     PlaceDone m;
     uint8_t verdict = 0;
     int64_t runMicros = 0;
-    BOOST_OUTCOME_TRY(unpackFields(bytes, "place-done", m.grantId, verdict, runMicros));
+    BOOST_OUTCOME_TRY(unpackFields(bytes, placeDoneService, m.grantId, verdict, runMicros));
     if (verdict > static_cast<uint8_t>(RunVerdict::Unused))
         return Error { ErrorKind::MalformedMessage, "A place-done message has an unknown verdict.",
             "Check that all entries run the same version." };
--- a/src/PlacementMessages.h
+++ b/src/PlacementMessages.h
@@ -16,6 +16,12 @@
 
 namespace cicada {
 
+/** The names under which peers receive the messages. */
+inline constexpr absl::string_view placeRequestService = "place-ask";
+inline constexpr absl::string_view placeReplyService = "place-reply";
+inline constexpr absl::string_view placeDoneService = "place-done";
+inline constexpr absl::string_view loadService = "load";
+
 /** Asks the owner of executors for a grant to start a request on one of them. */
 struct PlaceRequest {
     uint64_t askId = 0;
