--- a/src/JobController.h
+++ b/src/JobController.h
@@ -7,6 +7,7 @@
  */
 
 #include "ActiveJob.h"
+#include "EntryView.h"
 #include "JobRecords.h"
 #include "Ownership.h"
 #include "PeerBus.h"
@@ -14,7 +15,7 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
-#include "absl/container/flat_hash_set.h"
+#include "absl/container/flat_hash_map.h"
 #include "absl/functional/any_invocable.h"
 
 #include <functional>
@@ -101,25 +102,6 @@
         std::vector<uint32_t> tasks;
         std::vector<HeldTask> held;
     };
-    using RackRecoveries = absl::flat_hash_map<std::string, RackRecovery>;
-    /** The reports of one entry about one partition. */
-    struct PartitionView {
-        uint64_t epoch = 0;
-        uint64_t version = 0;
-        std::shared_ptr<const RackRecoveries> racks;
-    };
-    /** The reports of one entry. */
-    struct EntryView {
-        uint64_t session = 0;
-        uint64_t sequence = 0;
-        /** Sessions of earlier incarnations; late messages from them are dropped. */
-        absl::flat_hash_set<uint64_t> pastSessions;
-        bool ownsRacks = false;
-        Resources free;
-        Instant lastReportAt;
-        absl::flat_hash_map<uint32_t, PartitionView> partitions;
-        std::vector<RunId> forget;
-    };
 
     template <typename T>
     void handle(absl::string_view service, void (JobController::*handler)(const std::string&, const T&));
@@ -133,6 +115,7 @@
     void refreshRacks();
     std::string rackOwner(const std::string& rack) const;
     void sendSyncs();
+    JobSync syncFor(const std::string& entry, const EntryView& view) const;
     void sendTeams();
     void handleReport(const std::string& from, const JobReport&);
     void applyPartition(
