--- a/src/WorkerFleet.h
+++ b/src/WorkerFleet.h
@@ -11,6 +11,7 @@
 #include "Ownership.h"
 #include "TaskPlacement.h"
 #include "WorkerClient.h"
+#include "WorkerSuspension.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
@@ -92,9 +93,7 @@
         Instant nextSync;
         absl::flat_hash_set<RunId> runs;
         std::vector<RunId> forget;
-        int failuresInRow = 0;
-        Instant suspendedUntil;
-        absl::Duration suspension;
+        WorkerSuspension suspension;
     };
     struct Rack {
         uint64_t epoch = 0;
@@ -120,7 +119,9 @@
     void expireLeases(Worker& worker, Instant now);
     void sendStarts(Instant now);
     void sendStops(Instant now);
+    /** Returns false if it cannot be sent yet. */
     bool sendStart(Run& run, Instant now);
+    bool sendStop(Run& run, Instant now);
     void setState(Run& run, RunState state, const std::string& checkpoint = "");
     void recordRunEnd(Worker& worker, RunState state);
     void updateUsable(Worker& worker, Instant now);
