--- a/src/Authority.cpp
+++ b/src/Authority.cpp
@@ -18,11 +18,6 @@
     /** How long the watch is given to deliver the index of the own record before the store is read. */
     constexpr absl::Duration refreshInterval = absl::Milliseconds(300);
 
-    bool contains(absl::Span<const EntryId> ids, const EntryId& id)
-    {
-        return std::find(ids.begin(), ids.end(), id) != ids.end();
-    }
-
 } // namespace
 
 Authority::Authority(const Settings& settings, Store& store, PeerBus& peers, Membership& membership, ConfigWatch& watch,
--- a/src/Guardianship.cpp
+++ b/src/Guardianship.cpp
@@ -15,11 +15,6 @@
     /** Entries that may stand in for an ended guardian wait this long per rank, lest they all write at once. */
     constexpr absl::Duration delayPerRank = absl::Milliseconds(50);
 
-    bool contains(absl::Span<const EntryId> ids, const EntryId& id)
-    {
-        return std::find(ids.begin(), ids.end(), id) != ids.end();
-    }
-
 } // namespace
 
 Guardianship::Guardianship(const Settings& settings, Store& store, PeerBus& peers, Membership& membership,
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -74,30 +74,17 @@
 
 void JobGateway::submit(const Submission& spec, const QueuePolicy& policy, absl::Duration timeout, Callback callback)
 {
-    Request request;
-    request.verb = GatewayVerb::Submit;
-    request.subject = spec.id;
-    request.body = encodeSubmission(spec, policy);
-    request.callback = std::move(callback);
-    openRequest(std::move(request), timeout);
+    openRequest({ GatewayVerb::Submit, spec.id, encodeSubmission(spec, policy), std::move(callback) }, timeout);
 }
 
 void JobGateway::query(const std::string& job, absl::Duration timeout, Callback callback)
 {
-    Request request;
-    request.verb = GatewayVerb::Query;
-    request.subject = request.body = job;
-    request.callback = std::move(callback);
-    openRequest(std::move(request), timeout);
+    openRequest({ GatewayVerb::Query, job, job, std::move(callback) }, timeout);
 }
 
 void JobGateway::cancel(const std::string& job, absl::Duration timeout, Callback callback)
 {
-    Request request;
-    request.verb = GatewayVerb::Cancel;
-    request.subject = request.body = job;
-    request.callback = std::move(callback);
-    openRequest(std::move(request), timeout);
+    openRequest({ GatewayVerb::Cancel, job, job, std::move(callback) }, timeout);
 }
 
 void JobGateway::pending(const std::string& queue, absl::Duration timeout, Callback callback)
@@ -112,18 +99,14 @@
         return callback({ GatewayStatus::Unreached });
     auto sum = std::make_shared<Sum>(Sum { cells, { GatewayStatus::Counted }, std::move(callback) });
     for (uint32_t cell = 0; cell < cells; ++cell) {
-        Request request;
-        request.verb = GatewayVerb::Pending;
-        request.cell = cell;
-        request.subject = request.body = queue;
-        request.callback = [sum](GatewayReply reply) {
+        auto addReply = [sum](GatewayReply reply) {
             sum->reply.count += reply.count;
             if (reply.status != GatewayStatus::Counted)
                 sum->reply.status = reply.status;
             if (--sum->open == 0)
                 sum->callback(sum->reply);
         };
-        openRequest(std::move(request), timeout);
+        openRequest({ GatewayVerb::Pending, queue, queue, std::move(addReply), cell }, timeout);
     }
 }
 
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -80,19 +80,19 @@
 private:
     struct Request {
         GatewayVerb verb = GatewayVerb::Query;
-        uint32_t cell = 0;
         /** The job's id or the queue's name, for the log. */
         std::string subject;
         std::string body;
-        Instant openedAt;
+        Callback callback;
+        uint32_t cell = 0;
+        Instant openedAt {};
         Instant sentAt = absl::ZeroDuration() - absl::Hours(1);
-        std::string sentTo;
+        std::string sentTo {};
         bool wasSent = false;
         /** The cell that its home cell's owner has named, if any. */
-        std::optional<uint32_t> redirectedTo;
+        std::optional<uint32_t> redirectedTo {};
         /** The cell in which the job was not found although its home cell's owner had named it. */
-        std::optional<uint32_t> notFoundIn;
-        Callback callback;
+        std::optional<uint32_t> notFoundIn {};
     };
 
     void openRequest(Request request, absl::Duration timeout);
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -39,6 +39,11 @@
 
 } // namespace
 
+bool contains(absl::Span<const EntryId> ids, const EntryId& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 absl::string_view memberStateName(MemberState state)
 {
     switch (state) {
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -34,6 +34,8 @@
     }
 };
 
+bool contains(absl::Span<const EntryId> ids, const EntryId& id);
+
 /** The lifecycle state of an entry. */
 enum class MemberState {
     Live,
--- a/src/Settlement.cpp
+++ b/src/Settlement.cpp
@@ -111,17 +111,21 @@
     case AttemptPhase::Waiting:
         return waitUntil(now + locateInterval, StepKind::Locate, now);
     case AttemptPhase::Placed:
-        m_step = {};
-        m_step.kind = StepKind::Join;
-        m_step.held = m_held;
-        m_step.runId = runIdOf(m_requestId, m_held.version);
-        m_step.address = location.address;
-        return;
+        return join(location.address);
     case AttemptPhase::Unknown:
         return scan(now);
     }
 }
 
+void Settlement::join(const Endpoint& address)
+{
+    m_step = {};
+    m_step.kind = StepKind::Join;
+    m_step.held = m_held;
+    m_step.runId = runIdOf(m_requestId, m_held.version);
+    m_step.address = address;
+}
+
 void Settlement::placed(const Result<StartGrant>& grant, Instant startUntil)
 {
     if (!grant)
@@ -163,14 +167,8 @@
 
 void Settlement::scanned(const ScanResult& result, Instant startedAt, Instant now)
 {
-    if (result.kind == ScanResult::Kind::Found) {
-        m_step = {};
-        m_step.kind = StepKind::Join;
-        m_step.held = m_held;
-        m_step.runId = runIdOf(m_requestId, m_held.version);
-        m_step.address = result.address;
-        return;
-    }
+    if (result.kind == ScanResult::Kind::Found)
+        return join(result.address);
     if (result.kind == ScanResult::Kind::Unsettled)
         return waitUntil(now + scanInterval, StepKind::Scan, now);
     // Until then the claimer may still send a start to an executor that was not part of this scan.
--- a/src/Settlement.h
+++ b/src/Settlement.h
@@ -115,6 +115,8 @@
     void locate();
     void place();
     void scan(Instant now);
+    /** Waits for the result of the held attempt's run on the executor at this address. */
+    void join(const Endpoint& address);
     void waitUntil(Instant until, StepKind then, Instant now);
     void finishNotRun(Error error);
     void finishUnknown(ErrorKind kind, std::string reason);
