--- a/src/JobController.cpp
+++ b/src/JobController.cpp
@@ -1,5 +1,7 @@
 #include "JobController.h"
 
+#include "JobMessageHandler.h"
+
 #include "absl/strings/str_cat.h"
 
 namespace cicada {
@@ -21,9 +23,9 @@
     , m_nextSync(-absl::InfiniteDuration())
     , m_nextAudit(-absl::InfiniteDuration())
 {
-    handle(jobServiceReport, &JobController::handleReport);
-    handle(jobServiceHeld, &JobController::handleHeld);
-    handle(jobServiceGone, &JobController::handleGone);
+    handleJobMessages(m_parts.peers, jobServiceReport, *this, &JobController::handleReport);
+    handleJobMessages(m_parts.peers, jobServiceHeld, *this, &JobController::handleHeld);
+    handleJobMessages(m_parts.peers, jobServiceGone, *this, &JobController::handleGone);
     m_parts.ownership.onChange(
         [this](absl::string_view group, uint64_t epoch, bool owned) { handleOwnership(group, epoch, owned); });
     m_parts.backEnds.onChange([this] { refreshRacks(); });
@@ -34,15 +36,6 @@
     }
 }
 
-template <typename T>
-void JobController::handle(absl::string_view service, void (JobController::*handler)(const std::string&, const T&))
-{
-    m_parts.peers.handle(service, [this, handler](absl::string_view from, absl::string_view bytes) {
-        if (auto message = decodeJobMessage<T>(bytes))
-            (this->*handler)(std::string(from), message.value());
-    });
-}
-
 std::optional<std::string> JobController::find(const std::string& id) const
 {
     auto it = m_jobs.find(id);
--- a/src/JobController.h
+++ b/src/JobController.h
@@ -103,8 +103,6 @@
         std::vector<HeldTask> held;
     };
 
-    template <typename T>
-    void handle(absl::string_view service, void (JobController::*handler)(const std::string&, const T&));
     void handleOwnership(absl::string_view group, uint64_t epoch, bool owned);
     void gain(uint32_t partition, uint64_t epoch);
     void lose(uint32_t partition);
--- a/src/RackController.cpp
+++ b/src/RackController.cpp
@@ -1,6 +1,7 @@
 #include "RackController.h"
 
 #include "Job.h"
+#include "JobMessageHandler.h"
 
 #include <algorithm>
 
@@ -21,20 +22,11 @@
     , m_priorityWindow { {}, -absl::InfiniteDuration(), -absl::InfiniteDuration() }
     , m_fleet(parts, [this](const TaskRunReport& run, bool isGone) { noteRun(run, isGone); })
 {
-    handle(rackServiceSync, &RackController::handleSync);
-    handle(rackServiceHold, &RackController::handleHold);
-    handle(rackServiceCommit, &RackController::handleCommit);
-    handle(rackServiceRelease, &RackController::handleRelease);
-    handle(rackServiceStop, &RackController::handleStop);
-}
-
-template <typename T>
-void RackController::handle(absl::string_view service, void (RackController::*handler)(const std::string&, const T&))
-{
-    m_peers.handle(service, [this, handler](absl::string_view from, absl::string_view bytes) {
-        if (auto message = decodeJobMessage<T>(bytes))
-            (this->*handler)(std::string(from), message.value());
-    });
+    handleJobMessages(m_peers, rackServiceSync, *this, &RackController::handleSync);
+    handleJobMessages(m_peers, rackServiceHold, *this, &RackController::handleHold);
+    handleJobMessages(m_peers, rackServiceCommit, *this, &RackController::handleCommit);
+    handleJobMessages(m_peers, rackServiceRelease, *this, &RackController::handleRelease);
+    handleJobMessages(m_peers, rackServiceStop, *this, &RackController::handleStop);
 }
 
 void RackController::tick(Instant now)
--- a/src/RackController.h
+++ b/src/RackController.h
@@ -53,8 +53,6 @@
         Instant notBefore;
     };
 
-    template <typename T>
-    void handle(absl::string_view service, void (RackController::*handler)(const std::string&, const T&));
     void handleSync(const std::string& from, const JobSync&);
     void handleHold(const std::string& from, const HoldRequest&);
     void handleCommit(const std::string& from, const HoldCommit&);
