--- a/src/ExecutorProbe.cpp
+++ b/src/ExecutorProbe.cpp
@@ -11,9 +11,8 @@
 namespace {
 
     /** More than one, so that an unresponsive executor doesn't delay the others for long. */
-    constexpr int threadCount = 3;
-    constexpr size_t jobCapacity = 4096;
-    constexpr absl::Duration idleWait = absl::Seconds(1);
+    constexpr size_t threadCount = 3;
+    constexpr size_t maxQueuedCalls = 4096;
     constexpr time_t timeoutMicros = 800000;
 
     void setTimeouts(httplib::Client& client)
@@ -67,7 +66,7 @@
 
 HttpExecutorProbe::HttpExecutorProbe(EventLoop& loop)
     : m_loop(loop)
-    , m_jobs(jobCapacity)
+    , m_calls(maxQueuedCalls, [](Task& call) { call(); })
 {
 }
 
@@ -75,34 +74,16 @@
 
 Result<void> HttpExecutorProbe::start()
 {
-    for (int i = 0; i < threadCount; ++i)
-        m_threads.emplace_back([this] { run(); });
+    m_calls.start(threadCount);
     return success();
 }
 
-void HttpExecutorProbe::stop()
-{
-    m_jobs.close();
-    for (std::thread& thread : m_threads)
-        thread.join();
-    m_threads.clear();
-}
-
-void HttpExecutorProbe::run()
-{
-    while (true) {
-        auto job = m_jobs.pop(idleWait);
-        if (job)
-            (*job)();
-        else if (m_jobs.closed())
-            return;
-    }
-}
+void HttpExecutorProbe::stop() { m_calls.stop(); }
 
 void HttpExecutorProbe::probe(const BackEnd& executor, uint64_t epoch, absl::AnyInvocable<void(ProbeReply)> callback)
 {
     auto shared = std::make_shared<absl::AnyInvocable<void(ProbeReply)>>(std::move(callback));
-    const bool queued = m_jobs.push([this, address = executor.address, epoch, shared] {
+    const bool queued = m_calls.push([this, address = executor.address, epoch, shared] {
         auto reply = std::make_shared<ProbeReply>(probeExecutor(address, epoch));
         m_loop.postBlocking([shared, reply] { (*shared)(std::move(*reply)); });
     });
@@ -114,7 +95,7 @@
     const BackEnd& executor, absl::string_view requestId, absl::AnyInvocable<void(StopReply)> callback)
 {
     auto shared = std::make_shared<absl::AnyInvocable<void(StopReply)>>(std::move(callback));
-    const bool queued = m_jobs.push([this, address = executor.address, id = std::string(requestId), shared] {
+    const bool queued = m_calls.push([this, address = executor.address, id = std::string(requestId), shared] {
         const StopReply reply = stopOnExecutor(address, id);
         m_loop.postBlocking([shared, reply] { (*shared)(reply); });
     });
--- a/src/ExecutorProbe.h
+++ b/src/ExecutorProbe.h
@@ -7,12 +7,12 @@
 
 #include "BackEnds.h"
 #include "EventLoop.h"
+#include "QueueThreads.h"
 
 #include "absl/functional/any_invocable.h"
 
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace cicada {
@@ -62,11 +62,8 @@
         const BackEnd& executor, absl::string_view requestId, absl::AnyInvocable<void(StopReply)>) override;
 
 private:
-    void run();
-
     EventLoop& m_loop;
-    RingBuffer<Task> m_jobs;
-    std::vector<std::thread> m_threads;
+    QueueThreads<Task> m_calls;
 };
 
 } // namespace cicada
--- a/src/HttpWorkerClient.cpp
+++ b/src/HttpWorkerClient.cpp
@@ -10,7 +10,6 @@
     constexpr size_t threadCount = 8;
     constexpr time_t connectTimeoutMicros = 300000;
     constexpr time_t replyTimeoutSeconds = 2;
-    constexpr absl::Duration idleWait = absl::Seconds(1);
     constexpr int statusOk = 200;
     constexpr int statusConflict = 409;
 
@@ -25,7 +24,7 @@
 
 HttpWorkerClient::HttpWorkerClient(EventLoop& loop)
     : m_loop(loop)
-    , m_calls(maxQueuedCalls)
+    , m_calls(maxQueuedCalls, [this](Call& call) { send(call); })
 {
 }
 
@@ -33,18 +32,11 @@
 
 Result<void> HttpWorkerClient::start()
 {
-    for (size_t i = 0; i < threadCount; ++i)
-        m_threads.emplace_back([this] { run(); });
+    m_calls.start(threadCount);
     return success();
 }
 
-void HttpWorkerClient::stop()
-{
-    m_calls.close();
-    for (std::thread& thread : m_threads)
-        thread.join();
-    m_threads.clear();
-}
+void HttpWorkerClient::stop() { m_calls.stop(); }
 
 void HttpWorkerClient::sync(
     const Endpoint& worker, WorkerSync message, absl::AnyInvocable<void(Result<WorkerView>)> callback)
@@ -79,25 +71,17 @@
     m_loop.post([callback] { (*callback)(0, ""); });
 }
 
-void HttpWorkerClient::run()
+void HttpWorkerClient::send(Call& call)
 {
-    while (true) {
-        auto call = m_calls.pop(idleWait);
-        if (!call) {
-            if (m_calls.closed())
-                return;
-            continue;
-        }
-        httplib::Client client(call->worker.host, call->worker.port);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(0, connectTimeoutMicros);
-        client.set_read_timeout(replyTimeoutSeconds);
-        client.set_write_timeout(replyTimeoutSeconds);
-        const auto response = client.Post(call->path, call->body, "application/json");
-        const int status = response ? response->status : 0;
-        m_loop.postBlocking([callback = std::make_shared<Callback>(std::move(call->callback)), status,
-                                body = response ? response->body : std::string()] { (*callback)(status, body); });
-    }
+    httplib::Client client(call.worker.host, call.worker.port);
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(0, connectTimeoutMicros);
+    client.set_read_timeout(replyTimeoutSeconds);
+    client.set_write_timeout(replyTimeoutSeconds);
+    const auto response = client.Post(call.path, call.body, "application/json");
+    const int status = response ? response->status : 0;
+    m_loop.postBlocking([callback = std::make_shared<Callback>(std::move(call.callback)), status,
+                            body = response ? response->body : std::string()] { (*callback)(status, body); });
 }
 
 } // namespace cicada
--- a/src/HttpWorkerClient.h
+++ b/src/HttpWorkerClient.h
@@ -5,13 +5,10 @@
  */
 
 #include "EventLoop.h"
-#include "RingBuffer.h"
+#include "QueueThreads.h"
 #include "ServiceRegistry.h"
 #include "WorkerClient.h"
 
-#include <thread>
-#include <vector>
-
 namespace cicada {
 
 /** The HTTP client for the workers' contract. A call that finds the ring buffer full ends as one without a reply. */
@@ -39,11 +36,10 @@
         Callback callback;
     };
     void enqueue(Call call);
-    void run();
+    void send(Call& call);
 
     EventLoop& m_loop;
-    RingBuffer<Call> m_calls;
-    std::vector<std::thread> m_threads;
+    QueueThreads<Call> m_calls;
 };
 
 } // namespace cicada
