--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -31,13 +31,13 @@
     return exitSuccess;
 }
 
-Result<std::string> readFile(const std::string& path)
+Result<std::string> readFile(const std::string& path, ErrorKind kind, absl::string_view what)
 {
     std::ifstream file(path);
     std::ostringstream text;
     text << file.rdbuf();
     if (!file)
-        return Error { ErrorKind::InvalidRequest, absl::StrCat("The file '", path, "' can't be read."),
+        return Error { kind, absl::StrCat("The ", what, " '", path, "' can't be read."),
             "Check the path and the file's permissions." };
     return text.str();
 }
--- a/src/CommandLine.h
+++ b/src/CommandLine.h
@@ -25,7 +25,8 @@
 int reportError(absl::string_view program, const Error& error, int code);
 /** Prints "program version" to stdout and returns success. */
 int printVersion(absl::string_view program);
-/** Reads a whole file into memory. */
-Result<std::string> readFile(const std::string& path);
+/** Reads a whole file into memory. The error is of the given kind and calls the file `what`. */
+Result<std::string> readFile(
+    const std::string& path, ErrorKind kind = ErrorKind::InvalidRequest, absl::string_view what = "file");
 
 } // namespace cicada
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -1,13 +1,12 @@
 #include "Settings.h"
 
+#include "CommandLine.h"
 #include "Json.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 #include <arpa/inet.h>
-#include <fstream>
-#include <sstream>
 
 namespace cicada {
 
@@ -112,13 +111,8 @@
 
 Result<Settings> loadSettings(const std::string& path)
 {
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file)
-        return Error { ErrorKind::InvalidSettings, absl::StrCat("The settings file '", path, "' can't be read."),
-            "Check the path and the file's permissions." };
-    return parseSettings(text.str());
+    BOOST_OUTCOME_TRY(text, readFile(path, ErrorKind::InvalidSettings, "settings file"));
+    return parseSettings(text);
 }
 
 absl::string_view settingsSchema() { return schemaText; }
--- a/tools/cicada-entry.cpp
+++ b/tools/cicada-entry.cpp
@@ -3,13 +3,12 @@
  */
 
 #include "CommandLine.h"
+#include "DaemonCommandLine.h"
 #include "Entry.h"
 
 #include <glog/logging.h>
 
 #include <csignal>
-#include <getopt.h>
-#include <iostream>
 
 namespace {
 
@@ -32,11 +31,6 @@
 Exit codes: 0 planned stop completed, 1 failed, 2 invalid command line or settings.
 )";
 
-struct Options {
-    std::string settingsPath;
-    bool checkOnly = false;
-};
-
 /** Blocks SIGTERM and SIGINT in all threads, so that only the main thread receives them, in sigwait. */
 sigset_t blockStopSignals()
 {
@@ -73,42 +67,13 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    enum LongOption { PrintSchema = 256 };
-    const option options[] = { { "settings", required_argument, nullptr, 's' }, { "check", no_argument, nullptr, 'c' },
-        { "print-schema", no_argument, nullptr, PrintSchema }, { "help", no_argument, nullptr, 'h' },
-        { "version", no_argument, nullptr, 'V' }, {} };
-    Options chosen;
-    for (int option; (option = getopt_long(argc, argv, "s:chV", options, nullptr)) != -1;) {
-        switch (option) {
-        case 's':
-            chosen.settingsPath = optarg;
-            break;
-        case 'c':
-            chosen.checkOnly = true;
-            break;
-        case PrintSchema:
-            std::cout << settingsSchema() << "\n";
-            return exitSuccess;
-        case 'h':
-            std::cout << usage;
-            return exitSuccess;
-        case 'V':
-            return printVersion(program);
-        default:
-            std::cerr << usage;
-            return exitUsage;
-        }
-    }
-    if (chosen.settingsPath.empty()) {
-        std::cerr << usage;
-        return exitUsage;
-    }
-    auto settings = loadSettings(chosen.settingsPath);
+    DaemonOptions options;
+    if (const auto exitCode = readDaemonOptions({ program, usage, settingsSchema() }, argc, argv, options))
+        return *exitCode;
+    auto settings = loadSettings(options.settingsPath);
     if (!settings)
         return reportError(program, settings.error(), exitUsage);
-    if (chosen.checkOnly) {
-        std::cout << chosen.settingsPath << ": ok\n";
-        return exitSuccess;
-    }
+    if (options.isCheckOnly)
+        return reportValidSettings(options);
     return runEntry(std::move(settings.value()));
 }
