A slow owner no longer takes itself for cut off from the store

Cause: an owner offered its cells after two renewals of its lease had timed out, although the store answered other calls of the same process meanwhile. A loop that is late or a store that is slow has that effect, and the peer that loads the cells becomes slow in turn.

Now an outage is judged by all calls of the process: ObservedStore notes when the store last answered one, and an owner offers its cells only after two renewals during which it answered none. Refusals are no answers, so an owner that the store turns away still offers its cells as fast as before (theStoreTurnsTheOwnerAway, theStoreIsSilentToTheOwner). `cell-offered` says for how long nothing was answered, `lease-regained` how many renewals were.

Safety is untouched: rows' revisions fence owners as before.

--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -34,7 +34,7 @@
 class CellDirectory {
 public:
     struct Parts {
-        TransactionalStore& store;
+        ObservedStore& store;
         TimerQueue& timers;
         EventLog& log;
         EntryRecord self;
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -22,7 +22,7 @@
 class CellHost {
 public:
     struct Parts {
-        TransactionalStore& store;
+        ObservedStore& store;
         WorkerOrders& orders;
         Advisor& advisor;
         PeerLinks& peers;
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-    /** After this many failed renewals in a row an owner offers its cells to peers, which may still reach the store. */
-    constexpr int failuresToOffer = 2;
+    /** After this many renewals in a row during which the store answered nothing, an owner offers its cells to peers,
+     * which may still reach the store. */
+    constexpr int unansweredToOffer = 2;
     /** The minimum time between gaining a cell and offering it; two owners that both lose replies would otherwise pass
      * cells back and forth. */
     constexpr absl::Duration minTerm = absl::Milliseconds(1500);
@@ -30,14 +31,15 @@
 {
     // The store may be unreachable from this machine only. The peer that succeeds in writing the row becomes the owner.
     const Instant now = m_parts.timers.clock().now();
-    if (m_presence.failures() < failuresToOffer || now - m_lastGainedAt < minTerm)
+    if (m_presence.unansweredRenewals() < unansweredToOffer || now - m_lastGainedAt < minTerm)
         return;
     const std::vector<std::string> linked = linkedByCapacity();
     if (linked.empty())
         return;
     const std::string& peer = linked[m_nextOffer++ % linked.size()];
     for (const auto& [cell, revision] : m_ownedCells) {
-        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer);
+        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer, "unansweredMs",
+            absl::ToInt64Milliseconds(m_presence.sinceAnswer()));
         m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
     }
 }
--- a/src/EntryPresence.cpp
+++ b/src/EntryPresence.cpp
@@ -23,7 +23,7 @@
     m_parts.store.grantLease(leaseTtl, [this, sentAt](LeaseReply reply) {
         if (m_isLeaving)
             return;
-        recordContact(reply.status == LeaseStatus::Ok);
+        recordContact(reply.status == LeaseStatus::Ok, sentAt);
         if (reply.status != LeaseStatus::Ok)
             return m_parts.timers.after(retryDelay, [this] { grant(); });
         m_lease = reply.lease;
@@ -64,7 +64,7 @@
     m_parts.store.keepLease(m_lease, [this, sentAt](LeaseStatus status) {
         if (m_isLeaving)
             return;
-        recordContact(status != LeaseStatus::Failed);
+        recordContact(status != LeaseStatus::Failed, sentAt);
         if (status == LeaseStatus::Ended) {
             m_parts.log.write("lease-ended", "lease", m_lease);
             return grant();
@@ -75,16 +75,33 @@
     });
 }
 
-void EntryPresence::recordContact(bool isReached)
+void EntryPresence::recordContact(bool isReached, Instant sentAt)
 {
     const int before = m_failures;
-    m_failures = isReached ? 0 : m_failures + 1;
     if (isReached && before > 0)
-        m_parts.log.write("lease-regained", "failures", before);
+        m_parts.log.write("lease-regained", "failures", before, "unanswered", m_unanswered);
+    if (isReached) {
+        m_failures = 0;
+        m_unanswered = 0;
+    } else {
+        recordFailure(sentAt);
+    }
     if (!isReached || before > 0)
         m_parts.onContact(isReached);
 }
 
+void EntryPresence::recordFailure(Instant sentAt)
+{
+    ++m_failures;
+    const Instant answeredAt = m_parts.store.lastAnsweredAt();
+    if (m_unanswered == 0 || answeredAt >= m_unansweredSince) {
+        m_unanswered = 0;
+        m_unansweredSince = sentAt;
+    }
+    if (answeredAt < sentAt)
+        ++m_unanswered;
+}
+
 void EntryPresence::restore()
 {
     if (!m_isStored)
--- a/src/EntryPresence.h
+++ b/src/EntryPresence.h
@@ -7,8 +7,8 @@
 
 #include "EntryRecord.h"
 #include "EventLog.h"
+#include "ObservedStore.h"
 #include "TimerQueue.h"
-#include "TransactionalStore.h"
 
 #include <functional>
 
@@ -18,7 +18,7 @@
 class EntryPresence {
 public:
     struct Parts {
-        TransactionalStore& store;
+        ObservedStore& store;
         TimerQueue& timers;
         EventLog& log;
         /** The record's key in the store. */
@@ -46,6 +46,11 @@
     bool isFresh() const;
     /** The number of consecutive failed renewals. */
     int failures() const { return m_failures; }
+    /** The number of consecutive renewals during which the store answered no call of this process at all. A renewal
+     * that timed out while others were answered is late, which says nothing about whether the store can be reached. */
+    int unansweredRenewals() const { return m_unanswered; }
+    /** How long ago the store last answered. */
+    absl::Duration sinceAnswer() const { return m_parts.timers.clock().now() - m_parts.store.lastAnsweredAt(); }
 
     static constexpr absl::Duration leaseTtl = absl::Milliseconds(2400);
     static constexpr absl::Duration renewInterval = absl::Milliseconds(700);
@@ -54,7 +59,8 @@
     void grant();
     void writeRecord();
     void renew();
-    void recordContact(bool isReached);
+    void recordContact(bool isReached, Instant sentAt);
+    void recordFailure(Instant sentAt);
 
     Parts m_parts;
     uint64_t m_lease = 0;
@@ -62,6 +68,9 @@
     bool m_isWriting = false;
     bool m_isLeaving = false;
     int m_failures = 0;
+    int m_unanswered = 0;
+    /** When the first renewal was sent that m_unanswered counts. */
+    Instant m_unansweredSince = absl::ZeroDuration();
     Instant m_renewedAt = absl::ZeroDuration() - absl::Hours(1);
 };
 
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -31,6 +31,7 @@
         , m_entry(entry)
     {
     }
+    enum class CallKind { Read, Write, Lease };
     StoreMood mood = StoreMood::Well;
     /** What a slow link to the store adds each way. */
     absl::Duration distance;
@@ -41,13 +42,13 @@
         refused.status = TransactionStatus::NotApplied;
         call<TransactionReply>(
             [this, transaction = std::move(transaction)] { return m_world.m_store.transact(transaction); }, refused, {},
-            std::move(callback), true);
+            std::move(callback), CallKind::Write);
     }
     void listPage(
         const std::string& prefix, const std::string& afterKey, absl::AnyInvocable<void(StorePage)> callback) override
     {
         call<StorePage>([this, prefix, afterKey] { return m_world.m_store.list(prefix, afterKey); }, {}, {},
-            std::move(callback), false);
+            std::move(callback), CallKind::Read);
     }
     void awaitChange(const std::string& prefix, uint64_t revision, absl::Duration wait,
         absl::AnyInvocable<void(WatchReply)> callback) override;
@@ -57,12 +58,12 @@
             [this, ttl] {
                 return LeaseReply { LeaseStatus::Ok, m_world.m_store.grant(ttl) };
             },
-            {}, {}, std::move(callback), false);
+            {}, {}, std::move(callback), CallKind::Lease);
     }
     void keepLease(uint64_t lease, absl::AnyInvocable<void(LeaseStatus)> callback) override
     {
         call<LeaseStatus>([this, lease] { return m_world.m_store.keep(lease) ? LeaseStatus::Ok : LeaseStatus::Ended; },
-            LeaseStatus::Failed, LeaseStatus::Failed, std::move(callback), false);
+            LeaseStatus::Failed, LeaseStatus::Failed, std::move(callback), CallKind::Lease);
     }
     void endLease(uint64_t lease) override
     {
@@ -73,7 +74,7 @@
 private:
     template <typename Reply>
     void call(std::function<Reply()> effect, Reply refused, Reply lost, absl::AnyInvocable<void(Reply)> callback,
-        bool isWrite);
+        CallKind kind);
     template <typename Reply> void answer(absl::Duration delay, Reply reply, absl::AnyInvocable<void(Reply)> callback);
     void pollWatch(
         const std::string& prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback);
@@ -222,10 +223,11 @@
         , timers(world.m_clock)
         , log(entryName, -1)
         , door(world, *this)
+        , store(door, world.m_clock)
         , orders(world, *this)
         , policy(world, *this)
         , links(world, *this)
-        , host(CellHost::Parts { door, orders, policy, links, timers, log, metrics,
+        , host(CellHost::Parts { store, orders, policy, links, timers, log, metrics,
               { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
@@ -241,6 +243,7 @@
     EventLog log;
     Metrics metrics;
     CellWorld::Door door;
+    ObservedStore store;
     CellWorld::Orders orders;
     CellWorld::Policy policy;
     CellWorld::Links links;
@@ -257,18 +260,20 @@
 
 template <typename Reply>
 void CellWorld::Door::call(
-    std::function<Reply()> effect, Reply refused, Reply lost, absl::AnyInvocable<void(Reply)> callback, bool isWrite)
+    std::function<Reply()> effect, Reply refused, Reply lost, absl::AnyInvocable<void(Reply)> callback, CallKind kind)
 {
     if (mood == StoreMood::Busy)
         return answer(callDelay, std::move(refused), std::move(callback));
     if (mood == StoreMood::Silent)
         return answer(replyTimeout, std::move(lost), std::move(callback));
     const absl::Duration delay = m_world.delay() + distance + m_world.congestion(m_entry);
-    if (isWrite && mood == StoreMood::WritesLate) {
+    if (kind == CallKind::Write && mood == StoreMood::WritesLate) {
         m_world.m_timers.after(lateBy, [effect] { effect(); });
         return answer(replyTimeout, std::move(lost), std::move(callback));
     }
-    if (mood == StoreMood::LosesReplies) {
+    const bool losesReply
+        = mood == StoreMood::LosesReplies || (kind == CallKind::Lease && mood == StoreMood::LosesLeaseReplies);
+    if (losesReply) {
         m_world.m_timers.after(delay, [effect] { effect(); });
         return answer(replyTimeout, std::move(lost), std::move(callback));
     }
@@ -294,7 +299,7 @@
     const std::string& prefix, uint64_t revision, Instant until, absl::AnyInvocable<void(WatchReply)> callback)
 {
     constexpr absl::Duration pollInterval = absl::Milliseconds(10);
-    if (mood != StoreMood::Well)
+    if (mood != StoreMood::Well && mood != StoreMood::LosesLeaseReplies)
         return answer(mood == StoreMood::Busy ? callDelay : replyTimeout, WatchReply(), std::move(callback));
     auto changes = m_world.m_store.changesSince(prefix, revision);
     WatchReply reply;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -34,6 +34,8 @@
     LosesReplies,
     /** Writes take effect seconds later, if their conditions still hold, and are not answered. */
     WritesLate,
+    /** Calls for leases take effect and are not answered; all others are. */
+    LosesLeaseReplies,
 };
 
 /** A worker as the platform's are: it keeps the highest token, and what runs holds a lease on its own clock. */
