Cells that change owners often stay longer, and don't go back to who gave them up

What callers saw: cells on the large site changed owner 10 to 24 times in 30 s, half of it as "moves-to-a-better-entry"; each change loads the cell anew and discards advice, waiting time and reservations, so that wide steps never started.

Cause: a cell moved to a larger or nearer entry 3 s after any change of owner, also to the entry that had just given it up since it was slow, cut off or frozen.

Now OwnerHistory keeps each cell's recent owners as the rows show them, so every entry knows them: the stay before a move by choice doubles with each change in the last minute (3 to 48 s), and for 20 s a cell doesn't go back to a process that had it and gave it up. Cells move one at a time, each to the entry that is better for it.

--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -177,6 +177,8 @@
         m_parts.log.write("cell-owner", "cell", cell, "owner", row.owner.name, "token", row.revision);
         m_vacantSince.erase(cell);
         m_claimSentAt.erase(cell);
+        if (!row.owner.name.empty())
+            m_history.record(cell, row.owner, m_parts.timers.clock().now());
     }
     const auto owned = m_ownedCells.find(cell);
     if (owned != m_ownedCells.end() && owned->second != row.revision) {
@@ -236,7 +238,7 @@
         return;
     checkIsolation();
     handOverCells();
-    moveToLargerEntry();
+    moveToBetterEntry();
     if (cellCount() == 0) {
         scheduleEvaluation();
         if (m_presence.isStored())
@@ -362,14 +364,12 @@
     resignAll("isolated");
 }
 
-void CellDirectory::resign(uint32_t cell, const std::string& why)
+void CellDirectory::resign(uint32_t cell, const std::string& why, const std::string& successor)
 {
     const auto owned = m_ownedCells.find(cell);
     if (owned == m_ownedCells.end())
         return;
     const uint64_t revision = owned->second;
-    const std::vector<std::string> linked = linkedByCapacity();
-    const std::string successor = linked.empty() ? std::string() : linked.front();
     m_parts.log.write("cell-resigned", "cell", cell, "token", revision, "why", why, "successor", successor);
     Transaction transaction;
     transaction.conditions.push_back({ rowKey(cell), revision });
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -9,6 +9,7 @@
 
 #include "CellCount.h"
 #include "EntryPresence.h"
+#include "OwnerHistory.h"
 #include "PeerBus.h"
 #include "PrefixMirror.h"
 
@@ -61,8 +62,8 @@
     void start();
     /** Checks all cells for whether to claim, offer or resign them; called after a link came up or went down. */
     void evaluateCells();
-    /** Gives up a cell, so that another entry can claim it at once. */
-    void resign(uint32_t cell, const std::string& why);
+    /** Gives up a cell, so that another entry can claim it at once, the successor before all others. */
+    void resign(uint32_t cell, const std::string& why, const std::string& successor);
     /** Tells a newly linked peer which cells this entry owns. */
     void announceOwnedCells(const std::string& peer);
     /** Records that this entry can no longer act for the cell under its row. */
@@ -117,7 +118,9 @@
     void announceStop(const std::string& peer);
     void handleStop(const std::string& from, absl::string_view bytes);
     void handOverCells();
-    void moveToLargerEntry();
+    void moveToBetterEntry();
+    /** The free entry to which the cell should move by choice; empty for none. */
+    std::string betterEntryFor(uint32_t cell) const;
     void resignAll(const std::string& why);
 
     static constexpr const char* offerService = "cell.offer";
@@ -127,6 +130,7 @@
     PrefixMirror m_mirror;
     EntryPresence m_presence;
     CellCount m_count;
+    OwnerHistory m_history;
     absl::btree_map<std::string, EntryRecord> m_entries;
     absl::btree_map<uint32_t, CellRow> m_rows;
     /** The cells that this entry owns, with the revision of each one's row. */
@@ -137,6 +141,7 @@
     absl::btree_map<std::string, std::string> m_stopping;
     size_t m_nextOffer = 0;
     Instant m_lastGainedAt = absl::ZeroDuration() - absl::Hours(1);
+    Instant m_lastMoveAt = absl::ZeroDuration() - absl::Hours(1);
     bool m_isStopping = false;
     bool m_isLeaving = false;
     bool m_isEvaluationScheduled = false;
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -1,6 +1,6 @@
 /** \file
  * The part of CellDirectory that moves cells away from an owner that is still running: when it can't reach the store,
- * during a planned stop, and when a larger entry is free.
+ * during a planned stop, and when a better entry is free.
  */
 
 #include "CellDirectory.h"
@@ -19,8 +19,8 @@
     /** The minimum time between gaining a cell and offering it; two owners that both lose replies would otherwise pass
      * cells back and forth. */
     constexpr absl::Duration minTerm = absl::Milliseconds(1500);
-    /** The minimum time that a cell stays on a small entry, as after a fault, before it moves to a larger one. */
-    constexpr absl::Duration minTermOnSmallEntry = absl::Seconds(3);
+    /** Time for the row of a cell that moved to show its new owner, before another cell moves. */
+    constexpr absl::Duration movePause = absl::Seconds(1);
 
     /** An entry's processors, halved when the store is far away: every write of the owner then takes longer. */
     double effectiveProcessors(const EntryRecord& entry) { return entry.processors / (entry.isFarFromStore ? 2 : 1); }
@@ -124,25 +124,44 @@
     resignAll("planned-stop");
 }
 
-void CellDirectory::moveToLargerEntry()
+void CellDirectory::moveToBetterEntry()
 {
     const Instant now = m_parts.timers.clock().now();
-    if (m_ownedCells.empty() || now - m_lastGainedAt < minTermOnSmallEntry || m_presence.failures() > 0)
+    if (m_presence.failures() > 0 || now - m_lastMoveAt < movePause)
         return;
-    double maxProcessors = 0;
+    for (const auto& [cell, revision] : m_ownedCells) {
+        const std::string target = betterEntryFor(cell);
+        if (target.empty())
+            continue;
+        m_lastMoveAt = now;
+        return resign(cell, "moves-to-a-better-entry", target);
+    }
+}
+
+std::string CellDirectory::betterEntryFor(uint32_t cell) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (!m_history.mayMove(cell, now))
+        return {};
+    const EntryRecord* best = nullptr;
     for (const auto& [name, entry] : m_entries) {
-        if (m_parts.isLinked(name) && ownedBy(name) == 0 && !isStopping(entry))
-            maxProcessors = std::max(maxProcessors, effectiveProcessors(entry));
+        const bool isFree = m_parts.isLinked(name) && ownedBy(name) == 0 && !isStopping(entry);
+        if (!isFree || m_history.hasGivenUp(cell, entry, now))
+            continue;
+        if (!best || effectiveProcessors(entry) > effectiveProcessors(*best))
+            best = &entry;
     }
-    if (effectiveProcessors(m_presence.self()) * 2 <= maxProcessors)
-        resignAll("moves-to-a-better-entry");
+    const bool isBetter = best && effectiveProcessors(m_presence.self()) * 2 <= effectiveProcessors(*best);
+    return isBetter ? best->name : std::string();
 }
 
 void CellDirectory::resignAll(const std::string& why)
 {
+    const std::vector<std::string> linked = linkedByCapacity();
+    const std::string successor = linked.empty() ? std::string() : linked.front();
     const auto owned = m_ownedCells;
     for (const auto& [cell, revision] : owned)
-        resign(cell, why);
+        resign(cell, why, successor);
 }
 
 } // namespace cicada
--- a/test/failure/CellOwnerLoadTest.cpp
+++ b/test/failure/CellOwnerLoadTest.cpp
@@ -7,7 +7,21 @@
 using namespace cicada;
 using namespace cicada::test;
 
-TEST_GROUP_BASE(CellOwnerLoad, CellFailureWorld) {};
+TEST_GROUP_BASE(CellOwnerLoad, CellFailureWorld) {
+    /** A world whose entry 0 is near the store and the owner; all others are far from it. */
+    void ownNear(CellWorld & wide) { for (size_t i = 1; i < wide.entryCount(); ++i) { wide.kill(i);
+wide.setFar(i);
+wide.start(i);
+}
+CHECK(wide.runUntil([&] { return wide.owner() == std::optional<size_t>(0); }, absl::Seconds(5)));
+wide.run(absl::Seconds(3));
+}
+bool moves(CellWorld& wide, bool isToNear, absl::Duration limit)
+{
+    return wide.runUntil([&] { return wide.owner().has_value() && (*wide.owner() == 0) == isToNear; }, limit);
+}
+}
+;
 
 TEST(CellOwnerLoad, anOwnerWhoseRenewalsAreLateButWhoseWritesAreAnsweredKeepsItsCells)
 {
@@ -33,3 +47,33 @@
     CHECK(world.runUntil([&] { return world.owner().has_value() && owner() != first; }, absl::Milliseconds(2500)));
     world.setStore(first, StoreMood::Well);
 }
+
+TEST(CellOwnerLoad, aCellDoesNotMoveBackToABetterEntryThatHasJustGivenItUp)
+{
+    CellWorld wide { 4, 12, 7 };
+    ownNear(wide);
+    wide.setStore(0, StoreMood::Silent);
+    CHECK(moves(wide, false, absl::Seconds(6)));
+    wide.setStore(0, StoreMood::Well);
+    CHECK(!moves(wide, true, absl::Seconds(10)));
+    CHECK(moves(wide, true, absl::Seconds(60)));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
+
+TEST(CellOwnerLoad, aCellThatChangesOwnersOftenStaysLongerEachTime)
+{
+    CellWorld wide { 4, 12, 7 };
+    ownNear(wide);
+    absl::Duration last;
+    for (int round = 0; round < 3; ++round) {
+        wide.kill(0);
+        CHECK(moves(wide, false, absl::Milliseconds(2500)));
+        wide.start(0);
+        const Instant since = wide.now();
+        CHECK(moves(wide, true, absl::Seconds(60)));
+        const absl::Duration stay = wide.now() - since;
+        CHECK(stay > last * 2);
+        last = stay;
+    }
+    STRCMP_EQUAL("", wide.report().c_str());
+}
