An owner's cells go to different entries

Cause: all cells of an owner that was cut off were offered to one peer, and at a planned stop all named the same successor. The peer loads all of them at once with the same share of a processor, is slow in turn and passes them on.

Now each offered cell goes to the next peer, and each cell that is resigned names the entry with the most capacity for one more cell beside those just given away.

Evidence: the new test failed before (both cells had the same new owner).

--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -112,8 +112,9 @@
     // CellMoves.cpp: cells that move to another entry while this one is running.
     void offerCells();
     void handleOffer(const std::string& from, absl::string_view bytes);
-    /** The linked entries that are not stopping, those with the most processors per owned cell first. */
-    std::vector<std::string> linkedByCapacity() const;
+    /** The linked entries that are not stopping, those with the most processors per owned cell first; `given` are cells
+     * that they will own besides. */
+    std::vector<std::string> linkedByCapacity(const absl::btree_map<std::string, size_t>& given = {}) const;
     bool isStopping(const EntryRecord& entry) const;
     void announceStop(const std::string& peer);
     void handleStop(const std::string& from, absl::string_view bytes);
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -36,8 +36,9 @@
     const std::vector<std::string> linked = linkedByCapacity();
     if (linked.empty())
         return;
-    const std::string& peer = linked[m_nextOffer++ % linked.size()];
+    // Each cell is work of its own, and a peer may not reach the store either.
     for (const auto& [cell, revision] : m_ownedCells) {
+        const std::string& peer = linked[m_nextOffer++ % linked.size()];
         m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer, "unansweredMs",
             absl::ToInt64Milliseconds(m_presence.sinceAnswer()));
         m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
@@ -71,15 +72,17 @@
     return found != m_entries.end() && isStopping(found->second);
 }
 
-std::vector<std::string> CellDirectory::linkedByCapacity() const
+std::vector<std::string> CellDirectory::linkedByCapacity(const absl::btree_map<std::string, size_t>& given) const
 {
     std::vector<const EntryRecord*> linked;
     for (const auto& [name, entry] : m_entries) {
         if (name != m_presence.self().name && m_parts.isLinked(name) && !isStopping(entry))
             linked.push_back(&entry);
     }
-    const auto processorsPerCell = [this](const EntryRecord* entry) {
-        return effectiveProcessors(*entry) / static_cast<double>(1 + ownedBy(entry->name));
+    const auto processorsPerCell = [&](const EntryRecord* entry) {
+        const auto more = given.find(entry->name);
+        const size_t cells = ownedBy(entry->name) + (more == given.end() ? 0 : more->second);
+        return effectiveProcessors(*entry) / static_cast<double>(1 + cells);
     };
     std::stable_sort(linked.begin(), linked.end(),
         [&](const EntryRecord* a, const EntryRecord* b) { return processorsPerCell(a) > processorsPerCell(b); });
@@ -157,11 +160,14 @@
 
 void CellDirectory::resignAll(const std::string& why)
 {
-    const std::vector<std::string> linked = linkedByCapacity();
-    const std::string successor = linked.empty() ? std::string() : linked.front();
+    absl::btree_map<std::string, size_t> given;
     const auto owned = m_ownedCells;
-    for (const auto& [cell, revision] : owned)
+    for (const auto& [cell, revision] : owned) {
+        const std::vector<std::string> linked = linkedByCapacity(given);
+        const std::string successor = linked.empty() ? std::string() : linked.front();
         resign(cell, why, successor);
+        ++given[successor];
+    }
 }
 
 } // namespace cicada
--- a/test/failure/CellOwnerLoadTest.cpp
+++ b/test/failure/CellOwnerLoadTest.cpp
@@ -77,3 +77,27 @@
     }
     STRCMP_EQUAL("", wide.report().c_str());
 }
+
+TEST(CellOwnerLoad, theCellsOfOneOwnerAreOfferedToDifferentEntries)
+{
+    CellWorld wide { 4, 12, 7 };
+    wide.setCells(2);
+    for (size_t i = 1; i < wide.entryCount(); ++i)
+        wide.kill(i);
+    const auto ownsBoth
+        = [&] { return wide.ownerOf(0) == std::optional<size_t>(0) && wide.ownerOf(1) == std::optional<size_t>(0); };
+    CHECK(wide.runUntil(ownsBoth, absl::Seconds(8)));
+    for (size_t i = 1; i < wide.entryCount(); ++i)
+        wide.start(i);
+    wide.run(absl::Seconds(3));
+    CHECK(ownsBoth());
+    wide.setStore(0, StoreMood::Silent);
+    const auto areTaken = [&] {
+        const auto a = wide.ownerOf(0);
+        const auto b = wide.ownerOf(1);
+        return a && b && *a != 0 && *b != 0;
+    };
+    CHECK(wide.runUntil(areTaken, absl::Seconds(6)));
+    CHECK(*wide.ownerOf(0) != *wide.ownerOf(1));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
