A link whose heartbeats stand ready is not lost because the own loop is late

Cause: AsioPeerLinks took the time since its last read for silence of the other side. When the event loop was busy for a second, it closed all links, although heartbeats lay in the sockets; peers then claimed the cells.

Now a link is silent only if nothing stands ready in its socket either. A link to a process that is gone or frozen is found as fast as before, since nothing arrives on it.

--- a/src/AsioPeerLinks.cpp
+++ b/src/AsioPeerLinks.cpp
@@ -244,11 +244,21 @@
         });
     }
 
+    /** Whether the other side has sent nothing for too long. What stands ready in the socket was sent, and is read as
+     * soon as this side's event loop gets to it. */
+    bool isSilent(const LinkPtr& link) const
+    {
+        if (now() - link->lastReceivedAt <= linkTimeout)
+            return false;
+        error_code error;
+        return link->socket.available(error) == 0;
+    }
+
     void maintain()
     {
         std::vector<LinkPtr> unresponsive;
         for (const LinkPtr& link : unidentifiedLinks) {
-            if (now() - link->lastReceivedAt > linkTimeout)
+            if (isSilent(link))
                 unresponsive.push_back(link);
         }
         for (auto& [name, peer] : peers) {
@@ -260,7 +270,7 @@
                 dial(name, peer);
                 continue;
             }
-            if (now() - peer.link->lastReceivedAt > linkTimeout)
+            if (isSilent(peer.link))
                 unresponsive.push_back(peer.link);
             else if (now() - peer.link->lastSentAt > heartbeatInterval)
                 write(peer.link, heartbeatService, "");
