--- a/test/failure/HttpClientTest.cpp
+++ b/test/failure/HttpClientTest.cpp
@@ -60,6 +60,18 @@
         served.set_option(boost::asio::socket_base::linger(true, 0));
         served.close();
     }
+    /** Answers one request, on a thread of its own, after a delay. */
+    void serveAfter(std::chrono::milliseconds delay)
+    {
+        boost::asio::io_context own;
+        tcp::socket peer = acceptor.accept(own);
+        std::string request;
+        error_code ignored;
+        boost::asio::read_until(peer, boost::asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+        std::this_thread::sleep_for(delay);
+        boost::asio::write(
+            peer, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")), ignored);
+    }
     HttpResult call(uint16_t port, bool mayRetry = true)
     {
         HttpResult answer;
@@ -147,3 +159,50 @@
     server.join();
     CHECK(turns <= maxTurns);
 }
+
+TEST(HttpCalls, anAnswerThatStandsReadyWhenTheLoopIsLateIsNoTimeout)
+{
+    constexpr absl::Duration timeout = absl::Milliseconds(200);
+    constexpr auto lateBy = std::chrono::milliseconds(400);
+    const uint16_t port = acceptor.local_endpoint().port();
+    std::thread server([this] { serveAfter(std::chrono::milliseconds(50)); });
+    std::optional<HttpResult> answer;
+    client.send(
+        { { "127.0.0.1", port }, "GET", "/", "", {}, timeout }, [&answer](HttpResult got) { answer = std::move(got); });
+    io.run_for(std::chrono::milliseconds(20));
+    boost::asio::post(io, [&] { std::this_thread::sleep_for(lateBy); });
+    io.run();
+    server.join();
+    CHECK(answer->outcome == HttpOutcome::ResponseReceived);
+}
+
+TEST(HttpCalls, aCallThatTheLateLoopHeldBackStillWaitsForItsAnswer)
+{
+    constexpr absl::Duration timeout = absl::Milliseconds(200);
+    constexpr auto lateBy = std::chrono::milliseconds(400);
+    const uint16_t port = acceptor.local_endpoint().port();
+    std::thread server([this] { serveAfter(std::chrono::milliseconds(50)); });
+    std::optional<HttpResult> answer;
+    // The connection is open, and nothing has been sent on it yet, when the loop stops.
+    client.send(
+        { { "127.0.0.1", port }, "GET", "/", "", {}, timeout }, [&answer](HttpResult got) { answer = std::move(got); });
+    boost::asio::post(io, [&] { std::this_thread::sleep_for(lateBy); });
+    io.run();
+    server.join();
+    CHECK(answer->outcome == HttpOutcome::ResponseReceived);
+}
+
+TEST(HttpCalls, aCallThatIsNotAnsweredEndsInTimeAlsoWhenTheLoopWasLate)
+{
+    constexpr absl::Duration timeout = absl::Milliseconds(200);
+    constexpr auto lateBy = std::chrono::milliseconds(400);
+    const uint16_t port = acceptor.local_endpoint().port();
+    std::optional<HttpResult> answer;
+    client.send(
+        { { "127.0.0.1", port }, "GET", "/", "", {}, timeout }, [&answer](HttpResult got) { answer = std::move(got); });
+    boost::asio::post(io, [&] { std::this_thread::sleep_for(lateBy); });
+    const Instant startedAt = clock.now();
+    io.run();
+    CHECK(answer->outcome == HttpOutcome::NoReply);
+    CHECK(clock.now() - startedAt < absl::FromChrono(lateBy) + timeout + absl::Milliseconds(100));
+}
