--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -1,6 +1,6 @@
 /** \file
  * The part of CellDirectory that moves cells away from an owner that is still running: when it can't reach the store,
- * during a planned stop, and when a larger entry is free.
+ * during a planned stop, and when a better entry is free.
  */
 
 #include "CellDirectory.h"
@@ -13,13 +13,14 @@
 
 namespace {
 
-    /** After this many failed renewals in a row an owner offers its cells to peers, which may still reach the store. */
-    constexpr int failuresToOffer = 2;
+    /** After this many renewals in a row during which the store answered nothing, an owner offers its cells to peers,
+     * which may still reach the store. */
+    constexpr int unansweredToOffer = 2;
     /** The minimum time between gaining a cell and offering it; two owners that both lose replies would otherwise pass
      * cells back and forth. */
     constexpr absl::Duration minTerm = absl::Milliseconds(1500);
-    /** The minimum time that a cell stays on a small entry, as after a fault, before it moves to a larger one. */
-    constexpr absl::Duration minTermOnSmallEntry = absl::Seconds(3);
+    /** Time for the row of a cell that moved to show its new owner, before another cell moves. */
+    constexpr absl::Duration movePause = absl::Seconds(1);
 
     /** An entry's processors, halved when the store is far away: every write of the owner then takes longer. */
     double effectiveProcessors(const EntryRecord& entry) { return entry.processors / (entry.isFarFromStore ? 2 : 1); }
@@ -30,14 +31,16 @@
 {
     // The store may be unreachable from this machine only. The peer that succeeds in writing the row becomes the owner.
     const Instant now = m_parts.timers.clock().now();
-    if (m_presence.failures() < failuresToOffer || now - m_lastGainedAt < minTerm)
+    if (m_presence.unansweredRenewals() < unansweredToOffer || now - m_lastGainedAt < minTerm)
         return;
     const std::vector<std::string> linked = linkedByCapacity();
     if (linked.empty())
         return;
-    const std::string& peer = linked[m_nextOffer++ % linked.size()];
+    // Each cell is work of its own, and a peer may not reach the store either.
     for (const auto& [cell, revision] : m_ownedCells) {
-        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer);
+        const std::string& peer = linked[m_nextOffer++ % linked.size()];
+        m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer, "unansweredMs",
+            absl::ToInt64Milliseconds(m_presence.sinceAnswer()));
         m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
     }
 }
@@ -69,15 +72,17 @@
     return found != m_entries.end() && isStopping(found->second);
 }
 
-std::vector<std::string> CellDirectory::linkedByCapacity() const
+std::vector<std::string> CellDirectory::linkedByCapacity(const absl::btree_map<std::string, size_t>& given) const
 {
     std::vector<const EntryRecord*> linked;
     for (const auto& [name, entry] : m_entries) {
         if (name != m_presence.self().name && m_parts.isLinked(name) && !isStopping(entry))
             linked.push_back(&entry);
     }
-    const auto processorsPerCell = [this](const EntryRecord* entry) {
-        return effectiveProcessors(*entry) / static_cast<double>(1 + ownedBy(entry->name));
+    const auto processorsPerCell = [&](const EntryRecord* entry) {
+        const auto more = given.find(entry->name);
+        const size_t cells = ownedBy(entry->name) + (more == given.end() ? 0 : more->second);
+        return effectiveProcessors(*entry) / static_cast<double>(1 + cells);
     };
     std::stable_sort(linked.begin(), linked.end(),
         [&](const EntryRecord* a, const EntryRecord* b) { return processorsPerCell(a) > processorsPerCell(b); });
@@ -122,25 +127,49 @@
     resignAll("planned-stop");
 }
 
-void CellDirectory::moveToLargerEntry()
+void CellDirectory::moveToBetterEntry()
 {
     const Instant now = m_parts.timers.clock().now();
-    if (m_ownedCells.empty() || now - m_lastGainedAt < minTermOnSmallEntry || m_presence.failures() > 0)
+    if (m_presence.failures() > 0 || now - m_lastMoveAt < movePause)
         return;
-    double maxProcessors = 0;
+    for (const auto& [cell, revision] : m_ownedCells) {
+        const std::string target = betterEntryFor(cell);
+        if (target.empty())
+            continue;
+        m_lastMoveAt = now;
+        return resign(cell, "moves-to-a-better-entry", target);
+    }
+}
+
+std::string CellDirectory::betterEntryFor(uint32_t cell) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (!m_history.mayMove(cell, now))
+        return {};
+    const EntryRecord* best = nullptr;
     for (const auto& [name, entry] : m_entries) {
-        if (m_parts.isLinked(name) && ownedBy(name) == 0 && !isStopping(entry))
-            maxProcessors = std::max(maxProcessors, effectiveProcessors(entry));
+        const bool isFree = m_parts.isLinked(name) && ownedBy(name) == 0 && !isStopping(entry);
+        if (!isFree || m_history.hasGivenUp(cell, entry, now))
+            continue;
+        if (!best || effectiveProcessors(entry) > effectiveProcessors(*best))
+            best = &entry;
     }
-    if (effectiveProcessors(m_presence.self()) * 2 <= maxProcessors)
-        resignAll("moves-to-a-better-entry");
+    // An entry that owns several cells divides its processors among them.
+    const double own = effectiveProcessors(m_presence.self()) / static_cast<double>(m_ownedCells.size());
+    const bool isBetter = best && own * 2 <= effectiveProcessors(*best);
+    return isBetter ? best->name : std::string();
 }
 
 void CellDirectory::resignAll(const std::string& why)
 {
+    absl::btree_map<std::string, size_t> given;
     const auto owned = m_ownedCells;
-    for (const auto& [cell, revision] : owned)
-        resign(cell, why);
+    for (const auto& [cell, revision] : owned) {
+        const std::vector<std::string> linked = linkedByCapacity(given);
+        const std::string successor = linked.empty() ? std::string() : linked.front();
+        resign(cell, why, successor);
+        ++given[successor];
+    }
 }
 
 } // namespace cicada
