Room is kept from the round that chose it until the replies, also for the widest gang

Now holdAgain() withholds in the same round, replies end the reservation and not a clock, one wide gang at a time may go beyond the share, requests for tickets have a count of their own, gangs with tickets are placed before the pass. Offers rotate by round.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -270,6 +270,11 @@
     void continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations);
     /** Places steps from `first` on until the pass has cost enough; returns the first one that was not looked at. */
     size_t placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations);
+    /** Places gangs whose tickets have arrived, which may stand behind all that the pass from the front gets to. */
+    void placeWithReservedTickets(absl::Span<const Reservation> reservations);
+    /** Withholds again what a step that could not be placed keeps: the capacity for which it has requested tickets, or
+     * its former reservation, which may be null. */
+    void holdAgain(const Rank& rank, const Reservation* former);
     /** Sorts a step that could not be placed in full again if its urgency has changed. */
     void updateRank(const Rank& rank);
 
@@ -303,12 +308,15 @@
     /** Requests what a gang needs to start: tickets for workers that have room for all of it, or else knowledge of
      * which workers are allowed. */
     void requestGangAdvice(CellJob& job, StepRef ref, const std::vector<CellWorker*>& allowed);
-    /** Requests advice until twice what the gang needs, or so, would fit on workers that are known to be allowed. */
+    /** Requests advice until what the gang needs, and some more, would fit in time on workers that are known to be
+     * allowed. */
     void learnAllowedWorkers(CellJob& job, StepRef ref);
-    /** Requests tickets for the chosen workers, and keeps their capacity for the gang until the reply. */
+    /** Requests tickets for the chosen workers, and keeps their capacity for the gang until the reply, if it may. */
     void requestTickets(CellJob& job, StepRef ref, absl::Span<const Choice> choices);
-    /** Whether the gang may keep capacity on this many workers. */
-    bool mayReserveForTickets(CellJob& job, StepRef ref, size_t workers);
+    /** Keeps the capacity if the gangs together keep no more than they may. One wide gang at a time may keep all that
+     * it needs, whatever the others keep. */
+    void reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation);
+    static TicketReservation reservationOf(absl::Span<const Choice> choices);
     /** Usable workers that may run the step, as far as is known. */
     std::vector<CellWorker*> allowedWorkers(CellJob& job, StepRef ref);
     /** Those of them for which a start that is decided now would carry a valid ticket. */
@@ -316,17 +324,24 @@
     std::vector<CellWorker*> unqueriedWorkers(CellJob& job, StepRef ref);
     /** Usable workers that may run the step, and those about which nobody has been asked yet. */
     std::vector<CellWorker*> possibleWorkers(CellJob& job, StepRef ref);
-    /** Asks which of the workers may run the step, until enough of them can be expected to take the wanted tasks. */
+    /** What the reply to an advice request is for. */
+    enum class AdvicePurpose {
+        /** To learn which workers are allowed; it brings tickets as well. */
+        Learning,
+        /** To get tickets for workers whose capacity a gang keeps. */
+        Tickets,
+    };
+    /** Asks which of the workers may run the step, until enough of them can be expected to take this many tasks. */
     void requestStepAdvice(
-        CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, size_t wanted, RoomBasis basis);
+        CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, double neededTasks, RoomBasis basis);
     /** Asks about all of the workers, in as few requests as possible. */
-    void sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers);
+    void sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, AdvicePurpose purpose);
     /** The workers with what they could take of the step, those first that are best asked. */
     std::vector<AdviceCandidate> rankForAdvice(
         CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis);
-    void sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers);
-    void handleAdvice(const std::string& id, StepRef ref, const std::vector<std::string>& queried, Instant requestedAt,
-        AdviceReply reply);
+    void sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, AdvicePurpose purpose);
+    void handleAdvice(const std::string& id, StepRef ref, AdvicePurpose purpose,
+        const std::vector<std::string>& queried, Instant requestedAt, AdviceReply reply);
     /** Takes over which of the workers are allowed, with their tickets. */
     void recordAdvice(CellStep& step, const std::string& queue, absl::Span<const std::string> queried,
         std::vector<Ticket> tickets, Instant validUntil);
@@ -385,10 +400,10 @@
     static std::string arrivalKey(uint32_t cell, const std::string& id);
     /** As roomFor(), whatever waits here. */
     uint64_t freeRoomFor(const RoomQuery& query);
-    RoomQuery roomQueryOf(CellJob& job, const StepSpec& spec);
+    RoomQuery roomQueryOf(CellJob& job, StepRef ref);
     /** For how many tasks another cell needs room, so that the step can start there: the queue's policy allows only
      * part of the workers. */
-    uint64_t roomNeededBy(CellJob& job, const StepSpec& spec);
+    uint32_t roomNeededBy(CellJob& job, StepRef ref);
     void searchRoom();
     /** Whether the step has waited long enough for room here that it may be sought elsewhere. */
     bool needsTransfer(CellJob& job, StepRef ref);
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -23,9 +23,11 @@
     constexpr absl::Duration adviceRetryDelay = absl::Milliseconds(300);
     /** With this many requests waiting, a further one would be stale by the time its step gets capacity. */
     constexpr size_t maxWaitingAdviceRequests = 12;
-    /** How long beyond the service's own time a gang keeps its capacity for the reply with its tickets. */
-    constexpr absl::Duration ticketReplySlack = absl::Milliseconds(600);
-    /** Gangs that wait for tickets may keep capacity on this share of the workers; one may always. */
+    /** How long a gang keeps its capacity for replies that are on their way, beyond the service's own time. */
+    constexpr absl::Duration maxTicketWait = absl::Seconds(2);
+    /** How long it keeps it after the last reply; the round that places it follows at once. */
+    constexpr absl::Duration placingTime = absl::Milliseconds(200);
+    /** Gangs that wait for tickets may together keep capacity on this share of the workers. */
     constexpr double maxTicketReservedShare = 0.25;
 
 } // namespace
@@ -43,35 +45,45 @@
         if (isFullyPlaced)
             return true;
     }
-    if (!canAskForAdvice(job, rank.ref) || (!job.isStored && !withTicket.empty()))
-        return false;
-    if (job.stepSpec(rank.ref).isGang) {
+    if (job.stepSpec(rank.ref).isGang && job.isStored) {
         requestGangAdvice(job, rank.ref, allowed);
         return false;
     }
+    if (!canAskForAdvice(job, rank.ref) || (!job.isStored && !withTicket.empty()))
+        return false;
     // Send a request only when its reply could let a task start now.
     if (chooseWorkersForStep(job, rank.ref, allowed, choices)) {
-        requestStepAdvice(job, rank.ref, allowed, choices.size(), RoomBasis::FreeNow);
+        requestStepAdvice(
+            job, rank.ref, allowed, static_cast<double>(choices.size()) * spareFactor, RoomBasis::FreeNow);
         return false;
     }
     const std::vector<CellWorker*> possible = possibleWorkers(job, rank.ref);
     if (possible.size() > allowed.size() && chooseWorkersForStep(job, rank.ref, possible, choices))
-        requestStepAdvice(job, rank.ref, possible, choices.size(), RoomBasis::FreeNow);
+        requestStepAdvice(
+            job, rank.ref, possible, static_cast<double>(choices.size()) * spareFactor, RoomBasis::FreeNow);
     return false;
 }
 
 void Cell::requestGangAdvice(CellJob& job, StepRef ref, const std::vector<CellWorker*>& allowed)
 {
+    const CellStep& step = job.step(ref);
     std::vector<Choice> choices;
-    if (job.isStored && chooseWorkersForStep(job, ref, allowed, choices))
+    if (step.advice.ticketRequestsInFlight > 0 || step.notBefore > m_parts.timers.clock().now())
+        return;
+    if (chooseWorkersForStep(job, ref, allowed, choices))
         return requestTickets(job, ref, choices);
-    const uint64_t needed = job.stepSpec(ref).taskCount;
-    const uint64_t free = roomOn(job.stepSpec(ref), allowed, RoomBasis::FreeNow);
+    if (!canAskForAdvice(job, ref))
+        return;
+    const StepSpec& spec = job.stepSpec(ref);
+    const uint64_t free = roomOn(spec, allowed, RoomBasis::FreeNow);
     const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, ref);
-    const uint64_t mayBeFree = roomOn(job.stepSpec(ref), unqueried, RoomBasis::FreeNow);
-    if (free < needed && free + mayBeFree >= needed)
-        return requestStepAdvice(job, ref, unqueried, needed - free, RoomBasis::FreeNow);
-    learnAllowedWorkers(job, ref);
+    const bool mayFitNow
+        = free < spec.taskCount && free + roomOn(spec, unqueried, RoomBasis::FreeNow) >= spec.taskCount;
+    if (mayFitNow)
+        requestStepAdvice(
+            job, ref, unqueried, spec.taskCount * spareFactor - static_cast<double>(free), RoomBasis::FreeNow);
+    else
+        learnAllowedWorkers(job, ref);
 }
 
 void Cell::learnAllowedWorkers(CellJob& job, StepRef ref)
@@ -79,8 +91,8 @@
     const StepSpec& spec = job.stepSpec(ref);
     if (!policyOf(job).advice.isNeeded || !canAskForAdvice(job, ref))
         return;
-    const uint64_t known = roomOn(spec, allowedWorkers(job, ref), RoomBasis::InTime);
-    const auto wanted = static_cast<uint64_t>(spec.taskCount * spareFactor);
+    const auto known = static_cast<double>(roomOn(spec, allowedWorkers(job, ref), RoomBasis::InTime));
+    const double wanted = spec.taskCount * spareFactor;
     if (known >= wanted)
         return;
     const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, ref);
@@ -88,43 +100,54 @@
         requestStepAdvice(job, ref, unqueried, wanted - known, RoomBasis::InTime);
 }
 
-bool Cell::mayReserveForTickets(CellJob& job, StepRef ref, size_t workers)
+TicketReservation Cell::reservationOf(absl::Span<const Choice> choices)
 {
-    if (isExclusive(job.spec.id, ref))
-        return true;
-    const Instant now = m_parts.timers.clock().now();
-    size_t reserved = 0;
-    for (const Rank& rank : m_ready) {
-        CellJob* other = rank.job == job.spec.id && rank.ref == ref ? nullptr : findJob(rank.job);
-        const auto* reservation = other ? &other->step(rank.ref).advice.reservation : nullptr;
-        if (reservation && *reservation && (*reservation)->until > now)
-            reserved += (*reservation)->tasksByWorker.size();
+    absl::btree_map<std::string, std::pair<CellWorker*, uint32_t>> tasks;
+    for (const Choice& choice : choices) {
+        auto& [worker, count] = tasks[choice.worker->listed.incarnation.id];
+        worker = choice.worker;
+        ++count;
     }
-    const double limit = static_cast<double>(m_workers.size()) * maxTicketReservedShare;
-    return reserved == 0 || static_cast<double>(reserved + workers) <= limit;
+    TicketReservation reservation;
+    for (const auto& [id, item] : tasks)
+        reservation.tasksByWorker.push_back(item);
+    return reservation;
 }
 
 void Cell::requestTickets(CellJob& job, StepRef ref, absl::Span<const Choice> choices)
 {
-    StepAdvice& advice = job.step(ref).advice;
-    TicketReservation reservation;
+    TicketReservation reservation = reservationOf(choices);
     std::vector<CellWorker*> workers;
-    for (const Choice& choice : choices) {
-        const auto entry = std::find(workers.begin(), workers.end(), choice.worker);
-        if (entry == workers.end()) {
-            workers.push_back(choice.worker);
-            reservation.tasksByWorker.emplace_back(choice.worker, 1);
-        } else {
-            ++reservation.tasksByWorker[entry - workers.begin()].second;
-        }
-    }
-    sendAdviceRequests(job, ref, workers);
-    if (!mayReserveForTickets(job, ref, workers.size()))
-        return;
+    for (const auto& [worker, tasks] : reservation.tasksByWorker)
+        workers.push_back(worker);
+    sendAdviceRequests(job, ref, workers, AdvicePurpose::Tickets);
     const AdvicePolicy& policy = policyOf(job).advice;
     const auto named = static_cast<double>(std::min(workers.size(), maxWorkersPerRequest));
-    reservation.until = m_parts.timers.clock().now() + policy.perCall + policy.perWorker * named + ticketReplySlack;
-    advice.reservation = std::move(reservation);
+    reservation.until = m_parts.timers.clock().now() + policy.perCall + policy.perWorker * named + maxTicketWait;
+    reserveForTickets(job, ref, std::move(reservation));
+}
+
+void Cell::reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation)
+{
+    const Instant now = m_parts.timers.clock().now();
+    size_t keptByOthers = 0;
+    bool isExceeded = false;
+    for (const Rank& rank : m_ready) {
+        CellJob* other = rank.job == job.spec.id && rank.ref == ref ? nullptr : findJob(rank.job);
+        const auto* kept = other ? &other->step(rank.ref).advice.reservation : nullptr;
+        if (!kept || !*kept || (*kept)->until <= now)
+            continue;
+        keptByOthers += (*kept)->tasksByWorker.size();
+        isExceeded = isExceeded || (*kept)->exceedsShare;
+    }
+    const double limit = static_cast<double>(m_workers.size()) * maxTicketReservedShare;
+    const auto workers = static_cast<double>(reservation.tasksByWorker.size());
+    const bool isWide = workers * 2 > limit;
+    reservation.exceedsShare = static_cast<double>(keptByOthers) + workers > limit;
+    job.step(ref).advice.reservation.reset();
+    if (reservation.exceedsShare && !isExclusive(job.spec.id, ref) && (isExceeded || !isWide))
+        return;
+    job.step(ref).advice.reservation = std::move(reservation);
     m_parts.metrics.count("cicada_ticket_reservations");
 }
 
@@ -133,7 +156,8 @@
     const CellStep& step = job.step(ref);
     const AdvicePolicy& advice = policyOf(job).advice;
     const absl::Duration expected = advice.perCall + advice.perWorker * static_cast<double>(minWorkersPerRequest);
-    return step.advice.requestsInFlight == 0 && step.notBefore <= m_parts.timers.clock().now()
+    const bool isLearning = step.advice.requestsInFlight > step.advice.ticketRequestsInFlight;
+    return !isLearning && step.notBefore <= m_parts.timers.clock().now()
         && m_parts.advisorSlots.waitingBefore(expected) < maxWaitingAdviceRequests;
 }
 
@@ -214,10 +238,9 @@
 }
 
 void Cell::requestStepAdvice(
-    CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, size_t wanted, RoomBasis basis)
+    CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, double neededTasks, RoomBasis basis)
 {
     const double share = m_allowedShares[policyOf(job).queue].estimate();
-    const double neededTasks = static_cast<double>(wanted) * spareFactor;
     double expectedTasks = 0;
     std::vector<CellWorker*> asked;
     for (const AdviceCandidate& candidate : rankForAdvice(job, ref, workers, basis)) {
@@ -227,53 +250,62 @@
         if (asked.size() >= maxWorkersPerRequest && candidate.placeable == 0)
             break;
         asked.push_back(candidate.worker);
-        const auto tasks = static_cast<double>(std::min<uint64_t>(wanted, candidate.placeable));
+        const double tasks = std::min(neededTasks, static_cast<double>(candidate.placeable));
         expectedTasks += tasks * (candidate.isAllowed ? 1 : share);
     }
-    sendAdviceRequests(job, ref, asked);
+    sendAdviceRequests(job, ref, asked, AdvicePurpose::Learning);
 }
 
-void Cell::sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers)
+void Cell::sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, AdvicePurpose purpose)
 {
     // Tickets expire soon, so those that are needed together are requested at once.
     const size_t requests = (workers.size() + maxWorkersPerRequest - 1) / maxWorkersPerRequest;
     for (size_t i = 0; i < requests; ++i) {
         const size_t first = workers.size() * i / requests;
         const size_t end = workers.size() * (i + 1) / requests;
-        sendAdviceRequest(job, ref, workers.subspan(first, end - first));
+        sendAdviceRequest(job, ref, workers.subspan(first, end - first), purpose);
     }
 }
 
-void Cell::sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers)
+void Cell::sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, AdvicePurpose purpose)
 {
     const QueuePolicy& policy = policyOf(job);
     AdviceRequest adviceRequest { { job.spec.id, ref.occurrence, ref.step, 0 }, {} };
     for (const CellWorker* worker : workers)
         adviceRequest.workers.push_back(worker->listed.incarnation.id);
-    ++job.step(ref).advice.requestsInFlight;
-    ++job.step(ref).advice.requests;
+    StepAdvice& advice = job.step(ref).advice;
+    ++advice.requestsInFlight;
+    ++advice.requestsSent;
+    advice.ticketRequestsInFlight += purpose == AdvicePurpose::Tickets ? 1 : 0;
     m_parts.metrics.count("cicada_advice_questions");
     const absl::Duration expected
         = policy.advice.perCall + policy.advice.perWorker * static_cast<double>(workers.size());
     const std::vector<std::string> queried = adviceRequest.workers;
     m_parts.advisorSlots.request(std::move(adviceRequest), expected,
-        guarded([this, id = job.spec.id, ref, queried, now = m_parts.timers.clock().now()](
-                    AdviceReply reply) { handleAdvice(id, ref, queried, now, std::move(reply)); }));
+        guarded([this, id = job.spec.id, ref, purpose, queried, now = m_parts.timers.clock().now()](
+                    AdviceReply reply) { handleAdvice(id, ref, purpose, queried, now, std::move(reply)); }));
 }
 
-void Cell::handleAdvice(
-    const std::string& id, StepRef ref, const std::vector<std::string>& queried, Instant requestedAt, AdviceReply reply)
+void Cell::handleAdvice(const std::string& id, StepRef ref, AdvicePurpose purpose,
+    const std::vector<std::string>& queried, Instant requestedAt, AdviceReply reply)
 {
     CellJob* job = findJob(id);
     if (!job)
         return;
     CellStep& step = job->step(ref);
-    step.advice.requestsInFlight -= std::min(step.advice.requestsInFlight, 1U);
+    const Instant now = m_parts.timers.clock().now();
+    StepAdvice& advice = step.advice;
+    advice.requestsInFlight -= std::min(advice.requestsInFlight, 1U);
+    if (purpose == AdvicePurpose::Tickets) {
+        advice.ticketRequestsInFlight -= std::min(advice.ticketRequestsInFlight, 1U);
+        if (advice.ticketRequestsInFlight == 0 && advice.reservation)
+            advice.reservation->until = std::min(advice.reservation->until, now + placingTime);
+    }
     if (isEnded(job->phase))
         return;
-    const Instant now = m_parts.timers.clock().now();
     if (!reply.isValid) {
-        step.advice.reservation.reset();
+        if (purpose == AdvicePurpose::Tickets)
+            advice.reservation.reset();
         step.notBefore = std::max(step.notBefore, now + adviceRetryDelay);
         m_parts.timers.after(adviceRetryDelay, guarded([this] { schedulePlacement(); }));
         return;
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -69,6 +69,8 @@
     /** Each worker with the number of tasks that it is to run. */
     std::vector<std::pair<CellWorker*, uint32_t>> tasksByWorker;
     Instant until = absl::ZeroDuration();
+    /** It goes beyond the share of the workers that such reservations may take together. */
+    bool exceedsShare = false;
 };
 
 /** The policy service's replies for one step. Which workers it allows does not change; tickets expire. */
@@ -80,11 +82,12 @@
     };
     /** One question may take several requests at once. */
     uint32_t requestsInFlight = 0;
+    /** Those of them for tickets of workers whose capacity the gang keeps. */
+    uint32_t ticketRequestsInFlight = 0;
     /** By the worker's id; ordered, which keeps placement deterministic. */
     absl::btree_map<std::string, Allowed> allowed;
     absl::flat_hash_set<std::string> queried;
-    /** How many requests were sent for the step. */
-    uint32_t requests = 0;
+    uint32_t requestsSent = 0;
     std::optional<TicketReservation> reservation;
 };
 
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -37,8 +37,9 @@
     if (linked.empty())
         return;
     // Each cell is work of its own, and a peer may not reach the store either.
+    size_t next = m_nextOffer++;
     for (const auto& [cell, revision] : m_ownedCells) {
-        const std::string& peer = linked[m_nextOffer++ % linked.size()];
+        const std::string& peer = linked[next++ % linked.size()];
         m_parts.log.write("cell-offered", "cell", cell, "token", revision, "to", peer, "unansweredMs",
             absl::ToInt64Milliseconds(m_presence.sinceAnswer()));
         m_parts.peers.send(peer, offerService, Internal::packFields(cell, revision));
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -60,6 +60,7 @@
     m_usableWorkers.clear();
     m_unmetDemands.clear();
     const std::vector<Reservation> reservations = reserveForGangs(ranks);
+    placeWithReservedTickets(reservations);
     const size_t end = placeFrom(ranks, 0, reservations);
     if (m_isContinuationDue)
         continueRound(ranks, end, reservations);
@@ -94,8 +95,8 @@
             m_unmetDemands.clear();
         }
         const StepOutcome outcome = placeStep(rank);
-        if (hasReservation && outcome != StepOutcome::Placed)
-            reserved->hold();
+        if (outcome != StepOutcome::Placed)
+            holdAgain(rank, hasReservation ? &*reserved : nullptr);
         reserved += hasReservation ? 1 : 0;
         if (outcome == StepOutcome::Placed)
             m_ready.erase(rank);
@@ -106,6 +107,32 @@
     return index;
 }
 
+void Cell::placeWithReservedTickets(absl::Span<const Reservation> reservations)
+{
+    for (const Reservation& reservation : reservations) {
+        const Rank& rank = *reservation.rank;
+        CellJob* job = findJob(rank.job);
+        const StepAdvice* advice = job ? &job->step(rank.ref).advice : nullptr;
+        if (!advice || !advice->reservation || advice->ticketRequestsInFlight > 0)
+            continue;
+        reservation.release();
+        if (placeStep(rank) == StepOutcome::Placed)
+            m_ready.erase(rank);
+        // The pass that meets the reservation releases it.
+        reservation.hold();
+    }
+}
+
+void Cell::holdAgain(const Rank& rank, const Reservation* former)
+{
+    CellJob* job = findJob(rank.job);
+    const Reservation tickets = job ? ticketReservationOf(*job, rank) : Reservation();
+    if (!tickets.freeCapacities.empty())
+        tickets.hold();
+    else if (former)
+        former->hold();
+}
+
 void Cell::updateRank(const Rank& rank)
 {
     CellJob* job = findJob(rank.job);
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -97,17 +97,21 @@
     return room;
 }
 
-RoomQuery Cell::roomQueryOf(CellJob& job, const StepSpec& spec)
+RoomQuery Cell::roomQueryOf(CellJob& job, StepRef ref)
 {
-    return { policyOf(job).service, spec.requiredLabel, demandOf(spec), roomNeededBy(job, spec), spec.maxPerWorker };
+    const StepSpec& spec = job.stepSpec(ref);
+    return { policyOf(job).service, spec.requiredLabel, demandOf(spec), roomNeededBy(job, ref), spec.maxPerWorker };
 }
 
-uint64_t Cell::roomNeededBy(CellJob& job, const StepSpec& spec)
+uint32_t Cell::roomNeededBy(CellJob& job, StepRef ref)
 {
+    const StepSpec& spec = job.stepSpec(ref);
     if (!spec.isGang)
         return 1;
-    const double share = policyOf(job).advice.isNeeded ? m_allowedShares[policyOf(job).queue].estimate() : 1;
-    return static_cast<uint64_t>(std::ceil(spec.taskCount / share));
+    // A gang that this cell can never start may try any cell.
+    if (!policyOf(job).advice.isNeeded || !canGatherRoom(job, ref))
+        return spec.taskCount;
+    return static_cast<uint32_t>(std::ceil(spec.taskCount / m_allowedShares[policyOf(job).queue].estimate()));
 }
 
 void Cell::searchRoom()
@@ -126,7 +130,7 @@
             continue;
         ++searches;
         job->searchedAt = m_parts.timers.clock().now();
-        m_parts.rooms.find(m_term.cell, roomQueryOf(*job, job->stepSpec(it->ref)),
+        m_parts.rooms.find(m_term.cell, roomQueryOf(*job, it->ref),
             guarded([this, id = it->job, ref = it->ref](
                         std::optional<uint32_t> destination) { handleRoom(id, ref, destination); }));
     }
@@ -148,7 +152,7 @@
     const StepSpec& spec = job.stepSpec(ref);
     if (waited >= unplacedDelay || !hasRoomForTask(job, spec))
         return true;
-    return spec.isGang && freeRoomFor(roomQueryOf(job, spec)) < spec.taskCount;
+    return spec.isGang && freeRoomFor(roomQueryOf(job, ref)) < spec.taskCount;
 }
 
 bool Cell::isGatheringTickets(CellJob& job, StepRef ref)
--- a/src/CellWaits.cpp
+++ b/src/CellWaits.cpp
@@ -68,11 +68,11 @@
         absl::ToInt64Milliseconds(now - step.readyAt), "tasks", step.tasks.size(), "waiting", waitingTasks(step).size(),
         "gang", spec.isGang, "cpuMillis", demand.cpuMillis, "memoryMiB", demand.memoryMiB, "urgency",
         urgencyName(urgencyOf(spec, step, now)), "ready", m_ready.size(), "stored", job.isStored, "backoff",
-        step.notBefore > now, "asking", step.advice.requestsInFlight > 0, "requests", step.advice.requests, "keepsRoom",
-        step.advice.reservation && step.advice.reservation->until > now, "asked", step.advice.queried.size(), "allowed",
-        room.allowedWorkers, "roomWhenEmpty", room.whenEmpty, "roomUnreserved", room.unreserved, "roomFree", room.free,
-        "allowedWhenEmpty", room.allowedWhenEmpty, "freeAllowed", room.freeAllowed, "freeWithTicket",
-        room.freeWithTicket);
+        step.notBefore > now, "asking", step.advice.requestsInFlight > 0, "requests", step.advice.requestsSent,
+        "keepsRoom", step.advice.reservation && step.advice.reservation->until > now, "asked",
+        step.advice.queried.size(), "allowed", room.allowedWorkers, "roomWhenEmpty", room.whenEmpty, "roomUnreserved",
+        room.unreserved, "roomFree", room.free, "allowedWhenEmpty", room.allowedWhenEmpty, "freeAllowed",
+        room.freeAllowed, "freeWithTicket", room.freeWithTicket);
 }
 
 } // namespace cicada
