An entry under load is not taken for one far from the store

What was seen: an owner near the store whose lease had ended under load recorded itself anew as far from the store and moved its cells at once ("moves-to-a-better-entry"), which loads them anew while all are busy.

Cause: whether the store is far was judged by one call, the grant of the lease, which takes longer than 45 ms in any process that starts or is busy.

Now the fastest of all lease calls counts, and the record is written again when it shows that the store is near.

--- a/src/EntryPresence.cpp
+++ b/src/EntryPresence.cpp
@@ -1,11 +1,14 @@
 #include "EntryPresence.h"
 
+#include <algorithm>
+
 namespace cicada {
 
 namespace {
 
     constexpr absl::Duration retryDelay = absl::Milliseconds(200);
-    /** A first call to the store that takes longer than this is assumed to cross regions. */
+    /** A store whose fastest reply takes longer than this is assumed to be in another region. A single slow reply shows
+     * load only. */
     constexpr absl::Duration maxNearStoreLatency = absl::Milliseconds(45);
 
 } // namespace
@@ -28,7 +31,7 @@
             return m_parts.timers.after(retryDelay, [this] { grant(); });
         m_lease = reply.lease;
         m_renewedAt = sentAt;
-        m_parts.self.isFarFromStore = m_parts.timers.clock().now() - sentAt > maxNearStoreLatency;
+        recordRoundTrip(sentAt);
         writeRecord();
         m_parts.timers.after(renewInterval, [this] { renew(); });
     });
@@ -71,6 +74,8 @@
         }
         if (status == LeaseStatus::Ok)
             m_renewedAt = sentAt;
+        if (status == LeaseStatus::Ok && recordRoundTrip(sentAt))
+            writeRecord();
         m_parts.timers.after(status == LeaseStatus::Ok ? renewInterval : retryDelay, [this] { renew(); });
     });
 }
@@ -90,6 +95,14 @@
         m_parts.onContact(isReached);
 }
 
+bool EntryPresence::recordRoundTrip(Instant sentAt)
+{
+    m_minRoundTrip = std::min(m_minRoundTrip, m_parts.timers.clock().now() - sentAt);
+    const bool wasFar = m_parts.self.isFarFromStore;
+    m_parts.self.isFarFromStore = m_minRoundTrip > maxNearStoreLatency;
+    return wasFar && !m_parts.self.isFarFromStore;
+}
+
 void EntryPresence::recordFailure(Instant sentAt)
 {
     ++m_failures;
--- a/src/EntryPresence.h
+++ b/src/EntryPresence.h
@@ -61,12 +61,15 @@
     void renew();
     void recordContact(bool isReached, Instant sentAt);
     void recordFailure(Instant sentAt);
+    /** Records the time that a lease call took. Returns whether that shows the store to be near after all. */
+    bool recordRoundTrip(Instant sentAt);
 
     Parts m_parts;
     uint64_t m_lease = 0;
     bool m_isStored = false;
     bool m_isWriting = false;
     bool m_isLeaving = false;
+    absl::Duration m_minRoundTrip = absl::InfiniteDuration();
     int m_failures = 0;
     int m_unanswered = 0;
     /** When the first renewal was sent that m_unanswered counts. */
--- a/test/failure/CellOwnerLoadTest.cpp
+++ b/test/failure/CellOwnerLoadTest.cpp
@@ -101,3 +101,20 @@
     CHECK(*wide.ownerOf(0) != *wide.ownerOf(1));
     STRCMP_EQUAL("", wide.report().c_str());
 }
+
+TEST(CellOwnerLoad, anEntryWhoseFirstCallWasSlowIsNotTakenForFarFromTheStore)
+{
+    CellWorld wide { 4, 12, 7 };
+    for (size_t i = 1; i < wide.entryCount(); ++i) {
+        wide.kill(i);
+        wide.setFar(i);
+        wide.start(i);
+        wide.setNear(i);
+    }
+    wide.run(absl::Seconds(4));
+    wide.kill(0);
+    CHECK(moves(wide, false, absl::Milliseconds(2500)));
+    wide.start(0);
+    CHECK(!moves(wide, true, absl::Seconds(20)));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -586,6 +586,12 @@
     m_dead.push_back(std::move(m_entries[index]));
 }
 
+void CellWorld::setNear(size_t index)
+{
+    m_far.erase(index);
+    m_entries[index]->door.distance = absl::ZeroDuration();
+}
+
 void CellWorld::stop(size_t index) { m_entries[index]->host.stop(); }
 
 void CellWorld::freeze(size_t index, absl::Duration duration) { m_entries[index]->frozenUntil = now() + duration; }
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -128,6 +128,8 @@
     void start(size_t entry);
     /** From its next start on the entry reaches the store over a slow link. */
     void setFar(size_t entry) { m_far.insert(entry); }
+    /** The entry's link to the store is no longer slow. */
+    void setNear(size_t entry);
     /** The owner is asked to stop: it lets its cells go and goes on answering. */
     void stop(size_t entry);
     void freeze(size_t entry, absl::Duration);
