An entry that lets a cell go does not claim it back at once

What was seen: "cell-resigned" and "cell-claimed" of the same entry at the same instant; when the claim arrived first, the cell was loaded again by the entry that had just given it up, and moved a second time later.

Cause: until the resignation is answered, the row still names the entry, which claims a row of its own without delay.

Now the claim waits until the store has answered the resignation, or for the time-out of a claim.

--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -374,9 +374,14 @@
     Transaction transaction;
     transaction.conditions.push_back({ rowKey(cell), revision });
     transaction.writes.push_back({ rowKey(cell), Internal::packFields(std::string(), successor), 0 });
+    // Until the store answers, the row still names this entry, which must not claim it back meanwhile.
+    m_claimSentAt[cell] = m_parts.timers.clock().now();
     m_parts.store.transact(std::move(transaction), [this, cell](const TransactionReply& reply) {
-        if (reply.status != TransactionStatus::Applied)
-            m_parts.log.write("cell-resign-failed", "cell", cell);
+        if (reply.status == TransactionStatus::Applied)
+            return;
+        m_parts.log.write("cell-resign-failed", "cell", cell);
+        m_claimSentAt.erase(cell);
+        scheduleEvaluation();
     });
     m_ownedCells.erase(owned);
     m_parts.onLost(cell);
--- a/test/failure/CellOwnerLoadTest.cpp
+++ b/test/failure/CellOwnerLoadTest.cpp
@@ -118,3 +118,18 @@
     CHECK(!moves(wide, true, absl::Seconds(20)));
     STRCMP_EQUAL("", wide.report().c_str());
 }
+
+TEST(CellOwnerLoad, anEntryThatLetsACellGoDoesNotClaimItBackAtOnce)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        CellWorld wide { 4, 12, seed };
+        ownNear(wide);
+        wide.kill(0);
+        CHECK(moves(wide, false, absl::Milliseconds(2500)));
+        wide.start(0);
+        CHECK(wide.runUntil([&] { return !wide.owner().has_value(); }, absl::Seconds(6)));
+        for (int i = 0; i < 2000 && !wide.owner(); ++i)
+            wide.run(absl::Milliseconds(1));
+        CHECK(wide.owner() == std::optional<size_t>(0));
+    }
+}
