--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -56,7 +56,7 @@
     }
     const auto row = m_rows.find(cell);
     const bool isCurrent = row != m_rows.end() && row->second.revision == revision;
-    const bool isHealthy = isFresh() && m_presence.failures() == 0 && !isIsolated();
+    const bool isHealthy = isFresh() && m_presence.unansweredRenewals() == 0 && !isIsolated();
     if (isCurrent && isHealthy && !m_isStopping && !m_isLeaving)
         claim(cell);
 }
