JobController: a hold is called a hold, not an ask

The members and variables only; the fields of the messages keep their names. sendCommit is handed what it changes instead of a constant reference that it looked up again. No behaviour changes.

--- a/src/JobController.cpp
+++ b/src/JobController.cpp
@@ -148,7 +148,7 @@
 {
     const Profile& profile = job.active->record().profile;
     const bool hasExceededMaxWait = profile.whenShort == ShortageAction::Shed && now - job.addedAt > profile.maxWait;
-    if (hasExceededMaxWait && job.isFirstOwner && job.asks.empty() && !job.active->hasEnded()
+    if (hasExceededMaxWait && job.isFirstOwner && job.holds.empty() && !job.active->hasEnded()
         && job.active->isNeverReleased())
         job.active->giveUp(m_parts.clock.wallMicros());
 }
--- a/src/JobController.h
+++ b/src/JobController.h
@@ -88,7 +88,7 @@
         int refusals = 0;
         std::vector<ReplyCallback> cancelCallbacks;
         /** The hold requests of the current round, and the entries that they were sent to. */
-        absl::btree_set<uint64_t> asks;
+        absl::btree_set<uint64_t> holds;
         absl::btree_set<std::string> queried;
     };
     struct PendingHold {
@@ -133,13 +133,13 @@
     std::vector<uint32_t> allowedTasks(const Job& job) const;
     void sendRequest(Job& job, const std::string& entry, const std::vector<uint32_t>& tasks, Instant now);
     void finishRound(Job& job, bool madeProgress, Instant now);
-    void release(Job& job, uint64_t askId);
+    void release(Job& job, uint64_t holdId);
     void releaseUncommitted(Job& job);
-    void storeAndCommit(Job& job, std::vector<uint64_t> asks);
-    void commit(Job& job, uint64_t askId);
-    void tickHold(uint64_t askId, PendingHold& ask, Instant now);
-    void sendCommit(uint64_t askId, const PendingHold& ask);
-    void dropHold(uint64_t askId);
+    void storeAndCommit(Job& job, std::vector<uint64_t> holds);
+    void commit(Job& job, uint64_t holdId);
+    void tickHold(uint64_t holdId, PendingHold& hold, Instant now);
+    void sendCommit(uint64_t holdId, PendingHold& hold);
+    void dropHold(uint64_t holdId);
     /** Gives up a job that has waited longer than its profile allows, if the profile sheds on shortage. */
     void shedIfLate(Job& job, Instant now);
     void refreshProfile(Job& job);
@@ -161,7 +161,7 @@
     /** Jobs with waiting tasks, ordered by urgency and then by age. */
     absl::btree_set<JobOrder> m_waiting;
     absl::btree_map<uint64_t, PendingHold> m_pendingHolds;
-    uint64_t m_lastAsk = 0;
+    uint64_t m_lastHold = 0;
     absl::btree_map<std::string, EntryView> m_views;
     absl::flat_hash_map<std::string, Resources> m_teamUse;
     /** The racks of all known workers. */
--- a/src/JobPartitions.cpp
+++ b/src/JobPartitions.cpp
@@ -66,9 +66,9 @@
             ++it;
             continue;
         }
-        const auto asks = it->second.asks;
-        for (const uint64_t ask : asks)
-            dropHold(ask);
+        const auto holds = it->second.holds;
+        for (const uint64_t hold : holds)
+            dropHold(hold);
         m_waiting.erase(it->second.order);
         for (ReplyCallback& callback : it->second.cancelCallbacks)
             callback(Error { ErrorKind::NoAuthority, "The job has a new owner.", "Send the request again." });
--- a/src/JobPlacing.cpp
+++ b/src/JobPlacing.cpp
@@ -28,7 +28,7 @@
         if (m_pendingHolds.size() + due.size() >= maxPendingHolds)
             break;
         const Job* job = findJob(order.job);
-        if (job && job->asks.empty() && now >= job->nextAttempt)
+        if (job && job->holds.empty() && now >= job->nextAttempt)
             due.push_back(order.job);
     }
     for (const std::string& id : due) {
@@ -97,7 +97,7 @@
     const JobSpec& spec = job.active->record().spec;
     const Profile& profile = job.active->record().profile;
     HoldRequest message;
-    message.askId = ++m_lastAsk;
+    message.askId = ++m_lastHold;
     message.partition = jobPartition(spec.id);
     message.epoch = *epochOf(spec.id);
     message.order = job.active->order();
@@ -109,12 +109,12 @@
         job.active->noteRequested(task);
         m_teamUse[spec.team] = m_teamUse[spec.team] + spec.tasks[task].demand;
     }
-    PendingHold& ask = m_pendingHolds[message.askId];
-    ask.entry = entry;
-    ask.job = spec.id;
-    ask.sentAt = now;
-    ask.tasks = tasks;
-    job.asks.insert(message.askId);
+    PendingHold& hold = m_pendingHolds[message.askId];
+    hold.entry = entry;
+    hold.job = spec.id;
+    hold.sentAt = now;
+    hold.tasks = tasks;
+    job.holds.insert(message.askId);
     job.queried.insert(entry);
     m_parts.peers.send(entry, rackServiceHold, encode(message));
 }
@@ -127,22 +127,22 @@
         m_parts.peers.send(from, rackServiceRelease, encode(HoldRelease { reply.askId }));
         return;
     }
-    PendingHold& ask = it->second;
-    Job* job = findJob(ask.job);
-    if (ask.hasReply || !job)
+    PendingHold& hold = it->second;
+    Job* job = findJob(hold.job);
+    if (hold.hasReply || !job)
         return;
-    ask.hasReply = true;
-    ask.session = reply.session;
-    ask.held = reply.held;
-    for (const uint32_t task : ask.tasks)
+    hold.hasReply = true;
+    hold.session = reply.session;
+    hold.held = reply.held;
+    for (const uint32_t task : hold.tasks)
         job->active->noteReleased(task);
-    for (const HeldTask& held : ask.held)
+    for (const HeldTask& held : hold.held)
         job->active->noteHeld(held);
-    const bool isWhole = ask.held.size() == ask.tasks.size();
-    const bool isEmpty = ask.held.empty();
+    const bool isWhole = hold.held.size() == hold.tasks.size();
+    const bool isEmpty = hold.held.empty();
     if (job->active->isGang()) {
         if (isWhole)
-            return storeAndCommit(*job, { job->asks.begin(), job->asks.end() });
+            return storeAndCommit(*job, { job->holds.begin(), job->holds.end() });
         return requestNextHold(*job, now);
     }
     if (isEmpty)
@@ -166,51 +166,51 @@
     job.isDirty = true;
 }
 
-void JobController::release(Job& job, uint64_t askId)
+void JobController::release(Job& job, uint64_t holdId)
 {
-    auto it = m_pendingHolds.find(askId);
+    auto it = m_pendingHolds.find(holdId);
     if (it == m_pendingHolds.end() || it->second.isCommitted)
         return;
     for (const uint32_t task : it->second.tasks)
         job.active->noteReleased(task);
-    m_parts.peers.send(it->second.entry, rackServiceRelease, encode(HoldRelease { askId }));
-    dropHold(askId);
+    m_parts.peers.send(it->second.entry, rackServiceRelease, encode(HoldRelease { holdId }));
+    dropHold(holdId);
 }
 
 void JobController::releaseUncommitted(Job& job)
 {
-    const auto asks = job.asks;
-    for (const uint64_t askId : asks)
-        release(job, askId);
+    const auto holds = job.holds;
+    for (const uint64_t holdId : holds)
+        release(job, holdId);
 }
 
-void JobController::storeAndCommit(Job& job, std::vector<uint64_t> asks)
+void JobController::storeAndCommit(Job& job, std::vector<uint64_t> holds)
 {
     bool mustStore = false;
-    for (const uint64_t askId : asks) {
-        for (const HeldTask& held : m_pendingHolds[askId].held) {
+    for (const uint64_t holdId : holds) {
+        for (const HeldTask& held : m_pendingHolds[holdId].held) {
             job.active->markReleased(held.task);
             mustStore = mustStore || job.active->mustNotRunTwice(held.task);
         }
     }
     const std::string id = job.active->record().spec.id;
     if (!mustStore) {
-        for (const uint64_t askId : asks)
-            commit(job, askId);
+        for (const uint64_t holdId : holds)
+            commit(job, holdId);
         return;
     }
     m_parts.records.update(
-        job.active->record(), releaseStoreTimeout, [this, id, asks = std::move(asks)](Result<JobRecord> stored) {
+        job.active->record(), releaseStoreTimeout, [this, id, holds = std::move(holds)](Result<JobRecord> stored) {
             Job* job = findJob(id);
             if (!job)
                 return;
             if (stored)
                 job->active->merge(stored.value());
-            for (const uint64_t askId : asks) {
+            for (const uint64_t holdId : holds) {
                 if (stored && !job->active->hasEnded())
-                    commit(*job, askId);
+                    commit(*job, holdId);
                 else
-                    release(*job, askId);
+                    release(*job, holdId);
             }
             // While the store is unavailable, capacity that cannot be used is left to other jobs.
             if (!stored)
@@ -219,35 +219,34 @@
         });
 }
 
-void JobController::commit(Job& job, uint64_t askId)
+void JobController::commit(Job& job, uint64_t holdId)
 {
-    auto it = m_pendingHolds.find(askId);
+    auto it = m_pendingHolds.find(holdId);
     // A request that no longer exists belonged to an earlier term of this entry.
     if (it == m_pendingHolds.end())
         return;
     if (!epochOf(it->second.job))
-        return release(job, askId);
+        return release(job, holdId);
     it->second.isCommitted = true;
     for (const HeldTask& held : it->second.held)
         job.active->noteCommitted(held.task);
-    sendCommit(askId, it->second);
+    sendCommit(holdId, it->second);
 }
 
-void JobController::sendCommit(uint64_t askId, const PendingHold& constAsk)
+void JobController::sendCommit(uint64_t holdId, PendingHold& hold)
 {
-    PendingHold& ask = m_pendingHolds[askId];
-    ask.committedAt = m_parts.clock.now();
-    const Job* job = findJob(constAsk.job);
-    const auto epoch = epochOf(constAsk.job);
+    hold.committedAt = m_parts.clock.now();
+    const Job* job = findJob(hold.job);
+    const auto epoch = epochOf(hold.job);
     if (!job || !epoch)
         return;
-    HoldCommit message { askId, jobPartition(ask.job), *epoch, {} };
-    for (const HeldTask& held : ask.held) {
+    HoldCommit message { holdId, jobPartition(hold.job), *epoch, {} };
+    for (const HeldTask& held : hold.held) {
         const ActiveTask& task = job->active->tasks()[held.task];
         message.tasks.push_back(
             { held.task, task.run, job->active->record().spec.tasks[held.task].command, task.checkpoint });
     }
-    m_parts.peers.send(ask.entry, rackServiceCommit, encode(message));
+    m_parts.peers.send(hold.entry, rackServiceCommit, encode(message));
 }
 
 void JobController::handleGone(const std::string& from, const HoldGone& message)
@@ -272,44 +271,44 @@
 void JobController::tickHolds(Instant now)
 {
     std::vector<uint64_t> ids;
-    for (const auto& [askId, ask] : m_pendingHolds)
-        ids.push_back(askId);
-    for (const uint64_t askId : ids) {
-        auto it = m_pendingHolds.find(askId);
+    for (const auto& [holdId, hold] : m_pendingHolds)
+        ids.push_back(holdId);
+    for (const uint64_t holdId : ids) {
+        auto it = m_pendingHolds.find(holdId);
         if (it != m_pendingHolds.end())
-            tickHold(askId, it->second, now);
+            tickHold(holdId, it->second, now);
     }
 }
 
-void JobController::tickHold(uint64_t askId, PendingHold& ask, Instant now)
+void JobController::tickHold(uint64_t holdId, PendingHold& hold, Instant now)
 {
-    Job* job = findJob(ask.job);
+    Job* job = findJob(hold.job);
     if (!job)
-        return dropHold(askId);
-    if (ask.isCommitted) {
-        const bool isSettled = std::none_of(ask.held.begin(), ask.held.end(), [job](const HeldTask& held) {
+        return dropHold(holdId);
+    if (hold.isCommitted) {
+        const bool isSettled = std::none_of(hold.held.begin(), hold.held.end(), [job](const HeldTask& held) {
             const ActiveTask& task = job->active->tasks()[held.task];
             return task.phase == TaskPhase::Committed && task.rack == held.rack && task.recovery == held.recovery;
         });
         if (isSettled)
-            return dropHold(askId);
-        if (now - ask.committedAt > commitRetry)
-            sendCommit(askId, ask);
+            return dropHold(holdId);
+        if (now - hold.committedAt > commitRetry)
+            sendCommit(holdId, hold);
         return;
     }
-    if (!ask.hasReply && now - ask.sentAt > holdTimeout) {
-        release(*job, askId);
+    if (!hold.hasReply && now - hold.sentAt > holdTimeout) {
+        release(*job, holdId);
         finishRound(*job, false, now);
     }
 }
 
-void JobController::dropHold(uint64_t askId)
+void JobController::dropHold(uint64_t holdId)
 {
-    auto it = m_pendingHolds.find(askId);
+    auto it = m_pendingHolds.find(holdId);
     if (it == m_pendingHolds.end())
         return;
     if (Job* job = findJob(it->second.job)) {
-        job->asks.erase(askId);
+        job->holds.erase(holdId);
         job->isDirty = true;
     }
     m_pendingHolds.erase(it);
--- a/src/JobReports.cpp
+++ b/src/JobReports.cpp
@@ -36,10 +36,10 @@
         const bool isCurrent = seen && seen->epoch == partition.epoch;
         sync.partitions.push_back({ number, partition.epoch, view.session, isCurrent ? seen->version : 0 });
     }
-    sync.lastAsk = m_lastAsk;
-    for (const auto& [askId, ask] : m_pendingHolds) {
-        if (ask.entry == entry)
-            sync.liveAsks.push_back(askId);
+    sync.lastAsk = m_lastHold;
+    for (const auto& [holdId, hold] : m_pendingHolds) {
+        if (hold.entry == entry)
+            sync.liveAsks.push_back(holdId);
     }
     sync.forget = view.forget;
     return sync;
