Cells without owners are not all claimed by one entry, and an overloaded owner gives one away

One entry with both cells is saturated: steps wait, starts go unanswered, its lease ends.

Cause: an entry's rank for a cell counts the cells that it owns by their rows, so claims of several cells sent at the same moment all have the first rank. Nothing corrected that later, as an entry's cells don't count when better ones are sought.

Now a claim under way counts as an owned cell, as it does once the row shows it; and an owner of several cells compares its processors for each cell with an entry that has none, so one cell moves there after the stay.

The test of offers now has its other entries far from the store, since one of two cells would move otherwise.

Evidence: both new tests fail with the former files (linked against them).

--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -271,15 +271,24 @@
     double maxProcessors = 0;
     for (const auto& [name, entry] : m_entries)
         maxProcessors = std::max(maxProcessors, entry.processors);
-    const auto order = [this, cell, maxProcessors](const EntryRecord& entry) {
+    const size_t claims = claimsBesides(cell);
+    const auto order = [this, cell, maxProcessors](const EntryRecord& entry, size_t claimed) {
         const std::string text = absl::StrCat(cell, "/", entry.name);
         const bool isSmall = entry.processors * 2 < maxProcessors;
-        return std::make_tuple(ownedBy(entry.name), isSmall, entry.isFarFromStore, -entry.processors,
+        return std::make_tuple(ownedBy(entry.name) + claimed, isSmall, entry.isFarFromStore, -entry.processors,
             XXH3_64bits(text.data(), text.size()));
     };
-    const auto own = order(m_presence.self());
+    const auto own = order(m_presence.self(), claims);
     return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        return item.first != m_presence.self().name && !isStopping(item.second) && order(item.second) < own;
+        return item.first != m_presence.self().name && !isStopping(item.second) && order(item.second, 0) < own;
+    }));
+}
+
+size_t CellDirectory::claimsBesides(uint32_t cell) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    return static_cast<size_t>(std::count_if(m_claimSentAt.begin(), m_claimSentAt.end(), [&](const auto& claim) {
+        return claim.first != cell && !m_ownedCells.contains(claim.first) && now - claim.second < claimTimeout;
     }));
 }
 
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -100,6 +100,8 @@
     void evaluateCell(uint32_t cell);
     std::optional<absl::Duration> claimDelay(uint32_t cell, const CellRow* row) const;
     size_t rankFor(uint32_t cell) const;
+    /** The number of other cells that this entry is claiming and may soon own. */
+    size_t claimsBesides(uint32_t cell) const;
     void claim(uint32_t cell);
     void checkIsolation();
     void scheduleEvaluation();
--- a/src/CellMoves.cpp
+++ b/src/CellMoves.cpp
@@ -154,7 +154,9 @@
         if (!best || effectiveProcessors(entry) > effectiveProcessors(*best))
             best = &entry;
     }
-    const bool isBetter = best && effectiveProcessors(m_presence.self()) * 2 <= effectiveProcessors(*best);
+    // An owner of several cells divides its processors among them.
+    const double own = effectiveProcessors(m_presence.self()) / static_cast<double>(m_ownedCells.size());
+    const bool isBetter = best && own * 2 <= effectiveProcessors(*best);
     return isBetter ? best->name : std::string();
 }
 
--- a/test/failure/CellOwnerLoadTest.cpp
+++ b/test/failure/CellOwnerLoadTest.cpp
@@ -16,6 +16,30 @@
 CHECK(wide.runUntil([&] { return wide.owner() == std::optional<size_t>(0); }, absl::Seconds(5)));
 wide.run(absl::Seconds(3));
 }
+/** Entry 0 alone is left, and owns all cells. */
+void ownAll(CellWorld& wide, uint32_t cells)
+{
+    for (size_t i = 1; i < wide.entryCount(); ++i)
+        wide.kill(i);
+    const auto ownsAll = [&] {
+        for (uint32_t cell = 0; cell < cells; ++cell) {
+            if (wide.ownerOf(cell) != std::optional<size_t>(0))
+                return false;
+        }
+        return true;
+    };
+    CHECK(wide.runUntil(ownsAll, absl::Seconds(10)));
+}
+/** The entries that own a cell. */
+absl::btree_set<size_t> owners(const CellWorld& wide, uint32_t cells)
+{
+    absl::btree_set<size_t> found;
+    for (uint32_t cell = 0; cell < cells; ++cell) {
+        if (const auto owner = wide.ownerOf(cell))
+            found.insert(*owner);
+    }
+    return found;
+}
 bool moves(CellWorld& wide, bool isToNear, absl::Duration limit)
 {
     return wide.runUntil([&] { return wide.owner().has_value() && (*wide.owner() == 0) == isToNear; }, limit);
@@ -87,8 +111,11 @@
     const auto ownsBoth
         = [&] { return wide.ownerOf(0) == std::optional<size_t>(0) && wide.ownerOf(1) == std::optional<size_t>(0); };
     CHECK(wide.runUntil(ownsBoth, absl::Seconds(8)));
-    for (size_t i = 1; i < wide.entryCount(); ++i)
+    // The cells stay, since the others are far from the store.
+    for (size_t i = 1; i < wide.entryCount(); ++i) {
+        wide.setFar(i);
         wide.start(i);
+    }
     wide.run(absl::Seconds(3));
     CHECK(ownsBoth());
     wide.setStore(0, StoreMood::Silent);
@@ -133,3 +160,32 @@
         CHECK(wide.owner() == std::optional<size_t>(0));
     }
 }
+
+TEST(CellOwnerLoad, cellsWithoutOwnersAreNotAllClaimedByOneEntry)
+{
+    CellWorld wide { 4, 12, 7 };
+    wide.setCells(3);
+    ownAll(wide, 3);
+    for (size_t i = 1; i < wide.entryCount(); ++i)
+        wide.start(i);
+    wide.run(absl::Seconds(1));
+    wide.kill(0);
+    CHECK(wide.runUntil([&] { return owners(wide, 3).size() == 3; }, absl::Milliseconds(2500)));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
+
+TEST(CellOwnerLoad, anOwnerOfTwoCellsGivesOneToAnEntryThatHasNone)
+{
+    CellWorld wide { 4, 12, 7 };
+    wide.setCells(2);
+    ownAll(wide, 2);
+    for (size_t i = 1; i < wide.entryCount(); ++i)
+        wide.start(i);
+    CHECK(wide.runUntil([&] { return owners(wide, 2).size() == 2; }, absl::Seconds(8)));
+    const auto settled = owners(wide, 2);
+    for (int i = 0; i < 200; ++i) {
+        wide.run(absl::Milliseconds(100));
+        CHECK(owners(wide, 2) == settled);
+    }
+    STRCMP_EQUAL("", wide.report().c_str());
+}
