--- a/src/AsioPeerLinks.cpp
+++ b/src/AsioPeerLinks.cpp
@@ -53,6 +53,8 @@
         /** Empty until the other side's first frame has named it. */
         std::string peer;
         bool isOpen = false;
+        /** This side opened the link. */
+        bool isDialed = false;
         bool isWriting = false;
         FrameDecoder decoder;
         std::array<char, 16384> input {};
@@ -68,6 +70,8 @@
         bool isWanted = false;
         LinkPtr link;
         LinkPtr dialing;
+        /** A link that this side has opened and on which nothing has been received yet. */
+        LinkPtr unheard;
         std::optional<Instant> lostSince;
         Instant dialAt = absl::ZeroDuration();
         absl::Duration dialDelay = firstDialDelay;
@@ -152,16 +156,49 @@
     void bindToPeer(const LinkPtr& link, const std::string& name)
     {
         link->peer = name;
-        unidentifiedLinks.erase(
-            std::remove(unidentifiedLinks.begin(), unidentifiedLinks.end(), link), unidentifiedLinks.end());
         Peer& peer = peers[name];
+        if (peer.unheard == link)
+            peer.unheard.reset();
+        if (peer.link && staysBeside(*peer.link, *link))
+            return giveUp(link);
+        forgetUnidentified(link);
         const LinkPtr old = std::exchange(peer.link, link);
         peer.dialDelay = firstDialDelay;
         peer.lostSince.reset();
-        if (old)
-            closeSocket(*old);
-        else
-            notifyLinkChange(name, true);
+        if (!old)
+            return notifyLinkChange(name, true);
+        unidentifiedLinks.push_back(old);
+        const bool isReconnect = old->isDialed == link->isDialed;
+        isReconnect ? drop(old) : giveUp(old);
+    }
+
+    void forgetUnidentified(const LinkPtr& link)
+    {
+        unidentifiedLinks.erase(
+            std::remove(unidentifiedLinks.begin(), unidentifiedLinks.end(), link), unidentifiedLinks.end());
+    }
+
+    void drop(const LinkPtr& link)
+    {
+        forgetUnidentified(link);
+        closeSocket(*link);
+    }
+
+    /** Of two links, the one that is not kept is closed by the side that opened it; until then the other side may still
+     * send on it. */
+    void giveUp(const LinkPtr& link)
+    {
+        if (link->isDialed)
+            drop(link);
+    }
+
+    /** Whether the link stays that was there first, when both sides have opened one. Both must keep the same: the one
+     * that the entry with the lesser name opened. A link that has become quiet may be that of a former process. */
+    bool staysBeside(const Link& first, const Link& second) const
+    {
+        const bool isPreferred = (self < second.peer) == first.isDialed;
+        const bool isQuiet = now() - first.lastReceivedAt > heartbeatInterval * 2;
+        return isPreferred && first.isDialed != second.isDialed && !isQuiet;
     }
 
     void notifyLinkChange(const std::string& name, bool isUp)
@@ -182,12 +219,17 @@
     {
         if (!link->isOpen)
             return;
-        closeSocket(*link);
-        unidentifiedLinks.erase(
-            std::remove(unidentifiedLinks.begin(), unidentifiedLinks.end(), link), unidentifiedLinks.end());
+        drop(link);
         const auto peer = peers.find(link->peer);
         if (peer == peers.end() || peer->second.link != link)
             return;
+        const LinkPtr other = std::exchange(peer->second.unheard, {});
+        if (other && other->isOpen) {
+            other->peer = link->peer;
+            forgetUnidentified(other);
+            peer->second.link = other;
+            return;
+        }
         peer->second.link.reset();
         peer->second.lostSince = now();
         peer->second.dialAt = now() + (self < link->peer ? firstDialDelay : fallbackDialDelay);
@@ -230,6 +272,7 @@
     void dial(const std::string& name, Peer& peer)
     {
         auto link = std::make_shared<Link>(io);
+        link->isDialed = true;
         peer.dialing = link;
         peer.dialAt = now() + dialTimeout;
         link->socket.async_connect(*peer.address, [state = shared_from_this(), name, link](error_code error) {
@@ -237,8 +280,10 @@
             if (state->isStopped || found == state->peers.end() || found->second.dialing != link)
                 return;
             found->second.dialing.reset();
-            if (!error)
+            if (!error) {
+                found->second.unheard = link;
                 return state->open(link);
+            }
             found->second.dialAt = state->now() + found->second.dialDelay;
             found->second.dialDelay = std::min(maxDialDelay, found->second.dialDelay * 2);
         });
--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -142,6 +142,8 @@
         }
     }
     m_isLoaded = true;
+    m_loadedAt = now;
+    m_parts.timers.after(hearingTime, guarded([this] { schedulePlacement(); }));
     m_parts.log.write("cell-loaded", "cell", m_term.cell, "token", m_term.token, "jobs", m_jobs.size(), "ended",
         m_endedJobs.size(), "runsOut", activeRuns, "tookMs", absl::ToInt64Milliseconds(now - m_ownedSince));
     m_parts.roster.watch(
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -302,9 +302,14 @@
     /** Logs the state of a step that waits, at intervals. */
     void reportWait(CellJob& job, StepRef ref);
 
+    /** How long a new owner asks nothing about gangs while workers may still reply to their first sync. */
+    static constexpr absl::Duration hearingTime = absl::Milliseconds(400);
+
     // CellAdvice.cpp: permission from the policy service.
     bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     bool canAskForAdvice(CellJob& job, StepRef ref);
+    /** Whether this owner is new and most of its workers may still reply to their first sync. */
+    bool isHearingWorkers() const;
     /** Requests what a gang needs to start: tickets for workers that have room for all of it, or else knowledge of
      * which workers are allowed. */
     void requestGangAdvice(CellJob& job, StepRef ref, const std::vector<CellWorker*>& allowed);
@@ -455,6 +460,7 @@
     /** The next round also looks at steps behind those that the pass from the front gets to. */
     bool m_isContinuationDue = false;
     const Instant m_ownedSince;
+    Instant m_loadedAt = absl::ZeroDuration();
     DurableWriter m_writer;
     JobTable m_jobs;
     /** Ended jobs of which only the run record is kept, with phase and end in milliseconds since 1970. */
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -72,7 +72,7 @@
         return;
     if (chooseWorkersForStep(job, ref, allowed, choices))
         return requestTickets(job, ref, choices);
-    if (!canAskForAdvice(job, ref))
+    if (!canAskForAdvice(job, ref) || isHearingWorkers())
         return;
     const StepSpec& spec = job.stepSpec(ref);
     const uint64_t free = roomOn(spec, allowed, RoomBasis::FreeNow);
@@ -161,6 +161,16 @@
         && m_parts.advisorSlots.waitingBefore(expected) < maxWaitingAdviceRequests;
 }
 
+bool Cell::isHearingWorkers() const
+{
+    if (m_parts.timers.clock().now() - m_loadedAt >= hearingTime)
+        return false;
+    return std::any_of(m_workers.begin(), m_workers.end(), [](const auto& item) {
+        const CellWorker& worker = item.second;
+        return worker.isListed && !worker.hasReplied && worker.failedSyncs == 0;
+    });
+}
+
 std::vector<CellWorker*> Cell::allowedWorkers(CellJob& job, StepRef ref)
 {
     if (!policyOf(job).advice.isNeeded)
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -33,18 +33,20 @@
         return;
     CellWorker* worker = findWorker(task->worker);
     const absl::Duration lease = startLease(intendedAt);
-    const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease;
+    const Instant now = m_parts.timers.clock().now();
+    const CellStep& step = job.step({ run.task.occurrence, run.task.step });
+    const auto allowed = step.advice.allowed.find(task->worker);
+    const bool hasTicket = allowed != step.advice.allowed.end();
+    const bool hasExpired = hasTicket && allowed->second.validUntil <= now;
+    const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease && !hasExpired;
     if (!worker || !isWanted || !worker->isUsable(m_parts.timers.clock().now())) {
         if (worker)
             handleStartFailure(run, *worker, OrderStatus::NotSent);
         return;
     }
     StartOrder order { run, job.spec.payload, task->checkpoint, "", m_term.token, nextLeaseEnd(*worker, lease) };
-    const CellStep& step = job.step({ run.task.occurrence, run.task.step });
-    const auto allowed = step.advice.allowed.find(task->worker);
-    if (allowed != step.advice.allowed.end())
+    if (hasTicket)
         order.ticket = allowed->second.ticket;
-    const Instant now = m_parts.timers.clock().now();
     task->stage = TaskStage::Starting;
     task->startedAt = now;
     task->progressAt = now;
--- a/test/failure/CellOwnerLoadTest.cpp
+++ b/test/failure/CellOwnerLoadTest.cpp
@@ -27,19 +27,34 @@
     return world.runUntil([&] { return world.owner().has_value() && (*world.owner() == 0) == isToNear; }, limit);
 }
 
-/** Lets entry 0, alone, become the owner of both cells; then the others start. */
-void ownBoth(CellWorld& world)
+/** Lets entry 0, alone, become the owner of all cells; then the others start. */
+void ownAll(CellWorld& world, uint32_t cells)
 {
-    world.setCells(2);
     for (size_t i = 1; i < world.entryCount(); ++i)
         world.kill(i);
-    const auto ownsBoth
-        = [&] { return world.ownerOf(0) == std::optional<size_t>(0) && world.ownerOf(1) == std::optional<size_t>(0); };
-    CHECK(world.runUntil(ownsBoth, absl::Seconds(8)));
+    const auto ownsAll = [&] {
+        for (uint32_t cell = 0; cell < cells; ++cell) {
+            if (world.ownerOf(cell) != std::optional<size_t>(0))
+                return false;
+        }
+        return true;
+    };
+    CHECK(world.runUntil(ownsAll, absl::Seconds(10)));
     for (size_t i = 1; i < world.entryCount(); ++i)
         world.start(i);
 }
 
+/** The entries that own a cell. */
+absl::btree_set<size_t> owners(const CellWorld& world, uint32_t cells)
+{
+    absl::btree_set<size_t> found;
+    for (uint32_t cell = 0; cell < cells; ++cell) {
+        if (const auto owner = world.ownerOf(cell))
+            found.insert(*owner);
+    }
+    return found;
+}
+
 } // namespace
 
 TEST_GROUP_BASE(CellOwnerLoad, CellFailureWorld) {};
@@ -102,7 +117,8 @@
 TEST(CellOwnerLoad, theCellsOfOneOwnerAreOfferedToDifferentEntries)
 {
     CellWorld wide { 4, 12, 7 };
-    ownBoth(wide);
+    wide.setCells(2);
+    ownAll(wide, 2);
     wide.run(absl::Seconds(1));
     wide.setStore(0, StoreMood::Silent);
     const auto areTaken = [&] {
@@ -118,7 +134,8 @@
 TEST(CellOwnerLoad, anEntryThatOwnsSeveralCellsGivesOneToAFreeEntry)
 {
     CellWorld wide { 4, 12, 7 };
-    ownBoth(wide);
+    wide.setCells(2);
+    ownAll(wide, 2);
     const auto areApart = [&] {
         const auto a = wide.ownerOf(0);
         const auto b = wide.ownerOf(1);
@@ -161,3 +178,14 @@
         CHECK(wide.owner() == std::optional<size_t>(0));
     }
 }
+
+TEST(CellOwnerLoad, cellsWithoutOwnersAreNotAllClaimedByOneEntry)
+{
+    CellWorld wide { 4, 12, 7 };
+    wide.setCells(3);
+    ownAll(wide, 3);
+    wide.run(absl::Seconds(1));
+    wide.kill(0);
+    CHECK(wide.runUntil([&] { return owners(wide, 3).size() == 3; }, absl::Milliseconds(2500)));
+    STRCMP_EQUAL("", wide.report().c_str());
+}
--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -2,6 +2,7 @@
  * What a cell keeps when entries and the store fail.
  */
 
+#include "AsioPeerLinks.h"
 #include "CellFailureWorld.h"
 
 using namespace cicada;
@@ -23,6 +24,16 @@
 }
 ;
 
+TEST(CellFailures, aLinkThatIsBackWithinTheTimeoutLeavesTheCellWithItsOwner)
+{
+    const size_t first = owner();
+    world.cutPeers(first, true);
+    world.run(AsioPeerLinks::linkTimeout + absl::Milliseconds(10));
+    world.cutPeers(first, false);
+    world.run(absl::Seconds(2));
+    CHECK(world.owner() == std::optional<size_t>(first));
+}
+
 TEST(CellFailures, theOwnerDiesAndAnotherGoesOn)
 {
     const size_t first = owner();
