Failing tests: a cell taken within the time-out of its owner's link, and claimed again by the entry that resigned it

claimDelay() takes the time since the link was lost off the time-out, and evaluateCell() compares the rest with the same time, so the best-ranked entry claims after 150 ms, not 300 ms. No logic is changed.

--- a/test/failure/CellTest.cpp
+++ b/test/failure/CellTest.cpp
@@ -2,6 +2,7 @@
  * What a cell keeps when entries and the store fail.
  */
 
+#include "AsioPeerLinks.h"
 #include "CellFailureWorld.h"
 
 using namespace cicada;
@@ -79,6 +80,37 @@
     STRCMP_EQUAL("", wide.report().c_str());
 }
 
+TEST(CellFailures, aLinkThatIsBackWithinTheTimeoutLeavesTheCellWithItsOwner)
+{
+    const size_t first = owner();
+    world.cutPeers(first, true);
+    world.run(AsioPeerLinks::linkTimeout + absl::Milliseconds(10));
+    world.cutPeers(first, false);
+    world.run(absl::Seconds(2));
+    CHECK(world.owner() == std::optional<size_t>(first));
+}
+
+TEST(CellFailures, anEntryThatResignsItsCellsDoesNotClaimThemAgain)
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        CellWorld wide { 4, 12, seed };
+        for (size_t i = 1; i < wide.entryCount(); ++i) {
+            wide.kill(i);
+            wide.setFar(i);
+            wide.start(i);
+        }
+        wide.run(absl::Seconds(3));
+        wide.kill(0);
+        CHECK(wide.runUntil([&] { return wide.owner().has_value(); }, takeoverBound));
+        const size_t far = *wide.owner();
+        wide.start(0);
+        CHECK(wide.runUntil([&] { return wide.owner() != std::optional<size_t>(far); }, absl::Seconds(10)));
+        CHECK(wide.runUntil([&] { return wide.owner().has_value(); }, takeoverBound));
+        CHECK_EQUAL(0, *wide.owner());
+        STRCMP_EQUAL("", wide.report().c_str());
+    }
+}
+
 TEST(CellFailures, theOwnerAndItsSuccessorDie)
 {
     submitSome(10, other());
