--- a/test/failure/HttpClientTest.cpp
+++ b/test/failure/HttpClientTest.cpp
@@ -147,3 +147,18 @@
     server.join();
     CHECK(turns <= maxTurns);
 }
+
+TEST(HttpCalls, aCallWhoseTimeHasPassedBeforeItIsWrittenIsNotSent)
+{
+    const absl::Duration timeout = absl::Milliseconds(100);
+    const uint16_t port = acceptor.local_endpoint().port();
+    acceptor.async_accept(served, [this](error_code) { readNext(); });
+    std::optional<HttpResult> answer;
+    client.send({ { "127.0.0.1", port }, "POST", "/", "{}", {}, timeout, false },
+        [&answer](HttpResult got) { answer = std::move(got); });
+    // Other work of the loop, while the connection comes up.
+    std::this_thread::sleep_for(absl::ToChronoMilliseconds(timeout * 2));
+    io.run_for(std::chrono::milliseconds(300));
+    CHECK(answer->outcome == HttpOutcome::NotSent);
+    LONGS_EQUAL(0, requests);
+}
