Failing test: a new owner asks about a gang when it has heard only its first workers

The first question after a change of owner names the few workers heard so far, and costs a round. No logic is changed.

--- a/test/correctness/WideStepsTest.cpp
+++ b/test/correctness/WideStepsTest.cpp
@@ -126,3 +126,25 @@
         STRCMP_EQUAL("", world.report().c_str());
     }
 }
+
+TEST(WideSteps, aNewOwnerAsksAboutAGangWhenItHasHeardMoreThanItsFirstWorkers)
+{
+    constexpr size_t needed = 8;
+    const absl::Duration adviceDelay = absl::Seconds(1);
+    const absl::Duration hearingDelay = absl::Milliseconds(150);
+    for (const absl::Duration delay : { absl::ZeroDuration(), hearingDelay }) {
+        CellWorld world { 3, 24, 1 };
+        startWorld(world, true);
+        world.setAdviceDelay(adviceDelay);
+        // The policy service allows two thirds of the workers: of these eight not enough, of all enough.
+        for (size_t i = needed; i < world.workers().size(); ++i)
+            world.workers()[i].syncDelay = delay;
+        const size_t first = *world.owner();
+        world.submit((first + 1) % 3, makeGang("gang", needed, workerCpuMillis));
+        CHECK(world.runUntil([&] { return world.isAccepted("gang"); }, absl::Seconds(1)));
+        world.kill(first);
+        CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+        CHECK(world.runUntil([&] { return world.startsOf("gang") == needed; }, adviceDelay + hearingDelay * 4));
+        STRCMP_EQUAL("", world.report().c_str());
+    }
+}
