--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -5,6 +5,8 @@
  * the cell. That share is less than a wide gang needs, and once it is late, all that is on time goes before it.
  * Therefore one such gang at a time, the one that has waited longest, has the exclusive reservation: as many workers as
  * it needs, whatever the share and its rank, until it starts or its time is up.
+ *
+ * A gang that has requested tickets for chosen workers keeps their capacity until the replies; see CellAdvice.cpp.
  */
 
 #include "Cell.h"
--- a/test/correctness/WideStepsTest.cpp
+++ b/test/correctness/WideStepsTest.cpp
@@ -24,6 +24,18 @@
     return job;
 }
 
+/** Puts the jobs PREFIX0, PREFIX1... into queues whose tickets take long and expire soon. */
+void setSlowAdvice(CellWorld& world, const std::string& prefix, int jobs)
+{
+    constexpr absl::Duration delay = absl::Milliseconds(700);
+    world.setAdviceDelay(delay);
+    world.setTicketValidity(absl::Seconds(1));
+    QueuePolicy policy = world.policy();
+    policy.advice = { true, delay, absl::ZeroDuration(), absl::Seconds(1) };
+    for (int i = 0; i < jobs; ++i)
+        world.setQueueOf(absl::StrCat(prefix, i), policy);
+}
+
 /** Hands in narrow jobs that together keep `workers` workers busy, for as long as `duration`. */
 void runBeside(CellWorld& world, int workers, absl::Duration duration, const std::string& prefix)
 {
@@ -132,15 +144,8 @@
     CellWorld world { 3, 240, 1 };
     world.setCells(1);
     startWorld(world, false);
-    world.setAdviceDelay(absl::Milliseconds(700));
-    world.setTicketValidity(absl::Seconds(1));
-    QueuePolicy gangs = world.policy();
-    gangs.advice = { true, absl::Milliseconds(700), absl::ZeroDuration(), absl::Seconds(1) };
     constexpr int gangCount = 8;
-    for (int i = 0; i < gangCount; ++i) {
-        const std::string id = absl::StrCat("gang", i);
-        world.setQueueOf(id, gangs);
-    }
+    setSlowAdvice(world, "gang", gangCount);
     runBeside(world, 225, absl::Seconds(2), "before");
     for (int i = 0; i < gangCount; ++i)
         world.submit(static_cast<size_t>(i) % 3, makeGang(absl::StrCat("gang", i), 20, workerCpuMillis));
@@ -171,3 +176,23 @@
         STRCMP_EQUAL("", world.report().c_str());
     }
 }
+
+TEST(WideSteps, narrowGangsThatKeepRoomForTicketsDoNotKeepAWideOneFromIt)
+{
+    CellWorld world { 3, 240, 1 };
+    world.setCells(1);
+    startWorld(world, false);
+    constexpr int narrowCount = 40;
+    setSlowAdvice(world, "narrow", narrowCount);
+    setSlowAdvice(world, "wide", 1);
+    world.policy().latencyTarget = absl::Seconds(30);
+    runBeside(world, 150, absl::Seconds(2), "before");
+    for (int i = 0; i < narrowCount; ++i) {
+        world.submitOnce(static_cast<size_t>(i) % 3, makeGang(absl::StrCat("narrow", i), 4, workerCpuMillis));
+        if (i == 5)
+            world.submit(0, makeGang("wide0", 70, workerCpuMillis));
+        runBeside(world, 150, absl::Milliseconds(300), absl::StrCat("beside", i, "-"));
+    }
+    LONGS_EQUAL(70, world.startsOf("wide0"));
+    STRCMP_EQUAL("", world.report().c_str());
+}
