Second look at the mends: links of late loops, requests for tickets that hold nothing, starts without a ticket

By a second reviewer, from reading: with a loop that is late for 0.6 s, the two sides could each keep another link, since a quiet link was judged without its unread bytes and also on the side that had not opened it; a link that was not kept is now taken up again when the kept one ends. Gangs whose room was refused asked for tickets without any bound. A start of a queue with advice went out without a ticket if the ticket had been taken back while the intent was stored; one without advice was never sent with an old expired ticket in memory. Demands that a reservation hid stayed noted as unmet.

--- a/src/AsioPeerLinks.cpp
+++ b/src/AsioPeerLinks.cpp
@@ -193,14 +193,28 @@
     }
 
     /** Whether the link stays that was there first, when both sides have opened one. Both must keep the same: the one
-     * that the entry with the lesser name opened. A link that has become quiet may be that of a former process. */
+     * that the entry with the lesser name opened. A link on which nothing has arrived for some time may be that of a
+     * former process. */
     bool staysBeside(const Link& first, const Link& second) const
     {
         const bool isPreferred = (self < second.peer) == first.isDialed;
-        const bool isQuiet = now() - first.lastReceivedAt > heartbeatInterval * 2;
+        error_code error;
+        const bool isQuiet = first.isDialed && now() - first.lastReceivedAt > heartbeatInterval * 2
+            && first.socket.available(error) == 0;
         return isPreferred && first.isDialed != second.isDialed && !isQuiet;
     }
 
+    /** Another open link to the peer, or null: one on which nothing has been received yet, or one that was not kept. */
+    LinkPtr findOtherLink(Peer& peer, const std::string& name)
+    {
+        const LinkPtr unheard = std::exchange(peer.unheard, {});
+        if (unheard && unheard->isOpen)
+            return unheard;
+        const auto found = std::find_if(unidentifiedLinks.begin(), unidentifiedLinks.end(),
+            [&name](const LinkPtr& link) { return link->isOpen && link->peer == name; });
+        return found == unidentifiedLinks.end() ? nullptr : *found;
+    }
+
     void notifyLinkChange(const std::string& name, bool isUp)
     {
         log.write(isUp ? "peer-linked" : "peer-lost", "peer", name);
@@ -223,8 +237,7 @@
         const auto peer = peers.find(link->peer);
         if (peer == peers.end() || peer->second.link != link)
             return;
-        const LinkPtr other = std::exchange(peer->second.unheard, {});
-        if (other && other->isOpen) {
+        if (const LinkPtr other = findOtherLink(peer->second, link->peer)) {
             other->peer = link->peer;
             forgetUnidentified(other);
             peer->second.link = other;
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -320,7 +320,7 @@
     void requestTickets(CellJob& job, StepRef ref, absl::Span<const Choice> choices);
     /** Keeps the capacity if the gangs together keep no more than they may. One wide gang at a time may keep all that
      * it needs, whatever the others keep. */
-    void reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation);
+    bool reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation);
     static TicketReservation reservationOf(absl::Span<const Choice> choices);
     /** Usable workers that may run the step, as far as is known. */
     std::vector<CellWorker*> allowedWorkers(CellJob& job, StepRef ref);
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -120,14 +120,16 @@
     std::vector<CellWorker*> workers;
     for (const auto& [worker, tasks] : reservation.tasksByWorker)
         workers.push_back(worker);
-    sendAdviceRequests(job, ref, workers, AdvicePurpose::Tickets);
     const AdvicePolicy& policy = policyOf(job).advice;
     const auto named = static_cast<double>(std::min(workers.size(), maxWorkersPerRequest));
     reservation.until = m_parts.timers.clock().now() + policy.perCall + policy.perWorker * named + maxTicketWait;
-    reserveForTickets(job, ref, std::move(reservation));
+    const bool isReserved = reserveForTickets(job, ref, std::move(reservation));
+    // Without its room, a gang asks only while the service is not busy with others.
+    if (isReserved || canAskForAdvice(job, ref))
+        sendAdviceRequests(job, ref, workers, AdvicePurpose::Tickets);
 }
 
-void Cell::reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation)
+bool Cell::reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation)
 {
     const Instant now = m_parts.timers.clock().now();
     size_t keptByOthers = 0;
@@ -146,9 +148,10 @@
     reservation.exceedsShare = static_cast<double>(keptByOthers) + workers > limit;
     job.step(ref).advice.reservation.reset();
     if (reservation.exceedsShare && !isExclusive(job.spec.id, ref) && (isExceeded || !isWide))
-        return;
+        return false;
     job.step(ref).advice.reservation = std::move(reservation);
     m_parts.metrics.count("cicada_ticket_reservations");
+    return true;
 }
 
 bool Cell::canAskForAdvice(CellJob& job, StepRef ref)
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -116,6 +116,7 @@
         if (!advice || !advice->reservation || advice->ticketRequestsInFlight > 0)
             continue;
         reservation.release();
+        m_unmetDemands.clear();
         if (placeStep(rank) == StepOutcome::Placed)
             m_ready.erase(rank);
         // The pass that meets the reservation releases it.
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -37,8 +37,8 @@
     const CellStep& step = job.step({ run.task.occurrence, run.task.step });
     const auto allowed = step.advice.allowed.find(task->worker);
     const bool hasTicket = allowed != step.advice.allowed.end();
-    const bool hasExpired = hasTicket && allowed->second.validUntil <= now;
-    const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease && !hasExpired;
+    const bool lacksTicket = policyOf(job).advice.isNeeded && (!hasTicket || allowed->second.validUntil <= now);
+    const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease && !lacksTicket;
     if (!worker || !isWanted || !worker->isUsable(m_parts.timers.clock().now())) {
         if (worker)
             handleStartFailure(run, *worker, OrderStatus::NotSent);
