--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -353,9 +353,11 @@
         entry->second = { worker, std::move(ticket.text), validUntil };
         allowed += isNew ? 1 : 0;
     }
-    // A worker that was allowed may have started again as another kind.
-    for (const std::string& worker : refused)
-        step.advice.allowed.erase(worker);
+    // A worker that was allowed may have started again as another kind, or be away; it is asked about again.
+    for (const std::string& worker : refused) {
+        if (step.advice.allowed.erase(worker) > 0)
+            step.advice.queried.erase(worker);
+    }
     m_allowedShares[queue].add(asked, allowed);
 }
 
