--- a/src/AsioPeerLinks.cpp
+++ b/src/AsioPeerLinks.cpp
@@ -207,7 +207,7 @@
     /** Another open link to the peer, or null: one on which nothing has been received yet, or one that was not kept. */
     LinkPtr findOtherLink(Peer& peer, const std::string& name)
     {
-        const LinkPtr unheard = std::exchange(peer.unheard, {});
+        LinkPtr unheard = std::exchange(peer.unheard, {});
         if (unheard && unheard->isOpen)
             return unheard;
         const auto found = std::find_if(unidentifiedLinks.begin(), unidentifiedLinks.end(),
