HttpServer: bound what callers make a process keep

Cause: the reader had no bound on bytes that can't be parsed yet. The parser takes trailers and a chunk's header only when they are complete, and until then they stay in a buffer without a limit; the time-out of 60 s does not end a connection on which bytes arrive. Unfinished bodies of up to 1 MiB were bounded for each connection and not for all of them together.

--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr size_t maxConnections = 100000;
+    constexpr size_t maxBodyBytes = 2 << 20;
+    constexpr size_t maxKeptBytes = size_t { 1 } << 30;
 
     using platform::HttpHandler;
     using platform::HttpRequest;
@@ -42,8 +44,12 @@
 {
     std::unique_ptr<Grid> grid(new Grid(io, std::move(layout)));
     Grid& g = *grid;
+    platform::HttpLimits limits;
+    limits.maxConnections = maxConnections;
+    limits.maxBodyBytes = maxBodyBytes;
+    limits.maxKeptBytes = maxKeptBytes;
     const auto serve = [&](uint16_t port, HttpHandler handler) -> Result<void> {
-        g.m_servers.push_back(std::make_unique<HttpServer>(io, maxConnections, std::move(handler)));
+        g.m_servers.push_back(std::make_unique<HttpServer>(io, limits, std::move(handler)));
         BOOST_OUTCOME_TRY(status, g.m_servers.back()->listen({ g.m_layout.host, port }));
         if (status == ListenStatus::Listening)
             return success();
