Client accounts: keys decide who calls, and the account belongs to the job

Before, no decision knew who called: a request ran whatever its key, also with one that was withdrawn. The configuration in force maps keys to accounts. An account that can't be read does not open the queues. The account's name goes with the job into its record and to its cell's owner, only where there is one, so that records of former builds are read and theirs are written where no accounts are configured.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -206,6 +206,11 @@
     return job.policy;
 }
 
+const ClientAccount* Cell::accountOf(const CellJob& job) const
+{
+    return job.spec.account.empty() || !m_parts.accountOf ? nullptr : m_parts.accountOf(job.spec.account);
+}
+
 void Cell::submit(Submission spec, QueuePolicy policy, Reply reply)
 {
     if (!m_isLoaded && m_requestsUntilLoaded.size() >= maxWaitingRequests)
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -12,6 +12,7 @@
 #include "AllowedShare.h"
 #include "CellJob.h"
 #include "CellWorker.h"
+#include "ClientAccount.h"
 #include "DurableWriter.h"
 #include "Metrics.h"
 #include "PrefixMirror.h"
@@ -88,6 +89,8 @@
         std::function<const QueuePolicy*(const std::string& queue)> policyOf;
         /** Another entry owns the cell: this object must be destroyed, but not within the call. */
         std::function<void(const std::string& why)> onSuperseded;
+        /** The client account in force, or null; empty where there are no accounts. */
+        std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
     };
 
     /** Everything in `parts` must outlive the cell. */
@@ -230,6 +233,8 @@
     void endJob(CellJob& job, JobPhase phase, absl::string_view cause);
     void removeExpiredJobs();
     const QueuePolicy& policyOf(CellJob& job);
+    /** The client account of the job, or null if it has none or the account is no longer in the configuration. */
+    const ClientAccount* accountOf(const CellJob& job) const;
     CellJob* findJob(const std::string& id);
     /** Wraps a callback so that it does nothing after the cell is gone. */
     template <typename F> auto guarded(F function)
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -76,7 +76,8 @@
                                      [this, number](const std::string&) {
                                          m_directory.forgetOwnership(number);
                                          handleCellLost(number);
-                                     } },
+                                     },
+                                     m_parts.accountOf },
             CellTerm { number, m_directory.cellCount(), row, revision });
     owned.cell->start();
     m_parts.metrics.gauge("cicada_cells_owned", static_cast<double>(m_cells.size()));
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -34,6 +34,8 @@
         std::function<std::unique_ptr<WorkerRoster>()> makeRoster;
         std::function<void(std::function<void(std::optional<size_t>)>)> countWorkers;
         std::function<const QueuePolicy*(const std::string& queue)> policyOf;
+        /** The client account in force, or null; empty where there are no accounts. */
+        std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
     };
 
     /** Everything in `parts` must outlive the host. */
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -244,16 +244,25 @@
 
 std::string encodeSubmission(const Submission& spec, const QueuePolicy& policy)
 {
+    // Without an account the message is that of builds that know none, which can then read it.
+    if (spec.account.empty())
+        return Internal::packFields(spec.id, spec.payload, packSteps(spec), spec.occurrences, spec.startUnixMillis,
+            spec.intervalMillis, pack(policy));
     return Internal::packFields(spec.id, spec.payload, packSteps(spec), spec.occurrences, spec.startUnixMillis,
-        spec.intervalMillis, pack(policy));
+        spec.intervalMillis, pack(policy), spec.account);
 }
 
 Result<void> decodeSubmission(absl::string_view bytes, Submission& spec, QueuePolicy& policy)
 {
     std::vector<StepFields> steps;
     PolicyFields policyFields;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "submission", spec.id, spec.payload, steps, spec.occurrences,
-        spec.startUnixMillis, spec.intervalMillis, policyFields));
+    const auto withAccount = Internal::unpackFields(bytes, "submission", spec.id, spec.payload, steps, spec.occurrences,
+        spec.startUnixMillis, spec.intervalMillis, policyFields, spec.account);
+    if (!withAccount) {
+        spec.account.clear();
+        BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "submission", spec.id, spec.payload, steps, spec.occurrences,
+            spec.startUnixMillis, spec.intervalMillis, policyFields));
+    }
     spec.steps.clear();
     for (const StepFields& step : steps)
         spec.steps.push_back(unpack(step));
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -81,6 +81,8 @@
 /** A job as submitted. */
 struct Submission {
     std::string id;
+    /** The client account that submitted it; empty where the configuration names no accounts. */
+    std::string account;
     /** Opaque to the scheduler; passed to the worker. */
     std::string payload;
     std::vector<StepSpec> steps;
--- a/test/error/AdapterTest.cpp
+++ b/test/error/AdapterTest.cpp
@@ -157,6 +157,35 @@
     CHECK(policy.advice.perCall == absl::Milliseconds(410));
 }
 
+TEST(Adapter, clientAccountsAreTranslated)
+{
+    size_t skipped = 0;
+    const auto read = readConfiguration(R"({"version":7,"routes":[{"name":"q","prefix":"/p/","public":true}],"tenants":[
+        {"name":"a","apiKeys":["k1","k2"],"priority":1,"weight":70,"maxCount":{"cpu":3000,"memMb":4000,"gpu":0}},
+        {"name":"b","apiKeys":[7,"","k3"]},{"name":"c"},{"apiKeys":[]},9]})",
+        skipped);
+    CHECK(read.has_value());
+    LONGS_EQUAL(3, skipped);
+    CHECK(read->routes[0].isPublic);
+    LONGS_EQUAL(2, read->accounts.size());
+    LONGS_EQUAL(3, read->accountByKey.size());
+    const ClientAccount& account = read->accounts[read->accountByKey.at("k2")];
+    STRCMP_EQUAL("a", account.name.c_str());
+    DOUBLES_EQUAL(70, account.weight, 0);
+    LONGS_EQUAL(3000, account.limit.cpuMillis);
+    CHECK(account.isLimited());
+    CHECK(!read->accounts[read->accountByKey.at("k3")].isLimited());
+}
+
+TEST(Adapter, unreadableClientAccountsDoNotOpenTheQueues)
+{
+    size_t skipped = 0;
+    const auto read = readConfiguration(R"({"version":7,"routes":[],"tenants":[{"name":1}]})", skipped);
+    CHECK(read->hasAccounts);
+    CHECK(read->accounts.empty());
+    CHECK(!readConfiguration(R"({"version":7,"routes":[],"tenants":[]})", skipped)->hasAccounts);
+}
+
 TEST(Adapter, brokenConfigurationsAreNone)
 {
     size_t skipped = 0;
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -32,6 +32,16 @@
 
 TEST_GROUP(CellRecords) {};
 
+TEST(CellRecords, theAccountComesBackAndRecordsWithoutOneAreRead)
+{
+    auto job = sample();
+    // A record without an account is that of builds that knew none.
+    CHECK(decodeJobRecord("0123456789abcdef", encodeJobRecord(*job)).value()->spec.account.empty());
+    job->spec.account = "observatory";
+    STRCMP_EQUAL(
+        "observatory", decodeJobRecord("0123456789abcdef", encodeJobRecord(*job)).value()->spec.account.c_str());
+}
+
 TEST(CellRecords, aJobComesBackAsItWas)
 {
     auto job = sample();
