CellTransfers: steps that no cell has room for do not keep others from being searched for

Callers would see: an accepted job has nothing running although another cell has idle workers, as 240 late steps of a service that lost all its workers stand before it.

Cause: a scan looked for room for eight steps and began at the front each time. A step in front was passed over only for as long as the search interval, so the same eight filled each scan.

Evidence: manyJobsThatNoCellCanRunDoNotKeepOneBehindThemFromAnotherCell failed before (nothing started within 4 s) and passes.

Why it works: the scan goes on where the last one ended, and a demand for which no cell had room is not searched for again for all other steps of the service with the same or a larger one, until the search interval is over.

The users' failure was not reproduced.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -415,6 +415,8 @@
      * part of the workers. */
     uint32_t roomNeededBy(CellJob& job, StepRef ref);
     void searchRoom();
+    /** Whether no other cell had room, moments ago, for a task of the step or a smaller one. */
+    bool isUnmetElsewhere(CellJob& job, StepRef ref);
     /** Whether the step has waited long enough for room here that it may be sought elsewhere. */
     bool needsTransfer(CellJob& job, StepRef ref);
     /** Whether the policy service is asked about a gang for which there is room here, as far as is known: what has been
@@ -492,7 +494,12 @@
     absl::flat_hash_map<std::string, Mark> m_marks;
     /** Notices of jobs that were transferred to this cell; null with one cell. */
     std::unique_ptr<PrefixMirror> m_arrivals;
+    /** How long a demand for which no cell had room is not searched for again. */
     absl::Duration m_searchInterval;
+    /** Where the next scan for steps to transfer begins; nothing for the front. */
+    std::optional<Rank> m_searchFrom;
+    UnmetDemands m_unmetElsewhere;
+    Instant m_unmetElsewhereUntil = absl::ZeroDuration();
 };
 
 } // namespace cicada
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -118,25 +118,43 @@
 {
     if (m_isSuperseded)
         return;
+    const Instant now = m_parts.timers.clock().now();
     m_usableWorkers.clear();
     m_unmetDemands.clear();
+    if (now >= m_unmetElsewhereUntil) {
+        m_unmetElsewhere.clear();
+        m_unmetElsewhereUntil = now + m_searchInterval;
+    }
+    // A scan that starts at the front each time would never get to steps behind many that no cell has room for.
+    auto it = m_searchFrom ? m_ready.lower_bound(*m_searchFrom) : m_ready.begin();
     size_t scanned = 0;
     size_t searches = 0;
-    for (auto it = m_ready.begin(); it != m_ready.end() && scanned < maxScannedSteps; ++it, ++scanned) {
+    bool isAnyUnmet = false;
+    for (; it != m_ready.end() && scanned < maxScannedSteps && searches < maxSearches; ++it, ++scanned) {
         CellJob* job = findJob(it->job);
-        if (searches == maxSearches)
-            break;
-        if (!job || !needsTransfer(*job, it->ref))
+        if (!job)
+            continue;
+        const bool isUnmet = isUnmetElsewhere(*job, it->ref);
+        isAnyUnmet = isAnyUnmet || isUnmet || now - job->searchedAt < maxSearchInterval;
+        if (isUnmet || !needsTransfer(*job, it->ref))
             continue;
         ++searches;
-        job->searchedAt = m_parts.timers.clock().now();
+        job->searchedAt = now;
         m_parts.rooms.find(m_term.cell, roomQueryOf(*job, it->ref),
             guarded([this, id = it->job, ref = it->ref](
                         std::optional<uint32_t> destination) { handleRoom(id, ref, destination); }));
     }
-    if (searches == 0)
+    const bool isWholePass = it == m_ready.end() && !m_searchFrom;
+    m_searchFrom = it == m_ready.end() ? std::nullopt : std::optional<Rank>(*it);
+    if (searches == 0 && isWholePass && !isAnyUnmet)
         m_searchInterval = searchInterval;
-    m_parts.timers.after(m_searchInterval, guarded([this] { searchRoom(); }));
+    m_parts.timers.after(searchInterval, guarded([this] { searchRoom(); }));
+}
+
+bool Cell::isUnmetElsewhere(CellJob& job, StepRef ref)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    return !spec.isGang && m_unmetElsewhere.includes(policyOf(job).service, spec.requiredLabel, demandOf(spec));
 }
 
 bool Cell::needsTransfer(CellJob& job, StepRef ref)
@@ -198,12 +216,16 @@
 
 void Cell::handleRoom(const std::string& id, StepRef ref, std::optional<uint32_t> destination)
 {
+    CellJob* job = findJob(id);
     if (!destination) {
         m_searchInterval = std::min(maxSearchInterval, m_searchInterval * 2);
+        // What one task found no room for, larger ones of the same service need not search.
+        if (job && !job->stepSpec(ref).isGang)
+            m_unmetElsewhere.add(
+                policyOf(*job).service, job->stepSpec(ref).requiredLabel, demandOf(job->stepSpec(ref)));
         return;
     }
     m_searchInterval = searchInterval;
-    CellJob* job = findJob(id);
     const bool waits = job && !waitingTasks(job->step(ref)).empty();
     if (!waits || !isTransferable(*job) || isGatheringTickets(*job, ref) || m_isSuperseded)
         return;
--- a/test/failure/CellTransfersTest.cpp
+++ b/test/failure/CellTransfersTest.cpp
@@ -100,6 +100,28 @@
         idleBound));
 }
 
+TEST(CellTransfers, manyJobsThatNoCellCanRunDoNotKeepOneBehindThemFromAnotherCell)
+{
+    loseCell(0);
+    QueuePolicy without = world->policy();
+    without.queue = "without-workers";
+    without.service = "gone";
+    without.priority = 0;
+    // The job behind them can't be on time, so that it stays behind them.
+    world->policy().priority = 2;
+    world->policy().stretch = 0;
+    world->policy().latencyTarget = absl::ZeroDuration();
+    std::vector<std::string> stuck;
+    for (int i = 0; i < 240; ++i) {
+        stuck.push_back(CellWorld::jobIn(0, cells, 1000 + i));
+        world->setQueueOf(stuck.back(), without);
+        world->submit(static_cast<size_t>(i) % world->entryCount(), makeJob(stuck.back(), 1));
+    }
+    world->run(absl::Seconds(8));
+    submitTo(0, 1);
+    CHECK(world->runUntil([&] { return world->startsOf(jobs.back()) == 2; }, idleBound));
+}
+
 TEST(CellTransfers, aGangThatIsTooWideForTheRoomOfItsCellStartsWholeInAnother)
 {
     submitTo(0, 6, 4, absl::Seconds(25));
