--- /dev/null
+++ b/src/AccountQuota.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/** \file
+ * How much of each resource a client account may have allocated in one cell.
+ */
+
+#include "ClientAccount.h"
+
+#include <limits>
+#include <memory>
+
+namespace cicada {
+
+/** An amount without a limit. It differs from a granted amount of 0, with which nothing may start. */
+constexpr int64_t unlimitedAmount = std::numeric_limits<int64_t>::max();
+
+/** Decides on an account's part of its limit in one cell. */
+class AccountQuota {
+public:
+    virtual ~AccountQuota() = default;
+    /** What the account may have allocated in this cell now; `unlimitedAmount` where its limit has a 0. */
+    virtual Resources limitHere(const ClientAccount& account) const = 0;
+};
+
+/** Gives each of the cells the same part of the limit, rounded down; the only cell has all of it. */
+std::unique_ptr<AccountQuota> makeFixedQuota(uint32_t cells);
+
+/** The account's limit on all cells together, with `unlimitedAmount` in place of 0. */
+Resources wholeLimit(const ClientAccount& account);
+
+} // namespace cicada
