Cell: an account's runs never hold more than its limit in the cell

Before, nothing limited what an account had at work: a flood by one account took every worker. Now a step gets at most as many tasks as its account's limit leaves. A wider step starts in waves, a gang only as a whole. A step that is held back costs a round as little as one without room; it is tried again when its account releases capacity or the configuration changes. A gang that is held back gets no reservation of any kind and asks the policy service nothing, and no step that is held back is transferred or counts as wanting this cell's room: none of these could help it.

Each allocation keeps its account's name, as it may outlast the job's records. A new owner needs them for the runs of a job that has ended, too: they count until their end is listed. So the run record of an ended job with an account keeps its active runs, and its job record goes when the last of them is released. Records of jobs without an account are written as before. A new owner starts nothing for accounts before it has read the configuration, as it does not know the limits.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -15,6 +15,7 @@
 Cell::Cell(Parts parts, CellTerm term)
     : m_parts(std::move(parts))
     , m_term(std::move(term))
+    , m_quota(makeFixedQuota(m_term.cells))
     , m_ownedSince(m_parts.timers.clock().now())
     , m_writer(
           { m_parts.store, m_parts.timers, m_parts.log, m_parts.metrics,
@@ -134,7 +135,7 @@
                     worker.listed.incarnation.id = tasks[i].worker;
                     const TaskRun run { { id, k, s, i }, tasks[i].run };
                     const StepSpec& spec = job->spec.steps[s];
-                    worker.allocate(run, demandOf(spec), spec.isService);
+                    allocate(worker, run, demandOf(spec), spec.isService, job->spec.account);
                     worker.allocations[run].isInherited = true;
                     ++activeRuns;
                 }
@@ -154,7 +155,7 @@
     std::vector<CellJob*> active;
     for (auto& [id, job] : m_jobs) {
         if (isEnded(job->phase))
-            m_writer.writeDeferred(jobKey(id));
+            removeJobRecord(id);
         else
             active.push_back(job.get());
     }
@@ -180,8 +181,8 @@
         return std::nullopt;
     if (key != jobKey(id))
         return encodeRunRecord(job);
-    // Of an ended job only the run record is kept.
-    if (isEnded(job.phase))
+    // Of an ended job only the run record is kept, once its runs no longer count as its account's.
+    if (isEnded(job.phase) && m_accountUsage.runsOf(id) == 0)
         return std::nullopt;
     return encodeJobRecord(job);
 }
@@ -206,11 +207,6 @@
     return job.policy;
 }
 
-const ClientAccount* Cell::accountOf(const CellJob& job) const
-{
-    return job.spec.account.empty() || !m_parts.accountOf ? nullptr : m_parts.accountOf(job.spec.account);
-}
-
 void Cell::submit(Submission spec, QueuePolicy policy, Reply reply)
 {
     if (!m_isLoaded && m_requestsUntilLoaded.size() >= maxWaitingRequests)
@@ -360,7 +356,7 @@
     }
     stopJob(job);
     // The job record is deleted only once the end is durable; the two writes must not be reordered.
-    storeRuns(job, guarded([this, id = job.spec.id] { m_writer.writeDeferred(jobKey(id)); }));
+    storeRuns(job, guarded([this, id = job.spec.id] { removeJobRecord(id); }));
 }
 
 size_t Cell::pending(const std::string& queue) const
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -8,6 +8,8 @@
  * token, and its writes are conditional on a row revision that has changed.
  */
 
+#include "AccountQuota.h"
+#include "AccountUsage.h"
 #include "Advisor.h"
 #include "AllowedShare.h"
 #include "CellJob.h"
@@ -91,6 +93,9 @@
         std::function<void(const std::string& why)> onSuperseded;
         /** The client account in force, or null; empty where there are no accounts. */
         std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
+        /** Whether the configuration has been read; until then the accounts' limits are not known. Empty for always.
+         */
+        std::function<bool()> areAccountsKnown = nullptr;
     };
 
     /** Everything in `parts` must outlive the cell. */
@@ -115,6 +120,9 @@
     size_t pending(const std::string& queue) const;
 
     size_t jobCount() const { return m_jobs.size(); }
+    const AccountUsage& accountUsage() const { return m_accountUsage; }
+    /** The limits of accounts may have changed. */
+    void handleConfigurationChange();
     /** The store responds again after failures; retries pending writes at once. */
     void handleStoreRecovered() { m_writer.retryNow(); }
 
@@ -233,8 +241,6 @@
     void endJob(CellJob& job, JobPhase phase, absl::string_view cause);
     void removeExpiredJobs();
     const QueuePolicy& policyOf(CellJob& job);
-    /** The client account of the job, or null if it has none or the account is no longer in the configuration. */
-    const ClientAccount* accountOf(const CellJob& job) const;
     CellJob* findJob(const std::string& id);
     /** Wraps a callback so that it does nothing after the cell is gone. */
     template <typename F> auto guarded(F function)
@@ -266,6 +272,23 @@
     void storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
     std::vector<uint32_t> waitingTasks(const CellStep& step) const;
 
+    // CellAccounts.cpp: the limits of client accounts.
+    /** Allocate and release a run's capacity on its worker, and count it as its account's. */
+    void allocate(
+        CellWorker& worker, const TaskRun& run, const Resources& demand, bool isOfService, const std::string& account);
+    void release(CellWorker& worker, const TaskRun& run);
+    /** Removes the record of an ended job, unless runs of it count as its account's: a new owner reads from the record
+     * whose they are. */
+    void removeJobRecord(const std::string& id);
+    /** The client account of the job, or null if it has none or the account is no longer in the configuration. */
+    const ClientAccount* accountOf(const Submission& spec) const;
+    /** How many tasks of the step the limit of the job's account lets start now. */
+    uint64_t startableWithinLimit(const CellJob& job, const StepSpec& spec) const;
+    /** Whether the limit lets nothing of the step start now; a gang starts as a whole. */
+    bool isHeldByLimit(const CellJob& job, StepRef ref) const;
+    /** The waiting tasks of the step, as many as the limit lets start now. */
+    std::vector<uint32_t> startableTasks(CellJob& job, StepRef ref) const;
+
     // CellRounds.cpp: which steps are looked at in a placement round.
     void schedulePlacement();
     void scheduleContinuation();
@@ -306,6 +329,7 @@
     StepRoom measureRoom(CellJob& job, StepRef ref);
     /** Logs the state of a step that waits, at intervals. */
     void reportWait(CellJob& job, StepRef ref);
+    void reportHeldByLimit(CellJob& job, StepRef ref);
 
     /** How long a new owner asks nothing about gangs while workers may still reply to their first sync. */
     static constexpr absl::Duration hearingTime = absl::Milliseconds(400);
@@ -457,6 +481,8 @@
     Parts m_parts;
     const CellTerm m_term;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    AccountUsage m_accountUsage;
+    const std::unique_ptr<AccountQuota> m_quota;
     bool m_isLoaded = false;
     bool m_isSuperseded = false;
     bool m_isPlacementScheduled = false;
--- /dev/null
+++ b/src/CellAccounts.cpp
@@ -0,0 +1,86 @@
+/** \file
+ * The part of Cell that keeps client accounts within their limits: it counts what their runs hold and says how far a
+ * step may be started.
+ */
+
+#include "Cell.h"
+
+#include "Job.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    /** The number of tasks that must start together. */
+    uint32_t smallestStart(const StepSpec& spec) { return spec.isGang ? spec.taskCount : 1; }
+
+} // namespace
+
+void Cell::allocate(
+    CellWorker& worker, const TaskRun& run, const Resources& demand, bool isOfService, const std::string& account)
+{
+    worker.allocate(run, demand, isOfService, account, m_accountUsage);
+}
+
+void Cell::release(CellWorker& worker, const TaskRun& run)
+{
+    if (!worker.release(run, m_accountUsage))
+        return;
+    const std::string& id = run.task.job;
+    const CellJob* job = findJob(id);
+    if (job && isEnded(job->storedPhase))
+        removeJobRecord(id);
+    // What the account has released may let a step start that its limit held back.
+    schedulePlacement();
+}
+
+void Cell::removeJobRecord(const std::string& id)
+{
+    if (m_accountUsage.runsOf(id) == 0)
+        m_writer.writeDeferred(jobKey(id));
+}
+
+void Cell::handleConfigurationChange()
+{
+    if (m_isLoaded)
+        schedulePlacement();
+}
+
+const ClientAccount* Cell::accountOf(const Submission& spec) const
+{
+    return spec.account.empty() || !m_parts.accountOf ? nullptr : m_parts.accountOf(spec.account);
+}
+
+uint64_t Cell::startableWithinLimit(const CellJob& job, const StepSpec& spec) const
+{
+    if (job.spec.account.empty())
+        return spec.taskCount;
+    // The limit is not known before the configuration is.
+    if (m_parts.areAccountsKnown && !m_parts.areAccountsKnown())
+        return 0;
+    const ClientAccount* account = accountOf(job.spec);
+    if (!account || !account->isLimited())
+        return spec.taskCount;
+    return m_accountUsage.startable(account->name, m_quota->limitHere(*account), demandOf(spec));
+}
+
+bool Cell::isHeldByLimit(const CellJob& job, StepRef ref) const
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    return startableWithinLimit(job, spec) < smallestStart(spec);
+}
+
+std::vector<uint32_t> Cell::startableTasks(CellJob& job, StepRef ref) const
+{
+    std::vector<uint32_t> waiting = waitingTasks(job.step(ref));
+    const StepSpec& spec = job.stepSpec(ref);
+    const uint64_t startable = startableWithinLimit(job, spec);
+    if (startable >= waiting.size())
+        return waiting;
+    waiting.resize(spec.isGang ? 0 : startable);
+    return waiting;
+}
+
+} // namespace cicada
--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -2,9 +2,16 @@
 
 namespace cicada {
 
+namespace {
+
+    constexpr absl::Duration accountMetricsInterval = absl::Seconds(1);
+
+} // namespace
+
 CellHost::CellHost(Parts parts)
     : m_parts(std::move(parts))
     , m_advisorSlots(m_parts.self.name, m_parts.advisor, m_parts.peers, m_parts.timers, m_parts.log)
+    , m_accountMetrics(m_parts.metrics)
     , m_directory(directoryParts())
     , m_gateway({ m_directory, m_parts.peers, m_parts.timers, m_parts.log, m_parts.metrics, m_parts.self.name,
           [this](uint32_t cell) { return cellOf(cell); },
@@ -52,7 +59,30 @@
         } };
 }
 
-void CellHost::start() { m_directory.start(); }
+void CellHost::start()
+{
+    m_directory.start();
+    if (m_parts.accountOf)
+        publishAccountUse();
+}
+
+void CellHost::handleConfigurationChange()
+{
+    for (auto& [number, owned] : m_cells)
+        owned.cell->handleConfigurationChange();
+}
+
+void CellHost::publishAccountUse()
+{
+    std::vector<const AccountUsage*> cells;
+    for (const auto& [number, owned] : m_cells)
+        cells.push_back(&owned.cell->accountUsage());
+    m_accountMetrics.publish(cells);
+    m_parts.timers.after(accountMetricsInterval, [this, alive = m_alive] {
+        if (*alive)
+            publishAccountUse();
+    });
+}
 
 void CellHost::onLinkChange(std::function<void(const std::string& peer, bool isUp)> function)
 {
@@ -77,7 +107,7 @@
                                          m_directory.forgetOwnership(number);
                                          handleCellLost(number);
                                      },
-                                     m_parts.accountOf },
+                                     m_parts.accountOf, m_parts.areAccountsKnown },
             CellTerm { number, m_directory.cellCount(), row, revision });
     owned.cell->start();
     m_parts.metrics.gauge("cicada_cells_owned", static_cast<double>(m_cells.size()));
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -5,6 +5,7 @@
  * gateway, and maintains the peer links that they need. It is a complete entry except for the I/O.
  */
 
+#include "AccountMetrics.h"
 #include "Advisor.h"
 #include "Cell.h"
 #include "CellDirectory.h"
@@ -36,6 +37,8 @@
         std::function<const QueuePolicy*(const std::string& queue)> policyOf;
         /** The client account in force, or null; empty where there are no accounts. */
         std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
+        /** Whether the configuration has been read. Empty for always. */
+        std::function<bool()> areAccountsKnown = nullptr;
     };
 
     /** Everything in `parts` must outlive the host. */
@@ -44,6 +47,8 @@
 
     void start();
     JobGateway& gateway() { return m_gateway; }
+    /** The configuration in force has changed. */
+    void handleConfigurationChange();
     /** Applies to cells that are gained from now on. */
     void setBounds(const CellBounds& bounds) { m_parts.bounds = bounds; }
     /** Calls back on each link that came up or went down, after the host has handled the change. */
@@ -66,6 +71,7 @@
     void handleCellGained(uint32_t number, const std::string& row, uint64_t revision);
     void handleCellLost(uint32_t number);
     void updatePeerLinks();
+    void publishAccountUse();
 
     Parts m_parts;
     AdvisorSlots m_advisorSlots;
@@ -73,6 +79,7 @@
     absl::btree_map<uint32_t, OwnedCell> m_cells;
     /** Lost cells that are destroyed after the current call, as the call may come from the cell itself. */
     std::vector<OwnedCell> m_closingCells;
+    AccountMetrics m_accountMetrics;
     std::function<void(const std::string&, bool)> m_onLinkChange;
     CellDirectory m_directory;
     JobGateway m_gateway;
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -294,15 +294,20 @@
 {
     std::vector<TaskFields> tasks;
     std::vector<GangFields> gangs;
-    for (uint32_t k = 0; k < job.occurrences.size() && !isEnded(job.phase); ++k) {
+    // Of an ended job, the runs that may still be active count as its account's.
+    const bool isOver = isEnded(job.phase);
+    const bool keepsTasks = !isOver || !job.spec.account.empty();
+    for (uint32_t k = 0; k < job.occurrences.size() && keepsTasks; ++k) {
         for (uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
             const auto& all = job.occurrences[k][s].tasks;
             const std::vector<uint32_t>& failed = job.occurrences[k][s].failedRuns;
-            if (!failed.empty())
+            if (!failed.empty() && !isOver)
                 gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed);
             for (uint32_t i = 0; i < all.size(); ++i) {
                 const CellTask& task = all[i];
-                if (task.stage == TaskStage::Waiting && task.run == 0)
+                const bool isLeftOut
+                    = isOver ? !task.hasActiveRun() : task.stage == TaskStage::Waiting && task.run == 0;
+                if (isLeftOut)
                     continue;
                 const bool hasFinished = task.stage == TaskStage::Finished;
                 tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf({ job.spec.id, k, s, i }),
--- a/src/CellLeases.cpp
+++ b/src/CellLeases.cpp
@@ -130,7 +130,7 @@
     for (const TaskRun& run : runs)
         concludeRun(worker, run, why);
     for (const UnansweredStart& old : mayStartArrive ? worker.unansweredStarts : std::vector<UnansweredStart>()) {
-        worker.allocate(old.run, old.demand);
+        allocate(worker, old.run, old.demand, false, old.account);
         worker.allocations[old.run].isStopWanted = true;
     }
     worker.beginIncarnation(m_parts.timers.clock().now());
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -158,7 +158,7 @@
                 { worker, worker->free(), !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
     }
     std::vector<Choice> choices;
-    for (const uint32_t index : waitingTasks(step)) {
+    for (const uint32_t index : startableTasks(job, ref)) {
         FreeCapacity* best = nullptr;
         double bestScore = 0;
         for (FreeCapacity& freeCapacity : freeCapacities) {
@@ -231,7 +231,13 @@
         return StepOutcome::Placed;
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
-    if (mustWait || !hasRoomForTask(*job, spec))
+    if (mustWait)
+        return StepOutcome::Skipped;
+    if (isHeldByLimit(*job, rank.ref)) {
+        step.advice.reservation.reset();
+        return StepOutcome::Skipped;
+    }
+    if (!hasRoomForTask(*job, spec))
         return StepOutcome::Skipped;
     if (policyOf(*job).advice.isNeeded)
         return placeWithAdvice(rank, *job, waiting) ? StepOutcome::Placed : StepOutcome::Unplaced;
@@ -263,7 +269,7 @@
         task.worker = choice.worker->listed.incarnation.id;
         task.workerStarted = choice.worker->startedUnixMillis;
         runs.push_back({ { job.spec.id, ref.occurrence, ref.step, choice.index }, task.run });
-        choice.worker->allocate(runs.back(), demand, spec.isService);
+        allocate(*choice.worker, runs.back(), demand, spec.isService, job.spec.account);
     }
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -73,7 +73,7 @@
             break;
         CellJob* job = findJob(rank.job);
         if (!job || served.contains(&rank) || !job->stepSpec(rank.ref).isGang
-            || now - job->step(rank.ref).readyAt < reservationDelay)
+            || now - job->step(rank.ref).readyAt < reservationDelay || isHeldByLimit(*job, rank.ref))
             continue;
         Reservation reservation = reserveFor(*job, rank, maxReserved - reserved);
         if (reservation.freeCapacities.empty())
@@ -129,7 +129,8 @@
     // A gang starts again only when no member of its last run is active.
     const bool isWaiting = job.isStored && !job.isMoving && !isEnded(job.phase) && job.stepSpec(ref).isGang
         && waitingTasks(step).size() == step.tasks.size();
-    if (!isWaiting || now - std::max(step.readyAt, job.arrivedAt) < exclusiveDelay || now < step.noExclusiveBefore)
+    if (!isWaiting || isHeldByLimit(job, ref) || now - std::max(step.readyAt, job.arrivedAt) < exclusiveDelay
+        || now < step.noExclusiveBefore)
         return false;
     return step.latestStart < now && needsMoreThanShare(job, job.stepSpec(ref));
 }
@@ -219,7 +220,7 @@
 {
     Reservation reservation { &rank, {} };
     const auto& tickets = job.step(rank.ref).advice.reservation;
-    if (!tickets || tickets->until <= m_parts.timers.clock().now())
+    if (!tickets || tickets->until <= m_parts.timers.clock().now() || isHeldByLimit(job, rank.ref))
         return reservation;
     const Resources demand = demandOf(job.stepSpec(rank.ref));
     for (const auto& [worker, tasks] : tickets->tasksByWorker) {
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -129,7 +129,7 @@
 {
     if (why == notListed)
         worker.recordUnanswered(run, m_parts.timers.clock().now());
-    worker.release(run);
+    release(worker, run);
     CellJob* job = findJob(run.task.job);
     CellTask* task = job ? job->find(run.task) : nullptr;
     if (!task || task->run != run.run || !task->hasActiveRun())
@@ -159,7 +159,7 @@
             continue;
         if (task.stage == TaskStage::StoringIntent) {
             task.stage = TaskStage::Waiting;
-            worker->release(run);
+            release(*worker, run);
         } else {
             requestStop(*worker, run);
         }
@@ -237,7 +237,7 @@
 void Cell::applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed)
 {
     const TaskName& name = ended.run.task;
-    worker.release(ended.run);
+    release(worker, ended.run);
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
     const bool isCurrent = task && task->run == ended.run.run && task->hasActiveRun();
@@ -310,7 +310,7 @@
         const TaskRun run { { name.job, name.occurrence, name.step, i }, done.run };
         CellWorker* at = done.hasActiveRun() ? findWorker(done.worker) : nullptr;
         if (at && done.stage == TaskStage::StoringIntent)
-            at->release(run);
+            release(*at, run);
         else if (at && !spec.isGang)
             requestStop(*at, run);
         done.stage = TaskStage::Finished;
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -211,8 +211,8 @@
     const std::string& id = worker.listed.incarnation.id;
     // The demand of a job that has been removed is not known; the run may use all that the worker has.
     if (!worker.allocations.contains(listed.run))
-        worker.allocate(listed.run, task ? demandOf(job->spec.steps[name.step]) : worker.listed.capacity,
-            task && job->spec.steps[name.step].isService);
+        allocate(worker, listed.run, task ? demandOf(job->spec.steps[name.step]) : worker.listed.capacity,
+            task && job->spec.steps[name.step].isService, job ? job->spec.account : "");
     RunAllocation& allocation = worker.allocations[listed.run];
     // A reply from before the run began may still be in flight.
     allocation.visibleFrom = std::min(allocation.visibleFrom, now);
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -80,7 +80,7 @@
     for (auto it = m_ready.begin(); it != m_ready.end() && room > 0; ++it) {
         CellJob* job = findJob(it->job);
         if (job && policyOf(*job).service == query.service)
-            room -= std::min<uint64_t>(room, waitingTasks(job->step(it->ref)).size());
+            room -= std::min<uint64_t>(room, startableTasks(*job, it->ref).size());
     }
     return room;
 }
@@ -146,6 +146,9 @@
     const absl::Duration stay = std::min(maxStay, minStay * (1 << std::min(job.transfers, 4U)));
     if (waited < noRoomDelay || now - job.arrivedAt < stay || now - job.searchedAt < m_searchInterval)
         return false;
+    // Its account's limit holds it, not a lack of room.
+    if (isHeldByLimit(job, ref))
+        return false;
     // A gang for which room or tickets are being gathered here would begin anew elsewhere.
     if (!isTransferable(job) || isExclusive(job.spec.id, ref) || isGatheringTickets(job, ref))
         return false;
--- a/src/CellWaits.cpp
+++ b/src/CellWaits.cpp
@@ -61,6 +61,8 @@
     if (now - std::max(step.readyAt, step.waitReportedAt) < reportInterval)
         return;
     step.waitReportedAt = now;
+    if (isHeldByLimit(job, ref))
+        return reportHeldByLimit(job, ref);
     const StepSpec& spec = job.stepSpec(ref);
     const Resources demand = demandOf(spec);
     const StepRoom room = measureRoom(job, ref);
@@ -75,4 +77,24 @@
         room.freeAllowed, "freeWithTicket", room.freeWithTicket);
 }
 
+void Cell::reportHeldByLimit(CellJob& job, StepRef ref)
+{
+    const Instant now = m_parts.timers.clock().now();
+    const CellStep& step = job.step(ref);
+    const StepSpec& spec = job.stepSpec(ref);
+    const Resources demand = demandOf(spec);
+    const Resources allocated = m_accountUsage.allocatedTo(job.spec.account);
+    const ClientAccount* account = accountOf(job.spec);
+    const Resources limit = account ? m_quota->limitHere(*account) : Resources();
+    // The room on the workers is not measured, as many steps may wait for the same account.
+    m_parts.log.write("step-waits", "job", job.spec.id, "occurrence", ref.occurrence, "step", ref.step, "waitedMs",
+        absl::ToInt64Milliseconds(now - step.readyAt), "tasks", step.tasks.size(), "waiting", waitingTasks(step).size(),
+        "gang", spec.isGang, "cpuMillis", demand.cpuMillis, "memoryMiB", demand.memoryMiB, "urgency",
+        urgencyName(urgencyOf(spec, step, now)), "ready", m_ready.size(), "why",
+        account ? "account-limit" : "accounts-not-known", "account", job.spec.account, "allocatedCpuMillis",
+        allocated.cpuMillis, "limitCpuMillis", limit.cpuMillis, "allocatedMemoryMiB", allocated.memoryMiB,
+        "limitMemoryMiB", limit.memoryMiB, "allocatedAccelerators", allocated.accelerators, "limitAccelerators",
+        limit.accelerators);
+}
+
 } // namespace cicada
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -53,24 +53,30 @@
     failedSyncs = 0;
 }
 
-void CellWorker::allocate(const TaskRun& run, const Resources& demand, bool isOfService)
+void CellWorker::allocate(
+    const TaskRun& run, const Resources& demand, bool isOfService, const std::string& account, AccountUsage& usage)
 {
-    if (!allocations.try_emplace(run, RunAllocation { demand, isOfService }).second)
+    if (!allocations.try_emplace(run, RunAllocation { demand, isOfService, account }).second)
         return;
+    usage.add(account, run.task.job, demand);
     used = used + demand;
     if (isOfService)
         usedByServices = usedByServices + demand;
 }
 
-void CellWorker::release(const TaskRun& run)
+bool CellWorker::release(const TaskRun& run, AccountUsage& usage)
 {
     const auto found = allocations.find(run);
     if (found == allocations.end())
-        return;
+        return false;
+    const std::string account = std::move(found->second.account);
+    if (!account.empty())
+        usage.remove(account, run.task.job, found->second.demand);
     used = used - found->second.demand;
     if (found->second.isOfService)
         usedByServices = usedByServices - found->second.demand;
     allocations.erase(found);
+    return !account.empty();
 }
 
 Resources CellWorker::free() const { return listed.capacity - used - reserved; }
@@ -90,7 +96,7 @@
     unansweredStarts.erase(std::remove_if(unansweredStarts.begin(), unansweredStarts.end(),
                                [now](const UnansweredStart& old) { return now - old.at > unansweredRetention; }),
         unansweredStarts.end());
-    unansweredStarts.push_back({ run, found->second.demand, now });
+    unansweredStarts.push_back({ run, found->second.demand, found->second.account, now });
 }
 
 void CellWorker::markDurable(uint64_t sequence)
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -6,6 +6,7 @@
  * processed and acknowledged.
  */
 
+#include "AccountUsage.h"
 #include "Clock.h"
 #include "WorkerOrders.h"
 
@@ -62,6 +63,8 @@
     Resources demand;
     /** The run lasts until its job is cancelled, so its capacity does not become free by waiting. */
     bool isOfService = false;
+    /** The client account as whose the run counts; empty for none. It outlasts the job's records. */
+    std::string account;
     /** When the worker replied to the start or a stop; a list requested later shows the run unless it has ended. */
     Instant visibleFrom = absl::InfiniteDuration();
     /** An earlier owner may have ordered the run. */
@@ -83,6 +86,7 @@
 struct UnansweredStart {
     TaskRun run;
     Resources demand;
+    std::string account;
     Instant at;
 };
 
@@ -133,8 +137,11 @@
 
     /** Forgets what was known of the last incarnation, except the allocations, which may outlast it. */
     void beginIncarnation(Instant now);
-    void allocate(const TaskRun& run, const Resources& demand, bool isOfService = false);
-    void release(const TaskRun& run);
+    /** Allocates capacity to a run, unless it has some, and counts it in `usage`. */
+    void allocate(
+        const TaskRun& run, const Resources& demand, bool isOfService, const std::string& account, AccountUsage& usage);
+    /** Releases the run's capacity; whether it counted as an account's. */
+    bool release(const TaskRun& run, AccountUsage& usage);
     Resources free() const;
     /** What is free once all runs but those of services have ended. */
     Resources freeInTime() const;
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -231,7 +231,8 @@
               { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
-              [&world](const std::string& queue) { return &world.policyOfJob(queue); } })
+              [&world](const std::string& queue) { return &world.policyOfJob(queue); },
+              [&world](const std::string& account) { return world.accountNamed(account); } })
     {
     }
     std::string name;
@@ -425,6 +426,7 @@
 void CellWorld::Policy::request(
     const AdviceRequest& question, absl::Duration, absl::AnyInvocable<void(AdviceReply)> callback)
 {
+    ++m_world.m_adviceRequests;
     if (question.workers.size() > maxWorkersInAdvice)
         m_world.violate("an advice request names too many workers");
     AdviceReply answer;
@@ -832,6 +834,28 @@
     return found == m_policiesOfJobs.end() ? m_policy : found->second;
 }
 
+void CellWorld::setAccount(const ClientAccount& account)
+{
+    constexpr absl::Duration startTransit = absl::Seconds(1);
+    const auto known = m_judgedLimits.find(account.name);
+    const bool isLowered = known != m_judgedLimits.end() && !fits(wholeLimit(known->second), wholeLimit(account));
+    m_accounts[account.name] = account;
+    if (isLowered)
+        m_timers.after(startTransit, [this, account] { m_judgedLimits[account.name] = account; });
+    else
+        m_judgedLimits[account.name] = account;
+    for (const auto& entry : m_entries) {
+        if (entry && entry->isAlive)
+            entry->host.handleConfigurationChange();
+    }
+}
+
+const ClientAccount* CellWorld::accountNamed(const std::string& name) const
+{
+    const auto found = m_accounts.find(name);
+    return found == m_accounts.end() ? nullptr : &found->second;
+}
+
 Submission makeJob(const std::string& id, uint32_t tasks, int64_t cpuMillis, absl::Duration estimate)
 {
     Submission job;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -4,9 +4,10 @@
  * A whole deployment on a paused clock: entries made of the real parts, a store, workers, a policy service and links
  * between entries, all of which can be made to fail. It judges what callers and workers see: no task runs twice at
  * once, after it has finished or after its last attempt has failed, no worker holds more than it has, no refused job
- * runs, no accepted one is lost.
+ * runs, no accepted one is lost, no account has more at work than its limit.
  */
 
+#include "AccountQuota.h"
 #include "CellHost.h"
 #include "TaskHistory.h"
 #include "WorldStore.h"
@@ -161,8 +162,14 @@
     QueuePolicy& policy() { return m_policy; }
     /** Puts the job, which is handed in later, into a queue of its own, which has this policy otherwise. */
     void setQueueOf(const std::string& job, QueuePolicy policy);
+    /** Puts the account in force, in place of the one with its name. Starts that are on their way are judged by the
+     * higher limit. */
+    void setAccount(const ClientAccount& account);
+    /** The processors that the account's runs hold on all workers. */
+    int64_t cpuMillisOf(const std::string& account) const;
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
+    size_t adviceRequests() const { return m_adviceRequests; }
     /** How long tickets are valid from the policy service's answer on. */
     void setTicketValidity(absl::Duration validity) { m_ticketValidity = validity; }
     Instant lastStartAt() const { return m_lastStartAt; }
@@ -198,6 +205,8 @@
     };
 
     const QueuePolicy& policyOfJob(const std::string& job) const;
+    const ClientAccount* accountNamed(const std::string& name) const;
+    void judgeLimit(const TaskRun& started);
     void retrySubmit(size_t entry, const Submission& job);
     void violate(const std::string& what);
     int64_t clockOf(const WorldWorker&) const;
@@ -232,6 +241,9 @@
     QueuePolicy m_policy;
     /** Policies of queues that hold one job, by its id, which is also the queue's name. */
     absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
+    absl::btree_map<std::string, ClientAccount> m_accounts;
+    /** The accounts with the highest limit by which a start may still be judged. */
+    absl::btree_map<std::string, ClientAccount> m_judgedLimits;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
     absl::Duration m_ticketValidity = absl::Seconds(2);
     absl::btree_map<std::string, Job> m_jobs;
@@ -240,6 +252,7 @@
     absl::btree_map<std::string, std::vector<GatewayStatus>> m_answers;
     std::vector<TaskRun> m_startOrder;
     std::vector<std::string> m_violations;
+    size_t m_adviceRequests = 0;
     uint64_t m_lastSerial = 0;
     uint64_t m_lastLife = 0;
     const absl::Duration m_maxLease;
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -107,11 +107,30 @@
         used = used + state.demand;
     if (!fits(used, worker.capacity))
         violate(absl::StrCat("more than it can hold: ", worker.id, " with ", describeRun(run)));
+    judgeLimit(run);
     extendLease(index, order.leaseEndMillis);
     m_timers.after(workOf(job.spec, run.task), [this, index, run, serial] { runDone(index, run, serial); });
     return reply;
 }
 
+int64_t CellWorld::cpuMillisOf(const std::string& account) const
+{
+    int64_t sum = 0;
+    for (const WorldWorker& worker : m_workers) {
+        for (const auto& [run, state] : worker.runs)
+            sum += m_jobs.at(run.task.job).spec.account == account ? state.demand.cpuMillis : 0;
+    }
+    return sum;
+}
+
+void CellWorld::judgeLimit(const TaskRun& started)
+{
+    const std::string& account = m_jobs[started.task.job].spec.account;
+    const auto limit = m_judgedLimits.find(account);
+    if (limit != m_judgedLimits.end() && cpuMillisOf(account) > wholeLimit(limit->second).cpuMillis)
+        violate(absl::StrCat("above the limit of ", account, ": ", describeRun(started)));
+}
+
 void CellWorld::runDone(size_t index, const TaskRun& run, uint64_t serial)
 {
     WorldWorker& worker = m_workers[index];
