Jobs that are larger than their account's limit are refused on arrival

Such a job was accepted and waited without end. A job that is known by its id is never refused.

The reply to a peer carries the reason in the count, which a refusal left at 0.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -231,6 +231,12 @@
         m_acceptReplies[id].push_back(std::move(reply));
         return;
     }
+    if (exceedsLimit(spec)) {
+        m_parts.log.write("job-refused", "job", id, "account", spec.account, "why", "larger-than-account-limit");
+        CellReply refused { CellOutcome::Refused };
+        refused.reason = RefusalReason::LargerThanAccountLimit;
+        return reply(refused);
+    }
     auto job = makeCellJob(std::move(spec), std::move(policy), m_parts.timers.clock().wallMicros() / 1000);
     job->acceptedAt = m_parts.timers.clock().now();
     CellJob& kept = *(m_jobs[id] = std::move(job));
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -66,11 +66,21 @@
     NotOwner,
 };
 
+/** Why a job was refused. Peers exchange the values. */
+enum class RefusalReason : uint32_t {
+    /** It may be accepted later. */
+    Unspecified = 0,
+    /** It can't run while its account has this limit. */
+    LargerThanAccountLimit = 1,
+};
+
 struct CellReply {
     CellOutcome outcome = CellOutcome::NotOwner;
     JobPhase phase = JobPhase::Queued;
     /** After Moved, the cell in which the job is. */
     uint32_t cell = 0;
+    /** After Refused. */
+    RefusalReason reason = RefusalReason::Unspecified;
 };
 
 /** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
@@ -288,6 +298,8 @@
     bool isHeldByLimit(const CellJob& job, StepRef ref) const;
     /** The waiting tasks of the step, as many as the limit lets start now. */
     std::vector<uint32_t> startableTasks(CellJob& job, StepRef ref) const;
+    /** Whether a step of the job could not start even if the account used nothing. */
+    bool exceedsLimit(const Submission& spec) const;
 
     // CellRounds.cpp: which steps are looked at in a placement round.
     void schedulePlacement();
--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -83,4 +83,14 @@
     return waiting;
 }
 
+bool Cell::exceedsLimit(const Submission& spec) const
+{
+    const ClientAccount* account = accountOf(spec);
+    if (!account)
+        return false;
+    const Resources limit = wholeLimit(*account);
+    return std::any_of(spec.steps.begin(), spec.steps.end(),
+        [&limit](const StepSpec& step) { return countFittingTasks(demandOf(step), limit) < smallestStart(step); });
+}
+
 } // namespace cicada
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -22,7 +22,7 @@
         case CellOutcome::Accepted:
             return { GatewayStatus::Accepted };
         case CellOutcome::Refused:
-            return { GatewayStatus::Refused };
+            return { GatewayStatus::Refused, JobPhase::Queued, static_cast<uint64_t>(reply.reason) };
         case CellOutcome::Found:
             return { GatewayStatus::Found, reply.phase };
         case CellOutcome::Cancelled:
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -42,7 +42,14 @@
 struct GatewayReply {
     GatewayStatus status = GatewayStatus::Unreached;
     JobPhase phase = JobPhase::Queued;
+    /** After Counted, the number of jobs; after Moved, the cell; after Refused, the RefusalReason, which entries of
+     * former builds ignore and leave 0. */
     uint64_t count = 0;
+
+    bool isRefusedFor(RefusalReason reason) const
+    {
+        return status == GatewayStatus::Refused && count == static_cast<uint64_t>(reason);
+    }
 };
 
 /** Forwards requests to owners, and serves other entries' requests for the cells that this entry owns. Used on the
--- a/test/correctness/CellAccountsTest.cpp
+++ b/test/correctness/CellAccountsTest.cpp
@@ -39,6 +39,13 @@
     {
         return world.runUntil([&] { return world.startsOf(job) >= tasks; }, limit);
     }
+    GatewayReply replyTo(const Submission& job)
+    {
+        GatewayReply reply;
+        world.submitOnce(0, job);
+        world.runUntil([&] { return !world.repliesTo(job.id).empty(); }, absl::Seconds(3));
+        return world.repliesTo(job.id).back();
+    }
 };
 
 TEST(CellAccounts, aFloodOfOneAccountLeavesRoomForAnother)
@@ -97,6 +104,14 @@
     STRCMP_EQUAL("", wide.report().c_str());
 }
 
+TEST(CellAccounts, whatCanNeverStartIsRefusedForGood)
+{
+    CHECK(replyTo(gangOf("large", makeJob("gang", 7))).isRefusedFor(RefusalReason::LargerThanAccountLimit));
+    CHECK(replyTo(jobOf("large", makeJob("task", 1, 6001))).isRefusedFor(RefusalReason::LargerThanAccountLimit));
+    CHECK(replyTo(gangOf("large", makeJob("fits", 6))).status == GatewayStatus::Accepted);
+    CHECK(replyTo(gangOf("", makeJob("ownerless", 7))).status == GatewayStatus::Accepted);
+}
+
 TEST(CellAccounts, aLoweredLimitStartsNothingUntilUseHasFallen)
 {
     world.submit(0, jobOf("large", makeJob("long", 5, 1000, absl::Seconds(4))));
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -717,6 +717,7 @@
     at->host.gateway().submit(
         job, policyOfJob(job.id), absl::Milliseconds(2800), [this, id = job.id](GatewayReply reply) {
             m_answers[id].push_back(reply.status);
+            m_replies[id].push_back(reply);
             if (reply.status == GatewayStatus::Accepted)
                 m_accepted.insert(id);
         });
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -120,6 +120,7 @@
     /** The queue's jobs that have not begun, as an entry tells it. */
     uint64_t pending(size_t entry);
     std::vector<GatewayStatus> answersTo(const std::string& job) const;
+    const std::vector<GatewayReply>& repliesTo(const std::string& job) { return m_replies[job]; }
     bool isAccepted(const std::string& job) const { return m_accepted.contains(job); }
     /** Whether every accepted job has been seen to end. */
     bool allEnded(size_t askAt);
@@ -250,6 +251,7 @@
     absl::btree_set<std::string> m_accepted;
     absl::btree_set<std::string> m_sawEnd;
     absl::btree_map<std::string, std::vector<GatewayStatus>> m_answers;
+    absl::btree_map<std::string, std::vector<GatewayReply>> m_replies;
     std::vector<TaskRun> m_startOrder;
     std::vector<std::string> m_violations;
     size_t m_adviceRequests = 0;
