CellDirectory: the revision as of which all rows are known

The split of accounts' limits needs it: an owner must not act on rows older than its own. A vacant row's revision is needed, too, since a later owner has a higher one.

--- a/src/CellDirectory.cpp
+++ b/src/CellDirectory.cpp
@@ -96,6 +96,12 @@
     return found == m_rows.end() || found->second.owner.name.empty() ? nullptr : &found->second;
 }
 
+uint64_t CellDirectory::rowRevision(uint32_t cell) const
+{
+    const auto found = m_rows.find(cell);
+    return found == m_rows.end() ? 0 : found->second.revision;
+}
+
 std::vector<EntryRecord> CellDirectory::entries() const
 {
     std::vector<EntryRecord> all;
--- a/src/CellDirectory.h
+++ b/src/CellDirectory.h
@@ -82,6 +82,10 @@
     std::vector<EntryRecord> neighbours() const;
     /** The owner of the cell, or null when there is no known owner. */
     const CellRow* ownerOf(uint32_t cell) const;
+    /** The revision of the cell's row, with or without an owner; 0 when there is no known row. */
+    uint64_t rowRevision(uint32_t cell) const;
+    /** All changes of rows up to this revision of the store are known, and perhaps later ones. */
+    uint64_t knownRevision() const { return m_mirror.knownRevision(); }
     std::vector<EntryRecord> entries() const;
     /** Whether the entry has announced a planned stop. */
     bool isStopping(const std::string& entry) const;
--- a/src/PrefixMirror.h
+++ b/src/PrefixMirror.h
@@ -36,6 +36,8 @@
     void stop();
     /** Whether the first listing has completed. */
     bool isPopulated() const { return m_isPopulated; }
+    /** All changes up to this revision of the store have been applied. */
+    uint64_t knownRevision() const { return m_revision; }
     /** When the store last replied. */
     Instant lastContact() const { return m_lastContact; }
     const absl::btree_map<std::string, StoreEntry>& entries() const { return m_entries; }
