--- a/src/CellHost.cpp
+++ b/src/CellHost.cpp
@@ -11,6 +11,9 @@
           [this](const std::string& peer) { return m_parts.peers.isLinked(peer); } })
     , m_rooms(
           { m_directory, m_parts.peers, m_parts.timers, m_parts.log, [this](uint32_t cell) { return cellOf(cell); } })
+    , m_owners(m_directory)
+    , m_accountLimits({ m_owners, m_parts.peers, m_parts.timers, m_parts.log, m_parts.self.name, m_parts.accountOf,
+          m_parts.accountDemandOf, m_parts.onMoreQuota })
 {
     m_advisorSlots.setSlotFilter([this](const std::string& entry) {
         return m_cells.contains(cellOfKey(entry, m_directory.cellCount())) && !m_directory.isStopping(entry);
@@ -52,6 +55,12 @@
         } };
 }
 
+CellOwner CellHost::Owners::ownerOf(uint32_t cell) const
+{
+    const CellRow* row = m_directory.ownerOf(cell);
+    return { row ? row->owner.name : std::string(), m_directory.rowRevision(cell) };
+}
+
 void CellHost::start() { m_directory.start(); }
 
 void CellHost::onLinkChange(std::function<void(const std::string& peer, bool isUp)> function)
@@ -68,6 +77,7 @@
 void CellHost::handleCellGained(uint32_t number, const std::string& row, uint64_t revision)
 {
     handleCellLost(number);
+    m_accountLimits.handleCellGained(number, revision);
     OwnedCell& owned = m_cells[number];
     owned.roster = m_parts.makeRoster();
     owned.cell
@@ -92,6 +102,7 @@
     // This call may come from the cell itself, so the cell is destroyed afterwards.
     m_closingCells.push_back(std::move(found->second));
     m_cells.erase(found);
+    m_accountLimits.handleCellLost(number);
     m_parts.metrics.gauge("cicada_cells_owned", static_cast<double>(m_cells.size()));
     m_parts.timers.after(absl::ZeroDuration(), [this, alive = m_alive] {
         if (!*alive)
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -5,6 +5,7 @@
  * gateway, and maintains the peer links that they need. It is a complete entry except for the I/O.
  */
 
+#include "AccountLimitService.h"
 #include "Advisor.h"
 #include "Cell.h"
 #include "CellDirectory.h"
@@ -36,6 +37,11 @@
         std::function<const QueuePolicy*(const std::string& queue)> policyOf;
         /** The client account in force, or null; empty where there are no accounts. */
         std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
+        /** What the accounts use in a cell that this entry owns; null where it isn't known. Without it, nothing is lent
+         * between cells. */
+        std::function<const AccountDemand*(uint32_t cell)> accountDemandOf = nullptr;
+        /** The accounts may use more in this cell now. */
+        std::function<void(uint32_t cell)> onMoreQuota = nullptr;
     };
 
     /** Everything in `parts` must outlive the host. */
@@ -55,8 +61,25 @@
     size_t ownedCells() const { return m_cells.size(); }
     /** The cell if this entry owns it, else null. */
     Cell* cellOf(uint32_t cell);
+    AccountLimitService& accountLimits() { return m_accountLimits; }
 
 private:
+    /** The directory's rows, as the accounts' limits need them. */
+    class Owners final : public CellOwners {
+    public:
+        explicit Owners(const CellDirectory& directory)
+            : m_directory(directory)
+        {
+        }
+
+        uint32_t cellCount() const override { return m_directory.cellCount(); }
+        uint64_t knownRevision() const override { return m_directory.knownRevision(); }
+        CellOwner ownerOf(uint32_t cell) const override;
+
+    private:
+        const CellDirectory& m_directory;
+    };
+
     struct OwnedCell {
         std::unique_ptr<WorkerRoster> roster;
         std::unique_ptr<Cell> cell;
@@ -77,6 +100,8 @@
     CellDirectory m_directory;
     JobGateway m_gateway;
     CellRoomFinder m_rooms;
+    Owners m_owners;
+    AccountLimitService m_accountLimits;
 };
 
 } // namespace cicada
