--- a/src/AccountQuota.h
+++ b/src/AccountQuota.h
@@ -7,7 +7,6 @@
 #include "ClientAccount.h"
 
 #include <limits>
-#include <memory>
 
 namespace cicada {
 
@@ -18,12 +17,12 @@
 class AccountQuota {
 public:
     virtual ~AccountQuota() = default;
-    /** What the account may have allocated in this cell now; `unlimitedAmount` where its limit has a 0. */
+    /** What the account may have allocated in this cell now. Applies to the fields that its limit names. */
     virtual Resources limitHere(const ClientAccount& account) const = 0;
 };
 
-/** Gives each of the cells the same part of the limit, rounded down; the only cell has all of it. */
-std::unique_ptr<AccountQuota> makeFixedQuota(uint32_t cells);
+/** The quota, with `unlimitedAmount` in the fields in which the account has no limit. */
+Resources withUnlimited(const ClientAccount& account, Resources quota);
 
 /** The account's limit on all cells together, with `unlimitedAmount` in place of 0. */
 Resources wholeLimit(const ClientAccount& account);
--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -15,7 +15,6 @@
 Cell::Cell(Parts parts, CellTerm term)
     : m_parts(std::move(parts))
     , m_term(std::move(term))
-    , m_quota(makeFixedQuota(m_term.cells))
     , m_ownedSince(m_parts.timers.clock().now())
     , m_writer(
           { m_parts.store, m_parts.timers, m_parts.log, m_parts.metrics,
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -8,7 +8,7 @@
  * token, and its writes are conditional on a row revision that has changed.
  */
 
-#include "AccountQuota.h"
+#include "AccountLimits.h"
 #include "AccountUsage.h"
 #include "Advisor.h"
 #include "AllowedShare.h"
@@ -84,7 +84,7 @@
 };
 
 /** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
-class Cell {
+class Cell final : public AccountDemand {
 public:
     using Reply = absl::AnyInvocable<void(CellReply)>;
     struct Parts {
@@ -101,16 +101,20 @@
         std::function<const QueuePolicy*(const std::string& queue)> policyOf;
         /** Another entry owns the cell: this object must be destroyed, but not within the call. */
         std::function<void(const std::string& why)> onSuperseded;
+        /** What accounts may have allocated in this cell. */
+        std::shared_ptr<const AccountQuota> quota;
         /** The client account in force, or null; empty where there are no accounts. */
         std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
         /** Whether the configuration has been read; until then the accounts' limits are not known. Empty for always.
          */
         std::function<bool()> areAccountsKnown = nullptr;
+        /** The quota of an account holds up a step. */
+        std::function<void()> onMoreQuotaWanted = nullptr;
     };
 
     /** Everything in `parts` must outlive the cell. */
     Cell(Parts parts, CellTerm term);
-    ~Cell();
+    ~Cell() override;
 
     /** Loads the stored records, then takes over the workers. */
     void start();
@@ -132,7 +136,9 @@
     size_t jobCount() const { return m_jobs.size(); }
     const AccountUsage& accountUsage() const { return m_accountUsage; }
     /** The limits of accounts may have changed. */
-    void handleConfigurationChange();
+    void handleLimitsChange();
+    bool isCounted() const override { return m_isLoaded; }
+    std::vector<AccountNeed> needs() const override;
     /** The store responds again after failures; retries pending writes at once. */
     void handleStoreRecovered() { m_writer.retryNow(); }
 
@@ -496,7 +502,6 @@
     const CellTerm m_term;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     AccountUsage m_accountUsage;
-    const std::unique_ptr<AccountQuota> m_quota;
     bool m_isLoaded = false;
     bool m_isSuperseded = false;
     bool m_isPlacementScheduled = false;
--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+    /** Ready steps that are looked at for what the accounts want. */
+    constexpr size_t maxScannedSteps = 1000;
+
     /** The number of tasks that must start together. */
     uint32_t smallestStart(const StepSpec& spec) { return spec.isGang ? spec.taskCount : 1; }
 
@@ -42,7 +45,7 @@
         m_writer.writeDeferred(jobKey(id));
 }
 
-void Cell::handleConfigurationChange()
+void Cell::handleLimitsChange()
 {
     if (m_isLoaded)
         schedulePlacement();
@@ -63,7 +66,34 @@
     const ClientAccount* account = accountOf(job.spec);
     if (!account || !account->isLimited())
         return spec.taskCount;
-    return m_accountUsage.startable(account->name, m_quota->limitHere(*account), demandOf(spec));
+    return m_accountUsage.startable(
+        account->name, withUnlimited(*account, m_parts.quota->limitHere(*account)), demandOf(spec));
+}
+
+std::vector<AccountNeed> Cell::needs() const
+{
+    absl::btree_map<std::string, AccountNeed> needs;
+    for (const auto& [account, total] : m_accountUsage.totals())
+        needs[account] = { account, total.allocated, {}, false };
+    size_t scanned = 0;
+    for (auto it = m_ready.begin(); it != m_ready.end() && scanned < maxScannedSteps; ++it, ++scanned) {
+        const auto found = m_jobs.find(it->job);
+        if (found == m_jobs.end() || found->second->spec.account.empty())
+            continue;
+        CellJob& job = *found->second;
+        AccountNeed& need = needs[job.spec.account];
+        need.account = job.spec.account;
+        // A gang that comes first gets what it needs before others take part of it.
+        if (need.isIndivisible)
+            continue;
+        const StepSpec& spec = job.stepSpec(it->ref);
+        need.isIndivisible = spec.isGang && need.wanted.cpuMillis == 0 && need.wanted.memoryMiB == 0;
+        need.wanted = need.wanted + demandOf(spec) * static_cast<int64_t>(waitingTasks(job.step(it->ref)).size());
+    }
+    std::vector<AccountNeed> list;
+    for (auto& [account, need] : needs)
+        list.push_back(std::move(need));
+    return list;
 }
 
 bool Cell::isHeldByLimit(const CellJob& job, StepRef ref) const
--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -5,6 +5,7 @@
  * gateway, and maintains the peer links that they need. It is a complete entry except for the I/O.
  */
 
+#include "AccountLimitService.h"
 #include "AccountMetrics.h"
 #include "Advisor.h"
 #include "Cell.h"
@@ -72,6 +73,23 @@
     void handleCellLost(uint32_t number);
     void updatePeerLinks();
     void publishAccountUse();
+    AccountLimitService::Parts accountLimitParts();
+
+    /** The directory's rows, as the accounts' limits need them. */
+    class Owners final : public CellOwners {
+    public:
+        explicit Owners(const CellDirectory& directory)
+            : m_directory(directory)
+        {
+        }
+
+        uint32_t cellCount() const override { return m_directory.cellCount(); }
+        uint64_t knownRevision() const override { return m_directory.knownRevision(); }
+        CellOwner ownerOf(uint32_t cell) const override;
+
+    private:
+        const CellDirectory& m_directory;
+    };
 
     Parts m_parts;
     AdvisorSlots m_advisorSlots;
@@ -84,6 +102,8 @@
     CellDirectory m_directory;
     JobGateway m_gateway;
     CellRoomFinder m_rooms;
+    Owners m_owners;
+    AccountLimitService m_accountLimits;
 };
 
 } // namespace cicada
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -235,6 +235,8 @@
         return StepOutcome::Skipped;
     if (isHeldByLimit(*job, rank.ref)) {
         step.advice.reservation.reset();
+        if (m_parts.onMoreQuotaWanted)
+            m_parts.onMoreQuotaWanted();
         return StepOutcome::Skipped;
     }
     if (!hasRoomForTask(*job, spec))
--- a/src/CellWaits.cpp
+++ b/src/CellWaits.cpp
@@ -85,7 +85,7 @@
     const Resources demand = demandOf(spec);
     const Resources allocated = m_accountUsage.allocatedTo(job.spec.account);
     const ClientAccount* account = accountOf(job.spec);
-    const Resources limit = account ? m_quota->limitHere(*account) : Resources();
+    const Resources limit = account ? m_parts.quota->limitHere(*account) : Resources();
     // The room on the workers is not measured, as many steps may wait for the same account.
     m_parts.log.write("step-waits", "job", job.spec.id, "occurrence", ref.occurrence, "step", ref.step, "waitedMs",
         absl::ToInt64Milliseconds(now - step.readyAt), "tasks", step.tasks.size(), "waiting", waitingTasks(step).size(),
--- a/src/Job.h
+++ b/src/Job.h
@@ -119,6 +119,11 @@
     return { a.cpuMillis + b.cpuMillis, a.memoryMiB + b.memoryMiB, a.accelerators + b.accelerators };
 }
 
+inline Resources operator*(const Resources& a, int64_t count)
+{
+    return { a.cpuMillis * count, a.memoryMiB * count, a.accelerators * count };
+}
+
 inline Resources operator-(const Resources& a, const Resources& b)
 {
     return { a.cpuMillis - b.cpuMillis, a.memoryMiB - b.memoryMiB, a.accelerators - b.accelerators };
