--- a/src/Cell.h
+++ b/src/Cell.h
@@ -347,6 +347,7 @@
     StepRoom measureRoom(CellJob& job, StepRef ref);
     /** Logs the state of a step that waits, at intervals. */
     void reportWait(CellJob& job, StepRef ref);
+    /** As above, for a step that its account's limit holds back. */
     void reportHeldByLimit(CellJob& job, StepRef ref);
 
     /** How long a new owner asks nothing about gangs while workers may still reply to their first sync. */
@@ -502,6 +503,8 @@
     const CellTerm m_term;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     AccountUsage m_accountUsage;
+    /** By account: when a step that its limit holds back is reported next. */
+    absl::flat_hash_map<std::string, Instant> m_nextHeldReports;
     bool m_isLoaded = false;
     bool m_isSuperseded = false;
     bool m_isPlacementScheduled = false;
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -127,13 +127,11 @@
 void Cell::holdAgain(const Rank& rank, const Reservation* former)
 {
     CellJob* job = findJob(rank.job);
-    // Another step of the account may have used up its limit in this round.
-    if (job && isHeldByLimit(*job, rank.ref))
-        return;
     const Reservation tickets = job ? ticketReservationOf(*job, rank) : Reservation();
     if (!tickets.freeCapacities.empty())
         tickets.hold();
-    else if (former)
+    // Another step of the account may have used up its limit in this round.
+    else if (former && !(job && isHeldByLimit(*job, rank.ref)))
         former->hold();
 }
 
--- a/src/CellWaits.cpp
+++ b/src/CellWaits.cpp
@@ -13,6 +13,9 @@
     /** A step that has waited this long is reported, and again each time that as long has passed. */
     constexpr absl::Duration reportInterval = absl::Seconds(2);
 
+    /** The least time between two reports about steps that one account's limit holds back, which may be thousands. */
+    constexpr absl::Duration heldReportInterval = absl::Milliseconds(50);
+
     absl::string_view urgencyName(StepUrgency urgency)
     {
         switch (urgency) {
@@ -60,9 +63,9 @@
     CellStep& step = job.step(ref);
     if (now - std::max(step.readyAt, step.waitReportedAt) < reportInterval)
         return;
-    step.waitReportedAt = now;
     if (isHeldByLimit(job, ref))
         return reportHeldByLimit(job, ref);
+    step.waitReportedAt = now;
     const StepSpec& spec = job.stepSpec(ref);
     const Resources demand = demandOf(spec);
     const StepRoom room = measureRoom(job, ref);
@@ -80,7 +83,12 @@
 void Cell::reportHeldByLimit(CellJob& job, StepRef ref)
 {
     const Instant now = m_parts.timers.clock().now();
-    const CellStep& step = job.step(ref);
+    Instant& nextReport = m_nextHeldReports.try_emplace(job.spec.account, absl::ZeroDuration()).first->second;
+    if (now < nextReport)
+        return;
+    nextReport = now + heldReportInterval;
+    CellStep& step = job.step(ref);
+    step.waitReportedAt = now;
     const StepSpec& spec = job.stepSpec(ref);
     const Resources demand = demandOf(spec);
     const Resources allocated = m_accountUsage.allocatedTo(job.spec.account);
--- a/test/correctness/CellAccountsTest.cpp
+++ b/test/correctness/CellAccountsTest.cpp
@@ -4,6 +4,7 @@
  */
 
 #include "CellWorld.h"
+#include "JobApi.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -12,6 +13,21 @@
 using namespace cicada;
 using namespace cicada::test;
 
+namespace {
+
+/** A store of which nothing is ever heard. */
+class SilentStore final : public TransactionalStore {
+public:
+    void transact(Transaction, absl::AnyInvocable<void(TransactionReply)>) override { }
+    void listPage(const std::string&, const std::string&, absl::AnyInvocable<void(StorePage)>) override { }
+    void awaitChange(const std::string&, uint64_t, absl::Duration, absl::AnyInvocable<void(WatchReply)>) override { }
+    void grantLease(absl::Duration, absl::AnyInvocable<void(LeaseReply)>) override { }
+    void keepLease(uint64_t, absl::AnyInvocable<void(LeaseStatus)>) override { }
+    void endLease(uint64_t) override { }
+};
+
+} // namespace
+
 TEST_GROUP(CellAccounts)
 {
     CellWorld world { 3, 8, 1 };
@@ -39,10 +55,9 @@
     {
         return world.runUntil([&] { return world.startsOf(job) >= tasks; }, limit);
     }
-    GatewayReply replyTo(const Submission& job)
+    GatewayReply replyTo(const Submission& job, size_t entry = 0)
     {
-        GatewayReply reply;
-        world.submitOnce(0, job);
+        world.submitOnce(entry, job);
         world.runUntil([&] { return !world.repliesTo(job.id).empty(); }, absl::Seconds(3));
         return world.repliesTo(job.id).back();
     }
@@ -106,12 +121,48 @@
 
 TEST(CellAccounts, whatCanNeverStartIsRefusedForGood)
 {
-    CHECK(replyTo(gangOf("large", makeJob("gang", 7))).isRefusedFor(RefusalReason::LargerThanAccountLimit));
+    for (size_t entry = 0; entry < world.entryCount(); ++entry) {
+        const Submission gang = gangOf("large", makeJob(absl::StrCat("gang", entry), 7));
+        CHECK(replyTo(gang, entry).isRefusedFor(RefusalReason::LargerThanAccountLimit));
+    }
     CHECK(replyTo(jobOf("large", makeJob("task", 1, 6001))).isRefusedFor(RefusalReason::LargerThanAccountLimit));
     CHECK(replyTo(gangOf("large", makeJob("fits", 6))).status == GatewayStatus::Accepted);
     CHECK(replyTo(gangOf("", makeJob("ownerless", 7))).status == GatewayStatus::Accepted);
 }
 
+TEST(CellAccounts, theCallerOfATooLargeJobIsNotToldToTryAgain)
+{
+    ManualClock clock;
+    TimerQueue timers { clock };
+    EventLog log { "e", -1 };
+    Metrics metrics;
+    SilentStore store;
+    platform::Catalog catalog { store, timers, log, metrics };
+    catalog.take(R"({"version":1,"routes":[{"name":"queue","hostname":"h","prefix":"/p/","service":"service"}],)"
+                 R"("tenants":[{"name":"large","apiKeys":["key"],"maxCount":{"cpu":6000}}]})",
+        "test");
+    platform::JobApi api { catalog, world.gateway(1), log, metrics };
+    std::optional<platform::HttpResponse> response;
+    api.handle({ "POST", "/p/0123456789abcdef", "", "h", 0, "key",
+                   R"({"spec":"s","steps":[{"count":7,"cpu":1000,"memMb":1,"estimateMs":9,"gang":true}]})" },
+        [&](platform::HttpResponse given) { response = std::move(given); });
+    CHECK(world.runUntil([&] { return response.has_value(); }, absl::Seconds(3)));
+    LONGS_EQUAL(429, response->status);
+    LONGS_EQUAL(0, response->retryAfterSeconds);
+}
+
+TEST(CellAccounts, nothingStartsBeforeTheLimitsAreKnown)
+{
+    world.setConfigurationRead(false);
+    world.submit(0, jobOf("large", makeJob("job", 2)));
+    world.submit(0, makeJob("free", 2));
+    CHECK(startsWithin("free", 2, absl::Seconds(1)));
+    world.run(absl::Seconds(3));
+    LONGS_EQUAL(0, world.startsOf("job"));
+    world.setConfigurationRead(true);
+    CHECK(startsWithin("job", 2, absl::Milliseconds(100)));
+}
+
 TEST(CellAccounts, aLoweredLimitStartsNothingUntilUseHasFallen)
 {
     world.submit(0, jobOf("large", makeJob("long", 5, 1000, absl::Seconds(4))));
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -232,7 +232,8 @@
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
               [&world](const std::string& queue) { return &world.policyOfJob(queue); },
-              [&world](const std::string& account) { return world.accountNamed(account); } })
+              [&world](const std::string& account) { return world.accountNamed(account); },
+              [&world] { return world.m_isConfigurationRead; } })
     {
     }
     std::string name;
@@ -845,12 +846,25 @@
         m_timers.after(startTransit, [this, account] { m_judgedLimits[account.name] = account; });
     else
         m_judgedLimits[account.name] = account;
+    announceConfiguration();
+}
+
+void CellWorld::setConfigurationRead(bool isRead)
+{
+    m_isConfigurationRead = isRead;
+    announceConfiguration();
+}
+
+void CellWorld::announceConfiguration()
+{
     for (const auto& entry : m_entries) {
         if (entry && entry->isAlive)
             entry->host.handleConfigurationChange();
     }
 }
 
+JobGateway& CellWorld::gateway(size_t entry) { return m_entries[entry]->host.gateway(); }
+
 const ClientAccount* CellWorld::accountNamed(const std::string& name) const
 {
     const auto found = m_accounts.find(name);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -166,6 +166,9 @@
     /** Puts the account in force, in place of the one with its name. Starts that are on their way are judged by the
      * higher limit. */
     void setAccount(const ClientAccount& account);
+    /** Whether entries have read the configuration; they have from the beginning. */
+    void setConfigurationRead(bool isRead);
+    JobGateway& gateway(size_t entry);
     /** The processors that the account's runs hold on all workers. */
     int64_t cpuMillisOf(const std::string& account) const;
     /** How long the policy service takes to answer. */
@@ -207,6 +210,7 @@
 
     const QueuePolicy& policyOfJob(const std::string& job) const;
     const ClientAccount* accountNamed(const std::string& name) const;
+    void announceConfiguration();
     void judgeLimit(const TaskRun& started);
     void retrySubmit(size_t entry, const Submission& job);
     void violate(const std::string& what);
@@ -243,6 +247,7 @@
     /** Policies of queues that hold one job, by its id, which is also the queue's name. */
     absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
     absl::btree_map<std::string, ClientAccount> m_accounts;
+    bool m_isConfigurationRead = true;
     /** The accounts with the highest limit by which a start may still be judged. */
     absl::btree_map<std::string, ClientAccount> m_judgedLimits;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
