--- a/test/failure/AccountLimitsTest.cpp
+++ b/test/failure/AccountLimitsTest.cpp
@@ -197,3 +197,73 @@
     CHECK(cell.handleGrant({ 1, 7, holderCell, 8, again.at(0).number, { { account.name, { 3000, 0, 0 } } } }));
     CHECK_EQUAL(5000, cell.limitHere(account).cpuMillis);
 }
+
+TEST(AccountLimits, aHolderIgnoresReplacedOwnersAndReportsThatAreLate)
+{
+    AccountHolder holder(0, 2, 7, [](const std::string&) { return nullptr; });
+    const AccountReport report { 1, 9, 0, 7, 2, true, {} };
+    CHECK_FALSE(holder.handleReport(report).has_value());
+    holder.setOwners({ { 7, 9 } });
+    CHECK_FALSE(holder.handleReport({ 1, 8, 0, 7, 3, true, {} }).has_value());
+    CHECK(holder.handleReport(report).has_value());
+    CHECK_FALSE(holder.handleReport(report).has_value());
+    CHECK_FALSE(holder.handleReport({ 1, 9, 0, 7, 1, true, {} }).has_value());
+    CHECK(holder.handleReport({ 1, 12, 0, 7, 1, true, {} }).has_value());
+}
+
+TEST(AccountLimits, aCellTakesOnlyGrantsOfItsNewestHolderForItsNewestReport)
+{
+    const ClientAccount account { "large", 1, { 12'000, 0, 0 } };
+    CellAccountLimits cell(1, cellCount, 7, [&](const std::string&) { return &account; });
+    const uint32_t holderCell = holderCellOf(account.name, cellCount);
+    const std::vector<AccountLoan> loans { { account.name, { 1000, 0, 0 } } };
+    const std::vector<AccountNeed> needs { { account.name, {}, { 3000, 0, 0 }, false } };
+    cell.setHolder(holderCell, 8);
+    const uint64_t first = cell.takeReports(needs, absl::Seconds(1)).at(0).number;
+    cell.setHolder(holderCell, 9);
+    cell.setHolder(holderCell, 8);
+    const auto reports = cell.takeReports(needs, absl::Seconds(2));
+    CHECK_EQUAL(9u, reports.at(0).holderToken);
+    CHECK_FALSE(cell.handleGrant({ 1, 7, holderCell, 8, first, loans }));
+    CHECK_FALSE(cell.handleGrant({ 1, 7, holderCell, 8, reports[0].number, loans }));
+    CHECK(cell.handleGrant({ 1, 7, holderCell, 9, reports[0].number, loans }));
+    CHECK_FALSE(cell.handleGrant({ 1, 7, holderCell, 9, reports[0].number, loans }));
+    CHECK_EQUAL(3000, cell.limitHere(account).cpuMillis);
+}
+
+TEST(AccountLimits, aNewOwnerThatKnowsOldRowsBorrowsFromNoFormerHolder)
+{
+    AccountLimitsWorld world(4, cellCount, limit);
+    const uint32_t cell = otherCell(world);
+    moveDemandTo(world, cell);
+    world.run(absl::Seconds(1));
+    world.want(cell, 0);
+    world.run(absl::Seconds(1));
+    world.setStale(world.holderCell(), true);
+    world.setStale(3, true);
+    world.take(world.holderCell(), (cell + 1) % cellCount);
+    world.take(cell, 3);
+    moveDemandTo(world, cell);
+    world.run(absl::Seconds(2));
+    CHECK_EQUAL(2, world.runs(cell));
+    world.setStale(3, false);
+    world.run(absl::Seconds(1));
+    CHECK_EQUAL(mostInACell, world.runs(cell));
+}
+
+TEST(AccountLimits, aHolderWithAnotherLimitThanTheCellsLendsNothing)
+{
+    const ClientAccount lowered { "large", 1, { 12'000, 0, 0 } };
+    ClientAccount former { "large", 1, { 24'000, 0, 0 } };
+    CellAccountLimits cell(1, 2, 7, [&](const std::string&) { return &lowered; });
+    const uint32_t holderCell = holderCellOf(lowered.name, 2);
+    AccountHolder holder(holderCell, 2, 8, [&](const std::string&) { return &former; });
+    holder.setOwners({ { 8, 7 } });
+    holder.handleReport({ 0, 8, holderCell, 8, 1, true, {} });
+    cell.setHolder(holderCell, 8);
+    const std::vector<AccountNeed> needs { { lowered.name, {}, { 20'000, 0, 0 }, false } };
+    CHECK(holder.handleReport(cell.takeReports(needs, absl::Seconds(1)).at(0))->loans.empty());
+    former.limit = lowered.limit;
+    CHECK_EQUAL(
+        6000, holder.handleReport(cell.takeReports(needs, absl::Seconds(2)).at(0))->loans.at(0).amount.cpuMillis);
+}
