--- a/test/failure/AccountLimitsTest.cpp
+++ b/test/failure/AccountLimitsTest.cpp
@@ -4,6 +4,7 @@
  */
 
 #include "AccountLimitsWorld.h"
+#include "CellWorld.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -72,6 +73,14 @@
     world.want(cell, limit * 2);
 }
 
+/** A cell that has nothing in use. */
+struct WaitingDemand final : AccountDemand {
+    bool isCounted() const override { return true; }
+    std::vector<AccountNeed> needs() const override { return { { "large", {}, wanted, false } }; }
+
+    Resources wanted;
+};
+
 /** A cell that isn't the holder's. */
 uint32_t otherCell(const AccountLimitsWorld& world) { return (world.holderCell() + 1) % cellCount; }
 
@@ -267,3 +276,28 @@
     CHECK_EQUAL(
         6000, holder.handleReport(cell.takeReports(needs, absl::Seconds(2)).at(0))->loans.at(0).amount.cpuMillis);
 }
+
+TEST(AccountLimits, hostsLendAgainAfterTheOwnerOfTheHoldersCellWasKilled)
+{
+    const ClientAccount account { "large", 1, { 12'000, 0, 0 } };
+    WaitingDemand demands[2];
+    CellWorld world(5, 16, 1);
+    world.setCells(2);
+    world.setAccounts([&](const std::string&) { return &account; }, [&](uint32_t cell) { return &demands[cell]; });
+    for (size_t entry = 0; entry < world.entryCount(); ++entry) {
+        world.kill(entry);
+        world.start(entry);
+    }
+    const auto hasThePool = [&](uint32_t cell) {
+        const auto quota = world.quotaOf(cell);
+        return quota && quota->limitHere(account).cpuMillis == 9000;
+    };
+    const uint32_t holderCell = holderCellOf(account.name, 2);
+    demands[1 - holderCell].wanted = { 20'000, 0, 0 };
+    CHECK(world.runUntil([&] { return hasThePool(1 - holderCell); }, absl::Seconds(8)));
+    world.kill(*world.ownerOf(holderCell));
+    demands[1 - holderCell].wanted = {};
+    demands[holderCell].wanted = { 20'000, 0, 0 };
+    CHECK(world.runUntil([&] { return hasThePool(holderCell); }, absl::Seconds(8)));
+    CHECK_FALSE(hasThePool(1 - holderCell));
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -231,7 +231,8 @@
               { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
-              [&world](const std::string& queue) { return &world.policyOfJob(queue); } })
+              [&world](const std::string& queue) { return &world.policyOfJob(queue); }, world.m_accountOf,
+              world.m_accountDemandOf })
     {
     }
     std::string name;
@@ -697,6 +698,18 @@
     }
 }
 
+void CellWorld::setAccounts(AccountLookup accountOf, std::function<const AccountDemand*(uint32_t cell)> demandOf)
+{
+    m_accountOf = std::move(accountOf);
+    m_accountDemandOf = std::move(demandOf);
+}
+
+std::shared_ptr<const AccountQuota> CellWorld::quotaOf(uint32_t cell) const
+{
+    const auto owner = ownerOf(cell);
+    return owner ? m_entries[*owner]->host.accountLimits().quotaOf(cell) : nullptr;
+}
+
 std::string CellWorld::jobIn(uint32_t cell, uint32_t cells, int number)
 {
     std::string id = absl::StrCat("job", number);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -151,6 +151,10 @@
     /** Sets the number of cells, and puts the racks, each of four workers, into the cells in turn. To be called before
      * time passes. */
     void setCells(uint32_t cells);
+    /** Entries that start from now on split these accounts' limits between cells. */
+    void setAccounts(AccountLookup accountOf, std::function<const AccountDemand*(uint32_t cell)> demandOf);
+    /** What the accounts may have allocated in the cell, as its owner knows; null without an owner. */
+    std::shared_ptr<const AccountQuota> quotaOf(uint32_t cell) const;
     /** The id of a job that belongs to the cell. */
     static std::string jobIn(uint32_t cell, uint32_t cells, int number);
 
@@ -230,6 +234,8 @@
     std::vector<std::unique_ptr<WorldEntry>> m_dead;
     absl::btree_set<size_t> m_far;
     QueuePolicy m_policy;
+    AccountLookup m_accountOf;
+    std::function<const AccountDemand*(uint32_t cell)> m_accountDemandOf;
     /** Policies of queues that hold one job, by its id, which is also the queue's name. */
     absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
