--- a/spec/AccountLimits.m
+++ b/spec/AccountLimits.m
@@ -12,7 +12,7 @@
 
 const
   CELLS: 2;
-  FIXED: 0;         -- with 1, the same is found, in more states
+  FIXED: 0;         -- 1 multiplies the number of states
   POOL: 1;
   TERMS: 2;         -- of the owner of a cell
   HOLDERS: 2;       -- terms of the holder
--- a/src/AccountLimits.cpp
+++ b/src/AccountLimits.cpp
@@ -202,7 +202,6 @@
 std::vector<AccountReport> CellAccountLimits::wholeReports(Instant now)
 {
     absl::btree_map<uint32_t, std::vector<std::string>> holdings;
-    absl::btree_map<uint32_t, bool> isDue;
     for (const auto& [name, account] : m_accounts) {
         const uint32_t holderCell = holderCellOf(name, m_cells);
         if (!hasNews(account) && isZero(account.counted))
@@ -213,7 +212,7 @@
     for (auto& [holderCell, holder] : m_holders) {
         const bool isKnown = holder.answeredToken == holder.token;
         const bool hasReason = holder.isAsked || (!isKnown && holdings.contains(holderCell));
-        // A question asks for less than the interval only after a change of the holder.
+        // A new holder lends nothing until all cells have reported, so it doesn't wait for the interval.
         if (!hasReason || !maySend(holder, !isKnown, now))
             continue;
         AccountReport report = open(holderCell, true, now);
