--- a/src/CellHost.h
+++ b/src/CellHost.h
@@ -58,6 +58,7 @@
     void stop() { m_directory.beginStop(); }
     /** Gives up all cells and removes the entry's record. */
     void leave() { m_directory.leave(); }
+    const AccountLimitService& accountLimits() const { return m_accountLimits; }
     size_t ownedCells() const { return m_cells.size(); }
     /** The cell if this entry owns it, else null. */
     Cell* cellOf(uint32_t cell);
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -700,6 +700,12 @@
     }
 }
 
+std::shared_ptr<const AccountQuota> CellWorld::quotaOf(uint32_t cell) const
+{
+    const auto owner = ownerOf(cell);
+    return owner ? m_entries[*owner]->host.accountLimits().quotaOf(cell) : nullptr;
+}
+
 std::string CellWorld::jobIn(uint32_t cell, uint32_t cells, int number)
 {
     std::string id = absl::StrCat("job", number);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -153,6 +153,8 @@
     /** Sets the number of cells, and puts the racks, each of four workers, into the cells in turn. To be called before
      * time passes. */
     void setCells(uint32_t cells);
+    /** What the accounts may have allocated in the cell, as its owner knows; null without an owner. */
+    std::shared_ptr<const AccountQuota> quotaOf(uint32_t cell) const;
     /** The id of a job that belongs to the cell. */
     static std::string jobIn(uint32_t cell, uint32_t cells, int number);
 
