Move the order of ready steps out of Cell into StepOrder

Accounts will add criteria to the order, and Cell is no place to test them. The urgency is now a function of plain values, and the sort key is a value type. The key under which a ready step is sorted is kept with the step: dequeueStep tried every urgency with the queue's current priority before, and so missed a step whose queue had got another priority while it waited. The order is unchanged.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -17,7 +17,7 @@
 #include "Metrics.h"
 #include "PrefixMirror.h"
 #include "RoomFinder.h"
-#include "StepUrgency.h"
+#include "StepOrder.h"
 #include "UnmetDemands.h"
 
 #include "absl/container/btree_map.h"
@@ -120,23 +120,9 @@
 
 private:
     using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
-    /** Sort key of a ready step; steps get capacity in this order. */
-    struct Rank {
-        StepUrgency urgency = StepUrgency::OnTime;
-        uint32_t priority = 0;
-        Instant latestStart;
-        std::string job;
-        StepRef ref;
-
-        bool operator<(const Rank& other) const
-        {
-            return std::tie(urgency, priority, latestStart, job, ref)
-                < std::tie(other.urgency, other.priority, other.latestStart, other.job, other.ref);
-        }
-    };
     /** Free capacity that one step withholds from all others during a placement round. */
     struct Reservation {
-        const Rank* rank = nullptr;
+        const StepRank* rank = nullptr;
         std::vector<std::pair<CellWorker*, Resources>> freeCapacities;
 
         void hold() const;
@@ -250,10 +236,11 @@
     void advance(CellJob& job);
     void makeStepReady(CellJob& job, StepRef ref);
     void handleOccurrenceDue(const std::string& id, uint32_t occurrence);
-    Rank rankOf(CellJob& job, StepRef ref);
+    StepKey keyOf(CellJob& job, StepRef ref);
+    void insertReady(CellJob& job, StepRef ref);
     void dequeueStep(CellJob& job, StepRef ref);
     void queueStep(CellJob& job, StepRef ref);
-    StepOutcome placeStep(const Rank& rank);
+    StepOutcome placeStep(const StepRank& rank);
     /** Whether a usable worker has room for one task of the step. */
     bool hasRoomForTask(CellJob& job, const StepSpec& spec);
     /** The usable workers of the service, cached for the current placement round. */
@@ -272,22 +259,23 @@
     void runPlacementRound();
     /** Looks at steps that the pass from the front did not get to, which ended before `end`. Without this, steps in
      * front that can't start would keep those behind them from capacity that only the latter can use. */
-    void continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations);
+    void continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations);
     /** Places steps from `first` on until the pass has cost enough; returns the first one that was not looked at. */
-    size_t placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations);
+    size_t placeFrom(absl::Span<const StepRank> ranks, size_t first, absl::Span<const Reservation> reservations);
     /** Places gangs whose tickets have arrived, which may stand behind all that the pass from the front gets to. */
     void placeWithReservedTickets(absl::Span<const Reservation> reservations);
     /** Withholds again what a step that could not be placed keeps: the capacity for which it has requested tickets, or
      * its former reservation, which may be null. */
-    void holdAgain(const Rank& rank, const Reservation* former);
+    void holdAgain(const StepRank& rank, const Reservation* former);
+    void removeRank(const StepRank& rank);
     /** Sorts a step that could not be placed in full again if its urgency has changed. */
-    void updateRank(const Rank& rank);
+    void updateRank(const StepRank& rank);
 
     // CellReservations.cpp: capacity that is withheld for gangs.
-    std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
-    Reservation reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers);
+    std::vector<Reservation> reserveForGangs(const std::vector<StepRank>& ranks);
+    Reservation reserveFor(CellJob& job, const StepRank& rank, size_t maxWorkers);
     /** Ends the exclusive reservation when it is due, and gives it to the next gang. */
-    void updateExclusive(absl::Span<const Rank> ranks);
+    void updateExclusive(absl::Span<const StepRank> ranks);
     void endExclusive();
     bool isExclusive(const std::string& job, StepRef ref) const;
     /** Whether the gang waits in vain for the reservations that are given by rank. */
@@ -295,12 +283,12 @@
     /** Whether the share of the workers that is reserved by rank is less than the gang needs. */
     bool needsMoreThanShare(CellJob& job, const StepSpec& spec);
     /** Of the gangs for which there would be room in time, the one that has waited longest; null for none. */
-    const Rank* findLongestWaiting(absl::Span<const Rank> ranks);
+    const StepRank* findLongestWaiting(absl::Span<const StepRank> ranks);
     /** Whether all tasks of the gang would fit once the runs of others have ended. */
     bool canGatherRoom(CellJob& job, StepRef ref);
     uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis) const;
     /** The capacity that the gang keeps while tickets are requested; empty for none. */
-    Reservation ticketReservationOf(CellJob& job, const Rank& rank);
+    Reservation ticketReservationOf(CellJob& job, const StepRank& rank);
 
     // CellWaits.cpp: why a ready step waits.
     StepRoom measureRoom(CellJob& job, StepRef ref);
@@ -311,7 +299,7 @@
     static constexpr absl::Duration hearingTime = absl::Milliseconds(400);
 
     // CellAdvice.cpp: permission from the policy service.
-    bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
+    bool placeWithAdvice(const StepRank& rank, CellJob& job, size_t waiting);
     bool canAskForAdvice(CellJob& job, StepRef ref);
     /** Whether this owner is new and most of its workers may still reply to their first sync. */
     bool isHearingWorkers() const;
@@ -472,9 +460,9 @@
     absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_endedJobs;
     /** A std::map keeps the addresses of workers stable: steps hold pointers to the workers on which they may run. */
     std::map<std::string, CellWorker> m_workers;
-    absl::btree_set<Rank> m_ready;
+    absl::btree_set<StepRank> m_ready;
     /** Where the last continued pass ended; nothing when it got to the last step. */
-    std::optional<Rank> m_continueAt;
+    std::optional<StepRank> m_continueAt;
     std::optional<ExclusiveReservation> m_exclusive;
     Instant m_nextExclusiveSearch = absl::ZeroDuration();
     absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usableWorkers;
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-bool Cell::placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting)
+bool Cell::placeWithAdvice(const StepRank& rank, CellJob& job, size_t waiting)
 {
     CellStep& step = job.step(rank.ref);
     const std::vector<CellWorker*> allowed = allowedWorkers(job, rank.ref);
@@ -134,7 +134,7 @@
     const Instant now = m_parts.timers.clock().now();
     size_t keptByOthers = 0;
     bool isExceeded = false;
-    for (const Rank& rank : m_ready) {
+    for (const StepRank& rank : m_ready) {
         CellJob* other = rank.job == job.spec.id && rank.ref == ref ? nullptr : findJob(rank.job);
         const auto* kept = other ? &other->step(rank.ref).advice.reservation : nullptr;
         if (!kept || !*kept || (*kept)->until <= now)
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -196,6 +196,15 @@
     return true;
 }
 
+StepTimes CellJob::timesOf(StepRef ref) const
+{
+    const std::vector<CellTask>& tasks = step(ref).tasks;
+    const bool hasLostTask = stepSpec(ref).isService
+        && std::any_of(tasks.begin(), tasks.end(),
+            [](const CellTask& task) { return task.stage == TaskStage::Waiting && task.run > 0; });
+    return { stepSpec(ref).isService, hasLostTask, step(ref).latestStart };
+}
+
 bool CellJob::allFinished() const
 {
     for (const auto& steps : occurrences) {
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -7,6 +7,7 @@
  */
 
 #include "Clock.h"
+#include "StepOrder.h"
 #include "WorkerOrders.h"
 
 #include "absl/container/btree_map.h"
@@ -14,6 +15,7 @@
 #include "absl/container/flat_hash_set.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cicada {
@@ -108,27 +110,14 @@
     Instant notBefore = absl::ZeroDuration();
     /** The latest start with which the job is still on time, by the estimates. */
     Instant latestStart = absl::InfiniteDuration();
+    /** While it is among the ready steps: the key under which it is sorted there. */
+    std::optional<StepKey> sortKey;
 
     bool isFinished() const { return finished == tasks.size(); }
     /** How many active runs of the step each worker has, by the worker's id. */
     absl::flat_hash_map<std::string, uint32_t> activeRunsByWorker() const;
 };
 
-/** Identifies a step in its job. */
-struct StepRef {
-    uint32_t occurrence = 0;
-    uint32_t step = 0;
-
-    friend bool operator==(const StepRef& a, const StepRef& b)
-    {
-        return a.occurrence == b.occurrence && a.step == b.step;
-    }
-    friend bool operator<(const StepRef& a, const StepRef& b)
-    {
-        return std::tie(a.occurrence, a.step) < std::tie(b.occurrence, b.step);
-    }
-};
-
 /** A job with its tasks. Not thread-safe. */
 struct CellJob {
     Submission spec;
@@ -153,7 +142,10 @@
     std::vector<std::vector<CellStep>> occurrences;
 
     CellStep& step(StepRef ref) { return occurrences[ref.occurrence][ref.step]; }
+    const CellStep& step(StepRef ref) const { return occurrences[ref.occurrence][ref.step]; }
     const StepSpec& stepSpec(StepRef ref) const { return spec.steps[ref.step]; }
+    /** What the urgency of the step depends on now. */
+    StepTimes timesOf(StepRef ref) const;
     /** The task, or null when the job has no such task. */
     CellTask* find(const TaskName&);
     /** The runs of the task, or of its gang, that ended as failed; each counts as one attempt. */
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -75,20 +75,26 @@
     queueStep(job, ref);
 }
 
-Cell::Rank Cell::rankOf(CellJob& job, StepRef ref)
+StepKey Cell::keyOf(CellJob& job, StepRef ref)
 {
-    const CellStep& step = job.step(ref);
-    const StepUrgency urgency = urgencyOf(job.stepSpec(ref), step, m_parts.timers.clock().now());
-    return { urgency, policyOf(job).priority, step.latestStart, job.spec.id, ref };
+    const StepUrgency urgency = urgencyOf(job.timesOf(ref), m_parts.timers.clock().now());
+    return { urgency, policyOf(job).priority, job.step(ref).latestStart };
+}
+
+void Cell::insertReady(CellJob& job, StepRef ref)
+{
+    const StepKey key = keyOf(job, ref);
+    job.step(ref).sortKey = key;
+    m_ready.insert({ key, job.spec.id, ref });
 }
 
 void Cell::dequeueStep(CellJob& job, StepRef ref)
 {
-    Rank rank = rankOf(job, ref);
-    for (const StepUrgency urgency : { StepUrgency::LostService, StepUrgency::OnTime, StepUrgency::Late }) {
-        rank.urgency = urgency;
-        m_ready.erase(rank);
-    }
+    CellStep& step = job.step(ref);
+    if (!step.sortKey)
+        return;
+    m_ready.erase({ *step.sortKey, job.spec.id, ref });
+    step.sortKey.reset();
 }
 
 void Cell::queueStep(CellJob& job, StepRef ref)
@@ -97,7 +103,7 @@
     if (!step.isReady || isEnded(job.phase) || job.isMoving || waitingTasks(step).empty())
         return;
     dequeueStep(job, ref);
-    m_ready.insert(rankOf(job, ref));
+    insertReady(job, ref);
     schedulePlacement();
 }
 
@@ -219,7 +225,7 @@
     return hasRoom;
 }
 
-Cell::StepOutcome Cell::placeStep(const Rank& rank)
+Cell::StepOutcome Cell::placeStep(const StepRank& rank)
 {
     CellJob* job = findJob(rank.job);
     if (!job || isEnded(job->phase))
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -44,7 +44,7 @@
         worker->reserved = worker->reserved - freeCapacity;
 }
 
-std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<Rank>& ranks)
+std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<StepRank>& ranks)
 {
     updateExclusive(ranks);
     const auto maxReserved = static_cast<size_t>(static_cast<double>(m_workers.size()) * maxReservedShare);
@@ -54,8 +54,8 @@
         reservation.hold();
         reservations.push_back(std::move(reservation));
     };
-    absl::flat_hash_set<const Rank*> served;
-    for (const Rank& rank : ranks) {
+    absl::flat_hash_set<const StepRank*> served;
+    for (const StepRank& rank : ranks) {
         CellJob* job = findJob(rank.job);
         Reservation reservation = job ? ticketReservationOf(*job, rank) : Reservation();
         if (reservation.freeCapacities.empty())
@@ -64,11 +64,11 @@
         hold(std::move(reservation));
     }
     const auto exclusive = std::find_if(
-        ranks.begin(), ranks.end(), [this](const Rank& rank) { return isExclusive(rank.job, rank.ref); });
+        ranks.begin(), ranks.end(), [this](const StepRank& rank) { return isExclusive(rank.job, rank.ref); });
     if (exclusive != ranks.end() && served.insert(&*exclusive).second)
         hold(reserveFor(*findJob(exclusive->job), *exclusive, m_workers.size()));
     size_t reserved = 0;
-    for (const Rank& rank : ranks) {
+    for (const StepRank& rank : ranks) {
         if (reserved >= maxReserved)
             break;
         CellJob* job = findJob(rank.job);
@@ -87,7 +87,7 @@
     return reservations;
 }
 
-Cell::Reservation Cell::reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers)
+Cell::Reservation Cell::reserveFor(CellJob& job, const StepRank& rank, size_t maxWorkers)
 {
     const StepSpec& spec = job.stepSpec(rank.ref);
     std::vector<CellWorker*> eligible = allowedWorkers(job, rank.ref);
@@ -154,7 +154,7 @@
     return room;
 }
 
-void Cell::updateExclusive(absl::Span<const Rank> ranks)
+void Cell::updateExclusive(absl::Span<const StepRank> ranks)
 {
     const Instant now = m_parts.timers.clock().now();
     if (m_exclusive) {
@@ -167,7 +167,7 @@
     if (now < m_nextExclusiveSearch)
         return;
     m_nextExclusiveSearch = now + exclusiveSearchInterval;
-    const Rank* longest = findLongestWaiting(ranks);
+    const StepRank* longest = findLongestWaiting(ranks);
     if (!longest)
         return;
     m_exclusive = ExclusiveReservation { longest->job, longest->ref, now + maxExclusive };
@@ -178,10 +178,10 @@
     learnAllowedWorkers(job, longest->ref);
 }
 
-const Cell::Rank* Cell::findLongestWaiting(absl::Span<const Rank> ranks)
+const StepRank* Cell::findLongestWaiting(absl::Span<const StepRank> ranks)
 {
-    std::vector<std::pair<Instant, const Rank*>> waiting;
-    for (const Rank& rank : ranks) {
+    std::vector<std::pair<Instant, const StepRank*>> waiting;
+    for (const StepRank& rank : ranks) {
         CellJob* job = findJob(rank.job);
         if (job && mayBeExclusive(*job, rank.ref))
             waiting.emplace_back(job->step(rank.ref).readyAt, &rank);
@@ -215,7 +215,7 @@
     return roomOn(spec, possibleWorkers(job, ref), RoomBasis::InTime) >= spec.taskCount;
 }
 
-Cell::Reservation Cell::ticketReservationOf(CellJob& job, const Rank& rank)
+Cell::Reservation Cell::ticketReservationOf(CellJob& job, const StepRank& rank)
 {
     Reservation reservation { &rank, {} };
     const auto& tickets = job.step(rank.ref).advice.reservation;
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -56,7 +56,7 @@
 {
     if (m_isSuperseded)
         return;
-    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    const std::vector<StepRank> ranks(m_ready.begin(), m_ready.end());
     m_usableWorkers.clear();
     m_unmetDemands.clear();
     const std::vector<Reservation> reservations = reserveForGangs(ranks);
@@ -71,24 +71,24 @@
         worker.reserved = Resources();
 }
 
-void Cell::continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations)
+void Cell::continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations)
 {
     m_isContinuationDue = false;
     size_t first = end;
     if (m_continueAt)
         first = std::max<size_t>(end, std::lower_bound(ranks.begin(), ranks.end(), *m_continueAt) - ranks.begin());
     const size_t next = placeFrom(ranks, first, reservations);
-    m_continueAt = next < ranks.size() ? std::optional<Rank>(ranks[next]) : std::nullopt;
+    m_continueAt = next < ranks.size() ? std::optional<StepRank>(ranks[next]) : std::nullopt;
 }
 
-size_t Cell::placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations)
+size_t Cell::placeFrom(absl::Span<const StepRank> ranks, size_t first, absl::Span<const Reservation> reservations)
 {
     const auto* reserved = std::find_if(reservations.begin(), reservations.end(),
         [&](const Reservation& reservation) { return reservation.rank >= ranks.data() + first; });
     size_t cost = 0;
     size_t index = first;
     for (; index < ranks.size() && cost < maxRoundCost; ++index) {
-        const Rank& rank = ranks[index];
+        const StepRank& rank = ranks[index];
         const bool hasReservation = reserved != reservations.end() && reserved->rank == &rank;
         if (hasReservation) {
             reserved->release();
@@ -99,7 +99,7 @@
             holdAgain(rank, hasReservation ? &*reserved : nullptr);
         reserved += hasReservation ? 1 : 0;
         if (outcome == StepOutcome::Placed)
-            m_ready.erase(rank);
+            removeRank(rank);
         else
             updateRank(rank);
         cost += outcome == StepOutcome::Unplaced ? unplacedStepCost : skippedStepCost;
@@ -110,7 +110,7 @@
 void Cell::placeWithReservedTickets(absl::Span<const Reservation> reservations)
 {
     for (const Reservation& reservation : reservations) {
-        const Rank& rank = *reservation.rank;
+        const StepRank& rank = *reservation.rank;
         CellJob* job = findJob(rank.job);
         const StepAdvice* advice = job ? &job->step(rank.ref).advice : nullptr;
         if (!advice || !advice->reservation || advice->ticketRequestsInFlight > 0)
@@ -118,13 +118,13 @@
         reservation.release();
         m_unmetDemands.clear();
         if (placeStep(rank) == StepOutcome::Placed)
-            m_ready.erase(rank);
+            removeRank(rank);
         // The pass that meets the reservation releases it.
         reservation.hold();
     }
 }
 
-void Cell::holdAgain(const Rank& rank, const Reservation* former)
+void Cell::holdAgain(const StepRank& rank, const Reservation* former)
 {
     CellJob* job = findJob(rank.job);
     const Reservation tickets = job ? ticketReservationOf(*job, rank) : Reservation();
@@ -134,17 +134,25 @@
         former->hold();
 }
 
-void Cell::updateRank(const Rank& rank)
+void Cell::removeRank(const StepRank& rank)
+{
+    if (CellJob* job = findJob(rank.job))
+        dequeueStep(*job, rank.ref);
+    // A rank whose job is gone.
+    m_ready.erase(rank);
+}
+
+void Cell::updateRank(const StepRank& rank)
 {
     CellJob* job = findJob(rank.job);
     if (!job)
         return;
     reportWait(*job, rank.ref);
-    const StepUrgency urgency = urgencyOf(job->stepSpec(rank.ref), job->step(rank.ref), m_parts.timers.clock().now());
-    if (urgency == rank.urgency)
+    const StepUrgency urgency = urgencyOf(job->timesOf(rank.ref), m_parts.timers.clock().now());
+    if (urgency == rank.key.urgency)
         return;
-    m_ready.erase(rank);
-    m_ready.insert(rankOf(*job, rank.ref));
+    dequeueStep(*job, rank.ref);
+    insertReady(*job, rank.ref);
 }
 
 } // namespace cicada
--- a/src/CellWaits.cpp
+++ b/src/CellWaits.cpp
@@ -13,19 +13,6 @@
     /** A step that has waited this long is reported, and again each time that as long has passed. */
     constexpr absl::Duration reportInterval = absl::Seconds(2);
 
-    absl::string_view urgencyName(StepUrgency urgency)
-    {
-        switch (urgency) {
-        case StepUrgency::LostService:
-            return "lost-service";
-        case StepUrgency::OnTime:
-            return "on-time";
-        case StepUrgency::Late:
-            return "late";
-        }
-        return "unknown";
-    }
-
 } // namespace
 
 Cell::StepRoom Cell::measureRoom(CellJob& job, StepRef ref)
@@ -67,7 +54,7 @@
     m_parts.log.write("step-waits", "job", job.spec.id, "occurrence", ref.occurrence, "step", ref.step, "waitedMs",
         absl::ToInt64Milliseconds(now - step.readyAt), "tasks", step.tasks.size(), "waiting", waitingTasks(step).size(),
         "gang", spec.isGang, "cpuMillis", demand.cpuMillis, "memoryMiB", demand.memoryMiB, "urgency",
-        urgencyName(urgencyOf(spec, step, now)), "ready", m_ready.size(), "stored", job.isStored, "backoff",
+        stepUrgencyName(urgencyOf(job.timesOf(ref), now)), "ready", m_ready.size(), "stored", job.isStored, "backoff",
         step.notBefore > now, "asking", step.advice.requestsInFlight > 0, "requests", step.advice.requestsSent,
         "keepsRoom", step.advice.reservation && step.advice.reservation->until > now, "asked",
         step.advice.queried.size(), "allowed", room.allowedWorkers, "roomWhenEmpty", room.whenEmpty, "roomUnreserved",
