AccountRate: a job beyond its account's rate is excess, and its record says so

Work beyond an account's weight a second is not owed. Whether a job is excess is decided once, on acceptance, by a token bucket per account; each cell has its part of the rate. The flag is the last field of the job record, and only where the job has an account: a new owner or another cell orders the job the same way, records without an account are the former ones byte for byte, and records with an account of the former build count as owed. An account that is no longer in the configuration counts with weight 1.

Weighed: a leaky bucket in the store or shared between cells would be exact where the ids of an account are uneven over the cells, but costs a write for each job.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -20,6 +20,7 @@
           { m_parts.store, m_parts.timers, m_parts.log, m_parts.metrics,
               [this](const std::string& key) { return valueOf(key); }, [this] { handleSuperseded("row-changed"); } },
           { m_term.row, m_term.token })
+    , m_accountRate(m_term.cells)
 {
 }
 
@@ -211,6 +212,12 @@
     return job.spec.account.empty() || !m_parts.accountOf ? nullptr : m_parts.accountOf(job.spec.account);
 }
 
+double Cell::weightOf(const std::string& account) const
+{
+    const ClientAccount* found = m_parts.accountOf ? m_parts.accountOf(account) : nullptr;
+    return found ? found->weight : 1;
+}
+
 void Cell::submit(Submission spec, QueuePolicy policy, Reply reply)
 {
     if (!m_isLoaded && m_requestsUntilLoaded.size() >= maxWaitingRequests)
@@ -237,6 +244,9 @@
     }
     auto job = makeCellJob(std::move(spec), std::move(policy), m_parts.timers.clock().wallMicros() / 1000);
     job->acceptedAt = m_parts.timers.clock().now();
+    const std::string& account = job->spec.account;
+    if (!account.empty())
+        job->isExcess = m_accountRate.recordAccepted(account, weightOf(account), job->acceptedAt);
     CellJob& kept = *(m_jobs[id] = std::move(job));
     m_acceptReplies[id].push_back(std::move(reply));
     m_parts.metrics.count("cicada_cell_jobs");
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -8,6 +8,7 @@
  * token, and its writes are conditional on a row revision that has changed.
  */
 
+#include "AccountRate.h"
 #include "Advisor.h"
 #include "AllowedShare.h"
 #include "CellJob.h"
@@ -221,6 +222,8 @@
     const QueuePolicy& policyOf(CellJob& job);
     /** The client account of the job, or null if it has none or the account is no longer in the configuration. */
     const ClientAccount* accountOf(const CellJob& job) const;
+    /** The account's weight; 1 where it is no longer in the configuration. */
+    double weightOf(const std::string& account) const;
     CellJob* findJob(const std::string& id);
     /** Wraps a callback so that it does nothing after the cell is gone. */
     template <typename F> auto guarded(F function)
@@ -455,6 +458,7 @@
     const Instant m_ownedSince;
     Instant m_loadedAt = absl::ZeroDuration();
     DurableWriter m_writer;
+    AccountRate m_accountRate;
     JobTable m_jobs;
     /** Ended jobs of which only the run record is kept, with phase and end in milliseconds since 1970. */
     absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_endedJobs;
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -281,7 +281,10 @@
 
 std::string encodeJobRecord(const CellJob& job)
 {
-    return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy));
+    // Without an account the record is that of builds that know none, which can then read it.
+    if (job.spec.account.empty())
+        return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy));
+    return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy), job.isExcess);
 }
 
 Result<std::unique_ptr<CellJob>> decodeJobRecord(absl::string_view id, absl::string_view bytes)
@@ -290,11 +293,16 @@
     std::string submission;
     Submission spec;
     QueuePolicy policy;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "job record", accepted, submission));
+    bool isExcess = false;
+    if (!Internal::unpackFields(bytes, "job record", accepted, submission, isExcess)) {
+        isExcess = false;
+        BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "job record", accepted, submission));
+    }
     BOOST_OUTCOME_TRY(decodeSubmission(submission, spec, policy));
     if (spec.id != id)
         return malformed("job record");
     auto job = makeCellJob(std::move(spec), std::move(policy), accepted);
+    job->isExcess = isExcess;
     job->isStored = true;
     return job;
 }
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -125,6 +125,8 @@
     int64_t acceptedUnixMillis = 0;
     int64_t endedUnixMillis = 0;
     Instant acceptedAt = absl::ZeroDuration();
+    /** The job came beyond its account's rate; kept in the job record. */
+    bool isExcess = false;
     JobPhase phase = JobPhase::Queued;
     /** A worker has reported that it runs or ran a task of the job. */
     bool hasBegun = false;
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -42,6 +42,18 @@
         "observatory", decodeJobRecord("0123456789abcdef", encodeJobRecord(*job)).value()->spec.account.c_str());
 }
 
+TEST(CellRecords, excessComesBackAndRecordsOfTheFormerBuildCountAsOwed)
+{
+    auto job = sample();
+    const std::string withoutAccount = encodeJobRecord(*job);
+    job->isExcess = true;
+    CHECK(withoutAccount == encodeJobRecord(*job));
+    job->spec.account = "observatory";
+    CHECK(decodeJobRecord(job->spec.id, encodeJobRecord(*job)).value()->isExcess);
+    const std::string former = Internal::packFields(job->acceptedUnixMillis, encodeSubmission(job->spec, job->policy));
+    CHECK(!decodeJobRecord(job->spec.id, former).value()->isExcess);
+}
+
 TEST(CellRecords, aJobComesBackAsItWas)
 {
     auto job = sample();
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -231,7 +231,11 @@
               { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
-              [&world](const std::string& queue) { return &world.policyOfJob(queue); } })
+              [&world](const std::string& queue) { return &world.policyOfJob(queue); },
+              [&world](const std::string& account) {
+                  const auto found = world.m_accounts.find(account);
+                  return found == world.m_accounts.end() ? nullptr : &found->second;
+              } })
     {
     }
     std::string name;
@@ -715,6 +719,8 @@
     at->host.gateway().submit(
         job, policyOfJob(job.id), absl::Milliseconds(2800), [this, id = job.id](GatewayReply reply) {
             m_answers[id].push_back(reply.status);
+            if (reply.status == GatewayStatus::Refused)
+                m_retryAfters[id].push_back(reply.count);
             if (reply.status == GatewayStatus::Accepted)
                 m_accepted.insert(id);
         });
@@ -814,6 +820,26 @@
     return found == m_jobs.end() ? 0 : found->second.starts;
 }
 
+uint64_t CellWorld::counter(absl::string_view series) const
+{
+    uint64_t sum = 0;
+    for (const auto& entry : m_entries)
+        sum += entry && entry->isAlive ? entry->metrics.counter(series) : 0;
+    return sum;
+}
+
+std::vector<uint64_t> CellWorld::retryAfters(const std::string& job) const
+{
+    const auto found = m_retryAfters.find(job);
+    return found == m_retryAfters.end() ? std::vector<uint64_t>() : found->second;
+}
+
+std::optional<Instant> CellWorld::firstStartOf(const std::string& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? std::nullopt : found->second.firstStart;
+}
+
 size_t CellWorld::maxOnOneWorker(const std::string& job) const
 {
     const auto found = m_jobs.find(job);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -8,6 +8,7 @@
  */
 
 #include "CellHost.h"
+#include "ClientAccount.h"
 #include "TaskHistory.h"
 #include "WorldStore.h"
 
@@ -161,6 +162,14 @@
     QueuePolicy& policy() { return m_policy; }
     /** Puts the job, which is handed in later, into a queue of its own, which has this policy otherwise. */
     void setQueueOf(const std::string& job, QueuePolicy policy);
+    /** Adds an account, or gives it another weight. */
+    void setAccount(const std::string& account, double weight) { m_accounts[account] = { account, weight, {} }; }
+    /** The value of a counter, summed over the living entries. */
+    uint64_t counter(absl::string_view series) const;
+    /** The seconds that the refusals of the job named. */
+    std::vector<uint64_t> retryAfters(const std::string& job) const;
+    /** When a task of the job first started; nothing if none has. */
+    std::optional<Instant> firstStartOf(const std::string& job) const;
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
     /** How long tickets are valid from the policy service's answer on. */
@@ -194,6 +203,7 @@
         absl::btree_map<TaskName, TaskHistory> histories;
         size_t attempts = 0;
         size_t starts = 0;
+        std::optional<Instant> firstStart;
         size_t maxOnOne = 0;
     };
 
@@ -232,6 +242,8 @@
     QueuePolicy m_policy;
     /** Policies of queues that hold one job, by its id, which is also the queue's name. */
     absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
+    absl::btree_map<std::string, ClientAccount> m_accounts;
+    absl::btree_map<std::string, std::vector<uint64_t>> m_retryAfters;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
     absl::Duration m_ticketValidity = absl::Seconds(2);
     absl::btree_map<std::string, Job> m_jobs;
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -94,6 +94,7 @@
     worker.runs[run] = { step.demand, now() + workOf(job.spec, run.task), step.isGang, serial };
     job.active[run.task] = index;
     ++job.starts;
+    job.firstStart = job.firstStart.value_or(now());
     job.histories[run.task].recordStart(now());
     judge(run.task);
     size_t here = 0;
