Order with accounts: excess behind owed work, hopeless work last, accounts by share

The order is now: lost service, owed on time, owed late, excess on time, excess late, hopeless. Hopeless work reserves nothing. Among owed steps of equal urgency and priority the account with the least use in proportion to its weight comes first, and within an account the earlier latest start.

So the tags are assigned anew in each round, to the copy of the ready steps that a round makes anyway, and only once a job with an account is there. Excess work is not counted as use. Only processors times estimate count as work.

A step is hopeless once it can only end past three times the objective by the estimates, as it is late once it can only end past the objective. The objective of an occurrence counts from its due time where the job has an account.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -96,6 +96,7 @@
         m_parts.log.write("job-record-unreadable", "job", id, "revision", entry.index, "error", job.error().message);
         return;
     }
+    m_hasAccounts = m_hasAccounts || !job.value()->spec.account.empty();
     m_jobs[id] = std::move(job.value());
 }
 
@@ -214,6 +215,8 @@
 
 double Cell::weightOf(const std::string& account) const
 {
+    if (account.empty())
+        return 1;
     const ClientAccount* found = m_parts.accountOf ? m_parts.accountOf(account) : nullptr;
     return found ? found->weight : 1;
 }
@@ -245,8 +248,10 @@
     auto job = makeCellJob(std::move(spec), std::move(policy), m_parts.timers.clock().wallMicros() / 1000);
     job->acceptedAt = m_parts.timers.clock().now();
     const std::string& account = job->spec.account;
-    if (!account.empty())
+    if (!account.empty()) {
+        m_hasAccounts = true;
         job->isExcess = m_accountRate.recordAccepted(account, weightOf(account), job->acceptedAt);
+    }
     CellJob& kept = *(m_jobs[id] = std::move(job));
     m_acceptReplies[id].push_back(std::move(reply));
     m_parts.metrics.count("cicada_cell_jobs");
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -9,6 +9,7 @@
  */
 
 #include "AccountRate.h"
+#include "AccountShares.h"
 #include "Advisor.h"
 #include "AllowedShare.h"
 #include "CellJob.h"
@@ -238,6 +239,9 @@
     // CellPlacing.cpp: which steps may start, and on which workers.
     void advance(CellJob& job);
     void makeStepReady(CellJob& job, StepRef ref);
+    /** Sets by when the step must start so that its job is on time, and so that its result has any value. */
+    void setLatestStarts(CellJob& job, StepRef ref);
+    Instant dueTimeOf(const CellJob& job, uint32_t occurrence) const;
     void handleOccurrenceDue(const std::string& id, uint32_t occurrence);
     StepKey keyOf(CellJob& job, StepRef ref);
     void insertReady(CellJob& job, StepRef ref);
@@ -260,6 +264,10 @@
     void schedulePlacement();
     void scheduleContinuation();
     void runPlacementRound();
+    /** The ready steps in the order in which this round looks at them. */
+    std::vector<StepRank> orderReadySteps();
+    /** The work of the step's waiting tasks, in thousandths of a core times milliseconds; 0 for a service. */
+    double waitingWorkOf(const CellJob& job, StepRef ref) const;
     /** Looks at steps that the pass from the front did not get to, which ended before `end`. Without this, steps in
      * front that can't start would keep those behind them from capacity that only the latter can use. */
     void continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations);
@@ -281,6 +289,8 @@
     void updateExclusive(absl::Span<const StepRank> ranks);
     void endExclusive();
     bool isExclusive(const std::string& job, StepRef ref) const;
+    /** Whether the step may withhold capacity from others: hopeless work gets only what nothing else can use. */
+    bool mayReserve(const CellJob& job, StepRef ref) const;
     /** Whether the gang waits in vain for the reservations that are given by rank. */
     bool mayBeExclusive(CellJob& job, StepRef ref);
     /** Whether the share of the workers that is reserved by rank is less than the gang needs. */
@@ -459,6 +469,9 @@
     Instant m_loadedAt = absl::ZeroDuration();
     DurableWriter m_writer;
     AccountRate m_accountRate;
+    AccountShares m_accountShares;
+    /** A job with an account has been accepted or loaded in this term. */
+    bool m_hasAccounts = false;
     JobTable m_jobs;
     /** Ended jobs of which only the run record is kept, with phase and end in milliseconds since 1970. */
     absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_endedJobs;
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -131,6 +131,9 @@
 
 bool Cell::reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation)
 {
+    job.step(ref).advice.reservation.reset();
+    if (!mayReserve(job, ref))
+        return false;
     const Instant now = m_parts.timers.clock().now();
     size_t keptByOthers = 0;
     bool isExceeded = false;
@@ -146,7 +149,6 @@
     const auto workers = static_cast<double>(reservation.tasksByWorker.size());
     const bool isWide = workers * 2 > limit;
     reservation.exceedsShare = static_cast<double>(keptByOthers) + workers > limit;
-    job.step(ref).advice.reservation.reset();
     if (reservation.exceedsShare && !isExclusive(job.spec.id, ref) && (isExceeded || !isWide))
         return false;
     job.step(ref).advice.reservation = std::move(reservation);
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -202,7 +202,12 @@
     const bool hasLostTask = stepSpec(ref).isService
         && std::any_of(tasks.begin(), tasks.end(),
             [](const CellTask& task) { return task.stage == TaskStage::Waiting && task.run > 0; });
-    return { stepSpec(ref).isService, hasLostTask, step(ref).latestStart };
+    return { stepSpec(ref).isService, hasLostTask, step(ref).latestStart, isExcess, step(ref).lastUsefulStart };
+}
+
+double CellJob::workOfTask(StepRef ref) const
+{
+    return static_cast<double>(stepSpec(ref).demand.cpuMillis) * absl::ToDoubleMilliseconds(stepSpec(ref).estimate);
 }
 
 bool CellJob::allFinished() const
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -110,6 +110,8 @@
     Instant notBefore = absl::ZeroDuration();
     /** The latest start with which the job is still on time, by the estimates. */
     Instant latestStart = absl::InfiniteDuration();
+    /** The latest start with which the result has any value; infinite for jobs without an account. */
+    Instant lastUsefulStart = absl::InfiniteDuration();
     /** While it is among the ready steps: the key under which it is sorted there. */
     std::optional<StepKey> sortKey;
 
@@ -156,6 +158,8 @@
     /** Records that a run of the task ended as failed; false if that was known. */
     bool recordFailure(const TaskRun&);
     bool allFinished() const;
+    /** Processors times estimated run time of one task of the step, in thousandths of a core times milliseconds. */
+    double workOfTask(StepRef ref) const;
     /** The sum of estimates on the longest path from `step` on, through the steps that depend on it. */
     absl::Duration criticalPathFrom(uint32_t step) const;
     /** The sum of estimates on the longest path through the job. */
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    /** After this many times its objective the result of a job has no value. */
+    constexpr double usefulObjectives = 3;
+
     /** The share of the worker's capacity that stays free beside the task: the larger of the shares of processors and
      * memory. */
     double freeShareAfter(const Resources& free, const Resources& demand, const Resources& capacity)
@@ -65,16 +68,34 @@
         }
         step.isReady = true;
         step.readyAt = m_parts.timers.clock().now();
-        const QueuePolicy& policy = policyOf(job);
-        const absl::Duration slack = policy.stretch * job.criticalPath() + policy.latencyTarget;
-        Instant begin = job.acceptedAt;
-        if (job.spec.occurrences > 0)
-            begin = step.readyAt;
-        step.latestStart = begin + slack - job.criticalPathFrom(ref.step);
+        setLatestStarts(job, ref);
     }
     queueStep(job, ref);
 }
 
+void Cell::setLatestStarts(CellJob& job, StepRef ref)
+{
+    CellStep& step = job.step(ref);
+    const QueuePolicy& policy = policyOf(job);
+    const absl::Duration objective = policy.stretch * job.criticalPath() + policy.latencyTarget;
+    const absl::Duration remaining = job.criticalPathFrom(ref.step);
+    if (job.spec.account.empty()) {
+        const Instant begin = job.spec.occurrences > 0 ? step.readyAt : job.acceptedAt;
+        step.latestStart = begin + objective - remaining;
+        return;
+    }
+    const Instant begin = job.spec.occurrences > 0 ? dueTimeOf(job, ref.occurrence) : job.acceptedAt;
+    step.latestStart = begin + objective - remaining;
+    step.lastUsefulStart = begin + usefulObjectives * objective - remaining;
+}
+
+Instant Cell::dueTimeOf(const CellJob& job, uint32_t occurrence) const
+{
+    const int64_t due = job.spec.startUnixMillis + job.spec.intervalMillis * occurrence;
+    const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
+    return m_parts.timers.clock().now() - absl::Milliseconds(std::max<int64_t>(0, nowUnix - due));
+}
+
 StepKey Cell::keyOf(CellJob& job, StepRef ref)
 {
     const StepUrgency urgency = urgencyOf(job.timesOf(ref), m_parts.timers.clock().now());
@@ -274,6 +295,10 @@
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
     const Instant now = m_parts.timers.clock().now();
+    // Excess work does not count, so that an account loses none of what it is owed by taking what nobody else wants.
+    if (!job.isExcess && !spec.isService && m_hasAccounts)
+        m_accountShares.recordStarted(
+            job.spec.account, weightOf(job.spec.account), job.workOfTask(ref) * static_cast<double>(choices.size()));
     storeRuns(job, guarded([this, id = job.spec.id, runs, now] { sendStarts(id, runs, now); }));
 }
 
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -72,7 +72,7 @@
         if (reserved >= maxReserved)
             break;
         CellJob* job = findJob(rank.job);
-        if (!job || served.contains(&rank) || !job->stepSpec(rank.ref).isGang
+        if (!job || served.contains(&rank) || !mayReserve(*job, rank.ref) || !job->stepSpec(rank.ref).isGang
             || now - job->step(rank.ref).readyAt < reservationDelay)
             continue;
         Reservation reservation = reserveFor(*job, rank, maxReserved - reserved);
@@ -131,7 +131,12 @@
         && waitingTasks(step).size() == step.tasks.size();
     if (!isWaiting || now - std::max(step.readyAt, job.arrivedAt) < exclusiveDelay || now < step.noExclusiveBefore)
         return false;
-    return step.latestStart < now && needsMoreThanShare(job, job.stepSpec(ref));
+    return step.latestStart < now && mayReserve(job, ref) && needsMoreThanShare(job, job.stepSpec(ref));
+}
+
+bool Cell::mayReserve(const CellJob& job, StepRef ref) const
+{
+    return urgencyOf(job.timesOf(ref), m_parts.timers.clock().now()) != StepUrgency::Hopeless;
 }
 
 bool Cell::needsMoreThanShare(CellJob& job, const StepSpec& spec)
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -56,7 +56,7 @@
 {
     if (m_isSuperseded)
         return;
-    const std::vector<StepRank> ranks(m_ready.begin(), m_ready.end());
+    const std::vector<StepRank> ranks = orderReadySteps();
     m_usableWorkers.clear();
     m_unmetDemands.clear();
     const std::vector<Reservation> reservations = reserveForGangs(ranks);
@@ -71,12 +71,41 @@
         worker.reserved = Resources();
 }
 
+std::vector<StepRank> Cell::orderReadySteps()
+{
+    std::vector<StepRank> ranks(m_ready.begin(), m_ready.end());
+    if (!m_hasAccounts)
+        return ranks;
+    const auto endOfOwed
+        = std::find_if(ranks.begin(), ranks.end(), [](const StepRank& rank) { return !isOwed(rank.key.urgency); });
+    std::vector<AccountShares::Waiting> steps;
+    steps.reserve(static_cast<size_t>(endOfOwed - ranks.begin()));
+    for (auto rank = ranks.begin(); rank != endOfOwed; ++rank) {
+        const CellJob* job = findJob(rank->job);
+        if (!job)
+            continue;
+        const std::string& account = job->spec.account;
+        steps.push_back({ &*rank, account, weightOf(account), waitingWorkOf(*job, rank->ref) });
+    }
+    m_accountShares.assignTags(steps);
+    std::sort(ranks.begin(), endOfOwed, isBeforeByShare);
+    return ranks;
+}
+
+double Cell::waitingWorkOf(const CellJob& job, StepRef ref) const
+{
+    if (job.stepSpec(ref).isService)
+        return 0;
+    return job.workOfTask(ref) * static_cast<double>(waitingTasks(job.step(ref)).size());
+}
+
 void Cell::continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations)
 {
     m_isContinuationDue = false;
     size_t first = end;
     if (m_continueAt)
-        first = std::max<size_t>(end, std::lower_bound(ranks.begin(), ranks.end(), *m_continueAt) - ranks.begin());
+        first = std::max<size_t>(
+            end, std::lower_bound(ranks.begin(), ranks.end(), *m_continueAt, isBeforeByShare) - ranks.begin());
     const size_t next = placeFrom(ranks, first, reservations);
     m_continueAt = next < ranks.size() ? std::optional<StepRank>(ranks[next]) : std::nullopt;
 }
--- a/src/StepOrder.h
+++ b/src/StepOrder.h
@@ -3,7 +3,8 @@
 /** \file
  * The order in which ready steps get capacity. Its first criterion answers a load above the capacity: work that can
  * still finish on time goes before work that can't, and a service that has lost a task goes before all batch work,
- * since its users get nothing for as long as the task is away.
+ * since its users get nothing for as long as the task is away. Work of a client account that is beyond what the account
+ * is owed, and work whose result can have no value any more, go behind all of that.
  */
 
 #include "Clock.h"
@@ -39,8 +40,16 @@
     OnTime,
     /** Batch work that can no longer finish on time. */
     Late,
+    /** As the two above, for jobs beyond their account's rate. */
+    ExcessOnTime,
+    ExcessLate,
+    /** Batch work of an account that can only finish after its result has lost all value. */
+    Hopeless,
 };
 
+/** Whether the work is owed and still of value. */
+inline bool isOwed(StepUrgency urgency) { return urgency <= StepUrgency::Late; }
+
 /** The stable name of an urgency, for logs. */
 absl::string_view stepUrgencyName(StepUrgency);
 
@@ -51,6 +60,10 @@
     bool hasLostTask = false;
     /** The latest start with which the job is still on time, by the estimates. */
     Instant latestStart;
+    /** The job came beyond its account's rate. */
+    bool isExcess = false;
+    /** The latest start with which the job's result has any value; jobs without an account have none. */
+    Instant lastUsefulStart = absl::InfiniteDuration();
 };
 
 StepUrgency urgencyOf(const StepTimes&, Instant now);
@@ -73,6 +86,9 @@
     StepKey key;
     std::string job;
     StepRef ref;
+    /** Of an owed step, where accounts compete: its place among the accounts in this placement round; see
+     * AccountShares. The steps are not sorted by it between rounds, as it changes with each start. */
+    double shareTag = 0;
 
     friend bool operator<(const StepRank& a, const StepRank& b)
     {
@@ -80,4 +96,7 @@
     }
 };
 
+/** The order within a placement round: steps of equal urgency and priority by their share tags first. */
+bool isBeforeByShare(const StepRank& a, const StepRank& b);
+
 } // namespace cicada
