Admission control: refuse on arrival what can't be done in useful time

At a load peak jobs were accepted and worked on whose results came too late to have any value. A job with an account is now refused with 503 while its cell is full, if it could end only past three times its objective, or if it is excess while owed work waits for room. Known ids are answered before; a refused one leaves no trace.

The work ahead is kept as sums by urgency, priority, account and latest start in steps of 0.5 s, of steps that were tried and found no room. It is a lower bound: of other accounts only their share counts while the own account's earlier work is done. Counting all work of equal priority would refuse a small account's job because of a large one's owed work. An excess job also waits for excess work before it.

Where writes to the store have failed for 1.5 s, a new job of an account is refused before its write is handed over. One whose write was queued stays as it was: a write without a reply may have taken effect.

A refusal is true only from the owner: without a fresh lease the request is sent again. The owner decides anew about each send of a request, so the gateway passes a refusal on only when no other send of it is unanswered. Excess gangs reserve nothing while owed work waits.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -247,11 +247,16 @@
     }
     auto job = makeCellJob(std::move(spec), std::move(policy), m_parts.timers.clock().wallMicros() / 1000);
     job->acceptedAt = m_parts.timers.clock().now();
+    const AdmissionDecision decision = admissionOf(*job);
+    if (decision.isRefused())
+        return replyRefused(*job, decision, std::move(reply));
     const std::string& account = job->spec.account;
     if (!account.empty()) {
         m_hasAccounts = true;
         job->isExcess = m_accountRate.recordAccepted(account, weightOf(account), job->acceptedAt);
     }
+    if (job->isExcess)
+        m_parts.log.write("job-excess", "job", id, "account", account, "weight", weightOf(account));
     CellJob& kept = *(m_jobs[id] = std::move(job));
     m_acceptReplies[id].push_back(std::move(reply));
     m_parts.metrics.count("cicada_cell_jobs");
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -16,11 +16,13 @@
 #include "CellWorker.h"
 #include "ClientAccount.h"
 #include "DurableWriter.h"
+#include "JobAdmission.h"
 #include "Metrics.h"
 #include "PrefixMirror.h"
 #include "RoomFinder.h"
 #include "StepOrder.h"
 #include "UnmetDemands.h"
+#include "WaitingWork.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
@@ -71,6 +73,8 @@
     JobPhase phase = JobPhase::Queued;
     /** After Moved, the cell in which the job is. */
     uint32_t cell = 0;
+    /** After a refusal by admission control, when the job may be sent again; else 0. */
+    uint32_t retryAfterSeconds = 0;
 };
 
 /** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
@@ -236,6 +240,17 @@
     }
     void handleSuperseded(const std::string& why);
 
+    // CellAdmission.cpp: which jobs of accounts are accepted.
+    AdmissionDecision admissionOf(CellJob& job);
+    AdmissionInputs admissionInputs(CellJob& job);
+    /** Whether no usable worker has room for a task of a step with which the job can begin. Adds up what the usable
+     * workers of the job's service have. */
+    bool isFullFor(CellJob& job, int64_t& capacity);
+    void replyRefused(const CellJob& job, const AdmissionDecision& decision, Reply reply);
+    /** Counts the step's waiting tasks as waiting work if there is no room for them. */
+    void updateWaiting(CellJob& job, StepRef ref);
+    void removeWaiting(CellStep& step);
+
     // CellPlacing.cpp: which steps may start, and on which workers.
     void advance(CellJob& job);
     void makeStepReady(CellJob& job, StepRef ref);
@@ -289,7 +304,8 @@
     void updateExclusive(absl::Span<const StepRank> ranks);
     void endExclusive();
     bool isExclusive(const std::string& job, StepRef ref) const;
-    /** Whether the step may withhold capacity from others: hopeless work gets only what nothing else can use. */
+    /** Whether the step may withhold capacity from others: hopeless work gets only what nothing else can use, and
+     * excess work what no owed work waits for. */
     bool mayReserve(const CellJob& job, StepRef ref) const;
     /** Whether the gang waits in vain for the reservations that are given by rank. */
     bool mayBeExclusive(CellJob& job, StepRef ref);
@@ -470,6 +486,7 @@
     DurableWriter m_writer;
     AccountRate m_accountRate;
     AccountShares m_accountShares;
+    WaitingWork m_waitingWork;
     /** A job with an account has been accepted or loaded in this term. */
     bool m_hasAccounts = false;
     JobTable m_jobs;
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -241,6 +241,11 @@
     return longest;
 }
 
+absl::Duration objectiveOf(const CellJob& job, const QueuePolicy& policy)
+{
+    return policy.stretch * job.criticalPath() + policy.latencyTarget;
+}
+
 std::unique_ptr<CellJob> makeCellJob(Submission spec, QueuePolicy policy, int64_t acceptedUnixMillis)
 {
     auto job = std::make_unique<CellJob>();
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -8,6 +8,7 @@
 
 #include "Clock.h"
 #include "StepOrder.h"
+#include "WaitingWork.h"
 #include "WorkerOrders.h"
 
 #include "absl/container/btree_map.h"
@@ -114,6 +115,10 @@
     Instant lastUsefulStart = absl::InfiniteDuration();
     /** While it is among the ready steps: the key under which it is sorted there. */
     std::optional<StepKey> sortKey;
+    /** The last attempt to place it found no room. */
+    bool lacksRoom = false;
+    /** What it adds to the cell's waiting work. */
+    std::optional<WaitingItem> waitingItem;
 
     bool isFinished() const { return finished == tasks.size(); }
     /** How many active runs of the step each worker has, by the worker's id. */
@@ -166,6 +171,8 @@
     absl::Duration criticalPath() const;
 };
 
+/** How long the job may take to be on time. */
+absl::Duration objectiveOf(const CellJob& job, const QueuePolicy& policy);
 /** Creates the tasks of a submitted job, all waiting. */
 std::unique_ptr<CellJob> makeCellJob(Submission spec, QueuePolicy policy, int64_t acceptedUnixMillis);
 
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -1,6 +1,7 @@
 #include "Cell.h"
 
 #include "Job.h"
+#include "JobAdmission.h"
 
 #include <algorithm>
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-    /** After this many times its objective the result of a job has no value. */
-    constexpr double usefulObjectives = 3;
-
     /** The share of the worker's capacity that stays free beside the task: the larger of the shares of processors and
      * memory. */
     double freeShareAfter(const Resources& free, const Resources& demand, const Resources& capacity)
@@ -77,7 +75,7 @@
 {
     CellStep& step = job.step(ref);
     const QueuePolicy& policy = policyOf(job);
-    const absl::Duration objective = policy.stretch * job.criticalPath() + policy.latencyTarget;
+    const absl::Duration objective = objectiveOf(job, policy);
     const absl::Duration remaining = job.criticalPathFrom(ref.step);
     if (job.spec.account.empty()) {
         const Instant begin = job.spec.occurrences > 0 ? step.readyAt : job.acceptedAt;
@@ -116,6 +114,7 @@
         return;
     m_ready.erase({ *step.sortKey, job.spec.id, ref });
     step.sortKey.reset();
+    removeWaiting(step);
 }
 
 void Cell::queueStep(CellJob& job, StepRef ref)
@@ -258,7 +257,8 @@
         return StepOutcome::Placed;
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
-    if (mustWait || !hasRoomForTask(*job, spec))
+    step.lacksRoom = !mustWait && !hasRoomForTask(*job, spec);
+    if (mustWait || step.lacksRoom)
         return StepOutcome::Skipped;
     if (policyOf(*job).advice.isNeeded)
         return placeWithAdvice(rank, *job, waiting) ? StepOutcome::Placed : StepOutcome::Unplaced;
@@ -266,9 +266,11 @@
         return StepOutcome::Skipped;
     const std::vector<CellWorker*> all = candidates(*job, spec);
     std::vector<Choice> choices;
-    if (!chooseWorkersForStep(*job, rank.ref, all, choices))
+    step.lacksRoom = !chooseWorkersForStep(*job, rank.ref, all, choices);
+    if (step.lacksRoom)
         return StepOutcome::Unplaced;
     storeIntent(*job, rank.ref, choices);
+    step.lacksRoom = choices.size() < waiting;
     return choices.size() == waiting ? StepOutcome::Placed : StepOutcome::Unplaced;
 }
 
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -136,7 +136,10 @@
 
 bool Cell::mayReserve(const CellJob& job, StepRef ref) const
 {
-    return urgencyOf(job.timesOf(ref), m_parts.timers.clock().now()) != StepUrgency::Hopeless;
+    const StepUrgency urgency = urgencyOf(job.timesOf(ref), m_parts.timers.clock().now());
+    if (urgency == StepUrgency::Hopeless)
+        return false;
+    return isOwed(urgency) || !m_waitingWork.hasOwed(job.policy.service);
 }
 
 bool Cell::needsMoreThanShare(CellJob& job, const StepSpec& spec)
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -178,10 +178,11 @@
         return;
     reportWait(*job, rank.ref);
     const StepUrgency urgency = urgencyOf(job->timesOf(rank.ref), m_parts.timers.clock().now());
-    if (urgency == rank.key.urgency)
-        return;
-    dequeueStep(*job, rank.ref);
-    insertReady(*job, rank.ref);
+    if (urgency != rank.key.urgency) {
+        dequeueStep(*job, rank.ref);
+        insertReady(*job, rank.ref);
+    }
+    updateWaiting(*job, rank.ref);
 }
 
 } // namespace cicada
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -55,6 +55,11 @@
     return found == m_keys.end() || (!found->second.isDirty && !found->second.isInFlight);
 }
 
+absl::Duration DurableWriter::failingFor() const
+{
+    return m_failures > 0 ? m_parts.timers.clock().now() - m_failingSince : absl::ZeroDuration();
+}
+
 uint64_t DurableWriter::storedRevision(const std::string& key) const
 {
     const auto found = m_keys.find(key);
@@ -196,6 +201,8 @@
     // A single lost reply, when calls sent later got replies, does not mean that the store is unavailable.
     if (batch.sentAt < m_lastAnsweredSentAt)
         return;
+    if (m_failures == 0)
+        m_failingSince = batch.sentAt;
     ++m_failures;
     if (status == TransactionStatus::Unknown)
         m_replyTimeout.recordTimeout();
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -51,6 +51,9 @@
     void writeDeferred(const std::string& key);
     /** Whether the newest value of the key is stored. */
     bool isDurable(const std::string& key) const;
+    /** For how long the store has refused or not answered every write, counted from the sending of the first of them;
+     * zero while writes are answered. */
+    absl::Duration failingFor() const;
     /** Call when the store is reachable again after an outage: resends at once the batches that have waited long for a
      * reply. */
     void retryNow();
@@ -96,6 +99,8 @@
     bool m_isSuperseded = false;
     /** Consecutive failures since the last call that got a reply. */
     int m_failures = 0;
+    /** When the first of them was sent. */
+    Instant m_failingSince = absl::ZeroDuration();
     /** The latest send time among the calls that got a reply. */
     Instant m_lastAnsweredSentAt = absl::ZeroDuration();
 };
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -22,7 +22,7 @@
         case CellOutcome::Accepted:
             return { GatewayStatus::Accepted };
         case CellOutcome::Refused:
-            return { GatewayStatus::Refused };
+            return { GatewayStatus::Refused, JobPhase::Queued, reply.retryAfterSeconds };
         case CellOutcome::Found:
             return { GatewayStatus::Found, reply.phase };
         case CellOutcome::Cancelled:
@@ -148,6 +148,7 @@
         request.sentTo = m_parts.self;
         request.sentAt = m_parts.timers.clock().now();
         request.wasSent = true;
+        ++request.unanswered;
         return serve(request.verb, request.cell, isRedirected, request.body,
             [this, number](GatewayReply reply, bool isOwner) { handleAnswer(number, reply, isOwner); });
     }
@@ -162,6 +163,7 @@
     request.sentTo = row->owner.name;
     request.sentAt = m_parts.timers.clock().now();
     request.wasSent = true;
+    ++request.unanswered;
     resendLater(number);
 }
 
@@ -240,10 +242,15 @@
     if (found == m_open.end())
         return;
     Request& request = found->second;
+    request.unanswered -= std::min(1u, request.unanswered);
     if (!isOwner) {
         request.sentTo.clear();
         return m_parts.timers.after(notOwnerDelay, [this, number] { trySend(number); });
     }
+    // The owner decides anew about each send, and may accept one that is still under way.
+    const bool mayBeAccepted = reply.status == GatewayStatus::Refused && reply.count > 0 && request.unanswered > 0;
+    if (mayBeAccepted)
+        return;
     if (reply.status == GatewayStatus::Moved)
         return handleRedirect(number, request, static_cast<uint32_t>(reply.count));
     if (reply.status != GatewayStatus::Gone || !request.redirectedTo)
@@ -274,9 +281,11 @@
     if (verb == GatewayVerb::Pending)
         return done({ GatewayStatus::Counted, JobPhase::Queued, cell->pending(body) }, cell->isLoaded());
     auto reply = [this, done = std::move(done)](CellReply cellReply) mutable {
-        // Only an entry that certainly owns the cell may report that a job does not exist.
-        const bool isUncertain = (cellReply.outcome == CellOutcome::Gone || cellReply.outcome == CellOutcome::Moved)
-            && !m_parts.directory.isFresh();
+        // Only an entry that certainly owns the cell may report that a job does not exist, or refuse it: another owner
+        // may have accepted it.
+        const bool isDecidedRefusal = cellReply.outcome == CellOutcome::Refused && cellReply.retryAfterSeconds > 0;
+        const bool isUncertain = !m_parts.directory.isFresh()
+            && (cellReply.outcome == CellOutcome::Gone || cellReply.outcome == CellOutcome::Moved || isDecidedRefusal);
         done(replyOf(cellReply), cellReply.outcome != CellOutcome::NotOwner && !isUncertain);
     };
     if (verb == GatewayVerb::Query)
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -23,7 +23,8 @@
 /** Final status of a request. */
 enum class GatewayStatus {
     Accepted,
-    /** The job was not accepted and will not run. */
+    /** The job was not accepted and will not run. The count is the number of seconds after which it may be sent again,
+     * or 0 where the owner names none. */
     Refused,
     Found,
     Cancelled,
@@ -89,6 +90,8 @@
         Instant sentAt = absl::ZeroDuration() - absl::Hours(1);
         std::string sentTo {};
         bool wasSent = false;
+        /** Sends to owners that have not been answered. */
+        uint32_t unanswered = 0;
         /** The cell that its home cell's owner has named, if any. */
         std::optional<uint32_t> redirectedTo {};
         /** The cell in which the job was not found although its home cell's owner had named it. */
