--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -20,6 +20,7 @@
           { m_parts.store, m_parts.timers, m_parts.log, m_parts.metrics,
               [this](const std::string& key) { return valueOf(key); }, [this] { handleSuperseded("row-changed"); } },
           { m_term.row, m_term.token })
+    , m_accountRate(m_term.cells)
 {
 }
 
@@ -95,6 +96,7 @@
         m_parts.log.write("job-record-unreadable", "job", id, "revision", entry.index, "error", job.error().message);
         return;
     }
+    m_hasAccounts = m_hasAccounts || !job.value()->spec.account.empty();
     m_jobs[id] = std::move(job.value());
 }
 
@@ -206,6 +208,14 @@
     return job.policy;
 }
 
+double Cell::weightOf(const std::string& account) const
+{
+    if (account.empty())
+        return 1;
+    const ClientAccount* found = m_parts.accountOf ? m_parts.accountOf(account) : nullptr;
+    return found ? found->weight : 1;
+}
+
 void Cell::submit(Submission spec, QueuePolicy policy, Reply reply)
 {
     if (!m_isLoaded && m_requestsUntilLoaded.size() >= maxWaitingRequests)
@@ -233,11 +243,21 @@
     if (exceedsLimit(spec)) {
         m_parts.log.write("job-refused", "job", id, "account", spec.account, "why", "larger-than-account-limit");
         CellReply refused { CellOutcome::Refused };
-        refused.reason = RefusalReason::LargerThanAccountLimit;
+        refused.reason = RefusalCode::LargerThanAccountLimit;
         return reply(refused);
     }
     auto job = makeCellJob(std::move(spec), std::move(policy), m_parts.timers.clock().wallMicros() / 1000);
     job->acceptedAt = m_parts.timers.clock().now();
+    const AdmissionDecision decision = admissionOf(*job);
+    if (decision.isRefused())
+        return replyRefused(*job, decision, std::move(reply));
+    const std::string& account = job->spec.account;
+    if (!account.empty()) {
+        m_hasAccounts = true;
+        job->isExcess = m_accountRate.recordAccepted(account, weightOf(account), job->acceptedAt);
+    }
+    if (job->isExcess)
+        m_parts.log.write("job-excess", "job", id, "account", account, "weight", weightOf(account));
     CellJob& kept = *(m_jobs[id] = std::move(job));
     m_acceptReplies[id].push_back(std::move(reply));
     m_parts.metrics.count("cicada_cell_jobs");
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -9,6 +9,8 @@
  */
 
 #include "AccountLimits.h"
+#include "AccountRate.h"
+#include "AccountShares.h"
 #include "AccountUsage.h"
 #include "Advisor.h"
 #include "AllowedShare.h"
@@ -16,11 +18,13 @@
 #include "CellWorker.h"
 #include "ClientAccount.h"
 #include "DurableWriter.h"
+#include "JobAdmission.h"
 #include "Metrics.h"
 #include "PrefixMirror.h"
 #include "RoomFinder.h"
-#include "StepUrgency.h"
+#include "StepOrder.h"
 #include "UnmetDemands.h"
+#include "WaitingWork.h"
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
@@ -67,11 +71,12 @@
 };
 
 /** Why a job was refused. Peers exchange the values. */
-enum class RefusalReason : uint32_t {
+enum class RefusalCode : uint32_t {
     /** It may be accepted later. */
     Unspecified = 0,
-    /** It can't run while its account has this limit. */
-    LargerThanAccountLimit = 1,
+    /** It can't run while its account has this limit. Peers exchange the seconds after which other jobs may be sent
+     * again in the same field, which are fewer. */
+    LargerThanAccountLimit = 256,
 };
 
 struct CellReply {
@@ -80,7 +85,9 @@
     /** After Moved, the cell in which the job is. */
     uint32_t cell = 0;
     /** After Refused. */
-    RefusalReason reason = RefusalReason::Unspecified;
+    RefusalCode reason = RefusalCode::Unspecified;
+    /** After a refusal by admission control, when the job may be sent again; else 0. */
+    uint32_t retryAfterSeconds = 0;
 };
 
 /** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
@@ -144,23 +151,9 @@
 
 private:
     using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
-    /** Sort key of a ready step; steps get capacity in this order. */
-    struct Rank {
-        StepUrgency urgency = StepUrgency::OnTime;
-        uint32_t priority = 0;
-        Instant latestStart;
-        std::string job;
-        StepRef ref;
-
-        bool operator<(const Rank& other) const
-        {
-            return std::tie(urgency, priority, latestStart, job, ref)
-                < std::tie(other.urgency, other.priority, other.latestStart, other.job, other.ref);
-        }
-    };
     /** Free capacity that one step withholds from all others during a placement round. */
     struct Reservation {
-        const Rank* rank = nullptr;
+        const StepRank* rank = nullptr;
         std::vector<std::pair<CellWorker*, Resources>> freeCapacities;
 
         void hold() const;
@@ -257,6 +250,8 @@
     void endJob(CellJob& job, JobPhase phase, absl::string_view cause);
     void removeExpiredJobs();
     const QueuePolicy& policyOf(CellJob& job);
+    /** The account's weight; 1 where it is no longer in the configuration. */
+    double weightOf(const std::string& account) const;
     CellJob* findJob(const std::string& id);
     /** Wraps a callback so that it does nothing after the cell is gone. */
     template <typename F> auto guarded(F function)
@@ -268,14 +263,29 @@
     }
     void handleSuperseded(const std::string& why);
 
+    // CellAdmission.cpp: which jobs of accounts are accepted.
+    AdmissionDecision admissionOf(CellJob& job);
+    AdmissionInputs admissionInputs(CellJob& job);
+    /** Whether no usable worker has room for a task of a step with which the job can begin. Adds up what the usable
+     * workers of the job's service have. */
+    bool isFullFor(CellJob& job, int64_t& capacity);
+    void replyRefused(const CellJob& job, const AdmissionDecision& decision, Reply reply);
+    /** Counts the step's waiting tasks as waiting work if there is no room for them. */
+    void updateWaiting(CellJob& job, StepRef ref);
+    void removeWaiting(CellStep& step);
+
     // CellPlacing.cpp: which steps may start, and on which workers.
     void advance(CellJob& job);
     void makeStepReady(CellJob& job, StepRef ref);
+    /** Sets by when the step must start so that its job is on time, and so that its result has any value. */
+    void setLatestStarts(CellJob& job, StepRef ref);
+    Instant dueTimeOf(const CellJob& job, uint32_t occurrence) const;
     void handleOccurrenceDue(const std::string& id, uint32_t occurrence);
-    Rank rankOf(CellJob& job, StepRef ref);
+    StepKey keyOf(CellJob& job, StepRef ref);
+    void insertReady(CellJob& job, StepRef ref);
     void dequeueStep(CellJob& job, StepRef ref);
     void queueStep(CellJob& job, StepRef ref);
-    StepOutcome placeStep(const Rank& rank);
+    StepOutcome placeStep(const StepRank& rank);
     /** Whether a usable worker has room for one task of the step. */
     bool hasRoomForTask(CellJob& job, const StepSpec& spec);
     /** The usable workers of the service, cached for the current placement round. */
@@ -311,37 +321,45 @@
     void schedulePlacement();
     void scheduleContinuation();
     void runPlacementRound();
+    /** The ready steps in the order in which this round looks at them. */
+    std::vector<StepRank> orderReadySteps();
+    /** The work of the step's waiting tasks, in thousandths of a core times milliseconds; 0 for a service. */
+    double waitingWorkOf(const CellJob& job, StepRef ref) const;
     /** Looks at steps that the pass from the front did not get to, which ended before `end`. Without this, steps in
      * front that can't start would keep those behind them from capacity that only the latter can use. */
-    void continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations);
+    void continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations);
     /** Places steps from `first` on until the pass has cost enough; returns the first one that was not looked at. */
-    size_t placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations);
+    size_t placeFrom(absl::Span<const StepRank> ranks, size_t first, absl::Span<const Reservation> reservations);
     /** Places gangs whose tickets have arrived, which may stand behind all that the pass from the front gets to. */
     void placeWithReservedTickets(absl::Span<const Reservation> reservations);
     /** Withholds again what a step that could not be placed keeps: the capacity for which it has requested tickets, or
      * its former reservation, which may be null. */
-    void holdAgain(const Rank& rank, const Reservation* former);
+    void holdAgain(const StepRank& rank, const Reservation* former);
+    void removeRank(const StepRank& rank);
     /** Sorts a step that could not be placed in full again if its urgency has changed. */
-    void updateRank(const Rank& rank);
+    void updateRank(const StepRank& rank);
 
     // CellReservations.cpp: capacity that is withheld for gangs.
-    std::vector<Reservation> reserveForGangs(const std::vector<Rank>& ranks);
-    Reservation reserveFor(CellJob& job, const Rank& rank, size_t maxWorkers);
+    std::vector<Reservation> reserveForGangs(const std::vector<StepRank>& ranks);
+    Reservation reserveFor(CellJob& job, const StepRank& rank, size_t maxWorkers);
     /** Ends the exclusive reservation when it is due, and gives it to the next gang. */
-    void updateExclusive(absl::Span<const Rank> ranks);
+    void updateExclusive(absl::Span<const StepRank> ranks);
     void endExclusive();
     bool isExclusive(const std::string& job, StepRef ref) const;
+    /** Whether the step may withhold capacity from others: hopeless work gets only what nothing else can use, and
+     * excess work what no owed work waits for. */
+    bool mayReserve(const CellJob& job, StepRef ref) const;
     /** Whether the gang waits in vain for the reservations that are given by rank. */
     bool mayBeExclusive(CellJob& job, StepRef ref);
     /** Whether the share of the workers that is reserved by rank is less than the gang needs. */
     bool needsMoreThanShare(CellJob& job, const StepSpec& spec);
     /** Of the gangs for which there would be room in time, the one that has waited longest; null for none. */
-    const Rank* findLongestWaiting(absl::Span<const Rank> ranks);
+    const StepRank* findLongestWaiting(absl::Span<const StepRank> ranks);
     /** Whether all tasks of the gang would fit once the runs of others have ended. */
     bool canGatherRoom(CellJob& job, StepRef ref);
     uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis) const;
     /** The capacity that the gang keeps while tickets are requested; empty for none. */
-    Reservation ticketReservationOf(CellJob& job, const Rank& rank);
+    Reservation ticketReservationOf(CellJob& job, const StepRank& rank);
 
     // CellWaits.cpp: why a ready step waits.
     StepRoom measureRoom(CellJob& job, StepRef ref);
@@ -354,7 +372,7 @@
     static constexpr absl::Duration hearingTime = absl::Milliseconds(400);
 
     // CellAdvice.cpp: permission from the policy service.
-    bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
+    bool placeWithAdvice(const StepRank& rank, CellJob& job, size_t waiting);
     bool canAskForAdvice(CellJob& job, StepRef ref);
     /** Whether this owner is new and most of its workers may still reply to their first sync. */
     bool isHearingWorkers() const;
@@ -515,14 +533,19 @@
     const Instant m_ownedSince;
     Instant m_loadedAt = absl::ZeroDuration();
     DurableWriter m_writer;
+    AccountRate m_accountRate;
+    AccountShares m_accountShares;
+    WaitingWork m_waitingWork;
+    /** A job with an account has been accepted or loaded in this term. */
+    bool m_hasAccounts = false;
     JobTable m_jobs;
     /** Ended jobs of which only the run record is kept, with phase and end in milliseconds since 1970. */
     absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_endedJobs;
     /** A std::map keeps the addresses of workers stable: steps hold pointers to the workers on which they may run. */
     std::map<std::string, CellWorker> m_workers;
-    absl::btree_set<Rank> m_ready;
+    absl::btree_set<StepRank> m_ready;
     /** Where the last continued pass ended; nothing when it got to the last step. */
-    std::optional<Rank> m_continueAt;
+    std::optional<StepRank> m_continueAt;
     std::optional<ExclusiveReservation> m_exclusive;
     Instant m_nextExclusiveSearch = absl::ZeroDuration();
     absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usableWorkers;
@@ -543,7 +566,7 @@
     /** How long a demand for which no cell had room is not searched for again. */
     absl::Duration m_searchInterval;
     /** Where the next scan for steps to transfer begins; nothing for the front. */
-    std::optional<Rank> m_searchFrom;
+    std::optional<StepRank> m_searchFrom;
     UnmetDemands m_unmetElsewhere;
     Instant m_unmetElsewhereUntil = absl::ZeroDuration();
 };
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-bool Cell::placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting)
+bool Cell::placeWithAdvice(const StepRank& rank, CellJob& job, size_t waiting)
 {
     CellStep& step = job.step(rank.ref);
     const std::vector<CellWorker*> allowed = allowedWorkers(job, rank.ref);
@@ -131,10 +131,13 @@
 
 bool Cell::reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation)
 {
+    job.step(ref).advice.reservation.reset();
+    if (!mayReserve(job, ref))
+        return false;
     const Instant now = m_parts.timers.clock().now();
     size_t keptByOthers = 0;
     bool isExceeded = false;
-    for (const Rank& rank : m_ready) {
+    for (const StepRank& rank : m_ready) {
         CellJob* other = rank.job == job.spec.id && rank.ref == ref ? nullptr : findJob(rank.job);
         const auto* kept = other ? &other->step(rank.ref).advice.reservation : nullptr;
         if (!kept || !*kept || (*kept)->until <= now)
@@ -146,7 +149,6 @@
     const auto workers = static_cast<double>(reservation.tasksByWorker.size());
     const bool isWide = workers * 2 > limit;
     reservation.exceedsShare = static_cast<double>(keptByOthers) + workers > limit;
-    job.step(ref).advice.reservation.reset();
     if (reservation.exceedsShare && !isExclusive(job.spec.id, ref) && (isExceeded || !isWide))
         return false;
     job.step(ref).advice.reservation = std::move(reservation);
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -196,6 +196,20 @@
     return true;
 }
 
+StepTimes CellJob::timesOf(StepRef ref) const
+{
+    const std::vector<CellTask>& tasks = step(ref).tasks;
+    const bool hasLostTask = stepSpec(ref).isService
+        && std::any_of(tasks.begin(), tasks.end(),
+            [](const CellTask& task) { return task.stage == TaskStage::Waiting && task.run > 0; });
+    return { stepSpec(ref).isService, hasLostTask, step(ref).latestStart, isExcess, step(ref).lastUsefulStart };
+}
+
+double CellJob::workOfTask(StepRef ref) const
+{
+    return static_cast<double>(stepSpec(ref).demand.cpuMillis) * absl::ToDoubleMilliseconds(stepSpec(ref).estimate);
+}
+
 bool CellJob::allFinished() const
 {
     for (const auto& steps : occurrences) {
@@ -227,6 +241,11 @@
     return longest;
 }
 
+absl::Duration objectiveOf(const CellJob& job, const QueuePolicy& policy)
+{
+    return policy.stretch * job.criticalPath() + policy.latencyTarget;
+}
+
 std::unique_ptr<CellJob> makeCellJob(Submission spec, QueuePolicy policy, int64_t acceptedUnixMillis)
 {
     auto job = std::make_unique<CellJob>();
@@ -272,7 +291,10 @@
 
 std::string encodeJobRecord(const CellJob& job)
 {
-    return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy));
+    // Without an account the record is that of builds that know none, which can then read it.
+    if (job.spec.account.empty())
+        return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy));
+    return Internal::packFields(job.acceptedUnixMillis, encodeSubmission(job.spec, job.policy), job.isExcess);
 }
 
 Result<std::unique_ptr<CellJob>> decodeJobRecord(absl::string_view id, absl::string_view bytes)
@@ -281,11 +303,16 @@
     std::string submission;
     Submission spec;
     QueuePolicy policy;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "job record", accepted, submission));
+    bool isExcess = false;
+    if (!Internal::unpackFields(bytes, "job record", accepted, submission, isExcess)) {
+        isExcess = false;
+        BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "job record", accepted, submission));
+    }
     BOOST_OUTCOME_TRY(decodeSubmission(submission, spec, policy));
     if (spec.id != id)
         return malformed("job record");
     auto job = makeCellJob(std::move(spec), std::move(policy), accepted);
+    job->isExcess = isExcess;
     job->isStored = true;
     return job;
 }
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -7,6 +7,8 @@
  */
 
 #include "Clock.h"
+#include "StepOrder.h"
+#include "WaitingWork.h"
 #include "WorkerOrders.h"
 
 #include "absl/container/btree_map.h"
@@ -14,6 +16,7 @@
 #include "absl/container/flat_hash_set.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cicada {
@@ -108,27 +111,20 @@
     Instant notBefore = absl::ZeroDuration();
     /** The latest start with which the job is still on time, by the estimates. */
     Instant latestStart = absl::InfiniteDuration();
+    /** The latest start with which the result has any value; infinite for jobs without an account. */
+    Instant lastUsefulStart = absl::InfiniteDuration();
+    /** While it is among the ready steps: the key under which it is sorted there. */
+    std::optional<StepKey> sortKey;
+    /** The last attempt to place it found no room. */
+    bool lacksRoom = false;
+    /** What it adds to the cell's waiting work. */
+    std::optional<WaitingItem> waitingItem;
 
     bool isFinished() const { return finished == tasks.size(); }
     /** How many active runs of the step each worker has, by the worker's id. */
     absl::flat_hash_map<std::string, uint32_t> activeRunsByWorker() const;
 };
 
-/** Identifies a step in its job. */
-struct StepRef {
-    uint32_t occurrence = 0;
-    uint32_t step = 0;
-
-    friend bool operator==(const StepRef& a, const StepRef& b)
-    {
-        return a.occurrence == b.occurrence && a.step == b.step;
-    }
-    friend bool operator<(const StepRef& a, const StepRef& b)
-    {
-        return std::tie(a.occurrence, a.step) < std::tie(b.occurrence, b.step);
-    }
-};
-
 /** A job with its tasks. Not thread-safe. */
 struct CellJob {
     Submission spec;
@@ -136,6 +132,8 @@
     int64_t acceptedUnixMillis = 0;
     int64_t endedUnixMillis = 0;
     Instant acceptedAt = absl::ZeroDuration();
+    /** The job came beyond its account's rate; kept in the job record. */
+    bool isExcess = false;
     JobPhase phase = JobPhase::Queued;
     /** A worker has reported that it runs or ran a task of the job. */
     bool hasBegun = false;
@@ -153,7 +151,10 @@
     std::vector<std::vector<CellStep>> occurrences;
 
     CellStep& step(StepRef ref) { return occurrences[ref.occurrence][ref.step]; }
+    const CellStep& step(StepRef ref) const { return occurrences[ref.occurrence][ref.step]; }
     const StepSpec& stepSpec(StepRef ref) const { return spec.steps[ref.step]; }
+    /** What the urgency of the step depends on now. */
+    StepTimes timesOf(StepRef ref) const;
     /** The task, or null when the job has no such task. */
     CellTask* find(const TaskName&);
     /** The runs of the task, or of its gang, that ended as failed; each counts as one attempt. */
@@ -162,12 +163,16 @@
     /** Records that a run of the task ended as failed; false if that was known. */
     bool recordFailure(const TaskRun&);
     bool allFinished() const;
+    /** Processors times estimated run time of one task of the step, in thousandths of a core times milliseconds. */
+    double workOfTask(StepRef ref) const;
     /** The sum of estimates on the longest path from `step` on, through the steps that depend on it. */
     absl::Duration criticalPathFrom(uint32_t step) const;
     /** The sum of estimates on the longest path through the job. */
     absl::Duration criticalPath() const;
 };
 
+/** How long the job may take to be on time. */
+absl::Duration objectiveOf(const CellJob& job, const QueuePolicy& policy);
 /** Creates the tasks of a submitted job, all waiting. */
 std::unique_ptr<CellJob> makeCellJob(Submission spec, QueuePolicy policy, int64_t acceptedUnixMillis);
 
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -1,6 +1,7 @@
 #include "Cell.h"
 
 #include "Job.h"
+#include "JobAdmission.h"
 
 #include <algorithm>
 
@@ -65,30 +66,55 @@
         }
         step.isReady = true;
         step.readyAt = m_parts.timers.clock().now();
-        const QueuePolicy& policy = policyOf(job);
-        const absl::Duration slack = policy.stretch * job.criticalPath() + policy.latencyTarget;
-        Instant begin = job.acceptedAt;
-        if (job.spec.occurrences > 0)
-            begin = step.readyAt;
-        step.latestStart = begin + slack - job.criticalPathFrom(ref.step);
+        setLatestStarts(job, ref);
     }
     queueStep(job, ref);
 }
 
-Cell::Rank Cell::rankOf(CellJob& job, StepRef ref)
+void Cell::setLatestStarts(CellJob& job, StepRef ref)
 {
-    const CellStep& step = job.step(ref);
-    const StepUrgency urgency = urgencyOf(job.stepSpec(ref), step, m_parts.timers.clock().now());
-    return { urgency, policyOf(job).priority, step.latestStart, job.spec.id, ref };
+    CellStep& step = job.step(ref);
+    const QueuePolicy& policy = policyOf(job);
+    const absl::Duration objective = objectiveOf(job, policy);
+    const absl::Duration remaining = job.criticalPathFrom(ref.step);
+    if (job.spec.account.empty()) {
+        const Instant begin = job.spec.occurrences > 0 ? step.readyAt : job.acceptedAt;
+        step.latestStart = begin + objective - remaining;
+        return;
+    }
+    const Instant begin = job.spec.occurrences > 0 ? dueTimeOf(job, ref.occurrence) : job.acceptedAt;
+    step.latestStart = begin + objective - remaining;
+    step.lastUsefulStart = begin + usefulObjectives * objective - remaining;
+}
+
+Instant Cell::dueTimeOf(const CellJob& job, uint32_t occurrence) const
+{
+    const int64_t due = job.spec.startUnixMillis + job.spec.intervalMillis * occurrence;
+    const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
+    return m_parts.timers.clock().now() - absl::Milliseconds(std::max<int64_t>(0, nowUnix - due));
+}
+
+StepKey Cell::keyOf(CellJob& job, StepRef ref)
+{
+    const StepUrgency urgency = urgencyOf(job.timesOf(ref), m_parts.timers.clock().now());
+    return { urgency, policyOf(job).priority, job.step(ref).latestStart };
+}
+
+void Cell::insertReady(CellJob& job, StepRef ref)
+{
+    const StepKey key = keyOf(job, ref);
+    job.step(ref).sortKey = key;
+    m_ready.insert({ key, job.spec.id, ref });
 }
 
 void Cell::dequeueStep(CellJob& job, StepRef ref)
 {
-    Rank rank = rankOf(job, ref);
-    for (const StepUrgency urgency : { StepUrgency::LostService, StepUrgency::OnTime, StepUrgency::Late }) {
-        rank.urgency = urgency;
-        m_ready.erase(rank);
-    }
+    CellStep& step = job.step(ref);
+    if (!step.sortKey)
+        return;
+    m_ready.erase({ *step.sortKey, job.spec.id, ref });
+    step.sortKey.reset();
+    removeWaiting(step);
 }
 
 void Cell::queueStep(CellJob& job, StepRef ref)
@@ -97,7 +123,7 @@
     if (!step.isReady || isEnded(job.phase) || job.isMoving || waitingTasks(step).empty())
         return;
     dequeueStep(job, ref);
-    m_ready.insert(rankOf(job, ref));
+    insertReady(job, ref);
     schedulePlacement();
 }
 
@@ -219,7 +245,7 @@
     return hasRoom;
 }
 
-Cell::StepOutcome Cell::placeStep(const Rank& rank)
+Cell::StepOutcome Cell::placeStep(const StepRank& rank)
 {
     CellJob* job = findJob(rank.job);
     if (!job || isEnded(job->phase))
@@ -231,6 +257,7 @@
         return StepOutcome::Placed;
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
+    step.lacksRoom = false;
     if (mustWait)
         return StepOutcome::Skipped;
     if (isHeldByLimit(*job, rank.ref)) {
@@ -239,7 +266,8 @@
             m_parts.onMoreQuotaWanted();
         return StepOutcome::Skipped;
     }
-    if (!hasRoomForTask(*job, spec))
+    step.lacksRoom = !hasRoomForTask(*job, spec);
+    if (step.lacksRoom)
         return StepOutcome::Skipped;
     if (policyOf(*job).advice.isNeeded)
         return placeWithAdvice(rank, *job, waiting) ? StepOutcome::Placed : StepOutcome::Unplaced;
@@ -247,9 +275,11 @@
         return StepOutcome::Skipped;
     const std::vector<CellWorker*> all = candidates(*job, spec);
     std::vector<Choice> choices;
-    if (!chooseWorkersForStep(*job, rank.ref, all, choices))
+    step.lacksRoom = !chooseWorkersForStep(*job, rank.ref, all, choices);
+    if (step.lacksRoom)
         return StepOutcome::Unplaced;
     storeIntent(*job, rank.ref, choices);
+    step.lacksRoom = choices.size() < waiting;
     return choices.size() == waiting ? StepOutcome::Placed : StepOutcome::Unplaced;
 }
 
@@ -276,6 +306,10 @@
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
     const Instant now = m_parts.timers.clock().now();
+    // Excess work does not count, so that an account loses none of what it is owed by taking what nobody else wants.
+    if (!job.isExcess && !spec.isService && m_hasAccounts)
+        m_accountShares.recordStarted(
+            job.spec.account, weightOf(job.spec.account), job.workOfTask(ref) * static_cast<double>(choices.size()));
     storeRuns(job, guarded([this, id = job.spec.id, runs, now] { sendStarts(id, runs, now); }));
 }
 
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -56,7 +56,7 @@
 {
     if (m_isSuperseded)
         return;
-    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    const std::vector<StepRank> ranks = orderReadySteps();
     m_usableWorkers.clear();
     m_unmetDemands.clear();
     const std::vector<Reservation> reservations = reserveForGangs(ranks);
@@ -71,24 +71,53 @@
         worker.reserved = Resources();
 }
 
-void Cell::continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations)
+std::vector<StepRank> Cell::orderReadySteps()
+{
+    std::vector<StepRank> ranks(m_ready.begin(), m_ready.end());
+    if (!m_hasAccounts)
+        return ranks;
+    const auto endOfOwed
+        = std::find_if(ranks.begin(), ranks.end(), [](const StepRank& rank) { return !isOwed(rank.key.urgency); });
+    std::vector<AccountShares::Waiting> steps;
+    steps.reserve(static_cast<size_t>(endOfOwed - ranks.begin()));
+    for (auto rank = ranks.begin(); rank != endOfOwed; ++rank) {
+        const CellJob* job = findJob(rank->job);
+        if (!job)
+            continue;
+        const std::string& account = job->spec.account;
+        steps.push_back({ &*rank, account, weightOf(account), waitingWorkOf(*job, rank->ref) });
+    }
+    m_accountShares.assignTags(steps);
+    std::sort(ranks.begin(), endOfOwed, isBeforeByShare);
+    return ranks;
+}
+
+double Cell::waitingWorkOf(const CellJob& job, StepRef ref) const
+{
+    if (job.stepSpec(ref).isService)
+        return 0;
+    return job.workOfTask(ref) * static_cast<double>(waitingTasks(job.step(ref)).size());
+}
+
+void Cell::continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations)
 {
     m_isContinuationDue = false;
     size_t first = end;
     if (m_continueAt)
-        first = std::max<size_t>(end, std::lower_bound(ranks.begin(), ranks.end(), *m_continueAt) - ranks.begin());
+        first = std::max<size_t>(
+            end, std::lower_bound(ranks.begin(), ranks.end(), *m_continueAt, isBeforeByShare) - ranks.begin());
     const size_t next = placeFrom(ranks, first, reservations);
-    m_continueAt = next < ranks.size() ? std::optional<Rank>(ranks[next]) : std::nullopt;
+    m_continueAt = next < ranks.size() ? std::optional<StepRank>(ranks[next]) : std::nullopt;
 }
 
-size_t Cell::placeFrom(absl::Span<const Rank> ranks, size_t first, absl::Span<const Reservation> reservations)
+size_t Cell::placeFrom(absl::Span<const StepRank> ranks, size_t first, absl::Span<const Reservation> reservations)
 {
     const auto* reserved = std::find_if(reservations.begin(), reservations.end(),
         [&](const Reservation& reservation) { return reservation.rank >= ranks.data() + first; });
     size_t cost = 0;
     size_t index = first;
     for (; index < ranks.size() && cost < maxRoundCost; ++index) {
-        const Rank& rank = ranks[index];
+        const StepRank& rank = ranks[index];
         const bool hasReservation = reserved != reservations.end() && reserved->rank == &rank;
         if (hasReservation) {
             reserved->release();
@@ -99,7 +128,7 @@
             holdAgain(rank, hasReservation ? &*reserved : nullptr);
         reserved += hasReservation ? 1 : 0;
         if (outcome == StepOutcome::Placed)
-            m_ready.erase(rank);
+            removeRank(rank);
         else
             updateRank(rank);
         cost += outcome == StepOutcome::Unplaced ? unplacedStepCost : skippedStepCost;
@@ -110,7 +139,7 @@
 void Cell::placeWithReservedTickets(absl::Span<const Reservation> reservations)
 {
     for (const Reservation& reservation : reservations) {
-        const Rank& rank = *reservation.rank;
+        const StepRank& rank = *reservation.rank;
         CellJob* job = findJob(rank.job);
         const StepAdvice* advice = job ? &job->step(rank.ref).advice : nullptr;
         if (!advice || !advice->reservation || advice->ticketRequestsInFlight > 0)
@@ -118,13 +147,13 @@
         reservation.release();
         m_unmetDemands.clear();
         if (placeStep(rank) == StepOutcome::Placed)
-            m_ready.erase(rank);
+            removeRank(rank);
         // The pass that meets the reservation releases it.
         reservation.hold();
     }
 }
 
-void Cell::holdAgain(const Rank& rank, const Reservation* former)
+void Cell::holdAgain(const StepRank& rank, const Reservation* former)
 {
     CellJob* job = findJob(rank.job);
     const Reservation tickets = job ? ticketReservationOf(*job, rank) : Reservation();
@@ -135,17 +164,26 @@
         former->hold();
 }
 
-void Cell::updateRank(const Rank& rank)
+void Cell::removeRank(const StepRank& rank)
+{
+    if (CellJob* job = findJob(rank.job))
+        dequeueStep(*job, rank.ref);
+    // A rank whose job is gone.
+    m_ready.erase(rank);
+}
+
+void Cell::updateRank(const StepRank& rank)
 {
     CellJob* job = findJob(rank.job);
     if (!job)
         return;
     reportWait(*job, rank.ref);
-    const StepUrgency urgency = urgencyOf(job->stepSpec(rank.ref), job->step(rank.ref), m_parts.timers.clock().now());
-    if (urgency == rank.urgency)
-        return;
-    m_ready.erase(rank);
-    m_ready.insert(rankOf(*job, rank.ref));
+    const StepUrgency urgency = urgencyOf(job->timesOf(rank.ref), m_parts.timers.clock().now());
+    if (urgency != rank.key.urgency) {
+        dequeueStep(*job, rank.ref);
+        insertReady(*job, rank.ref);
+    }
+    updateWaiting(*job, rank.ref);
 }
 
 } // namespace cicada
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -145,7 +145,7 @@
                         std::optional<uint32_t> destination) { handleRoom(id, ref, destination); }));
     }
     const bool isWholePass = it == m_ready.end() && !m_searchFrom;
-    m_searchFrom = it == m_ready.end() ? std::nullopt : std::optional<Rank>(*it);
+    m_searchFrom = it == m_ready.end() ? std::nullopt : std::optional<StepRank>(*it);
     if (searches == 0 && isWholePass && !isAnyUnmet)
         m_searchInterval = searchInterval;
     m_parts.timers.after(searchInterval, guarded([this] { searchRoom(); }));
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -23,7 +23,8 @@
 /** Final status of a request. */
 enum class GatewayStatus {
     Accepted,
-    /** The job was not accepted and will not run. */
+    /** The job was not accepted and will not run. The count is the number of seconds after which it may be sent again,
+     * or 0 where the owner names none. */
     Refused,
     Found,
     Cancelled,
@@ -42,11 +43,11 @@
 struct GatewayReply {
     GatewayStatus status = GatewayStatus::Unreached;
     JobPhase phase = JobPhase::Queued;
-    /** After Counted, the number of jobs; after Moved, the cell; after Refused, the RefusalReason, which entries of
+    /** After Counted, the number of jobs; after Moved, the cell; after Refused, the RefusalCode, which entries of
      * former builds ignore and leave 0. */
     uint64_t count = 0;
 
-    bool isRefusedFor(RefusalReason reason) const
+    bool isRefusedFor(RefusalCode reason) const
     {
         return status == GatewayStatus::Refused && count == static_cast<uint64_t>(reason);
     }
@@ -96,6 +97,8 @@
         Instant sentAt = absl::ZeroDuration() - absl::Hours(1);
         std::string sentTo {};
         bool wasSent = false;
+        /** Sends to owners that have not been answered. */
+        uint32_t unanswered = 0;
         /** The cell that its home cell's owner has named, if any. */
         std::optional<uint32_t> redirectedTo {};
         /** The cell in which the job was not found although its home cell's owner had named it. */
--- a/test/correctness/CellAccountsTest.cpp
+++ b/test/correctness/CellAccountsTest.cpp
@@ -123,9 +123,9 @@
 {
     for (size_t entry = 0; entry < world.entryCount(); ++entry) {
         const Submission gang = gangOf("large", makeJob(absl::StrCat("gang", entry), 7));
-        CHECK(replyTo(gang, entry).isRefusedFor(RefusalReason::LargerThanAccountLimit));
+        CHECK(replyTo(gang, entry).isRefusedFor(RefusalCode::LargerThanAccountLimit));
     }
-    CHECK(replyTo(jobOf("large", makeJob("task", 1, 6001))).isRefusedFor(RefusalReason::LargerThanAccountLimit));
+    CHECK(replyTo(jobOf("large", makeJob("task", 1, 6001))).isRefusedFor(RefusalCode::LargerThanAccountLimit));
     CHECK(replyTo(gangOf("large", makeJob("fits", 6))).status == GatewayStatus::Accepted);
     CHECK(replyTo(gangOf("", makeJob("ownerless", 7))).status == GatewayStatus::Accepted);
 }
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -725,6 +725,8 @@
         job, policyOfJob(job.id), absl::Milliseconds(2800), [this, id = job.id](GatewayReply reply) {
             m_answers[id].push_back(reply.status);
             m_replies[id].push_back(reply);
+            if (reply.status == GatewayStatus::Refused)
+                m_retryAfters[id].push_back(reply.count);
             if (reply.status == GatewayStatus::Accepted)
                 m_accepted.insert(id);
         });
@@ -824,6 +826,26 @@
     return found == m_jobs.end() ? 0 : found->second.starts;
 }
 
+uint64_t CellWorld::counter(absl::string_view series) const
+{
+    uint64_t sum = 0;
+    for (const auto& entry : m_entries)
+        sum += entry && entry->isAlive ? entry->metrics.counter(series) : 0;
+    return sum;
+}
+
+std::vector<uint64_t> CellWorld::retryAfters(const std::string& job) const
+{
+    const auto found = m_retryAfters.find(job);
+    return found == m_retryAfters.end() ? std::vector<uint64_t>() : found->second;
+}
+
+std::optional<Instant> CellWorld::firstStartOf(const std::string& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? std::nullopt : found->second.firstStart;
+}
+
 size_t CellWorld::maxOnOneWorker(const std::string& job) const
 {
     const auto found = m_jobs.find(job);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -9,6 +9,7 @@
 
 #include "AccountQuota.h"
 #include "CellHost.h"
+#include "ClientAccount.h"
 #include "TaskHistory.h"
 #include "WorldStore.h"
 
@@ -168,11 +169,19 @@
     /** Puts the account in force, in place of the one with its name. Starts that are on their way are judged by the
      * higher limit. */
     void setAccount(const ClientAccount& account);
+    /** Adds an account without a limit, or gives it another weight. */
+    void setAccount(const std::string& account, double weight) { setAccount(ClientAccount { account, weight, {} }); }
     /** Whether entries have read the configuration; they have from the beginning. */
     void setConfigurationRead(bool isRead);
     JobGateway& gateway(size_t entry);
     /** The processors that the account's runs hold on all workers. */
     int64_t cpuMillisOf(const std::string& account) const;
+    /** The value of a counter, summed over the living entries. */
+    uint64_t counter(absl::string_view series) const;
+    /** The seconds that the refusals of the job named. */
+    std::vector<uint64_t> retryAfters(const std::string& job) const;
+    /** When a task of the job first started; nothing if none has. */
+    std::optional<Instant> firstStartOf(const std::string& job) const;
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
     size_t adviceRequests() const { return m_adviceRequests; }
@@ -207,6 +216,7 @@
         absl::btree_map<TaskName, TaskHistory> histories;
         size_t attempts = 0;
         size_t starts = 0;
+        std::optional<Instant> firstStart;
         size_t maxOnOne = 0;
     };
 
@@ -252,6 +262,7 @@
     bool m_isConfigurationRead = true;
     /** The accounts with the highest limit by which a start may still be judged. */
     absl::btree_map<std::string, ClientAccount> m_judgedLimits;
+    absl::btree_map<std::string, std::vector<uint64_t>> m_retryAfters;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
     absl::Duration m_ticketValidity = absl::Seconds(2);
     absl::btree_map<std::string, Job> m_jobs;
