Cell: do not stop runs as stuck that made progress while the owner was paused

The check compared the time of the last progress with the present. After a pause of the owner, or while a worker's reply was late, that difference says nothing about the run: on waking, the timer of the check came before the workers' lists, and all runs on all workers that were older than 2.5 s and three estimates were stopped. The check now compares it with the time at which the worker made its latest list. The worker's clock tells that time also for a list that waited in this process.

A task whose runs show no progress for longer than the limit, such as one with an estimate ten times too small on a worker that reports none, was stopped and started again for ever. The limit now doubles with each run of the task that this owner stopped as stuck, up to 32 times. A constant larger limit was weighed; it would detect workers that stand still later in every case.

CellWorld: tests set what tasks take, whether runs list their progress, and queues that jobs share; it counts processor time of runs that did not finish.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -453,6 +453,8 @@
     /** Suspends placement on a worker where runs of several jobs in a row have failed. */
     void recordWorkerFailure(CellWorker& worker, const std::string& job);
     void checkStuckRuns();
+    /** After how long without progress the task's run counts as stuck. */
+    static absl::Duration stuckLimit(const StepSpec& spec, const CellTask& task);
 
     Parts m_parts;
     const CellTerm m_term;
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -55,6 +55,8 @@
     /** When `percent` last rose, and its value then. */
     Instant progressAt = absl::ZeroDuration();
     int percent = -1;
+    /** How many runs of the task this owner stopped as stuck. */
+    uint32_t stuckRuns = 0;
 
     bool hasActiveRun() const
     {
--- a/src/CellSuspensions.cpp
+++ b/src/CellSuspensions.cpp
@@ -18,6 +18,9 @@
     /** A run without progress counts as stuck after this many times its estimate, but not before `stuckAfter`. */
     constexpr double stuckFactor = 3;
     constexpr absl::Duration stuckAfter = absl::Milliseconds(2500);
+    /** The time doubles with each run of the task that was stopped as stuck. Otherwise a task that shows no progress
+     * for longer would never end. */
+    constexpr uint32_t maxStuckDoublings = 5;
 
 } // namespace
 
@@ -45,9 +48,14 @@
     m_parts.timers.after(length, guarded([this] { schedulePlacement(); }));
 }
 
+absl::Duration Cell::stuckLimit(const StepSpec& spec, const CellTask& task)
+{
+    const absl::Duration limit = std::max(stuckAfter, spec.estimate * stuckFactor);
+    return limit * (1 << std::min(task.stuckRuns, maxStuckDoublings));
+}
+
 void Cell::checkStuckRuns()
 {
-    const Instant now = m_parts.timers.clock().now();
     for (auto& [id, worker] : m_workers) {
         if (worker.failedSyncs > 0 || !worker.hasReplied)
             continue;
@@ -57,14 +65,17 @@
             const CellTask* task = job ? job->find(run.task) : nullptr;
             if (!task || task->stage != TaskStage::Running || allocation.isStopWanted)
                 continue;
-            const StepSpec& spec = job->spec.steps[run.task.step];
-            const bool isStuck = !spec.isService && task->percent >= 0
-                && now - task->progressAt > std::max(stuckAfter, spec.estimate * stuckFactor);
-            if (isStuck)
+            // Only a list of the worker shows that a run made no progress. After a pause of this entry all runs would
+            // count as stuck otherwise.
+            const absl::Duration withoutProgress = worker.listedAt - task->progressAt;
+            const bool isService = job->spec.steps[run.task.step].isService;
+            if (!isService && task->percent >= 0 && withoutProgress > stuckLimit(job->spec.steps[run.task.step], *task))
                 stuck.push_back(run);
         }
         for (const TaskRun& run : stuck) {
             m_parts.log.write("run-stuck", "run", describeRun(run), "worker", id);
+            ++findJob(run.task.job)->find(run.task)->stuckRuns;
+            m_parts.metrics.count("cicada_runs_stuck");
             requestStop(worker, run);
         }
         if (stuck.size() >= 2)
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -157,6 +157,7 @@
     worker.failedSyncs = 0;
     worker.lastReplyAt = now;
     recordClock(worker, reply.workerClockMillis);
+    worker.recordList(reply.workerClockMillis, now);
     const bool hasAppliedAll = applyLists(worker, sentAt, reply);
     if (!wasUsable || !reply.ended.empty())
         schedulePlacement();
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -33,8 +33,19 @@
     return m_readMillis + static_cast<int64_t>(absl::ToDoubleMilliseconds(now - m_readAt) * minClockRate);
 }
 
+absl::Duration WorkerClock::ageOf(int64_t workerMillis, Instant now) const
+{
+    return m_isKnown ? absl::Milliseconds(std::max<int64_t>(0, estimate(now) - workerMillis)) : absl::ZeroDuration();
+}
+
 bool WorkerClock::leasesExpired(Instant now) const { return m_isKnown && estimate(now) > m_latestLease; }
 
+void CellWorker::recordList(std::optional<int64_t> workerMillis, Instant now)
+{
+    const absl::Duration age = workerMillis ? clock.ageOf(*workerMillis, now) : absl::ZeroDuration();
+    listedAt = std::max(listedAt, now - age);
+}
+
 void CellWorker::beginIncarnation(Instant now)
 {
     unansweredStarts.clear();
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -25,6 +25,8 @@
     void addReading(int64_t workerMillis, Instant now);
     /** The worker's clock at `now`, or slightly less. */
     int64_t estimate(Instant now) const;
+    /** How old, at least, a reading is that is processed at `now`; it is as new as can be known with the first one. */
+    absl::Duration ageOf(int64_t workerMillis, Instant now) const;
     /** Records that an order with this lease end was sent, by this owner or a former one. */
     void recordLease(int64_t leaseEndMillis) { m_latestLease = std::max(m_latestLease, leaseEndMillis); }
     /** Whether every lease that was granted has certainly expired at `now`. */
@@ -120,6 +122,9 @@
     bool isSyncScheduled = false;
     int failedSyncs = 0;
     Instant lastReplyAt = absl::ZeroDuration();
+    /** When the worker made the latest list that was processed. That is earlier than the reply was processed if this
+     * entry was paused meanwhile. */
+    Instant listedAt = absl::ZeroDuration();
     /** No tasks are placed on the worker before this time. */
     Instant suspendedUntil = absl::ZeroDuration();
     int suspensionCount = 0;
@@ -131,6 +136,8 @@
     /** Smoothed ratio of the duration of tasks here to their estimates; 1 is as estimated. */
     double slowdown = 1;
 
+    /** Records that the worker made a list when its clock showed this; without a reading, the list counts as new. */
+    void recordList(std::optional<int64_t> workerMillis, Instant now);
     /** Forgets what was known of the last incarnation, except the allocations, which may outlast it. */
     void beginIncarnation(Instant now);
     void allocate(const TaskRun& run, const Resources& demand, bool isOfService = false);
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -826,6 +826,19 @@
     m_policiesOfJobs[job] = std::move(policy);
 }
 
+void CellWorld::setSharedQueueOf(const std::string& job, const std::string& queue, QueuePolicy policy)
+{
+    policy.queue = queue;
+    m_policiesOfJobs[queue] = policy;
+    m_policiesOfJobs[job] = std::move(policy);
+}
+
+std::optional<Instant> CellWorld::lastFinishOf(const std::string& job) const
+{
+    const auto found = m_finishedAt.find(job);
+    return found == m_finishedAt.end() ? std::nullopt : std::optional<Instant>(found->second);
+}
+
 const QueuePolicy& CellWorld::policyOfJob(const std::string& job) const
 {
     const auto found = m_policiesOfJobs.find(job);
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -16,6 +16,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -45,6 +46,7 @@
         Instant endsAt;
         bool isGang = false;
         uint64_t serial = 0;
+        Instant beganAt = absl::ZeroDuration();
     };
     std::string id;
     std::string rack;
@@ -161,6 +163,17 @@
     QueuePolicy& policy() { return m_policy; }
     /** Puts the job, which is handed in later, into a queue of its own, which has this policy otherwise. */
     void setQueueOf(const std::string& job, QueuePolicy policy);
+    /** Puts the job, which is handed in later, into a queue that it shares with others. */
+    void setSharedQueueOf(const std::string& job, const std::string& queue, QueuePolicy policy);
+    /** How long a task runs on the worker, instead of by its estimate. */
+    using Work = std::function<absl::Duration(const Submission&, const TaskName&, size_t worker)>;
+    void setWork(Work work) { m_work = std::move(work); }
+    /** Whether runs list how far they are; otherwise they list ten percent throughout. */
+    void setListsProgress(bool listsProgress) { m_listsProgress = listsProgress; }
+    /** When a run of the job last finished on a worker; nothing if none has. */
+    std::optional<Instant> lastFinishOf(const std::string& job) const;
+    /** The processor time of runs that did not finish, in seconds of one core. */
+    double wastedCoreSeconds() const { return m_wastedCoreSeconds; }
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
     /** How long tickets are valid from the policy service's answer on. */
@@ -243,6 +256,10 @@
     uint64_t m_lastSerial = 0;
     uint64_t m_lastLife = 0;
     const absl::Duration m_maxLease;
+    Work m_work;
+    bool m_listsProgress = false;
+    double m_wastedCoreSeconds = 0;
+    absl::btree_map<std::string, Instant> m_finishedAt;
     Instant m_lastStartAt = absl::ZeroDuration();
 };
 
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -91,7 +91,8 @@
            }))
         violate(absl::StrCat("a refused job runs: ", describeRun(run)));
     const uint64_t serial = ++m_lastSerial;
-    worker.runs[run] = { step.demand, now() + workOf(job.spec, run.task), step.isGang, serial };
+    const absl::Duration work = m_work ? m_work(job.spec, run.task, index) : workOf(job.spec, run.task);
+    worker.runs[run] = { step.demand, now() + work, step.isGang, serial, now() };
     job.active[run.task] = index;
     ++job.starts;
     job.histories[run.task].recordStart(now());
@@ -108,7 +109,7 @@
     if (!fits(used, worker.capacity))
         violate(absl::StrCat("more than it can hold: ", worker.id, " with ", describeRun(run)));
     extendLease(index, order.leaseEndMillis);
-    m_timers.after(workOf(job.spec, run.task), [this, index, run, serial] { runDone(index, run, serial); });
+    m_timers.after(work, [this, index, run, serial] { runDone(index, run, serial); });
     return reply;
 }
 
@@ -158,6 +159,11 @@
 
 void CellWorld::endRun(WorldWorker& worker, const TaskRun& run, RunEnding ending)
 {
+    const WorldWorker::Run& over = worker.runs[run];
+    if (ending == RunEnding::Finished)
+        m_finishedAt[run.task.job] = now();
+    else
+        m_wastedCoreSeconds += absl::ToDoubleSeconds(now() - over.beganAt) * over.demand.cpuMillis / 1000;
     worker.runs.erase(run);
     m_jobs[run.task.job].active.erase(run.task);
     uint32_t& highest = worker.highestOver[run.task];
@@ -190,8 +196,10 @@
     reply.status = OrderStatus::Done;
     reply.workerClockMillis = clockOf(worker);
     reply.startedUnixMillis = worker.started;
-    for (const auto& [run, state] : worker.runs)
-        reply.running.push_back({ run, "", 10 });
+    for (const auto& [run, state] : worker.runs) {
+        const double share = absl::FDivDuration(now() - state.beganAt, state.endsAt - state.beganAt);
+        reply.running.push_back({ run, "", m_listsProgress ? static_cast<int>(share * 100) : 10 });
+    }
     const size_t count = std::min(worker.ended.size(), worker.maxListedEnds);
     reply.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<ptrdiff_t>(count));
     reply.hasAllEnds = count < worker.maxListedEnds;
