RunTimeEstimates: correct a queue's estimates where measured run times contradict them

A cell ordered steps and judged stuck runs by the declared estimates, which one user's callers state up to ten times too small or too large. The cell now measures the ratio of measured to declared run time by queue (400 ends or 30 s) and the speed of each worker (median of its last 40 runs, used from 20 on). Where the median ratio is outside 0.67 to 1.5 or the nine-tenths quantile is above 3, with 50 ends at least, it uses the median for the latest start, the nine-tenths quantile for the time after which a run counts as stuck, and the workers' speeds beside best fit: steps with little slack go to faster workers, others leave those free. The objective stays as declared.

CellWorker::slowdown stays for queues whose estimates hold and for workers whose speed is not known yet, so that decisions there are unchanged; its samples are now corrected, as wrong estimates drove all workers to its bound. Weighed: the decaying histogram of RunTimes (its estimates are by service and profile, and follow every queue, right or wrong); accumulators of Boost (their quantiles do not forget). Speeds are learnt from uncorrected ratios: otherwise factors and speeds would drift together.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -162,6 +162,7 @@
         advance(*job);
     checkStuckRuns();
     removeExpiredJobs();
+    publishRunTimeFactors();
     startTransfers();
     auto requests = std::move(m_requestsUntilLoaded);
     m_requestsUntilLoaded.clear();
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -17,6 +17,7 @@
 #include "Metrics.h"
 #include "PrefixMirror.h"
 #include "RoomFinder.h"
+#include "RunTimeEstimates.h"
 #include "StepUrgency.h"
 #include "UnmetDemands.h"
 
@@ -372,6 +373,12 @@
     /** Counts a failed run against the attempts of its task, or of its gang; false if it was counted before. */
     bool countFailure(CellJob& job, const TaskRun& run);
     void taskFinished(CellJob& job, const TaskName& name, CellWorker& worker);
+    /** Learns from the run time of a task whose current run has finished; `wasObserved` if this owner started it. */
+    void recordRunTime(CellJob& job, const TaskName& name, CellWorker& worker, bool wasObserved);
+    void reportEstimates(const std::string& queue, EstimateChange change);
+    /** Publishes the corrections of queues whose estimates were ever contradicted; 1 where they hold again. */
+    void publishRunTimeFactors();
+    EstimateCorrection correctionOf(CellJob& job);
     void applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed);
 
     // CellSync.cpp: synchronization of each worker's state.
@@ -454,7 +461,7 @@
     void recordWorkerFailure(CellWorker& worker, const std::string& job);
     void checkStuckRuns();
     /** After how long without progress the task's run counts as stuck. */
-    static absl::Duration stuckLimit(const StepSpec& spec, const CellTask& task);
+    absl::Duration stuckLimit(CellJob& job, uint32_t step, const CellTask& task);
 
     Parts m_parts;
     const CellTerm m_term;
@@ -489,6 +496,9 @@
     std::vector<absl::AnyInvocable<void()>> m_requestsUntilLoaded;
     /** By queue. */
     absl::flat_hash_map<std::string, AllowedShare> m_allowedShares;
+    RunTimeEstimates m_runTimes;
+    /** Queues whose correction has a metric of its own. */
+    absl::flat_hash_set<std::string> m_queuesWithMetric;
     absl::flat_hash_map<std::string, Transfer> m_transfers;
     absl::flat_hash_map<std::string, std::vector<absl::AnyInvocable<void()>>> m_requestsWhileMoving;
     absl::flat_hash_map<std::string, Mark> m_marks;
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -57,6 +57,8 @@
     int percent = -1;
     /** How many runs of the task this owner stopped as stuck. */
     uint32_t stuckRuns = 0;
+    /** The current run began from a checkpoint. */
+    bool wasRestored = false;
 
     bool hasActiveRun() const
     {
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -70,7 +70,11 @@
         Instant begin = job.acceptedAt;
         if (job.spec.occurrences > 0)
             begin = step.readyAt;
-        step.latestStart = begin + slack - job.criticalPathFrom(ref.step);
+        absl::Duration expected = job.criticalPathFrom(ref.step);
+        const EstimateCorrection correction = correctionOf(job);
+        if (correction.isContradicted)
+            expected *= correction.median;
+        step.latestStart = begin + slack - expected;
     }
     queueStep(job, ref);
 }
@@ -148,14 +152,22 @@
         CellWorker* worker;
         Resources free;
         bool isOnDataRack;
+        double speedPenalty;
+    };
+    const EstimateCorrection correction = correctionOf(job);
+    const SpeedNeed need
+        = speedNeedOf(m_parts.timers.clock().now(), step.latestStart, spec.estimate * correction.median);
+    const auto penaltyOf = [&](const CellWorker& worker) {
+        const bool usesSpeed = correction.isContradicted && worker.speed.isKnown();
+        return usesSpeed ? speedPenalty(need, worker.speed.value()) : worker.slowdown - 1;
     };
     std::vector<FreeCapacity> freeCapacities;
     for (CellWorker* worker : eligible) {
         if (!onlyRack.empty() && worker->listed.rack != onlyRack)
             continue;
         if (fits(demand, worker->free()))
-            freeCapacities.push_back(
-                { worker, worker->free(), !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
+            freeCapacities.push_back({ worker, worker->free(),
+                !spec.dataRack.empty() && worker->listed.rack == spec.dataRack, penaltyOf(*worker) });
     }
     std::vector<Choice> choices;
     for (const uint32_t index : waitingTasks(step)) {
@@ -168,7 +180,7 @@
             if (spec.maxPerWorker > 0 && counts[id] >= spec.maxPerWorker)
                 continue;
             const double score = freeShareAfter(freeCapacity.free, demand, freeCapacity.worker->listed.capacity)
-                - (freeCapacity.isOnDataRack ? 10 : 0) + (freeCapacity.worker->slowdown - 1);
+                - (freeCapacity.isOnDataRack ? 10 : 0) + freeCapacity.speedPenalty;
             if (!best || score < bestScore) {
                 best = &freeCapacity;
                 bestScore = score;
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -14,6 +14,12 @@
     constexpr absl::Duration malformedDelay = absl::Seconds(2);
     constexpr absl::Duration unhealthySuspension = absl::Seconds(1);
     constexpr double slowdownWeight = 0.15;
+    /** A worker lists its runs at least every 1.5 s, and at once when one ends. With a longer gap, as after a pause of
+     * this entry, the run may have ended long before it was listed. */
+    constexpr absl::Duration maxListGap = absl::Milliseconds(2500);
+    /** Bounds the number of series; further queues whose estimates are contradicted are only logged. */
+    constexpr size_t maxQueuesWithMetric = 50;
+    constexpr absl::Duration factorPublishInterval = absl::Seconds(1);
 
 } // namespace
 
@@ -51,6 +57,7 @@
     task->startedAt = now;
     task->progressAt = now;
     task->percent = -1;
+    task->wasRestored = !task->checkpoint.empty();
     worker->allocations[run].isStarting = true;
     worker->allocations[run].wasSent = true;
     m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token, "waitedMs",
@@ -237,6 +244,8 @@
 void Cell::applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed)
 {
     const TaskName& name = ended.run.task;
+    const auto allocation = worker.allocations.find(ended.run);
+    const bool wasObserved = allocation != worker.allocations.end() && !allocation->second.isInherited;
     worker.release(ended.run);
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
@@ -256,6 +265,7 @@
         return;
     if (ended.ending == RunEnding::Finished && !job->stepSpec({ name.occurrence, name.step }).isService) {
         changed.push_back(name.job);
+        recordRunTime(*job, name, worker, isCurrent && wasObserved);
         return taskFinished(*job, name, worker);
     }
     if (isCurrent) {
@@ -288,6 +298,49 @@
     return true;
 }
 
+EstimateCorrection Cell::correctionOf(CellJob& job)
+{
+    return m_runTimes.correctionOf(policyOf(job).queue, m_parts.timers.clock().now());
+}
+
+void Cell::recordRunTime(CellJob& job, const TaskName& name, CellWorker& worker, bool wasObserved)
+{
+    const StepSpec& spec = job.spec.steps[name.step];
+    const CellTask& task = *job.find(name);
+    if (spec.estimate <= absl::ZeroDuration() || task.startedAt <= absl::ZeroDuration())
+        return;
+    const Instant now = m_parts.timers.clock().now();
+    const std::string& queue = policyOf(job).queue;
+    const bool isEndKnown = worker.listedAt - std::max(worker.formerListedAt, task.startedAt) <= maxListGap;
+    const MeasuredRun run { queue, spec.estimate, worker.listedAt - task.startedAt, task.wasRestored,
+        !wasObserved || !isEndKnown };
+    const EstimateChange change = m_runTimes.record(run, spec.isGang ? nullptr : &worker.speed, now);
+    if (change != EstimateChange::None)
+        reportEstimates(queue, change);
+    const double ratio
+        = absl::FDivDuration(now - task.startedAt, spec.estimate) / m_runTimes.correctionOf(queue, now).median;
+    worker.slowdown += (std::clamp(ratio, 0.3, 4.0) - worker.slowdown) * slowdownWeight;
+}
+
+void Cell::reportEstimates(const std::string& queue, EstimateChange change)
+{
+    const EstimateCorrection correction = m_runTimes.correctionOf(queue, m_parts.timers.clock().now());
+    const bool isContradicted = change == EstimateChange::Contradicted;
+    m_parts.log.write(isContradicted ? "estimates-contradicted" : "estimates-hold", "queue", queue, "cell", m_term.cell,
+        "medianFactor", correction.median, "highFactor", correction.high, "runs", correction.runs);
+    if (m_queuesWithMetric.size() < maxQueuesWithMetric)
+        m_queuesWithMetric.insert(queue);
+}
+
+void Cell::publishRunTimeFactors()
+{
+    const Instant now = m_parts.timers.clock().now();
+    for (const std::string& queue : m_queuesWithMetric)
+        m_parts.metrics.gauge(
+            absl::StrCat("cicada_run_time_factor{queue=\"", queue, "\"}"), m_runTimes.correctionOf(queue, now).median);
+    m_parts.timers.after(factorPublishInterval, guarded([this] { publishRunTimeFactors(); }));
+}
+
 void Cell::taskFinished(CellJob& job, const TaskName& name, CellWorker& worker)
 {
     const StepRef ref { name.occurrence, name.step };
@@ -295,11 +348,6 @@
     const StepSpec& spec = job.stepSpec(ref);
     worker.failedJobs.clear();
     worker.suspensionCount = 0;
-    CellTask& task = step.tasks[name.index];
-    if (spec.estimate > absl::ZeroDuration() && task.startedAt > absl::ZeroDuration()) {
-        const double ratio = absl::FDivDuration(m_parts.timers.clock().now() - task.startedAt, spec.estimate);
-        worker.slowdown += (std::clamp(ratio, 0.3, 4.0) - worker.slowdown) * slowdownWeight;
-    }
     // When one member of a gang finishes, the whole gang counts as finished.
     for (uint32_t i = 0; i < step.tasks.size(); ++i) {
         if (i != name.index && !spec.isGang)
--- a/src/CellSuspensions.cpp
+++ b/src/CellSuspensions.cpp
@@ -48,9 +48,10 @@
     m_parts.timers.after(length, guarded([this] { schedulePlacement(); }));
 }
 
-absl::Duration Cell::stuckLimit(const StepSpec& spec, const CellTask& task)
+absl::Duration Cell::stuckLimit(CellJob& job, uint32_t step, const CellTask& task)
 {
-    const absl::Duration limit = std::max(stuckAfter, spec.estimate * stuckFactor);
+    const double correction = std::max(1.0, correctionOf(job).high);
+    const absl::Duration limit = std::max(stuckAfter, job.spec.steps[step].estimate * stuckFactor * correction);
     return limit * (1 << std::min(task.stuckRuns, maxStuckDoublings));
 }
 
@@ -69,7 +70,7 @@
             // count as stuck otherwise.
             const absl::Duration withoutProgress = worker.listedAt - task->progressAt;
             const bool isService = job->spec.steps[run.task.step].isService;
-            if (!isService && task->percent >= 0 && withoutProgress > stuckLimit(job->spec.steps[run.task.step], *task))
+            if (!isService && task->percent >= 0 && withoutProgress > stuckLimit(*job, run.task.step, *task))
                 stuck.push_back(run);
         }
         for (const TaskRun& run : stuck) {
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -43,6 +43,7 @@
 void CellWorker::recordList(std::optional<int64_t> workerMillis, Instant now)
 {
     const absl::Duration age = workerMillis ? clock.ageOf(*workerMillis, now) : absl::ZeroDuration();
+    formerListedAt = listedAt;
     listedAt = std::max(listedAt, now - age);
 }
 
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -7,6 +7,7 @@
  */
 
 #include "Clock.h"
+#include "RunTimeEstimates.h"
 #include "WorkerOrders.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -122,9 +123,10 @@
     bool isSyncScheduled = false;
     int failedSyncs = 0;
     Instant lastReplyAt = absl::ZeroDuration();
-    /** When the worker made the latest list that was processed. That is earlier than the reply was processed if this
-     * entry was paused meanwhile. */
+    /** When the worker made the latest list that was processed, and the one before. That is earlier than the reply was
+     * processed if this entry was paused meanwhile. */
     Instant listedAt = absl::ZeroDuration();
+    Instant formerListedAt = absl::ZeroDuration();
     /** No tasks are placed on the worker before this time. */
     Instant suspendedUntil = absl::ZeroDuration();
     int suspensionCount = 0;
@@ -133,8 +135,11 @@
     std::vector<UnansweredStart> unansweredStarts;
     /** Jobs with tasks that failed here since a task last finished. */
     absl::flat_hash_set<std::string> failedJobs;
-    /** Smoothed ratio of the duration of tasks here to their estimates; 1 is as estimated. */
+    /** Smoothed ratio of the duration of tasks here to their estimates, which are corrected where the measurement of
+     * their queue contradicts them; 1 is as estimated. It ranks workers for queues whose estimates hold. */
     double slowdown = 1;
+    /** Ranks workers for queues whose estimates are contradicted. */
+    WorkerSpeed speed;
 
     /** Records that the worker made a list when its clock showed this; without a reading, the list counts as new. */
     void recordList(std::optional<int64_t> workerMillis, Instant now);
