CellSync: do not stop a run whose start was answered late for a list that was requested before

A start without a reply within 400 ms is given up if the worker does not list its run. A sync that was requested before, and may wait for 1.5 s at the worker, could be answered after that: its list does not show the run, which was then stopped at work, and with it all members of its gang. Only a list requested from the moment on at which the start had no reply counts now; that sync is sent at once, as before.

Weighed: a longer time-out for starts, which would delay the discovery of lost ones.

--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -100,6 +100,7 @@
         return endIncarnation(worker, IncarnationEnd::OtherAnswered);
     case OrderStatus::NoReply:
         m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
+        allocation->second.unansweredAt = now;
         ++worker.failedSyncs;
         return sync(worker, false);
     case OrderStatus::NotSent:
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -191,9 +191,11 @@
             continue;
         // The reply was given under this owner's token, so orders of an earlier owner can no longer take effect.
         const bool isListedUnlessEnded = allocation.isInherited || allocation.visibleFrom < sentAt;
+        const bool isStartGivenUp = allocation.visibleFrom == absl::InfiniteDuration()
+            && (allocation.isStopWanted || allocation.unansweredAt <= sentAt);
         if (isListedUnlessEnded && reply.hasAllEnds)
             gone.push_back(run);
-        else if (allocation.visibleFrom == absl::InfiniteDuration())
+        else if (isStartGivenUp)
             stop.push_back(run);
     }
     for (const TaskRun& run : gone)
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -78,6 +78,8 @@
     bool wasConfirmed = false;
     /** The current incarnation has listed the run. */
     bool wasListed = false;
+    /** When the start was found to have no reply; a list requested earlier need not show the run. */
+    Instant unansweredAt = absl::ZeroDuration();
     bool isStopWanted = false;
     Instant stopSentAt = absl::ZeroDuration() - absl::Hours(1);
 };
--- a/test/failure/StoppedRunsTest.cpp
+++ b/test/failure/StoppedRunsTest.cpp
@@ -39,3 +39,17 @@
     expectAllEnd();
     DOUBLES_EQUAL(0, world.wastedCoreSeconds(), 0.1);
 }
+
+TEST(StoppedRuns, aRunWhoseStartWasAnsweredLateIsNotStoppedForAListThatWasRequestedBefore)
+{
+    world.setListsProgress(true);
+    world.setWork([](const Submission&, const TaskName&, size_t) { return absl::Seconds(5); });
+    for (int second = 0; second < 12; ++second) {
+        if (second == 6)
+            world.congest(owner(), absl::Milliseconds(300));
+        submitSome(6, other());
+        world.run(absl::Seconds(1));
+    }
+    expectAllEnd(absl::Seconds(120));
+    DOUBLES_EQUAL(0, world.wastedCoreSeconds(), 0.1);
+}
