--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -58,6 +58,10 @@
     /** When `percent` last rose, and its value then. */
     Instant progressAt = absl::ZeroDuration();
     int percent = -1;
+    /** How many runs of the task this owner stopped as stuck. */
+    uint32_t stuckRuns = 0;
+    /** The current run began from a checkpoint. */
+    bool wasRestored = false;
 
     bool hasActiveRun() const
     {
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -76,7 +76,10 @@
     CellStep& step = job.step(ref);
     const QueuePolicy& policy = policyOf(job);
     const absl::Duration objective = objectiveOf(job, policy);
-    const absl::Duration remaining = job.criticalPathFrom(ref.step);
+    absl::Duration remaining = job.criticalPathFrom(ref.step);
+    const EstimateCorrection correction = correctionOf(job);
+    if (correction.isContradicted)
+        remaining *= correction.median;
     if (job.spec.account.empty()) {
         const Instant begin = job.spec.occurrences > 0 ? step.readyAt : job.acceptedAt;
         step.latestStart = begin + objective - remaining;
@@ -174,14 +177,22 @@
         CellWorker* worker;
         Resources free;
         bool isOnDataRack;
+        double speedPenalty;
+    };
+    const EstimateCorrection correction = correctionOf(job);
+    const SpeedNeed need
+        = speedNeedOf(m_parts.timers.clock().now(), step.latestStart, spec.estimate * correction.median);
+    const auto penaltyOf = [&](const CellWorker& worker) {
+        const bool usesSpeed = correction.isContradicted && worker.speed.isKnown();
+        return usesSpeed ? speedPenalty(need, worker.speed.value()) : worker.slowdown - 1;
     };
     std::vector<FreeCapacity> freeCapacities;
     for (CellWorker* worker : eligible) {
         if (!onlyRack.empty() && worker->listed.rack != onlyRack)
             continue;
         if (fits(demand, worker->free()))
-            freeCapacities.push_back(
-                { worker, worker->free(), !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
+            freeCapacities.push_back({ worker, worker->free(),
+                !spec.dataRack.empty() && worker->listed.rack == spec.dataRack, penaltyOf(*worker) });
     }
     std::vector<Choice> choices;
     for (const uint32_t index : startableTasks(job, ref)) {
@@ -194,7 +205,7 @@
             if (spec.maxPerWorker > 0 && counts[id] >= spec.maxPerWorker)
                 continue;
             const double score = freeShareAfter(freeCapacity.free, demand, freeCapacity.worker->listed.capacity)
-                - (freeCapacity.isOnDataRack ? 10 : 0) + (freeCapacity.worker->slowdown - 1);
+                - (freeCapacity.isOnDataRack ? 10 : 0) + freeCapacity.speedPenalty;
             if (!best || score < bestScore) {
                 best = &freeCapacity;
                 bestScore = score;
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -8,6 +8,7 @@
 
 #include "AccountUsage.h"
 #include "Clock.h"
+#include "RunTimeEstimates.h"
 #include "WorkerOrders.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -26,6 +27,8 @@
     void addReading(int64_t workerMillis, Instant now);
     /** The worker's clock at `now`, or slightly less. */
     int64_t estimate(Instant now) const;
+    /** How old, at least, a reading is that is processed at `now`; it is as new as can be known with the first one. */
+    absl::Duration ageOf(int64_t workerMillis, Instant now) const;
     /** Records that an order with this lease end was sent, by this owner or a former one. */
     void recordLease(int64_t leaseEndMillis) { m_latestLease = std::max(m_latestLease, leaseEndMillis); }
     /** Whether every lease that was granted has certainly expired at `now`. */
@@ -78,6 +81,8 @@
     bool wasConfirmed = false;
     /** The current incarnation has listed the run. */
     bool wasListed = false;
+    /** When the start was found to have no reply; a list requested earlier need not show the run. */
+    Instant unansweredAt = absl::ZeroDuration();
     bool isStopWanted = false;
     Instant stopSentAt = absl::ZeroDuration() - absl::Hours(1);
 };
@@ -124,6 +129,10 @@
     bool isSyncScheduled = false;
     int failedSyncs = 0;
     Instant lastReplyAt = absl::ZeroDuration();
+    /** When the worker made the latest list that was processed, and the one before. That is earlier than the reply was
+     * processed if this entry was paused meanwhile. */
+    Instant listedAt = absl::ZeroDuration();
+    Instant formerListedAt = absl::ZeroDuration();
     /** No tasks are placed on the worker before this time. */
     Instant suspendedUntil = absl::ZeroDuration();
     int suspensionCount = 0;
@@ -132,9 +141,14 @@
     std::vector<UnansweredStart> unansweredStarts;
     /** Jobs with tasks that failed here since a task last finished. */
     absl::flat_hash_set<std::string> failedJobs;
-    /** Smoothed ratio of the duration of tasks here to their estimates; 1 is as estimated. */
+    /** Smoothed ratio of the duration of tasks here to their estimates, which are corrected where the measurement of
+     * their queue contradicts them; 1 is as estimated. It ranks workers for queues whose estimates hold. */
     double slowdown = 1;
+    /** Ranks workers for queues whose estimates are contradicted. */
+    WorkerSpeed speed;
 
+    /** Records that the worker made a list when its clock showed this; without a reading, the list counts as new. */
+    void recordList(std::optional<int64_t> workerMillis, Instant now);
     /** Forgets what was known of the last incarnation, except the allocations, which may outlast it. */
     void beginIncarnation(Instant now);
     /** Allocates capacity to a run, unless it has some, and counts it in `usage`. */
