--- a/test/failure/Soak.sh
+++ b/test/failure/Soak.sh
@@ -5,7 +5,7 @@
 build=$1
 here=$(cd "$(dirname "$0")/../soak" && pwd)
 work=$(mktemp -d)
-base=$((16000 + $$ % 2 * 1600))
+base=$((16000 + $$ % 2 * 2000))
 lanes=3
 lane() { # number: plays every third seed at ports of its own
     sed -n 's/^\([0-9][0-9]*\) .*/\1/p' "$here/seeds.txt" | awk -v l="$1" -v n=$lanes 'NR % n == l' | while read -r seed; do
@@ -16,10 +16,14 @@
 for seed in 1 2; do
     "$build/cicada-soak" --node "$build/cicada-node" --first $seed --cells 2 --seconds 12 --port $((base + lanes * 400)) --keep "$work/lane$lanes"
 done > "$work/lane$lanes.txt" 2>&1 &
+for seed in 3 4; do
+    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --accounts --cells $((seed - 2)) --seconds 10 \
+        --port $((base + (lanes + 1) * 400)) --keep "$work/lane$((lanes + 1))"
+done > "$work/lane$((lanes + 1)).txt" 2>&1 &
 wait
 broken=$(grep -h 'BROKEN\|^seed [0-9]*: ' "$work"/lane*.txt | grep -v ', kept$')
 played=$(grep -ch ', kept$\|, BROKEN$' "$work"/lane*.txt | awk '{n += $1} END {print n}')
-wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 2))
+wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 4))
 if [ -n "$broken" ] || [ "$played" != "$wanted" ]; then
     echo "FAILED: $played of $wanted seeds were played"
     cat "$work"/lane*.txt
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -63,6 +63,8 @@
     job.work = between(100, 900);
     job.isHopeless = m_random() % 25 == 0;
     job.isGang = m_random() % 6 == 0;
+    job.account = m_judge.accounts().empty() ? 0 : m_random() % m_judge.accounts().size();
+    job.hasUnknownKey = !m_judge.accounts().empty() && m_random() % 20 == 0;
     return job;
 }
 
@@ -72,6 +74,10 @@
         return;
     const SoakJob job = drawJob();
     m_judge.add(job);
+    if (job.hasUnknownKey) {
+        submitWithUnknownKey(job);
+        return later(m_io, between(40, 160), [this] { submitNext(); });
+    }
     auto attempts = std::make_shared<Attempts>();
     ++m_handingIn;
     submit(job.id, bodyOf(job), attempts);
@@ -83,6 +89,15 @@
     later(m_io, between(40, 160), [this] { submitNext(); });
 }
 
+void SoakCallers::submitWithUnknownKey(const SoakJob& job)
+{
+    call("POST", job.id, bodyOf(job), [this, id = job.id](const HttpResult& answer) {
+        const bool isAnswered = answer.outcome == HttpOutcome::ResponseReceived;
+        if (isAnswered && answer.status != 401 && answer.status != 503)
+            m_judge.violate(absl::StrCat("job ", id, ": a caller with an unknown key got status ", answer.status));
+    });
+}
+
 void SoakCallers::submit(const std::string& id, const std::string& body, const std::shared_ptr<Attempts>& attempts)
 {
     ++attempts->made;
@@ -144,6 +159,10 @@
         std::move(body), {}, callTimeout };
     request.headers
         = { { "Host", Grid::queueHost }, { deadlineHeader, absl::StrCat(absl::ToInt64Milliseconds(callTimeout)) } };
+    const SoakJob& job = m_judge.jobs().at(id);
+    if (!m_judge.accounts().empty())
+        request.headers.emplace_back("Authorization",
+            absl::StrCat("Bearer ", job.hasUnknownKey ? "unknown" : m_judge.accounts()[job.account].key));
     m_http.send(std::move(request), std::move(callback));
 }
 
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -37,6 +37,7 @@
 
     void submitNext();
     SoakJob drawJob();
+    void submitWithUnknownKey(const SoakJob& job);
     void submit(const std::string& id, const std::string& body, const std::shared_ptr<Attempts>& attempts);
     void cancel(const std::string& id);
     void ask(const std::string& id);
--- a/test/soak/SoakJudge.cpp
+++ b/test/soak/SoakJudge.cpp
@@ -128,6 +128,7 @@
     if (!job)
         return violate(what + "it was not asked for");
     m_startedJobs.insert(job->id);
+    checkAccount(*job, what);
     Task& task = m_tasks[run.task];
     if (job->isRefused)
         violate(what + "its job was refused");
@@ -150,12 +151,26 @@
         violate(absl::StrCat(what, "the executor holds ", used, " thousandths of a core"));
 }
 
+void SoakJudge::checkAccount(const SoakJob& job, const std::string& what)
+{
+    if (job.hasUnknownKey)
+        violate(what + "its caller had an unknown key");
+    if (job.account >= m_accounts.size())
+        return;
+    const int64_t used = m_usedByAccount[job.account] += job.cpuMillis;
+    const int64_t limit = m_accounts[job.account].maxCpuMillis;
+    if (limit > 0 && used > limit * 11 / 10 + job.cpuMillis)
+        violate(absl::StrCat(what, "its account uses ", used, " of ", limit));
+}
+
 void SoakJudge::ended(const std::string& executor, const GridRun& run, const std::string& how)
 {
     const SoakJob* job = jobOf(run);
     if (!job)
         return;
     m_used[executor] -= job->cpuMillis;
+    if (job->account < m_accounts.size())
+        m_usedByAccount[job->account] -= job->cpuMillis;
     Task& task = m_tasks[run.task];
     if (task.runsAt == executor)
         task.runsAt.reset();
--- a/test/soak/SoakJudge.h
+++ b/test/soak/SoakJudge.h
@@ -6,6 +6,7 @@
  * starts, an accepted one is never lost, and nothing is shown that did not happen.
  */
 
+#include "Grid.h"
 #include "GridExecutor.h"
 #include "TaskHistory.h"
 
@@ -24,6 +25,10 @@
 /** A job of one step, or of two that follow each other, with tasks that are alike. */
 struct SoakJob {
     std::string id;
+    /** Index of its client account. */
+    size_t account = 0;
+    /** It is handed in with a key that no configuration has. */
+    bool hasUnknownKey = false;
     std::vector<uint32_t> tasksOfStep;
     int64_t cpuMillis = 0;
     absl::Duration work;
@@ -49,6 +54,9 @@
     {
     }
 
+    void setAccounts(std::vector<GridAccount> accounts) { m_accounts = std::move(accounts); }
+    const std::vector<GridAccount>& accounts() const { return m_accounts; }
+
     void add(SoakJob job) { m_jobs.emplace(job.id, std::move(job)); }
     const absl::btree_map<std::string, SoakJob>& jobs() const { return m_jobs; }
 
@@ -85,11 +93,15 @@
     SoakJob* jobOf(const GridRun&);
     bool allDone(const SoakJob& job, size_t steps) const;
     bool hasFailedOut(const SoakJob& job) const;
+    void checkAccount(const SoakJob& job, const std::string& what);
 
     const Clock& m_clock;
     absl::btree_map<std::string, SoakJob> m_jobs;
     absl::btree_map<std::string, Task> m_tasks;
     absl::flat_hash_map<std::string, int64_t> m_used;
+    std::vector<GridAccount> m_accounts;
+    /** What the tasks of each account use, by its index. */
+    absl::flat_hash_map<size_t, int64_t> m_usedByAccount;
     absl::btree_set<std::string> m_startedJobs;
     std::vector<std::string> m_violations;
     size_t m_starts = 0;
--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -34,6 +34,7 @@
   -e, --entries N       processes of the daemon (default 4)
   -x, --executors N     executors (default 12)
   -l, --cells N         cells; with several, whole racks are lost and restarts are listed late (default 1)
+  -a, --accounts        callers have keys of client accounts, one of them with a limit; some keys are unknown
   -p, --port N          the first of the loopback ports that are used (default 20000)
   -k, --keep FOLDER     where logs go and stay (default: a folder that is removed when all is well)
   -h, --help            print this text
@@ -57,6 +58,7 @@
     size_t entries = 4;
     int executors = 12;
     int cells = 1;
+    bool hasAccounts = false;
     uint16_t port = 20000;
     std::string folder;
 };
@@ -133,6 +135,10 @@
     layout.executors = executors;
     layout.registeredOffset = executors;
     layout.seed = m_seed;
+    // The limit of the first one binds.
+    if (m_options.hasAccounts)
+        layout.accounts = { { "a", "key-a", GridLayout::cpuMillis }, { "b", "key-b" } };
+    m_judge.setAccounts(layout.accounts);
     BOOST_OUTCOME_TRY(grid, Grid::create(m_io, layout, m_judge));
     m_grid = std::move(grid);
     for (int i = 0; i < executors; ++i) {
@@ -414,15 +420,18 @@
     const option names[] = { { "node", required_argument, nullptr, 'n' }, { "first", required_argument, nullptr, 'f' },
         { "count", required_argument, nullptr, 'c' }, { "seconds", required_argument, nullptr, 's' },
         { "entries", required_argument, nullptr, 'e' }, { "executors", required_argument, nullptr, 'x' },
-        { "cells", required_argument, nullptr, 'l' }, { "port", required_argument, nullptr, 'p' },
-        { "keep", required_argument, nullptr, 'k' }, { "help", no_argument, nullptr, 'h' }, {} };
+        { "cells", required_argument, nullptr, 'l' }, { "accounts", no_argument, nullptr, 'a' },
+        { "port", required_argument, nullptr, 'p' }, { "keep", required_argument, nullptr, 'k' },
+        { "help", no_argument, nullptr, 'h' }, {} };
     Options options;
     bool isWrong = false;
-    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:p:k:h", names, nullptr)) != -1;) {
+    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:ap:k:h", names, nullptr)) != -1;) {
         if (name == 'n')
             options.node = optarg;
         else if (name == 'k')
             options.folder = optarg;
+        else if (name == 'a')
+            options.hasAccounts = true;
         else if (name == 'h' || name == '?')
             isWrong = true;
         else {
--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -79,8 +79,12 @@
     const Json route = { { "name", "r-a" }, { "hostname", queueHost }, { "prefix", queuePrefix },
         { "kind", "non_idempotent" }, { "timeoutMs", 3000 }, { "targetLatencyMs", 1200 }, { "priority", 1 },
         { "service", service }, { "maxAttempts", maxAttempts }, { "stretch", 2.2 }, { "advice", advice } };
-    const Json configuration = { { "version", ++m_version }, { "routes", Json::array({ route }) },
+    Json configuration = { { "version", ++m_version }, { "routes", Json::array({ route }) },
         { "services", Json::array() }, { "limits", Json::object() } };
+    for (const GridAccount& account : m_layout.accounts)
+        configuration["tenants"].push_back(
+            { { "name", account.name }, { "apiKeys", Json::array({ account.key }) }, { "priority", 1 },
+                { "weight", 20 }, { "maxCount", { { "cpu", account.maxCpuMillis }, { "memMb", 0 }, { "gpu", 0 } } } });
     m_store.put("op/config", configuration.dump());
 }
 
--- a/test/standin/Grid.h
+++ b/test/standin/Grid.h
@@ -12,6 +12,14 @@
 
 namespace cicada::test {
 
+/** A client account of the configuration. */
+struct GridAccount {
+    std::string name;
+    std::string key;
+    /** What its tasks may use at the same time; 0 for no limit. */
+    int64_t maxCpuMillis = 0;
+};
+
 /** Where the parts listen, and what the executors are. */
 struct GridLayout {
     std::string host = "127.0.0.1";
@@ -23,6 +31,8 @@
     /** How far from its own port each executor registers: where a proxy in front of it listens. */
     int registeredOffset = 0;
     uint64_t seed = 1;
+    /** Without any, callers need no key. */
+    std::vector<GridAccount> accounts;
 
     /** The executors are in the racks in turn. */
     static constexpr size_t racks = 3;
