Accounts: a job that no cell can ever run within the limit is refused on arrival

The soak with accounts and two cells showed accepted gangs that never ended: they were below the account's limit but above a fixed part and the whole pool, which is the most that a cell can get.

--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -118,7 +118,9 @@
     const ClientAccount* account = accountOf(spec);
     if (!account)
         return false;
-    const Resources limit = wholeLimit(*account);
+    // Other cells keep their fixed parts, so a cell never gets the whole limit.
+    const Resources largest = fixedPart(account->limit, m_term.cells) + poolOf(account->limit, m_term.cells);
+    const Resources limit = withUnlimited(*account, largest);
     return std::any_of(spec.steps.begin(), spec.steps.end(),
         [&limit](const StepSpec& step) { return countFittingTasks(demandOf(step), limit) < smallestStart(step); });
 }
