A wide gang that is on time keeps room while it waits

Cause: a gang that needs more than 15% of the workers kept room only while tickets were requested, or when it was late. Narrow work took each of its allowed workers as it became free, so the whole gang never fitted at one moment. As it knew enough allowed workers for when they are empty, it asked about no others.

GangReservation decides, without I/O, which room the gang keeps, when it can begin by the estimates of what runs, when to request tickets so that the reply finds the room free, which unknown workers to ask about, and when the job may be transferred. Cell gives the exclusive reservation to the oldest gang that is late, as before, or on time with room to spare. Work that ends by its estimate before the gang begins may use what is kept, as may a service that lost a task; the moment never moves back, so wrong estimates delay the gang once. A failed request ends the reservation until the policy service replies.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -14,6 +14,7 @@
 #include "CellWorker.h"
 #include "ClientAccount.h"
 #include "DurableWriter.h"
+#include "GangReservation.h"
 #include "Metrics.h"
 #include "PrefixMirror.h"
 #include "RoomFinder.h"
@@ -138,6 +139,8 @@
     struct Reservation {
         const Rank* rank = nullptr;
         std::vector<std::pair<CellWorker*, Resources>> freeCapacities;
+        /** Work that ends by `m_backfillUntil` may use the capacity. */
+        bool isBackfilled = false;
 
         void hold() const;
         void release() const;
@@ -193,11 +196,20 @@
         bool isAllowed = false;
         bool isOnDataRack = false;
     };
+    /** The room that a gang which is on time keeps while runs of others end. */
+    struct PlannedRoom {
+        GangReservation reservation;
+        GangDecision decision;
+        std::vector<std::pair<CellWorker*, uint64_t>> tasksByWorker;
+        Instant nextDecisionAt = absl::ZeroDuration();
+    };
     /** The one reservation that has no limit on its workers. */
     struct ExclusiveReservation {
         std::string job;
         StepRef ref;
         Instant until;
+        /** Set where the gang was on time when the reservation began. */
+        std::optional<PlannedRoom> planned;
     };
     struct Choice {
         uint32_t index = 0;
@@ -255,7 +267,12 @@
     void queueStep(CellJob& job, StepRef ref);
     StepOutcome placeStep(const Rank& rank);
     /** Whether a usable worker has room for one task of the step. */
-    bool hasRoomForTask(CellJob& job, const StepSpec& spec);
+    bool hasRoomForTask(CellJob& job, StepRef ref);
+    /** Whether the step may use capacity that a gang keeps for later: a service that lost a task, or a step that ends
+     * before the gang begins. */
+    bool mayBackfill(CellJob& job, StepRef ref);
+    static Resources freeFor(const CellWorker& worker, bool mayBackfill);
+    void clearUnmetDemands();
     /** The usable workers of the service, cached for the current placement round. */
     const std::vector<CellWorker*>& usableWorkers(const std::string& service);
     std::vector<CellWorker*> candidates(CellJob& job, const StepSpec& spec);
@@ -296,8 +313,21 @@
     bool needsMoreThanShare(CellJob& job, const StepSpec& spec);
     /** Of the gangs for which there would be room in time, the one that has waited longest; null for none. */
     const Rank* findLongestWaiting(absl::Span<const Rank> ranks);
+    /** Whether the gang, which may be exclusive, would have enough room once the runs of others have ended. */
+    bool hasRoomInTime(CellJob& job, StepRef ref);
     /** Whether all tasks of the gang would fit once the runs of others have ended. */
     bool canGatherRoom(CellJob& job, StepRef ref);
+    /** Whether the gang keeps room here that it can use soon. */
+    bool isKeptHere(const std::string& job, StepRef ref) const;
+    GangState gangStateOf(CellJob& job, StepRef ref, absl::Span<CellWorker* const> allowed);
+    /** When the worker would have room for tasks of the step, by the estimates of what runs there. */
+    std::vector<RoomFrom> roomsOn(const CellWorker& worker, const StepSpec& spec);
+    Instant expectedEndOf(const TaskRun& run, const CellWorker& worker);
+    /** Decides anew what the exclusive gang keeps, and requests what it needs to know. */
+    void planRoom(CellJob& job, StepRef ref);
+    Reservation plannedReservationOf(CellJob& job, const Rank& rank);
+    /** Ends the gang's planned reservation, if it has one, until the policy service replies. */
+    void endPlannedRoom(CellJob& job, StepRef ref);
     uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis) const;
     /** The capacity that the gang keeps while tickets are requested; empty for none. */
     Reservation ticketReservationOf(CellJob& job, const Rank& rank);
@@ -307,12 +337,17 @@
     /** Logs the state of a step that waits, at intervals. */
     void reportWait(CellJob& job, StepRef ref);
 
+    /** The minimum remaining validity of a ticket when a start is decided, as the intent is stored and the order sent
+     * first. */
+    static constexpr absl::Duration ticketMargin = absl::Milliseconds(350);
     /** How long a new owner asks nothing about gangs while workers may still reply to their first sync. */
     static constexpr absl::Duration hearingTime = absl::Milliseconds(400);
 
     // CellAdvice.cpp: permission from the policy service.
     bool placeWithAdvice(const Rank& rank, CellJob& job, size_t waiting);
     bool canAskForAdvice(CellJob& job, StepRef ref);
+    /** Whether no tickets of the gang are requested, and the policy service has not just failed. */
+    bool canRequestTickets(CellJob& job, StepRef ref);
     /** Whether this owner is new and most of its workers may still reply to their first sync. */
     bool isHearingWorkers() const;
     /** Requests what a gang needs to start: tickets for workers that have room for all of it, or else knowledge of
@@ -480,6 +515,10 @@
     absl::flat_hash_map<std::string, std::vector<CellWorker*>> m_usableWorkers;
     /** Found in the current placement round. */
     UnmetDemands m_unmetDemands;
+    /** The same for steps that may use capacity which is kept for later. */
+    UnmetDemands m_unmetBackfills;
+    /** When the gang begins for which capacity is kept that others may use until then. */
+    Instant m_backfillUntil = absl::ZeroDuration();
     absl::flat_hash_map<std::string, std::vector<Reply>> m_acceptReplies;
     /** Replies that the job does not exist, and those of them for which the cell's row is being read. */
     std::vector<Reply> m_goneReplies;
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-    /** The minimum remaining validity of a ticket when a start is decided, as the intent is stored and the order sent
-     * first. */
-    constexpr absl::Duration ticketMargin = absl::Milliseconds(350);
     /** The policy service accepts no more. */
     constexpr size_t maxWorkersPerRequest = 100;
     constexpr size_t minWorkersPerRequest = 8;
@@ -66,9 +63,8 @@
 
 void Cell::requestGangAdvice(CellJob& job, StepRef ref, const std::vector<CellWorker*>& allowed)
 {
-    const CellStep& step = job.step(ref);
     std::vector<Choice> choices;
-    if (step.advice.ticketRequestsInFlight > 0 || step.notBefore > m_parts.timers.clock().now())
+    if (!canRequestTickets(job, ref))
         return;
     if (chooseWorkersForStep(job, ref, allowed, choices))
         return requestTickets(job, ref, choices);
@@ -164,6 +160,12 @@
         && m_parts.advisorSlots.waitingBefore(expected) < maxWaitingAdviceRequests;
 }
 
+bool Cell::canRequestTickets(CellJob& job, StepRef ref)
+{
+    const CellStep& step = job.step(ref);
+    return job.isStored && step.advice.ticketRequestsInFlight == 0 && step.notBefore <= m_parts.timers.clock().now();
+}
+
 bool Cell::isHearingWorkers() const
 {
     if (m_parts.timers.clock().now() - m_loadedAt >= hearingTime)
@@ -316,9 +318,11 @@
     }
     if (isEnded(job->phase))
         return;
+    advice.hasFailed = !reply.isValid;
     if (!reply.isValid) {
         if (purpose == AdvicePurpose::Tickets)
             advice.reservation.reset();
+        endPlannedRoom(*job, ref);
         step.notBefore = std::max(step.notBefore, now + adviceRetryDelay);
         m_parts.timers.after(adviceRetryDelay, guarded([this] { schedulePlacement(); }));
         return;
@@ -331,6 +335,8 @@
         queried.size(), "allowed", tickets, "validMs", absl::ToInt64Milliseconds(validity), "tookMs",
         absl::ToInt64Milliseconds(now - requestedAt));
     m_parts.metrics.observe("cicada_advice_ms", absl::ToDoubleMilliseconds(now - requestedAt));
+    if (isExclusive(id, ref) && m_exclusive->planned)
+        m_exclusive->planned->nextDecisionAt = now;
     schedulePlacement();
 }
 
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -88,6 +88,8 @@
     absl::btree_map<std::string, Allowed> allowed;
     absl::flat_hash_set<std::string> queried;
     uint32_t requestsSent = 0;
+    /** The last request had no valid reply. */
+    bool hasFailed = false;
     std::optional<TicketReservation> reservation;
 };
 
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -144,6 +144,7 @@
     absl::flat_hash_map<std::string, uint32_t> counts;
     if (spec.maxPerWorker > 0)
         counts = step.activeRunsByWorker();
+    const bool backfills = mayBackfill(job, ref);
     struct FreeCapacity {
         CellWorker* worker;
         Resources free;
@@ -153,9 +154,9 @@
     for (CellWorker* worker : eligible) {
         if (!onlyRack.empty() && worker->listed.rack != onlyRack)
             continue;
-        if (fits(demand, worker->free()))
-            freeCapacities.push_back(
-                { worker, worker->free(), !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
+        if (fits(demand, freeFor(*worker, backfills)))
+            freeCapacities.push_back({ worker, freeFor(*worker, backfills),
+                !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
     }
     std::vector<Choice> choices;
     for (const uint32_t index : waitingTasks(step)) {
@@ -204,18 +205,43 @@
     return !choices.empty();
 }
 
-bool Cell::hasRoomForTask(CellJob& job, const StepSpec& spec)
+bool Cell::mayBackfill(CellJob& job, StepRef ref)
 {
+    const Instant now = m_parts.timers.clock().now();
+    if (m_backfillUntil == absl::ZeroDuration())
+        return false;
+    const StepSpec& spec = job.stepSpec(ref);
+    if (spec.isService)
+        return urgencyOf(spec, job.step(ref), now) == StepUrgency::LostService;
+    return !spec.isGang && spec.estimate > absl::ZeroDuration() && now + spec.estimate <= m_backfillUntil;
+}
+
+Resources Cell::freeFor(const CellWorker& worker, bool mayBackfill)
+{
+    return mayBackfill ? worker.free() + worker.backfillable : worker.free();
+}
+
+void Cell::clearUnmetDemands()
+{
+    m_unmetDemands.clear();
+    m_unmetBackfills.clear();
+}
+
+bool Cell::hasRoomForTask(CellJob& job, StepRef ref)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    const bool backfills = mayBackfill(job, ref);
+    UnmetDemands& unmet = backfills ? m_unmetBackfills : m_unmetDemands;
     const std::string& service = policyOf(job).service;
     const Resources demand = demandOf(spec);
-    if (m_unmetDemands.includes(service, spec.requiredLabel, demand))
+    if (unmet.includes(service, spec.requiredLabel, demand))
         return false;
     const std::vector<CellWorker*>& workers = usableWorkers(service);
     const bool hasRoom = std::any_of(workers.begin(), workers.end(), [&](const CellWorker* worker) {
-        return hasLabel(worker->listed, spec.requiredLabel) && fits(demand, worker->free());
+        return hasLabel(worker->listed, spec.requiredLabel) && fits(demand, freeFor(*worker, backfills));
     });
     if (!hasRoom)
-        m_unmetDemands.add(service, spec.requiredLabel, demand);
+        unmet.add(service, spec.requiredLabel, demand);
     return hasRoom;
 }
 
@@ -231,7 +257,7 @@
         return StepOutcome::Placed;
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
-    if (mustWait || !hasRoomForTask(*job, spec))
+    if (mustWait || !hasRoomForTask(*job, rank.ref))
         return StepOutcome::Skipped;
     if (policyOf(*job).advice.isNeeded)
         return placeWithAdvice(rank, *job, waiting) ? StepOutcome::Placed : StepOutcome::Unplaced;
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -4,7 +4,9 @@
  * Gangs get reservations in the order of rank, on a limited share of the workers, so that a queue of them does not idle
  * the cell. That share is less than a wide gang needs, and once it is late, all that is on time goes before it.
  * Therefore one such gang at a time, the one that has waited longest, has the exclusive reservation: as many workers as
- * it needs, whatever the share and its rank, until it starts or its time is up.
+ * it needs, whatever the share and its rank, until it starts or its time is up. A wide gang that is on time gets it
+ * only where it has room to spare, as GangReservation decides; work that ends before the gang begins may use what it
+ * keeps.
  *
  * A gang that has requested tickets for chosen workers keeps their capacity until the replies; see CellAdvice.cpp.
  */
@@ -29,6 +31,20 @@
     constexpr absl::Duration exclusiveSearchInterval = absl::Milliseconds(100);
     /** How often a gang for which there is no room in time is looked at again. */
     constexpr absl::Duration gatherCheckInterval = absl::Seconds(1);
+    /** How often it is decided anew which room a gang keeps. */
+    constexpr absl::Duration decisionInterval = absl::Milliseconds(100);
+    /** How long a run is expected to last of which only the demand is known; most of these are being stopped. */
+    constexpr absl::Duration unknownRunTime = absl::Seconds(1);
+
+    /** The part of what so many tasks need that is free on the worker. */
+    Resources freePartOf(const CellWorker& worker, const Resources& demand, uint64_t tasks)
+    {
+        const Resources free = worker.free();
+        const auto count = static_cast<int64_t>(tasks);
+        return { std::max<int64_t>(0, std::min(free.cpuMillis, demand.cpuMillis * count)),
+            std::max<int64_t>(0, std::min(free.memoryMiB, demand.memoryMiB * count)),
+            std::max<int64_t>(0, std::min(free.accelerators, demand.accelerators * count)) };
+    }
 
 } // namespace
 
@@ -36,17 +52,23 @@
 {
     for (const auto& [worker, freeCapacity] : freeCapacities)
         worker->reserved = worker->reserved + freeCapacity;
+    for (const auto& [worker, freeCapacity] : freeCapacities)
+        worker->backfillable = isBackfilled ? worker->backfillable + freeCapacity : worker->backfillable;
 }
 
 void Cell::Reservation::release() const
 {
     for (const auto& [worker, freeCapacity] : freeCapacities)
         worker->reserved = worker->reserved - freeCapacity;
+    for (const auto& [worker, freeCapacity] : freeCapacities)
+        worker->backfillable = isBackfilled ? worker->backfillable - freeCapacity : worker->backfillable;
 }
 
 std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<Rank>& ranks)
 {
     updateExclusive(ranks);
+    if (m_exclusive && m_exclusive->planned)
+        m_backfillUntil = m_exclusive->planned->decision.backfillUntil;
     const auto maxReserved = static_cast<size_t>(static_cast<double>(m_workers.size()) * maxReservedShare);
     const Instant now = m_parts.timers.clock().now();
     std::vector<Reservation> reservations;
@@ -66,7 +88,8 @@
     const auto exclusive = std::find_if(
         ranks.begin(), ranks.end(), [this](const Rank& rank) { return isExclusive(rank.job, rank.ref); });
     if (exclusive != ranks.end() && served.insert(&*exclusive).second)
-        hold(reserveFor(*findJob(exclusive->job), *exclusive, m_workers.size()));
+        hold(m_exclusive->planned ? plannedReservationOf(*findJob(exclusive->job), *exclusive)
+                                  : reserveFor(*findJob(exclusive->job), *exclusive, m_workers.size()));
     size_t reserved = 0;
     for (const Rank& rank : ranks) {
         if (reserved >= maxReserved)
@@ -103,12 +126,7 @@
         const uint64_t tasks = std::min(remaining, countFittingTasks(demand, worker->freeInTime(), spec.maxPerWorker));
         if (tasks == 0)
             continue;
-        const Resources free = worker->free();
-        const auto count = static_cast<int64_t>(tasks);
-        reservation.freeCapacities.emplace_back(worker,
-            Resources { std::max<int64_t>(0, std::min(free.cpuMillis, demand.cpuMillis * count)),
-                std::max<int64_t>(0, std::min(free.memoryMiB, demand.memoryMiB * count)),
-                std::max<int64_t>(0, std::min(free.accelerators, demand.accelerators * count)) });
+        reservation.freeCapacities.emplace_back(worker, freePartOf(*worker, demand, tasks));
         remaining -= tasks;
     }
     // A gang that can't fit even on all these workers would block them for nothing.
@@ -129,9 +147,10 @@
     // A gang starts again only when no member of its last run is active.
     const bool isWaiting = job.isStored && !job.isMoving && !isEnded(job.phase) && job.stepSpec(ref).isGang
         && waitingTasks(step).size() == step.tasks.size();
-    if (!isWaiting || now - std::max(step.readyAt, job.arrivedAt) < exclusiveDelay || now < step.noExclusiveBefore)
+    const absl::Duration delay = step.latestStart < now ? exclusiveDelay : reservationDelay;
+    if (!isWaiting || now - std::max(step.readyAt, job.arrivedAt) < delay || now < step.noExclusiveBefore)
         return false;
-    return step.latestStart < now && needsMoreThanShare(job, job.stepSpec(ref));
+    return needsMoreThanShare(job, job.stepSpec(ref));
 }
 
 bool Cell::needsMoreThanShare(CellJob& job, const StepSpec& spec)
@@ -161,7 +180,8 @@
         CellJob* job = findJob(m_exclusive->job);
         const bool isValid = job && mayBeExclusive(*job, m_exclusive->ref) && now < m_exclusive->until;
         if (isValid)
-            return learnAllowedWorkers(*job, m_exclusive->ref);
+            return m_exclusive->planned ? planRoom(*job, m_exclusive->ref)
+                                        : learnAllowedWorkers(*job, m_exclusive->ref);
         endExclusive();
     }
     if (now < m_nextExclusiveSearch)
@@ -170,12 +190,17 @@
     const Rank* longest = findLongestWaiting(ranks);
     if (!longest)
         return;
-    m_exclusive = ExclusiveReservation { longest->job, longest->ref, now + maxExclusive };
+    m_exclusive = ExclusiveReservation { longest->job, longest->ref, now + maxExclusive, std::nullopt };
     CellJob& job = *findJob(longest->job);
+    if (job.step(longest->ref).latestStart >= now)
+        m_exclusive->planned.emplace();
     m_parts.log.write("reservation-begun", "job", longest->job, "occurrence", longest->ref.occurrence, "step",
         longest->ref.step, "tasks", job.step(longest->ref).tasks.size(), "waitedMs",
-        absl::ToInt64Milliseconds(now - job.step(longest->ref).readyAt));
-    learnAllowedWorkers(job, longest->ref);
+        absl::ToInt64Milliseconds(now - job.step(longest->ref).readyAt), "planned", m_exclusive->planned.has_value());
+    if (m_exclusive->planned)
+        planRoom(job, longest->ref);
+    else
+        learnAllowedWorkers(job, longest->ref);
 }
 
 const Cell::Rank* Cell::findLongestWaiting(absl::Span<const Rank> ranks)
@@ -189,13 +214,28 @@
     std::sort(waiting.begin(), waiting.end());
     for (const auto& [readyAt, rank] : waiting) {
         CellJob& job = *findJob(rank->job);
-        if (canGatherRoom(job, rank->ref))
+        if (hasRoomInTime(job, rank->ref))
             return rank;
-        job.step(rank->ref).noExclusiveBefore = m_parts.timers.clock().now() + gatherCheckInterval;
+        CellStep& step = job.step(rank->ref);
+        const absl::Duration interval = step.advice.hasFailed ? reservationDelay : gatherCheckInterval;
+        step.noExclusiveBefore = m_parts.timers.clock().now() + interval;
     }
     return nullptr;
 }
 
+bool Cell::hasRoomInTime(CellJob& job, StepRef ref)
+{
+    if (job.step(ref).latestStart < m_parts.timers.clock().now())
+        return canGatherRoom(job, ref);
+    // Room is kept again once the policy service replies.
+    if (job.step(ref).advice.hasFailed) {
+        if (canAskForAdvice(job, ref))
+            requestStepAdvice(job, ref, possibleWorkers(job, ref), job.stepSpec(ref).taskCount, RoomBasis::InTime);
+        return false;
+    }
+    return GangReservation::hasSpareRoom(gangStateOf(job, ref, allowedWorkers(job, ref)));
+}
+
 void Cell::endExclusive()
 {
     const Instant now = m_parts.timers.clock().now();
@@ -222,13 +262,122 @@
     if (!tickets || tickets->until <= m_parts.timers.clock().now())
         return reservation;
     const Resources demand = demandOf(job.stepSpec(rank.ref));
-    for (const auto& [worker, tasks] : tickets->tasksByWorker) {
-        Resources held;
-        for (uint32_t i = 0; i < tasks; ++i)
-            held = held + demand;
-        reservation.freeCapacities.emplace_back(worker, held);
+    reservation.isBackfilled = isExclusive(rank.job, rank.ref) && m_exclusive->planned;
+    for (const auto& [worker, tasks] : tickets->tasksByWorker)
+        reservation.freeCapacities.emplace_back(worker, freePartOf(*worker, demand, tasks));
+    return reservation;
+}
+
+bool Cell::isKeptHere(const std::string& job, StepRef ref) const
+{
+    return isExclusive(job, ref) && !(m_exclusive->planned && m_exclusive->planned->decision.mayTransfer);
+}
+
+GangState Cell::gangStateOf(CellJob& job, StepRef ref, absl::Span<CellWorker* const> allowed)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    const QueuePolicy& policy = policyOf(job);
+    const StepAdvice& advice = job.step(ref).advice;
+    GangState state;
+    state.width = spec.taskCount;
+    state.now = m_parts.timers.clock().now();
+    state.advice = policy.advice;
+    state.ticketMargin = ticketMargin;
+    for (const CellWorker* worker : allowed) {
+        state.allowed.push_back({ roomsOn(*worker, spec), absl::InfiniteDuration() });
+        const auto ticket = advice.allowed.find(worker->listed.incarnation.id);
+        if (policy.advice.isNeeded && ticket != advice.allowed.end())
+            state.allowed.back().ticketUntil = ticket->second.validUntil;
     }
+    if (!policy.advice.isNeeded)
+        return state;
+    const std::vector<CellWorker*> unqueried = unqueriedWorkers(job, ref);
+    state.unknownFree = roomOn(spec, unqueried, RoomBasis::FreeNow);
+    state.unknownInTime = roomOn(spec, unqueried, RoomBasis::InTime);
+    state.allowedShare = m_allowedShares[policy.queue].estimate();
+    return state;
+}
+
+std::vector<RoomFrom> Cell::roomsOn(const CellWorker& worker, const StepSpec& spec)
+{
+    const Resources demand = demandOf(spec);
+    Resources free = worker.listed.capacity - worker.used;
+    std::vector<std::pair<Instant, Resources>> ends;
+    for (const auto& [run, allocation] : worker.allocations) {
+        if (!allocation.isOfService)
+            ends.emplace_back(expectedEndOf(run, worker), allocation.demand);
+    }
+    std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<RoomFrom> rooms;
+    const auto addRoom = [&](Instant from) {
+        const uint64_t tasks = countFittingTasks(demand, free, spec.maxPerWorker);
+        if (tasks > (rooms.empty() ? 0 : rooms.back().tasks))
+            rooms.push_back({ from, tasks });
+    };
+    addRoom(m_parts.timers.clock().now());
+    for (const auto& [end, freed] : ends) {
+        free = free + freed;
+        addRoom(end);
+    }
+    return rooms;
+}
+
+Instant Cell::expectedEndOf(const TaskRun& run, const CellWorker& worker)
+{
+    const Instant now = m_parts.timers.clock().now();
+    CellJob* job = findJob(run.task.job);
+    const CellTask* task = job ? job->find(run.task) : nullptr;
+    if (!task || task->run != run.run)
+        return now + unknownRunTime;
+    const bool isStartKnown = task->stage != TaskStage::StoringIntent && task->startedAt > absl::ZeroDuration();
+    const Instant startedAt = isStartKnown ? task->startedAt : now;
+    const Instant end = startedAt + job->spec.steps[run.task.step].estimate * worker.slowdown;
+    // A run that is overdue is expected to last as long again as it is overdue.
+    return end >= now ? end : now + (now - end);
+}
+
+void Cell::planRoom(CellJob& job, StepRef ref)
+{
+    const Instant now = m_parts.timers.clock().now();
+    PlannedRoom& planned = *m_exclusive->planned;
+    if (now < planned.nextDecisionAt)
+        return;
+    planned.nextDecisionAt = now + decisionInterval;
+    const std::vector<CellWorker*> allowed = allowedWorkers(job, ref);
+    planned.decision = planned.reservation.decide(gangStateOf(job, ref, allowed));
+    const GangDecision& decision = planned.decision;
+    planned.tasksByWorker.clear();
+    std::vector<Choice> choices;
+    for (const auto& [index, tasks] : decision.hold) {
+        planned.tasksByWorker.emplace_back(allowed[index], tasks);
+        for (uint64_t i = 0; i < tasks; ++i)
+            choices.push_back({ static_cast<uint32_t>(choices.size()), allowed[index] });
+    }
+    if (decision.needsTickets && canRequestTickets(job, ref))
+        requestTickets(job, ref, choices);
+    if (!canAskForAdvice(job, ref) || isHearingWorkers())
+        return;
+    if (decision.unknownFreeWanted > 0)
+        requestStepAdvice(job, ref, unqueriedWorkers(job, ref), decision.unknownFreeWanted, RoomBasis::FreeNow);
+    else if (decision.unknownInTimeWanted > 0)
+        requestStepAdvice(job, ref, unqueriedWorkers(job, ref), decision.unknownInTimeWanted, RoomBasis::InTime);
+}
+
+Cell::Reservation Cell::plannedReservationOf(CellJob& job, const Rank& rank)
+{
+    Reservation reservation { &rank, {}, true };
+    const Resources demand = demandOf(job.stepSpec(rank.ref));
+    for (const auto& [worker, tasks] : m_exclusive->planned->tasksByWorker)
+        reservation.freeCapacities.emplace_back(worker, freePartOf(*worker, demand, tasks));
     return reservation;
 }
 
+void Cell::endPlannedRoom(CellJob& job, StepRef ref)
+{
+    if (!isExclusive(job.spec.id, ref) || !m_exclusive->planned)
+        return;
+    endExclusive();
+    job.step(ref).noExclusiveBefore = m_parts.timers.clock().now() + reservationDelay;
+}
+
 } // namespace cicada
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -58,7 +58,7 @@
         return;
     const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
     m_usableWorkers.clear();
-    m_unmetDemands.clear();
+    clearUnmetDemands();
     const std::vector<Reservation> reservations = reserveForGangs(ranks);
     placeWithReservedTickets(reservations);
     const size_t end = placeFrom(ranks, 0, reservations);
@@ -67,8 +67,11 @@
     if (end < ranks.size())
         scheduleContinuation();
     // Advice that arrives later is used in the next round, which makes new reservations.
-    for (auto& [id, worker] : m_workers)
+    for (auto& [id, worker] : m_workers) {
         worker.reserved = Resources();
+        worker.backfillable = Resources();
+    }
+    m_backfillUntil = absl::ZeroDuration();
 }
 
 void Cell::continueRound(absl::Span<const Rank> ranks, size_t end, absl::Span<const Reservation> reservations)
@@ -92,7 +95,7 @@
         const bool hasReservation = reserved != reservations.end() && reserved->rank == &rank;
         if (hasReservation) {
             reserved->release();
-            m_unmetDemands.clear();
+            clearUnmetDemands();
         }
         const StepOutcome outcome = placeStep(rank);
         if (outcome != StepOutcome::Placed)
@@ -116,7 +119,7 @@
         if (!advice || !advice->reservation || advice->ticketRequestsInFlight > 0)
             continue;
         reservation.release();
-        m_unmetDemands.clear();
+        clearUnmetDemands();
         if (placeStep(rank) == StepOutcome::Placed)
             m_ready.erase(rank);
         // The pass that meets the reservation releases it.
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -119,7 +119,7 @@
     if (m_isSuperseded)
         return;
     m_usableWorkers.clear();
-    m_unmetDemands.clear();
+    clearUnmetDemands();
     size_t scanned = 0;
     size_t searches = 0;
     for (auto it = m_ready.begin(); it != m_ready.end() && scanned < maxScannedSteps; ++it, ++scanned) {
@@ -147,10 +147,10 @@
     if (waited < noRoomDelay || now - job.arrivedAt < stay || now - job.searchedAt < m_searchInterval)
         return false;
     // A gang for which room or tickets are being gathered here would begin anew elsewhere.
-    if (!isTransferable(job) || isExclusive(job.spec.id, ref) || isGatheringTickets(job, ref))
+    if (!isTransferable(job) || isKeptHere(job.spec.id, ref) || isGatheringTickets(job, ref))
         return false;
     const StepSpec& spec = job.stepSpec(ref);
-    if (waited >= unplacedDelay || !hasRoomForTask(job, spec))
+    if (waited >= unplacedDelay || !hasRoomForTask(job, ref))
         return true;
     return spec.isGang && freeRoomFor(roomQueryOf(job, ref)) < spec.taskCount;
 }
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -105,6 +105,8 @@
     Resources usedByServices;
     /** Capacity reserved for steps with a better rank, in the current placement round. */
     Resources reserved;
+    /** The part of `reserved` that work may use if it ends before the step begins. */
+    Resources backfillable;
 
     uint64_t processedThrough = 0;
     uint64_t acknowledgedThrough = 0;
--- a/test/correctness/WideStepsTest.cpp
+++ b/test/correctness/WideStepsTest.cpp
@@ -36,6 +36,33 @@
         world.setQueueOf(absl::StrCat(prefix, i), policy);
 }
 
+/** The service of the traced case: requests for 100 workers take 1.06 s, which is nearly half of what tickets last. */
+const AdvicePolicy tracedAdvice { true, absl::Seconds(0.44), absl::Milliseconds(6.2), absl::Seconds(2.5) };
+
+/** Puts PREFIX0, PREFIX1... into queues with the policy service of the traced case, and a target that they can meet. */
+void setTracedAdvice(CellWorld& world, const std::string& prefix, int jobs)
+{
+    world.setAdviceDelay(absl::Seconds(1.06));
+    world.setTicketValidity(tracedAdvice.validity);
+    QueuePolicy policy = world.policy();
+    policy.advice = tracedAdvice;
+    policy.latencyTarget = absl::Seconds(30);
+    for (int i = 0; i < jobs; ++i)
+        world.setQueueOf(absl::StrCat(prefix, i), policy);
+}
+
+/** How many workers' worth of processors nothing runs on. */
+int64_t idleWorkers(CellWorld& world)
+{
+    int64_t idle = 0;
+    for (const WorldWorker& worker : world.workers()) {
+        idle += worker.capacity.cpuMillis;
+        for (const auto& [task, run] : worker.runs)
+            idle -= run.demand.cpuMillis;
+    }
+    return idle / workerCpuMillis;
+}
+
 /** Hands in narrow jobs that together keep `workers` workers busy, for as long as `duration`. */
 void runBeside(CellWorld& world, int workers, absl::Duration duration, const std::string& prefix)
 {
@@ -196,3 +223,63 @@
     LONGS_EQUAL(70, world.startsOf("wide0"));
     STRCMP_EQUAL("", world.report().c_str());
 }
+
+TEST(WideSteps, aWideGangThatIsOnTimeDoesNotWaitForRoomThatNarrowWorkTakesBetweenItsRequests)
+{
+    CellWorld world { 3, 200, 1 };
+    world.setCells(1);
+    startWorld(world, false);
+    setTracedAdvice(world, "gang", 1);
+    constexpr int busyWorkers = 190;
+    runBeside(world, busyWorkers, absl::Seconds(2), "before");
+    // It fits twice over on the allowed workers, two tasks on each.
+    world.submit(0, makeGang("gang0", 126, workerCpuMillis / 2));
+    runBeside(world, busyWorkers, absl::Seconds(3), "beside");
+    LONGS_EQUAL(126, world.startsOf("gang0"));
+    STRCMP_EQUAL("", world.report().c_str());
+}
+
+TEST(WideSteps, aQueueOfWideGangsNeitherIdlesTheCellNorKeepsNarrowWorkWaiting)
+{
+    constexpr int gangCount = 6;
+    constexpr int busyWorkers = 170;
+    CellWorld world { 3, 200, 1 };
+    world.setCells(1);
+    startWorld(world, false);
+    setTracedAdvice(world, "gang", gangCount);
+    runBeside(world, busyWorkers, absl::Seconds(2), "before");
+    for (int i = 0; i < gangCount; ++i)
+        world.submit(0, makeGang(absl::StrCat("gang", i), 126, workerCpuMillis / 2));
+    constexpr int rounds = 100;
+    constexpr int maxWaitRounds = 20;
+    int64_t idle = 0;
+    for (int i = 0; i < rounds; ++i) {
+        runBeside(world, busyWorkers, absl::Milliseconds(100), absl::StrCat("beside", i, "-"));
+        if (i >= maxWaitRounds)
+            CHECK(world.startsOf(absl::StrCat("beside", i - maxWaitRounds, "-0")) > 0);
+        idle += idleWorkers(world);
+    }
+    // 30 are idle without gangs.
+    CHECK(idle / rounds < 45);
+    for (int i = 0; i < gangCount; ++i)
+        LONGS_EQUAL(126, world.startsOf(absl::StrCat("gang", i)));
+    STRCMP_EQUAL("", world.report().c_str());
+}
+
+TEST(WideSteps, onlyWorkThatEndsBeforeAWideGangBeginsRunsOnWhatTheGangKeeps)
+{
+    CellWorld world { 3, 24, 1 };
+    startWorld(world, false);
+    world.policy().latencyTarget = absl::Seconds(30);
+    world.submit(0, makeJob("first", 12, workerCpuMillis, absl::Seconds(3)));
+    world.run(absl::Milliseconds(200));
+    world.submit(0, makeGang("gang", 30, workerCpuMillis / 2));
+    world.run(absl::Milliseconds(500));
+    world.submit(0, makeJob("long", 12, workerCpuMillis, absl::Seconds(5)));
+    world.submit(0, makeJob("short", 12, workerCpuMillis, absl::Seconds(1)));
+    world.run(absl::Milliseconds(300));
+    LONGS_EQUAL(12, world.startsOf("short"));
+    LONGS_EQUAL(0, world.startsOf("long"));
+    CHECK(world.runUntil([&] { return world.startsOf("gang") == 30; }, absl::Milliseconds(2300)));
+    STRCMP_EQUAL("", world.report().c_str());
+}
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -427,6 +427,8 @@
 {
     if (question.workers.size() > maxWorkersInAdvice)
         m_world.violate("an advice request names too many workers");
+    if (m_world.m_isPolicySilent)
+        return;
     AdviceReply answer;
     answer.isValid = true;
     answer.validity = m_world.m_ticketValidity;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -163,6 +163,8 @@
     void setQueueOf(const std::string& job, QueuePolicy policy);
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
+    /** The policy service gives no reply to what it is asked meanwhile. */
+    void setPolicySilent(bool isSilent) { m_isPolicySilent = isSilent; }
     /** How long tickets are valid from the policy service's answer on. */
     void setTicketValidity(absl::Duration validity) { m_ticketValidity = validity; }
     Instant lastStartAt() const { return m_lastStartAt; }
@@ -233,6 +235,7 @@
     /** Policies of queues that hold one job, by its id, which is also the queue's name. */
     absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
+    bool m_isPolicySilent = false;
     absl::Duration m_ticketValidity = absl::Seconds(2);
     absl::btree_map<std::string, Job> m_jobs;
     absl::btree_set<std::string> m_accepted;
