--- a/src/CellAdmission.cpp
+++ b/src/CellAdmission.cpp
@@ -34,7 +34,8 @@
     const Instant now = m_parts.timers.clock().now();
     const std::string& service = policyOf(job).service;
     bool isFull = true;
-    for (const auto& [id, worker] : m_workers) {
+    for (const auto& item : m_workers) {
+        const CellWorker& worker = item.second;
         if (worker.listed.service != service || !worker.isUsable(now))
             continue;
         capacity += worker.listed.capacity.cpuMillis;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -76,10 +76,7 @@
     CellStep& step = job.step(ref);
     const QueuePolicy& policy = policyOf(job);
     const absl::Duration objective = objectiveOf(job, policy);
-    absl::Duration remaining = job.criticalPathFrom(ref.step);
-    const EstimateCorrection correction = correctionOf(job);
-    if (correction.isContradicted)
-        remaining *= correction.median;
+    const absl::Duration remaining = job.criticalPathFrom(ref.step);
     if (job.spec.account.empty()) {
         const Instant begin = job.spec.occurrences > 0 ? step.readyAt : job.acceptedAt;
         step.latestStart = begin + objective - remaining;
@@ -173,26 +170,20 @@
     absl::flat_hash_map<std::string, uint32_t> counts;
     if (spec.maxPerWorker > 0)
         counts = step.activeRunsByWorker();
+    const bool backfills = mayBackfill(job, ref);
     struct FreeCapacity {
         CellWorker* worker;
         Resources free;
         bool isOnDataRack;
         double speedPenalty;
     };
-    const EstimateCorrection correction = correctionOf(job);
-    const SpeedNeed need
-        = speedNeedOf(m_parts.timers.clock().now(), step.latestStart, spec.estimate * correction.median);
-    const auto penaltyOf = [&](const CellWorker& worker) {
-        const bool usesSpeed = correction.isContradicted && worker.speed.isKnown();
-        return usesSpeed ? speedPenalty(need, worker.speed.value()) : worker.slowdown - 1;
-    };
     std::vector<FreeCapacity> freeCapacities;
     for (CellWorker* worker : eligible) {
         if (!onlyRack.empty() && worker->listed.rack != onlyRack)
             continue;
-        if (fits(demand, worker->free()))
-            freeCapacities.push_back({ worker, worker->free(),
-                !spec.dataRack.empty() && worker->listed.rack == spec.dataRack, penaltyOf(*worker) });
+        if (fits(demand, freeFor(*worker, backfills)))
+            freeCapacities.push_back({ worker, freeFor(*worker, backfills),
+                !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
     }
     std::vector<Choice> choices;
     for (const uint32_t index : startableTasks(job, ref)) {
@@ -205,7 +196,7 @@
             if (spec.maxPerWorker > 0 && counts[id] >= spec.maxPerWorker)
                 continue;
             const double score = freeShareAfter(freeCapacity.free, demand, freeCapacity.worker->listed.capacity)
-                - (freeCapacity.isOnDataRack ? 10 : 0) + freeCapacity.speedPenalty;
+                - (freeCapacity.isOnDataRack ? 10 : 0) + (freeCapacity.worker->slowdown - 1);
             if (!best || score < bestScore) {
                 best = &freeCapacity;
                 bestScore = score;
@@ -241,18 +232,43 @@
     return !choices.empty();
 }
 
-bool Cell::hasRoomForTask(CellJob& job, const StepSpec& spec)
+bool Cell::mayBackfill(CellJob& job, StepRef ref)
+{
+    const Instant now = m_parts.timers.clock().now();
+    if (m_backfillUntil == absl::ZeroDuration())
+        return false;
+    const StepSpec& spec = job.stepSpec(ref);
+    if (spec.isService)
+        return urgencyOf(job.timesOf(ref), now) == StepUrgency::LostService;
+    return !spec.isGang && spec.estimate > absl::ZeroDuration() && now + spec.estimate <= m_backfillUntil;
+}
+
+Resources Cell::freeFor(const CellWorker& worker, bool mayBackfill)
 {
+    return mayBackfill ? worker.free() + worker.backfillable : worker.free();
+}
+
+void Cell::clearUnmetDemands()
+{
+    m_unmetDemands.clear();
+    m_unmetBackfills.clear();
+}
+
+bool Cell::hasRoomForTask(CellJob& job, StepRef ref)
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    const bool backfills = mayBackfill(job, ref);
+    UnmetDemands& unmet = backfills ? m_unmetBackfills : m_unmetDemands;
     const std::string& service = policyOf(job).service;
     const Resources demand = demandOf(spec);
-    if (m_unmetDemands.includes(service, spec.requiredLabel, demand))
+    if (unmet.includes(service, spec.requiredLabel, demand))
         return false;
     const std::vector<CellWorker*>& workers = usableWorkers(service);
     const bool hasRoom = std::any_of(workers.begin(), workers.end(), [&](const CellWorker* worker) {
-        return hasLabel(worker->listed, spec.requiredLabel) && fits(demand, worker->free());
+        return hasLabel(worker->listed, spec.requiredLabel) && fits(demand, freeFor(*worker, backfills));
     });
     if (!hasRoom)
-        m_unmetDemands.add(service, spec.requiredLabel, demand);
+        unmet.add(service, spec.requiredLabel, demand);
     return hasRoom;
 }
 
@@ -277,7 +293,7 @@
             m_parts.onMoreQuotaWanted();
         return StepOutcome::Skipped;
     }
-    step.lacksRoom = !hasRoomForTask(*job, spec);
+    step.lacksRoom = !hasRoomForTask(*job, rank.ref);
     if (step.lacksRoom)
         return StepOutcome::Skipped;
     if (policyOf(*job).advice.isNeeded)
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -120,7 +120,7 @@
         return;
     const Instant now = m_parts.timers.clock().now();
     m_usableWorkers.clear();
-    m_unmetDemands.clear();
+    clearUnmetDemands();
     if (now >= m_unmetElsewhereUntil) {
         m_unmetElsewhere.clear();
         m_unmetElsewhereUntil = now + m_searchInterval;
@@ -168,10 +168,10 @@
     if (isHeldByLimit(job, ref))
         return false;
     // A gang for which room or tickets are being gathered here would begin anew elsewhere.
-    if (!isTransferable(job) || isExclusive(job.spec.id, ref) || isGatheringTickets(job, ref))
+    if (!isTransferable(job) || isKeptHere(job.spec.id, ref) || isGatheringTickets(job, ref))
         return false;
     const StepSpec& spec = job.stepSpec(ref);
-    if (waited >= unplacedDelay || !hasRoomForTask(job, spec))
+    if (waited >= unplacedDelay || !hasRoomForTask(job, ref))
         return true;
     return spec.isGang && freeRoomFor(roomQueryOf(job, ref)) < spec.taskCount;
 }
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -198,6 +198,8 @@
     /** How long the policy service takes to answer. */
     void setAdviceDelay(absl::Duration delay) { m_adviceDelay = delay; }
     size_t adviceRequests() const { return m_adviceRequests; }
+    /** The policy service gives no reply to what it is asked meanwhile. */
+    void setPolicySilent(bool isSilent) { m_isPolicySilent = isSilent; }
     /** How long tickets are valid from the policy service's answer on. */
     void setTicketValidity(absl::Duration validity) { m_ticketValidity = validity; }
     Instant lastStartAt() const { return m_lastStartAt; }
@@ -277,6 +279,7 @@
     absl::btree_map<std::string, ClientAccount> m_judgedLimits;
     absl::btree_map<std::string, std::vector<uint64_t>> m_retryAfters;
     absl::Duration m_adviceDelay = absl::Milliseconds(15);
+    bool m_isPolicySilent = false;
     absl::Duration m_ticketValidity = absl::Seconds(2);
     absl::btree_map<std::string, Job> m_jobs;
     absl::btree_set<std::string> m_accepted;
