Learnt run times: no part in the order and the choice of workers

Estimates there are off for each job by itself, so that the factor of a queue says little about the next one, and steps that count as late on arrival wait behind all others. What stays: runs are not stopped as stuck by an estimate that the measurement contradicts.

--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -175,7 +175,6 @@
         CellWorker* worker;
         Resources free;
         bool isOnDataRack;
-        double speedPenalty;
     };
     std::vector<FreeCapacity> freeCapacities;
     for (CellWorker* worker : eligible) {
--- a/src/RunTimeEstimates.cpp
+++ b/src/RunTimeEstimates.cpp
@@ -13,10 +13,6 @@
     constexpr absl::Duration minLogInterval = absl::Seconds(10);
     /** A single run counts as at most this many times faster or slower than its queue's median. */
     constexpr double maxRelativeSpeed = 10;
-    /** A step that is late by up to this share of its run time is still on time on a fast worker. */
-    constexpr double savedByFastWorker = 0.25;
-    /** How much a step with time to spare avoids fast workers, relative to best fit. */
-    constexpr double avoidanceWeight = 0.5;
 
     /** The `q` quantile; reorders `values`, which must not be empty. */
     double quantile(std::vector<float>& values, double q)
@@ -132,19 +128,4 @@
     return isContradicted ? EstimateChange::Contradicted : EstimateChange::HoldAgain;
 }
 
-SpeedNeed speedNeedOf(Instant now, Instant latestStart, absl::Duration runTime)
-{
-    const absl::Duration slack = latestStart - now;
-    const bool isTight = slack >= -savedByFastWorker * runTime && slack < runTime;
-    return isTight ? SpeedNeed::Fast : SpeedNeed::Any;
-}
-
-double speedPenalty(SpeedNeed need, double speed)
-{
-    // A worker that is slower than the estimates' own tolerance is avoided by all.
-    if (need == SpeedNeed::Fast || speed < RunTimeEstimates::minMedianRatio)
-        return 1 / speed - 1;
-    return (speed - 1) * avoidanceWeight;
-}
-
 } // namespace cicada
--- a/src/RunTimeEstimates.h
+++ b/src/RunTimeEstimates.h
@@ -2,9 +2,10 @@
 
 /** \file
  * Measured run times compared with the declared estimates of each queue, and the speed of each worker that follows from
- * them. A cell corrects a queue's estimates only where the measurement contradicts them; otherwise the declared ones
- * stand. Nothing is stored: a new owner measures again. RunTimes does the like for the requests of the older interface,
- * by service and profile and without declared estimates that callers rely on.
+ * them. A cell uses them to tell runs that are stuck from runs that are longer than declared, and only where the
+ * measurement contradicts the estimates; otherwise the declared ones stand. Nothing is stored: a new owner measures
+ * again. RunTimes does the like for the requests of the older interface, by service and profile and without declared
+ * estimates that callers rely on.
  */
 
 #include "Clock.h"
@@ -117,19 +118,4 @@
     absl::flat_hash_map<std::string, Queue> m_queues;
 };
 
-/** How much the speed of a worker matters for a step that is placed. */
-enum class SpeedNeed {
-    /** The step has about as much time left as it takes, so that a faster worker decides whether it is on time. */
-    Fast,
-    /** The step is in time on most workers, or on none: it leaves the fast ones to others. */
-    Any,
-};
-
-/** The need of a step that is placed at `now` and must start at `latestStart` to be on time, where one run is expected
- * to take `runTime`. */
-SpeedNeed speedNeedOf(Instant now, Instant latestStart, absl::Duration runTime);
-/** What is added to a worker's placement score, which otherwise is the share of the worker that stays free. The worker
- * with the lowest score is chosen. */
-double speedPenalty(SpeedNeed, double speed);
-
 } // namespace cicada
