--- a/src/AccountRate.h
+++ b/src/AccountRate.h
@@ -2,7 +2,7 @@
 
 /** \file
  * Decides which jobs of a client account are within the rate up to which it is owed service. Jobs beyond it are
- * *excess*: they are served with capacity that nobody else wants. The decision is made once, on acceptance, and kept
+ * *excess*: they get capacity that no other work needs. The decision is made once, on acceptance, and kept
  * with the job, so that its order does not depend on which entry owns its cell.
  */
 
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -332,7 +332,8 @@
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
     const Instant now = m_parts.timers.clock().now();
-    // Excess work does not count, so that an account loses none of what it is owed by taking what nobody else wants.
+    // Excess work does not count, so that an account loses none of what it is owed by using capacity that no other work
+    // needs.
     if (!job.isExcess && !spec.isService && m_hasAccounts)
         m_accountShares.recordStarted(
             job.spec.account, weightOf(job.spec.account), job.workOfTask(ref) * static_cast<double>(choices.size()));
--- a/test/support/AccountLimitsWorld.h
+++ b/test/support/AccountLimitsWorld.h
@@ -29,7 +29,7 @@
     void setGang(uint32_t cell, bool isGang) { m_cells[cell].isGang = isGang; }
     void setLimit(size_t entry, int64_t limit);
     void setLimits(int64_t limit);
-    /** The entry takes the row, or nobody if it is none. */
+    /** The entry takes the row; none gives it up. */
     void take(uint32_t cell, std::optional<size_t> entry);
     void setPaused(size_t entry, bool isPaused);
     /** A cut entry reaches no other one. */
