--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -202,7 +202,7 @@
     m_exclusive = ExclusiveReservation { longest->job, longest->ref, now + maxExclusive, std::nullopt };
     CellJob& job = *findJob(longest->job);
     if (job.step(longest->ref).latestStart >= now)
-        m_exclusive->planned.emplace();
+        m_exclusive->planned = PlannedRoom();
     m_parts.log.write("reservation-begun", "job", longest->job, "occurrence", longest->ref.occurrence, "step",
         longest->ref.step, "tasks", job.step(longest->ref).tasks.size(), "waitedMs",
         absl::ToInt64Milliseconds(now - job.step(longest->ref).readyAt), "planned", m_exclusive->planned.has_value());
--- a/src/RunTimeEstimates.cpp
+++ b/src/RunTimeEstimates.cpp
@@ -1,6 +1,7 @@
 #include "RunTimeEstimates.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cicada {
 
@@ -17,7 +18,7 @@
     /** The `q` quantile; reorders `values`, which must not be empty. */
     double quantile(std::vector<float>& values, double q)
     {
-        const auto index = static_cast<ptrdiff_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+        const auto index = std::lround(q * static_cast<double>(values.size() - 1));
         std::nth_element(values.begin(), values.begin() + index, values.end());
         return values[static_cast<size_t>(index)];
     }
--- a/test/correctness/RunTimeEstimatesTest.cpp
+++ b/test/correctness/RunTimeEstimatesTest.cpp
@@ -31,7 +31,7 @@
     CellWorld world { 1, 8, 1 };
     std::vector<std::pair<std::string, Instant>> objectives;
 
-    explicit BurstWorld(std::vector<Kind> kinds, bool sharesQueues, int bursts, absl::Duration interval)
+    explicit BurstWorld(const std::vector<Kind>& kinds, bool sharesQueues, int bursts, absl::Duration interval)
     {
         world.setListsProgress(true);
         world.setWork([kinds](const Submission& job, const TaskName&, size_t) {
