--- a/src/CellAdmission.cpp
+++ b/src/CellAdmission.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "Cell.h"
+#include "SaturatingCast.h"
 
 #include "Job.h"
 
@@ -87,12 +88,12 @@
     if (decision.isRefused())
         m_parts.log.write("job-refused", "job", job.spec.id, "queue", job.policy.queue, "account", job.spec.account,
             "why", refusalReasonName(decision.reason), "excess", inputs.isExcess, "priority", job.policy.priority,
-            "owedWaits", inputs.hasOwedWaiting, "aheadCoreMs", static_cast<int64_t>(inputs.workAhead / 1000),
-            "capacityCpuMillis", static_cast<int64_t>(inputs.capacity), "drainMs",
+            "owedWaits", inputs.hasOwedWaiting, "aheadCoreMs", saturatingCast<int64_t>(inputs.workAhead / 1000),
+            "capacityCpuMillis", saturatingCast<int64_t>(inputs.capacity), "drainMs",
             absl::ToInt64Milliseconds(decision.drainTime), "criticalPathMs",
             absl::ToInt64Milliseconds(inputs.criticalPath), "widestCoreMs",
-            static_cast<int64_t>(inputs.widestWork / 1000), "objectiveMs", absl::ToInt64Milliseconds(inputs.objective),
-            "retryAfterS", decision.retryAfterSeconds);
+            saturatingCast<int64_t>(inputs.widestWork / 1000), "objectiveMs",
+            absl::ToInt64Milliseconds(inputs.objective), "retryAfterS", decision.retryAfterSeconds);
     return decision;
 }
 
