Read integers of JSON alike on every machine, and refuse those that do not fit

What callers saw: a real number beyond 64 bits in a worker's view, in an order to a worker, in the platform's list of VMs or in a record of the store (1e300) was read as the smallest integer on x86-64 and as the largest on arm64. A worker with such a capacity or use was full to one entry and empty to the next; a negative or an overlong number was read as some other one on both. Cause: the JSON library's get<Integer>() converts whatever number stands there; for what the integer can't hold the language leaves the result open. Ruled out: a check in each schema only; most of these messages have none.

--- a/src/BackEnds.cpp
+++ b/src/BackEnds.cpp
@@ -14,9 +14,9 @@
     Resources parseCapacity(const Internal::Json& item)
     {
         Resources capacity;
-        capacity.cpuMillis = item.value("cpuMillis", int64_t { 0 });
-        capacity.memoryMiB = item.value("memoryMiB", int64_t { 0 });
-        capacity.accelerators = item.value("accelerators", int64_t { 0 });
+        capacity.cpuMillis = Internal::integerOr<int64_t>(item, "cpuMillis", 0);
+        capacity.memoryMiB = Internal::integerOr<int64_t>(item, "memoryMiB", 0);
+        capacity.accelerators = Internal::integerOr<int64_t>(item, "accelerators", 0);
         return capacity;
     }
 
@@ -30,7 +30,7 @@
             backEnd.region = item.value("region", "");
             backEnd.failureDomain = item.value("failureDomain", "");
             backEnd.rack = item.value("rack", "");
-            backEnd.slots = item.value("slots", 0U);
+            backEnd.slots = Internal::integerOr<uint32_t>(item, "slots", 0);
             backEnd.leaving = item.value("state", "live") != "live";
             backEnd.capacity = parseCapacity(item);
             backEnd.address = BOOST_OUTCOME_TRYX(parseEndpoint(item.at("address").get<std::string>()));
--- a/src/ConfigDocument.cpp
+++ b/src/ConfigDocument.cpp
@@ -32,7 +32,7 @@
         try {
             if (!isObjectOfRecords(document.at("body")))
                 return false;
-            content.version = document.at("version").get<uint64_t>();
+            content.version = Internal::integerOf<uint64_t>(document.at("version"));
             content.recentChanges = document.at("recentChanges").get<std::vector<std::string>>();
             content.body = document.at("body").dump();
         } catch (const Json::exception&) {
--- a/src/HttpStore.cpp
+++ b/src/HttpStore.cpp
@@ -37,7 +37,7 @@
             return std::nullopt;
         StoreEntry entry;
         entry.key = item["Key"].get<std::string>();
-        entry.index = item["ModifyIndex"].get<uint64_t>();
+        entry.index = Internal::integerOf<uint64_t>(item["ModifyIndex"]);
         if (item.contains("Value") && item["Value"].is_string())
             absl::Base64Unescape(item["Value"].get<std::string>(), &entry.value);
         return entry;
--- a/src/Job.cpp
+++ b/src/Job.cpp
@@ -44,9 +44,9 @@
     {
         TaskSpec task;
         task.kind = item.value("kind", "batch") == "service" ? TaskKind::Service : TaskKind::Batch;
-        task.demand.cpuMillis = item.at("cpuMillis").get<int64_t>();
-        task.demand.memoryMiB = item.at("memoryMiB").get<int64_t>();
-        task.demand.accelerators = item.value("accelerators", int64_t { 0 });
+        task.demand.cpuMillis = Internal::integerOf<int64_t>(item.at("cpuMillis"));
+        task.demand.memoryMiB = Internal::integerOf<int64_t>(item.at("memoryMiB"));
+        task.demand.accelerators = Internal::integerOr<int64_t>(item, "accelerators", 0);
         task.command = item.value("command", "");
         return task;
     }
@@ -201,8 +201,8 @@
         JobRecord record;
         record.spec = readSpec(document.at("id").get<std::string>(), document.at("spec"));
         record.profile = BOOST_OUTCOME_TRYX(parseProfile(record.spec.profile, document.at("profile").dump()));
-        record.acceptedMicros = document.at("acceptedMicros").get<int64_t>();
-        record.endedMicros = document.at("endedMicros").get<int64_t>();
+        record.acceptedMicros = Internal::integerOf<int64_t>(document.at("acceptedMicros"));
+        record.endedMicros = Internal::integerOf<int64_t>(document.at("endedMicros"));
         for (const char mark : document.at("marks").get<std::string>())
             record.marks.push_back(static_cast<TaskMark>(mark));
         const auto state = document.at("state").get<std::string>();
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -24,7 +24,7 @@
     {
         std::vector<EntryId> ids;
         for (const auto& item : list)
-            ids.push_back({ item.at(0).get<std::string>(), item.at(1).get<uint64_t>() });
+            ids.push_back({ item.at(0).get<std::string>(), Internal::integerOf<uint64_t>(item.at(1)) });
         return ids;
     }
 
@@ -75,8 +75,8 @@
         const auto document = Json::parse(text.begin(), text.end());
         Member member;
         member.name = document.at("name").get<std::string>();
-        member.incarnation = document.at("incarnation").get<uint64_t>();
-        member.version = document.at("version").get<uint64_t>();
+        member.incarnation = Internal::integerOf<uint64_t>(document.at("incarnation"));
+        member.version = Internal::integerOf<uint64_t>(document.at("version"));
         member.state = decodeState(document.at("state").get<std::string>());
         member.guardians = decodeIds(document.at("guardians"));
         member.lapses = decodeIds(document.at("lapses"));
--- a/src/OwnershipTable.cpp
+++ b/src/OwnershipTable.cpp
@@ -39,13 +39,13 @@
     {
         try {
             const auto document = Json::parse(text);
-            lastEpoch = document.at("lastEpoch").get<uint64_t>();
+            lastEpoch = Internal::integerOf<uint64_t>(document.at("lastEpoch"));
             rows.clear();
             for (const auto& item : document.at("rows")) {
                 OwnershipRow& row = rows[item.at(0).get<std::string>()];
                 row.owner.name = item.at(1).get<std::string>();
-                row.owner.incarnation = item.at(2).get<uint64_t>();
-                row.epoch = item.at(3).get<uint64_t>();
+                row.owner.incarnation = Internal::integerOf<uint64_t>(item.at(2));
+                row.epoch = Internal::integerOf<uint64_t>(item.at(3));
                 row.region = item.at(4).get<std::string>();
             }
             return true;
--- a/src/Profile.cpp
+++ b/src/Profile.cpp
@@ -71,7 +71,7 @@
     BOOST_OUTCOME_TRY(Internal::checkSchema(document, schemaText, "profile", ErrorKind::InvalidProfile));
     Profile profile;
     profile.name = std::string(name);
-    profile.maxWait = absl::Milliseconds(document.at("maxWaitMs").get<int64_t>());
+    profile.maxWait = absl::Milliseconds(Internal::integerOf<int64_t>(document.at("maxWaitMs")));
     profile.mayRunTwice = document.at("mayRunTwice").get<bool>();
     profile.whenShort = BOOST_OUTCOME_TRYX(parseShortageAction(document.at("whenShort").get<std::string>()));
     profile.urgency = document.value("urgency", profile.urgency);
--- a/src/ProfileRegistry.cpp
+++ b/src/ProfileRegistry.cpp
@@ -16,7 +16,8 @@
     Result<void> checkExpectedVersion(const ProfileChange& change, const Json& profiles)
     {
         const auto it = profiles.find(change.name);
-        const uint64_t version = it == profiles.end() ? 0 : it->value("version", uint64_t { 0 });
+        const uint64_t version
+            = it == profiles.end() ? 0 : Internal::toInteger<uint64_t>(it->value("version", Json(0))).value_or(0);
         if (!change.json && version == 0)
             return Error { ErrorKind::UnknownProfile, absl::StrCat("There is no profile '", change.name, "'."),
                 "List the profiles to see their names." };
@@ -33,7 +34,7 @@
     {
         try {
             BOOST_OUTCOME_TRY(profile, parseProfile(name, item.at("profile").dump()));
-            return ProfileRecord { std::move(profile), item.at("version").get<uint64_t>() };
+            return ProfileRecord { std::move(profile), Internal::integerOf<uint64_t>(item.at("version")) };
         } catch (const Json::exception& error) {
             return Error { ErrorKind::MalformedMessage, error.what(), "Set the profile again." };
         }
--- a/src/WorkerMessages.cpp
+++ b/src/WorkerMessages.cpp
@@ -24,8 +24,8 @@
 
     Resources readResources(const Json& item)
     {
-        return { item.at("cpuMillis").get<int64_t>(), item.at("memoryMiB").get<int64_t>(),
-            item.at("accelerators").get<int64_t>() };
+        return { Internal::integerOf<int64_t>(item.at("cpuMillis")), Internal::integerOf<int64_t>(item.at("memoryMiB")),
+            Internal::integerOf<int64_t>(item.at("accelerators")) };
     }
 
     RunId readRunId(const Json& item)
@@ -67,7 +67,7 @@
                 run.state = static_cast<RunState>(i);
         }
         run.demand = readResources(item.at("demand"));
-        run.urgency = item.at("urgency").get<int>();
+        run.urgency = Internal::integerOf<int>(item.at("urgency"));
         run.preemptible = item.at("preemptible").get<bool>();
         run.checkpoint = item.at("checkpoint").get<std::string>();
         return run;
@@ -130,9 +130,9 @@
 Result<WorkerSync> decodeWorkerSync(absl::string_view json)
 {
     return decode<WorkerSync>(json, "sync", [](const Json& document, WorkerSync& m) {
-        m.epoch = document.at("epoch").get<uint64_t>();
+        m.epoch = Internal::integerOf<uint64_t>(document.at("epoch"));
         m.ticket = document.at("ticket").get<std::string>();
-        m.lease = absl::Milliseconds(document.at("leaseMs").get<int64_t>());
+        m.lease = absl::Milliseconds(Internal::integerOf<int64_t>(document.at("leaseMs")));
         m.renew = readRunIds(document.at("renew"));
         m.forget = readRunIds(document.at("forget"));
     });
@@ -152,12 +152,12 @@
 Result<WorkerStart> decodeWorkerStart(absl::string_view json)
 {
     return decode<WorkerStart>(json, "start", [](const Json& document, WorkerStart& m) {
-        m.epoch = document.at("epoch").get<uint64_t>();
+        m.epoch = Internal::integerOf<uint64_t>(document.at("epoch"));
         m.ticket = document.at("ticket").get<std::string>();
-        m.lease = absl::Milliseconds(document.at("leaseMs").get<int64_t>());
+        m.lease = absl::Milliseconds(Internal::integerOf<int64_t>(document.at("leaseMs")));
         m.id = readRunId(document.at("id"));
         m.demand = readResources(document.at("demand"));
-        m.urgency = document.at("urgency").get<int>();
+        m.urgency = Internal::integerOf<int>(document.at("urgency"));
         m.preemptible = document.at("preemptible").get<bool>();
         m.command = document.at("command").get<std::string>();
         m.checkpoint = document.at("checkpoint").get<std::string>();
@@ -167,7 +167,7 @@
 Result<WorkerStop> decodeWorkerStop(absl::string_view json)
 {
     return decode<WorkerStop>(json, "stop", [](const Json& document, WorkerStop& m) {
-        m.epoch = document.at("epoch").get<uint64_t>();
+        m.epoch = Internal::integerOf<uint64_t>(document.at("epoch"));
         m.id = readRunId(document.at("id"));
         m.checkpoint = document.at("checkpoint").get<bool>();
     });
