--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 5
 SOURCES := $(shell git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'test/*.h' 'test/*.cpp' 'apps/*.cpp' 'platform/*.h' 'platform/*.cpp')
 
-.PHONY: setup build asan asan-test tsan test demo bench lint format format-check
+.PHONY: setup build asan asan-test tsan cross test demo bench lint format format-check
 
 setup:
 	@bash .ci/setup
@@ -26,6 +26,10 @@
 	@cmake -S . -B $(BUILD)-tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCICADA_SANITIZER=thread >/dev/null
 	@cmake --build $(BUILD)-tsan -j $(JOBS)
 
+# Links the whole tree for each other architecture of .ci/architectures.
+cross: setup
+	@bash .ci/cross $(BUILD) $(JOBS)
+
 test: build
 	@bash .ci/known-red $(BUILD)
 
