--- /dev/null
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -0,0 +1,204 @@
+/** \file
+ * What a cell does about tasks under which workers crash, and about the work that ran beside them.
+ */
+
+#include "CellFailureWorld.h"
+
+using namespace cicada;
+using namespace cicada::test;
+
+TEST_GROUP_BASE(DeadlyTasks, CellFailureWorld)
+{
+    const TaskName deadly { "deadly", 0, 0, 0 };
+
+    /** Every task of the job crashes its worker. */
+    void makeDeadly(const std::string& job, absl::Duration away = absl::Seconds(3))
+    {
+        world.setDeadly([job](const TaskName& task) { return task.job == job; }, away);
+    }
+    /** Waits until the job is shown as failed. */
+    void expectFailed(const std::string& job, absl::Duration limit = absl::Seconds(30))
+    {
+        size_t at = world.owner().value_or(0);
+        CHECK(
+            world.runUntil([&] { return world.ask(at = world.owner().value_or(at), job) == JobPhase::Failed; }, limit));
+    }
+};
+
+TEST(DeadlyTasks, aTaskUnderWhichWorkersCrashIsGivenUpByTheThirdCrash)
+{
+    makeDeadly("deadly");
+    submitSome(20, other());
+    world.submit(other(), makeJob("deadly", 1));
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+    expectAllEnd();
+}
+
+TEST(DeadlyTasks, crashesAreCountedWhenTheOwnerIsKilledAfterEach)
+{
+    makeDeadly("deadly");
+    world.submit(other(), makeJob("deadly", 1));
+    for (size_t crash = 1; crash <= 5; ++crash) {
+        const bool hasCrashed = world.runUntil([&] { return world.crashesUnder(deadly) >= crash; }, absl::Seconds(25));
+        if (!hasCrashed)
+            break;
+        const size_t killed = owner();
+        world.kill(killed);
+        world.run(absl::Seconds(1));
+        world.start(killed);
+    }
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
+TEST(DeadlyTasks, aCrashThatOnlyTheNextOwnerDiscoversCounts)
+{
+    makeDeadly("deadly");
+    world.submit(other(), makeJob("deadly", 1));
+    for (size_t crash = 1; crash <= 5; ++crash) {
+        if (!world.runUntil([&] { return world.crashesUnder(deadly) >= crash; }, absl::Seconds(25)))
+            break;
+        // The worker is back before the successor hears it.
+        const size_t killed = owner();
+        world.kill(killed);
+        world.run(absl::Seconds(4));
+        world.start(killed);
+    }
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
+TEST(DeadlyTasks, aCrashOfAWorkerThatComesBackUnderAnotherIdCounts)
+{
+    makeDeadly("deadly", absl::Hours(1));
+    world.submit(other(), makeJob("deadly", 1));
+    expectFailed("deadly", absl::Seconds(60));
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
+TEST(DeadlyTasks, aJobThatMovesToAnotherCellTakesItsCrashesAlong)
+{
+    CellWorld cells { 4, 16, 7 };
+    cells.setCells(2);
+    CHECK(cells.runUntil([&] { return cells.ownerOf(0) && cells.ownerOf(1); }, absl::Seconds(10)));
+    const std::string id = CellWorld::jobIn(0, 2, 0);
+    cells.setDeadly([&id](const TaskName& task) { return task.job == id; });
+    cells.submit(0, makeJob(id, 1));
+    CHECK(cells.runUntil([&] { return cells.crashesUnder({ id, 0, 0, 0 }) == 1; }, absl::Seconds(10)));
+    // No worker of its cell may run it any more.
+    for (WorldWorker& worker : cells.workers())
+        worker.refuses = cellOfKey(worker.rack, 2) == 0;
+    CHECK(cells.runUntil([&] { return cells.ask(0, id) == JobPhase::Failed; }, absl::Seconds(60)));
+    CHECK(cells.crashesUnder({ id, 0, 0, 0 }) <= 3);
+    STRCMP_EQUAL("", cells.report().c_str());
+}
+
+TEST(DeadlyTasks, theWorkBesideADeadlyTaskIsLostOnceAndFinishes)
+{
+    makeDeadly("deadly");
+    for (int i = 0; i < 12; ++i, ++jobs)
+        world.submit(other(), makeJob(absl::StrCat("job", jobs), 4, 1000, absl::Seconds(2)));
+    world.submit(other(), makeJob("deadly", 1, 500));
+    expectFailed("deadly");
+    expectAllEnd();
+    for (int i = 0; i < jobs; ++i) {
+        const std::string id = absl::StrCat("job", i);
+        CHECK(world.ask(other(), id) == JobPhase::Finished);
+        for (uint32_t task = 0; task < 4; ++task)
+            CHECK(world.crashesUnder({ id, 0, 0, task }) <= 1);
+    }
+}
+
+TEST(DeadlyTasks, aWideDeadlyStepCrashesAWorkerAtATimeAfterItsFirstStart)
+{
+    makeDeadly("deadly");
+    world.submit(other(), makeJob("deadly", 40));
+    expectFailed("deadly");
+    // All twelve at first, and then one more.
+    CHECK(world.crashesUnderJob("deadly") <= 14);
+}
+
+TEST(DeadlyTasks, aQueueOfDeadlyJobsLeavesOthersTheirWorkers)
+{
+    world.setDeadly([](const TaskName& task) { return task.job.rfind("deadly", 0) == 0; });
+    for (int i = 0; i < 40; ++i) {
+        world.submit(other(), makeJob(absl::StrCat("deadly", i), 2));
+        submitSome(1, other());
+        world.run(absl::Milliseconds(250));
+    }
+    for (int i = 0; i < 40; ++i)
+        expectFailed(absl::StrCat("deadly", i), absl::Seconds(120));
+    expectAllEnd(absl::Seconds(60));
+    for (int i = 0; i < jobs; ++i)
+        CHECK(world.ask(other(), absl::StrCat("job", i)) == JobPhase::Finished);
+}
+
+TEST(DeadlyTasks, noJobIsFailedWhenRacksLosePowerAgainAndAgain)
+{
+    for (int round = 0; round < 4; ++round) {
+        for (int i = 0; i < 12; ++i, ++jobs)
+            world.submit(other(), makeJob(absl::StrCat("job", jobs), 4, 1000, absl::Seconds(3)));
+        world.run(absl::Milliseconds(1500));
+        const size_t rack = static_cast<size_t>(round) % 3;
+        for (size_t i = rack * 4; i < rack * 4 + 4; ++i)
+            world.crashWorker(i, absl::Seconds(4));
+        world.run(absl::Seconds(3));
+    }
+    expectAllEnd(absl::Seconds(60));
+    for (int i = 0; i < jobs; ++i)
+        CHECK(world.ask(other(), absl::StrCat("job", i)) == JobPhase::Finished);
+}
+
+TEST(DeadlyTasks, noJobIsFailedWhenWorkersAreCutOffOrDrained)
+{
+    for (int i = 0; i < 12; ++i, ++jobs)
+        world.submit(other(), makeJob(absl::StrCat("job", jobs), 4, 1000, absl::Seconds(3)));
+    for (int round = 0; round < 4; ++round) {
+        world.run(absl::Milliseconds(1500));
+        for (size_t i = 0; i < 4; ++i)
+            world.workers()[i].isCut = true;
+        world.run(absl::Seconds(10));
+        for (size_t i = 0; i < 4; ++i)
+            world.workers()[i].isCut = false;
+        const auto drained = 4 + static_cast<size_t>(round);
+        world.drainWorker(drained);
+        world.crashWorker(drained, absl::Seconds(2));
+        world.workers()[drained].isDraining = false;
+    }
+    expectAllEnd(absl::Seconds(60));
+    for (int i = 0; i < jobs; ++i)
+        CHECK(world.ask(other(), absl::StrCat("job", i)) == JobPhase::Finished);
+}
+
+TEST(DeadlyTasks, aDeadlyServiceIsGivenUp)
+{
+    makeDeadly("deadly");
+    Submission service = makeJob("deadly", 1);
+    service.steps[0].isService = true;
+    world.submit(other(), service);
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
+TEST(DeadlyTasks, aDeadlyGangIsGivenUp)
+{
+    makeDeadly("deadly");
+    Submission gang = makeJob("deadly", 6);
+    gang.steps[0].isGang = true;
+    world.submit(other(), gang);
+    submitSome(10, other());
+    expectFailed("deadly", absl::Seconds(60));
+    expectAllEnd();
+}
+
+TEST(DeadlyTasks, whereAdviceIsNeededADeadlyTaskIsGivenUpToo)
+{
+    world.policy().advice = { true, absl::Milliseconds(10), absl::Milliseconds(1), absl::Seconds(2) };
+    makeDeadly("deadly");
+    submitSome(20, other());
+    world.submit(other(), makeJob("deadly", 2));
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+    expectAllEnd();
+}
