Give up tasks under which workers crash, and run suspects apart from other jobs

Cause: a run that ends with its worker was nobody's failure, so nothing bounded the starts of its task, in the cell or in the record. The class: an end that is only inferred counts for nothing. And whoever ran beside a deadly task started again beside the next one. Change: each crash under a run counts in the job's run record. The intent of the next start stores it; until then the record shows a run on an incarnation that has ended, from which a successor learns of it, so it counts once whoever owns the cell, and it moves with the job. A task with a crash under it is a suspect: it runs only on a worker that has no other job, suspects have at most a quarter of a service's workers (three quarters while nothing else waits), and a job under whose tasks several workers crashed has one worker at a time until a task of it finishes. A second crash there gives the job up, a third one wherever it runs (bounds.maxCrashes). Crashes at the same time on workers without a common job are not held against anybody's first run (CrashLog). A start without a reply counts only where the suspect is alone. A queue whose suspects crash three workers within 10 s, and whose other tasks crash workers too, is confined to a quarter of the workers (QueueProbation). Gangs and services count; a service at work for a minute begins anew. Callers read why in `reason`. New logs worker-crashed, run-crashed, job-given-up, suspect-cleared, queue-confined; metrics of the same.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -110,13 +110,12 @@
     }
     if (transferMarkOf(entry.value))
         return;
-    int64_t ended = 0;
-    auto phase = endedPhaseOf(entry.value, ended);
-    if (phase)
-        m_endedJobs[id] = { phase.value(), ended };
+    auto ended = endedJobOf(entry.value);
+    if (ended)
+        m_endedJobs[id] = ended.value();
     else
         // A job that has arrived since the job records were read; the notice of its arrival is read next.
-        m_parts.log.write("run-record-without-job", "job", id, "error", phase.error().message);
+        m_parts.log.write("run-record-without-job", "job", id, "error", ended.error().message);
 }
 
 void Cell::finishLoading()
@@ -138,6 +137,8 @@
                     const StepSpec& spec = job->spec.steps[s];
                     allocate(worker, run, demandOf(spec), spec.isService, job->spec.account);
                     worker.allocations[run].isInherited = true;
+                    if (tasks[i].isSuspect && !spec.isGang)
+                        worker.isolate(run);
                     ++activeRuns;
                 }
             }
@@ -160,8 +161,11 @@
         else
             active.push_back(job.get());
     }
-    for (CellJob* job : active)
+    for (CellJob* job : active) {
+        if (job->hasSuspects())
+            m_suspectJobs.insert(job->spec.id);
         advance(*job);
+    }
     checkStuckRuns();
     removeExpiredJobs();
     publishRunTimeFactors();
@@ -305,13 +309,13 @@
     whenLocated(id, isRedirected, std::move(reply), [this, id](Reply located) {
         const auto ended = m_endedJobs.find(id);
         if (ended != m_endedJobs.end())
-            return located({ CellOutcome::Found, ended->second.first });
+            return located(CellReply::found(ended->second.phase, ended->second.crashes));
         const CellJob* job = findJob(id);
         if (!job || !job->isStored)
             return replyGone(std::move(located));
         if (isEnded(job->storedPhase))
-            return located({ CellOutcome::Found, job->storedPhase });
-        located({ CellOutcome::Found, job->hasBegun ? JobPhase::Running : JobPhase::Queued });
+            return located(CellReply::found(job->storedPhase, crashesAtEnd(*job)));
+        located(CellReply::found(job->hasBegun ? JobPhase::Running : JobPhase::Queued, 0));
     });
 }
 
@@ -406,7 +410,7 @@
             old.push_back(id);
     }
     for (const auto& [id, ended] : m_endedJobs) {
-        if (ended.second < oldest)
+        if (ended.endedUnixMillis < oldest)
             old.push_back(id);
     }
     for (const std::string& id : old) {
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -19,11 +19,13 @@
 #include "CellRoom.h"
 #include "CellWorker.h"
 #include "ClientAccount.h"
+#include "CrashLog.h"
 #include "DurableWriter.h"
 #include "GangReservation.h"
 #include "JobAdmission.h"
 #include "Metrics.h"
 #include "PrefixMirror.h"
+#include "QueueProbation.h"
 #include "RoomFinder.h"
 #include "RunTimeEstimates.h"
 #include "StepOrder.h"
@@ -46,6 +48,7 @@
     absl::Duration maxLease = absl::Seconds(6);
     /** How long the end of a job can be queried. */
     absl::Duration endedRetention = absl::Seconds(120);
+    CrashLimits crashes;
 };
 
 /** One entry's term as the owner of a cell. */
@@ -401,6 +404,64 @@
     EstimateCorrection correctionOf(CellJob& job);
     void applyEnd(CellWorker& worker, const EndedRun& ended, std::vector<std::string>& changed);
 
+    // CellCrashes.cpp: crashes of workers under tasks.
+    /** Records that the worker's incarnation has ended with its runs, if it had not announced that. `isCertain` is
+     * false if the worker may only have been cut off. */
+    void recordWorkerCrash(CellWorker& worker, absl::string_view why, bool isCertain);
+    /** Records a crash if the worker has restarted since a former owner ordered its runs. */
+    void recordInheritedCrash(CellWorker& worker);
+    /** What the worker's last crash says about the job's tasks that ran there. */
+    WorkerCrash crashAsSeenBy(const std::string& job, const std::string& worker) const;
+    static bool runsJob(const CellWorker& worker, const std::string& job);
+    /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
+    void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, CrashedRun kind);
+    void giveUp(CellJob& job, const TaskName& task, uint32_t crashes);
+
+    // CellIsolation.cpp: where tasks run that may crash their worker.
+    /** Whether workers crashed under several of the job's tasks, so that one of them shows what to expect of all. */
+    static bool isSuspectAsAWhole(const CellJob& job);
+    /** Whether tasks of the step that are no suspects have to wait until one of the job's suspects has finished. */
+    bool isHeldBack(const CellJob& job, StepRef ref) const;
+    /** The ready steps with waiting suspects, in the order in which steps get capacity. */
+    std::vector<StepRank> stepsWithSuspects();
+    /** Starts suspects on workers without other runs, and sets workers aside for those that wait. */
+    void placeSuspects();
+    /** Starts suspects of the step; returns how many of them still wait for a worker. */
+    size_t placeSuspectsOf(CellJob& job, StepRef ref);
+    /** Puts as many of the suspects on the worker as it has room for. */
+    static void fillWorker(
+        CellWorker& worker, const StepSpec& spec, std::vector<uint32_t>& suspects, std::vector<Choice>& choices);
+    /** Requests tickets for the workers, or else asks which ones are allowed. */
+    void requestSuspectAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> withoutTicket);
+    /** On how many more workers suspects of the job may run now. */
+    size_t workersAllowed(const CellJob& job) const;
+    /** Workers that could run a suspect of the step once their runs have ended, those first that will be soonest. */
+    std::vector<CellWorker*> isolableWorkers(CellJob& job, StepRef ref);
+    /** When the runs on the worker, but those of services, will have ended by their estimates. */
+    Instant emptyAt(const CellWorker& worker);
+    bool hasTicketFor(CellJob& job, StepRef ref, const CellWorker& worker);
+    /** How many more of the service's workers suspects may have, in the current placement round. */
+    size_t& freeLanes(const std::string& service);
+    /** Whether tasks wait for the service that are no suspects and whose queue is not on probation. */
+    bool hasOtherWorkWaiting(const std::string& service);
+    void setWorkersAside(CellJob& job, StepRef ref, size_t tasks);
+    void publishIsolation();
+    /** Suspects that have been at work for long no longer keep others from the worker. */
+    void clearProvenSuspects(CellWorker& worker);
+
+    // CellProbation.cpp: workers to which queues are confined.
+    /** Records that an order to the worker had no reply. */
+    void recordSilence(CellWorker& worker);
+    /** Counts the crash of the worker against the queues whose tasks ran there. */
+    void recordCrashOfQueues(const CellWorker& worker);
+    /** Begins and ends probations that are due, and keeps workers for the queues on probation. */
+    void updateProbation();
+    void confineQueue(const std::string& queue);
+    void releaseConfined(const std::string& queue, size_t count);
+    /** Makes free() show what steps of the queue may use. */
+    void openWorkersTo(const std::string& queue);
+    void closeConfinedWorkers();
+
     // CellSync.cpp: synchronization of each worker's state.
     void handleListed(const std::string& id, const ListedWorker* listed);
     CellWorker* findWorker(const std::string& id);
@@ -512,8 +573,8 @@
     /** A job with an account has been accepted or loaded in this term. */
     bool m_hasAccounts = false;
     JobTable m_jobs;
-    /** Ended jobs of which only the run record is kept, with phase and end in milliseconds since 1970. */
-    absl::flat_hash_map<std::string, std::pair<JobPhase, int64_t>> m_endedJobs;
+    /** Ended jobs of which only the run record is kept. */
+    absl::flat_hash_map<std::string, EndedJob> m_endedJobs;
     /** A std::map keeps the addresses of workers stable: steps hold pointers to the workers on which they may run. */
     std::map<std::string, CellWorker> m_workers;
     absl::btree_set<StepRank> m_ready;
@@ -538,6 +599,16 @@
     RunTimeEstimates m_runTimes;
     /** Queues whose correction has a metric of its own. */
     absl::flat_hash_set<std::string> m_queuesWithMetric;
+    CrashLog m_crashLog;
+    /** Until then, the last task that was given up explains crashes of several workers at once. */
+    Instant m_deadlyWorkKnownUntil = absl::ZeroDuration();
+    QueueProbation m_probation;
+    /** The queue on probation whose work can use its workers now; empty for all other work. */
+    std::string m_openTo;
+    /** Jobs that may have suspects. */
+    absl::btree_set<std::string> m_suspectJobs;
+    /** By service, for the current placement round. */
+    absl::flat_hash_map<std::string, size_t> m_freeLanes;
     absl::flat_hash_map<std::string, Transfer> m_transfers;
     absl::flat_hash_map<std::string, std::vector<absl::AnyInvocable<void()>>> m_requestsWhileMoving;
     absl::flat_hash_map<std::string, Mark> m_marks;
--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -104,8 +104,16 @@
 
 std::vector<uint32_t> Cell::startableTasks(CellJob& job, StepRef ref) const
 {
-    std::vector<uint32_t> waiting = waitingTasks(job.step(ref));
     const StepSpec& spec = job.stepSpec(ref);
+    if (isHeldBack(job, ref))
+        return {};
+    std::vector<uint32_t> waiting = waitingTasks(job.step(ref));
+    const std::vector<CellTask>& tasks = job.step(ref).tasks;
+    // Suspects start apart, but for the members of a gang.
+    if (!spec.isGang)
+        waiting.erase(
+            std::remove_if(waiting.begin(), waiting.end(), [&tasks](uint32_t index) { return tasks[index].isSuspect; }),
+            waiting.end());
     const uint64_t startable = startableWithinLimit(job, spec);
     if (startable >= waiting.size())
         return waiting;
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -235,6 +235,8 @@
         activeRuns = step.activeRunsByWorker();
     std::vector<AdviceCandidate> candidates;
     for (CellWorker* worker : workers) {
+        if (worker->isKept())
+            continue;
         const std::string& id = worker->listed.incarnation.id;
         const Resources free = freeOn(*worker, basis);
         uint64_t placeable = countFittingTasks(demand, free);
--- /dev/null
+++ b/src/CellCrashes.cpp
@@ -0,0 +1,147 @@
+/** \file
+ * The part of Cell that counts the crashes of workers under each task, and gives up tasks that crash one worker after
+ * another. The count is part of the job's run record: the intent to start a task again stores it, and until then the
+ * record shows a run on an incarnation that has ended, from which a successor learns of the crash. So each crash
+ * counts once, whoever owns the cell.
+ */
+
+#include "Cell.h"
+
+#include "absl/strings/str_join.h"
+
+#include <algorithm>
+
+namespace cicada {
+
+namespace {
+
+    /** So many other workers that went away at the same time point to a cause outside the tasks. */
+    constexpr size_t minSimultaneous = 2;
+    /** A service that has been at work for this long does not crash its worker by being started. */
+    constexpr absl::Duration serviceProvenAfter = absl::Seconds(60);
+    /** Names of jobs in one line of the log. */
+    constexpr size_t maxLoggedJobs = 20;
+
+    /** What to make of the run when its worker crashes. A start without a reply may have come too late; but where a
+     * suspect is alone, nothing else explains the crash. Of a former owner's start, only the intent is known. */
+    CrashedRun crashOf(const RunAllocation& allocation)
+    {
+        const bool hasBegun = allocation.wasConfirmed || allocation.wasListed || allocation.isInherited;
+        if (hasBegun || (allocation.isIsolated && allocation.wasSent))
+            return CrashedRun::Counted;
+        return allocation.wasSent ? CrashedRun::Possible : CrashedRun::None;
+    }
+
+} // namespace
+
+void Cell::recordWorkerCrash(CellWorker& worker, absl::string_view why, bool isCertain)
+{
+    // What still runs on a worker that has announced its end is lost, and that is nobody's fault.
+    if (worker.listed.isDraining)
+        return;
+    const Instant now = m_parts.timers.clock().now();
+    CrashedWorker crash { worker.listed.incarnation.id, std::min(worker.silentSince, now), now, isCertain,
+        worker.isolatedRuns > 0, {} };
+    size_t runs = 0;
+    for (auto& [run, allocation] : worker.allocations) {
+        allocation.crash = crashOf(allocation);
+        if (allocation.crash == CrashedRun::None)
+            continue;
+        crash.jobs.insert(run.task.job);
+        ++runs;
+    }
+    if (runs == 0)
+        return;
+    const bool isNoted = crash.wasIsolated && worker.failedSyncs > 0;
+    if (!isNoted)
+        recordCrashOfQueues(worker);
+    for (const std::string& id : crash.jobs) {
+        CellJob* job = findJob(id);
+        if (!job)
+            continue;
+        ++job->crashedWorkers;
+        job->crashedAt = now;
+    }
+    const std::vector<std::string> named(
+        crash.jobs.begin(), std::next(crash.jobs.begin(), std::min<ptrdiff_t>(maxLoggedJobs, crash.jobs.size())));
+    m_parts.log.write("worker-crashed", "worker", crash.worker, "why", why, "certain", isCertain, "runs", runs, "jobs",
+        crash.jobs.size(), "isolated", crash.wasIsolated, "silentMs",
+        absl::ToInt64Milliseconds(now - crash.silentSince), "named", absl::StrJoin(named, ","));
+    m_parts.metrics.count("cicada_worker_crashes");
+    m_crashLog.record(std::move(crash));
+}
+
+void Cell::recordInheritedCrash(CellWorker& worker)
+{
+    const bool hasRestarted = std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto& item) {
+        const auto& [run, allocation] = item;
+        CellJob* job = findJob(run.task.job);
+        const CellTask* task = job ? job->find(run.task) : nullptr;
+        return allocation.isInherited && task && task->run == run.run && task->workerStarted != 0
+            && worker.startedUnixMillis != 0 && task->workerStarted != worker.startedUnixMillis;
+    });
+    if (hasRestarted)
+        recordWorkerCrash(worker, "restarted-before-it-was-heard", true);
+}
+
+WorkerCrash Cell::crashAsSeenBy(const std::string& job, const std::string& worker) const
+{
+    const CrashedWorker* crash = m_crashLog.lastOf(worker);
+    if (!crash || !crash->isCertain)
+        return { false, true };
+    const auto silentOthers = std::count_if(m_workers.begin(), m_workers.end(), [&](const auto& item) {
+        const CellWorker& other = item.second;
+        return item.first != worker && other.failedSyncs > 0
+            && CrashLog::isSameTime(other.silentSince, crash->silentSince) && other.isolatedRuns == 0
+            && !other.allocations.empty() && !runsJob(other, job);
+    });
+    const size_t others = m_crashLog.othersAtSameTime(*crash, job) + static_cast<size_t>(silentOthers);
+    return { crash->jobs.size() == 1, others >= minSimultaneous };
+}
+
+bool Cell::runsJob(const CellWorker& worker, const std::string& job)
+{
+    return std::any_of(worker.allocations.begin(), worker.allocations.end(),
+        [&job](const auto& item) { return item.first.task.job == job; });
+}
+
+void Cell::recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, CrashedRun kind)
+{
+    if (kind == CrashedRun::None || isEnded(job.phase))
+        return;
+    const Instant now = m_parts.timers.clock().now();
+    CellTask& task = *job.find(run.task);
+    const bool isProven = job.spec.steps[run.task.step].isService && task.startedAt > absl::ZeroDuration()
+        && now - task.startedAt >= serviceProvenAfter;
+    if (isProven)
+        task.crashedRuns.clear();
+    const bool isCounted = kind == CrashedRun::Counted;
+    const uint32_t crashes = isCounted ? job.recordCrash(run) : static_cast<uint32_t>(task.crashedRuns.size());
+    const std::string& id = worker.listed.incarnation.id;
+    const WorkerCrash crash = crashAsSeenBy(job.spec.id, id);
+    const bool isDeadlyWorkKnown = m_deadlyWorkKnownUntil > now;
+    const CrashVerdict verdict = isCounted ? crashVerdict(crashes, crash, isDeadlyWorkKnown, m_parts.bounds.crashes)
+                                           : crashVerdict(1, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
+    m_parts.log.write("run-crashed", "run", describeRun(run), "worker", id, "queue", job.policy.queue, "crashes",
+        crashes, "counted", isCounted, "alone", crash.ranOneJob, "simultaneous", crash.isSimultaneous, "verdict",
+        crashVerdictName(verdict));
+    m_parts.metrics.count(absl::StrCat("cicada_runs_crashed{verdict=\"", crashVerdictName(verdict), "\"}"));
+    if (verdict == CrashVerdict::Suspect) {
+        task.isSuspect = true;
+        m_suspectJobs.insert(job.spec.id);
+    }
+    if (verdict == CrashVerdict::GiveUp)
+        giveUp(job, run.task, crashes);
+}
+
+void Cell::giveUp(CellJob& job, const TaskName& task, uint32_t crashes)
+{
+    m_deadlyWorkKnownUntil = m_parts.timers.clock().now() + CrashLog::retention;
+    job.givenUpFor = task;
+    m_parts.log.write("job-given-up", "job", job.spec.id, "task", describeTask(task), "queue", job.policy.queue,
+        "account", job.spec.account, "crashes", crashes, "limit", m_parts.bounds.crashes.maxCrashes);
+    m_parts.metrics.count("cicada_jobs_given_up");
+    endJob(job, JobPhase::Failed, absl::StrCat("crashed-", crashes, "-workers"));
+}
+
+} // namespace cicada
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -12,10 +12,10 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, and the failed runs,
-     * which records of former versions lack. */
+    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, and
+     * the runs that were on a worker when it crashed. Records of former versions lack the last two. */
     using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
-        std::string, std::vector<uint32_t>>;
+        std::string, std::vector<uint32_t>, std::vector<uint32_t>>;
     /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. */
     using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>>;
     /** Stands for a failed run of which only the number of attempts is known. */
@@ -126,8 +126,9 @@
         uint32_t failures = 0;
         std::vector<uint32_t> ownFailedRuns;
         std::tie(ignored, ignored, ignored, form, task.run, failures, task.worker, task.workerStarted, task.checkpoint,
-            ownFailedRuns)
+            ownFailedRuns, task.crashedRuns)
             = fields;
+        task.isSuspect = !task.crashedRuns.empty();
         if (failedRuns.empty())
             failedRuns = std::move(ownFailedRuns);
         if (failedRuns.size() < failures)
@@ -166,6 +167,16 @@
     return counts;
 }
 
+std::vector<uint32_t> CellStep::waitingSuspects() const
+{
+    std::vector<uint32_t> suspects;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].isSuspect && tasks[i].stage == TaskStage::Waiting)
+            suspects.push_back(i);
+    }
+    return suspects;
+}
+
 CellTask* CellJob::find(const TaskName& name)
 {
     if (name.occurrence >= occurrences.size() || name.step >= occurrences[name.occurrence].size())
@@ -196,6 +207,25 @@
     return true;
 }
 
+uint32_t CellJob::recordCrash(const TaskRun& run)
+{
+    std::vector<uint32_t>& crashed = find(run.task)->crashedRuns;
+    if (std::find(crashed.begin(), crashed.end(), run.run) == crashed.end())
+        crashed.push_back(run.run);
+    return static_cast<uint32_t>(crashed.size());
+}
+
+size_t CellJob::openSuspects() const
+{
+    const auto isOpenSuspect = [](const CellTask& task) { return task.isSuspect && task.stage != TaskStage::Finished; };
+    ptrdiff_t count = 0;
+    for (const auto& steps : occurrences) {
+        for (const CellStep& step : steps)
+            count += std::count_if(step.tasks.begin(), step.tasks.end(), isOpenSuspect);
+    }
+    return static_cast<size_t>(count);
+}
+
 StepTimes CellJob::timesOf(StepRef ref) const
 {
     const std::vector<CellTask>& tasks = step(ref).tasks;
@@ -323,7 +353,7 @@
     std::vector<GangFields> gangs;
     // Of an ended job, the runs that may still be active count as its account's.
     const bool isOver = isEnded(job.phase);
-    const bool keepsTasks = !isOver || !job.spec.account.empty();
+    const bool keepsTasks = !isOver || !job.spec.account.empty() || job.givenUpFor;
     for (uint32_t k = 0; k < job.occurrences.size() && keepsTasks; ++k) {
         for (uint32_t s = 0; s < job.occurrences[k].size(); ++s) {
             const auto& all = job.occurrences[k][s].tasks;
@@ -332,14 +362,16 @@
                 gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed);
             for (uint32_t i = 0; i < all.size(); ++i) {
                 const CellTask& task = all[i];
-                const bool isLeftOut
-                    = isOver ? !task.hasActiveRun() : task.stage == TaskStage::Waiting && task.run == 0;
+                const TaskName name { job.spec.id, k, s, i };
+                const bool isActiveOfAccount = task.hasActiveRun() && !job.spec.account.empty();
+                const bool isLeftOut = isOver ? !isActiveOfAccount && !(job.givenUpFor == name)
+                                              : task.stage == TaskStage::Waiting && task.run == 0;
                 if (isLeftOut)
                     continue;
                 const bool hasFinished = task.stage == TaskStage::Finished;
-                tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf({ job.spec.id, k, s, i }),
+                tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf(name),
                     hasFinished ? std::string() : task.worker, task.workerStarted,
-                    hasFinished ? std::string() : task.checkpoint, task.failedRuns);
+                    hasFinished ? std::string() : task.checkpoint, task.failedRuns, task.crashedRuns);
             }
         }
     }
@@ -373,6 +405,8 @@
         restore(*task, fields, job.failedRunsOf(name));
         if (task->stage == TaskStage::Finished)
             ++job.step({ name.occurrence, name.step }).finished;
+        if (job.phase == JobPhase::Failed && task->stage == TaskStage::Waiting && !task->crashedRuns.empty())
+            job.givenUpFor = name;
     }
     return success();
 }
@@ -388,16 +422,33 @@
     return cell;
 }
 
-Result<JobPhase> endedPhaseOf(absl::string_view runRecord, int64_t& endedUnixMillis)
+Result<EndedJob> endedJobOf(absl::string_view runRecord)
 {
     uint32_t phase = 0;
+    EndedJob ended;
     std::vector<TaskFields> tasks;
     std::vector<GangFields> gangs;
     bool hasBegun = false;
-    BOOST_OUTCOME_TRY(Internal::unpackFields(runRecord, "run record", phase, endedUnixMillis, tasks, gangs, hasBegun));
+    BOOST_OUTCOME_TRY(
+        Internal::unpackFields(runRecord, "run record", phase, ended.endedUnixMillis, tasks, gangs, hasBegun));
     if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
         return malformed("run record");
-    return static_cast<JobPhase>(phase);
+    ended.phase = static_cast<JobPhase>(phase);
+    for (const TaskFields& task : tasks) {
+        const bool isActive = std::get<3>(task) == StoredActive;
+        const auto crashes = static_cast<uint32_t>(std::get<10>(task).size());
+        if (ended.phase == JobPhase::Failed && !isActive)
+            ended.crashes = std::max(ended.crashes, crashes);
+    }
+    return ended;
+}
+
+uint32_t crashesAtEnd(const CellJob& job)
+{
+    if (!job.givenUpFor)
+        return 0;
+    const TaskName& name = *job.givenUpFor;
+    return static_cast<uint32_t>(job.step({ name.occurrence, name.step }).tasks[name.index].crashedRuns.size());
 }
 
 } // namespace cicada
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -46,6 +46,10 @@
     uint32_t run = 0;
     /** The runs that ended as failed, whether or not another run had begun by then. A gang's are kept by its step. */
     std::vector<uint32_t> failedRuns;
+    /** The runs that were on a worker when it crashed. */
+    std::vector<uint32_t> crashedRuns;
+    /** A worker may have crashed because of the task, which therefore runs apart from other jobs. */
+    bool isSuspect = false;
     /** The worker of the current run. */
     std::string worker;
     /** The start time of that worker's incarnation, in milliseconds since 1970; 0 if unknown. */
@@ -127,6 +131,8 @@
     std::optional<WaitingItem> waitingItem;
 
     bool isFinished() const { return finished == tasks.size(); }
+    /** The waiting tasks that are suspects, by index. */
+    std::vector<uint32_t> waitingSuspects() const;
     /** How many active runs of the step each worker has, by the worker's id. */
     absl::flat_hash_map<std::string, uint32_t> activeRunsByWorker() const;
 };
@@ -147,6 +153,11 @@
     bool isMoving = false;
     /** When it was last transferred to this cell, or could not be transferred to another one. */
     Instant arrivedAt = absl::ZeroDuration() - absl::Hours(1);
+    /** How many workers with runs of the job have crashed since one of its tasks last finished, as far as this owner
+     * knows. */
+    uint32_t crashedWorkers = 0;
+    /** When the last of them was found to have crashed. */
+    Instant crashedAt = absl::ZeroDuration();
     /** How often it was transferred, as far as this owner knows. */
     uint32_t transfers = 0;
     /** When room was last searched for it in other cells. */
@@ -154,6 +165,8 @@
     /** What is durable, and so may be reported to callers. */
     bool isStored = false;
     JobPhase storedPhase = JobPhase::Queued;
+    /** The task for which the job was given up, as workers crashed under it. */
+    std::optional<TaskName> givenUpFor;
     std::vector<std::vector<CellStep>> occurrences;
 
     CellStep& step(StepRef ref) { return occurrences[ref.occurrence][ref.step]; }
@@ -168,6 +181,11 @@
     uint32_t failuresOf(const TaskName&) const;
     /** Records that a run of the task ended as failed; false if that was known. */
     bool recordFailure(const TaskRun&);
+    /** Records that a worker crashed under a run of the task, and returns under how many of its runs one has. */
+    uint32_t recordCrash(const TaskRun&);
+    /** How many of the tasks are suspects and have not finished. */
+    size_t openSuspects() const;
+    bool hasSuspects() const { return openSuspects() > 0; }
     bool allFinished() const;
     /** Processors times estimated run time of one task of the step, in thousandths of a core times milliseconds. */
     double workOfTask(StepRef ref) const;
@@ -195,7 +213,18 @@
  * bytes are no such mark. */
 std::string encodeTransferMark(uint32_t cell);
 std::optional<uint32_t> transferMarkOf(absl::string_view bytes);
-/** Reads a run record that has no job record: the job has ended, and only its phase and end time are kept. */
-Result<JobPhase> endedPhaseOf(absl::string_view runRecord, int64_t& endedUnixMillis);
+/** What is kept of a job that has ended. */
+struct EndedJob {
+    JobPhase phase = JobPhase::Finished;
+    /** In milliseconds since 1970. */
+    int64_t endedUnixMillis = 0;
+    /** Of a failed job: how many workers crashed under the task for which it was given up; 0 if that was not why. */
+    uint32_t crashes = 0;
+};
+
+/** Reads a run record that has no job record, as the job has ended. */
+Result<EndedJob> endedJobOf(absl::string_view runRecord);
+/** How many workers have crashed under the task with the most crashes, if the job was given up for that; else 0. */
+uint32_t crashesAtEnd(const CellJob&);
 
 } // namespace cicada
--- a/src/CellLeases.cpp
+++ b/src/CellLeases.cpp
@@ -64,7 +64,8 @@
 
 void Cell::handleSyncFailure(CellWorker& worker, OrderStatus status)
 {
-    if (++worker.failedSyncs == 1)
+    recordSilence(worker);
+    if (worker.failedSyncs == 1)
         m_parts.log.write("worker-silent", "worker", worker.listed.incarnation.id, "status", orderStatusName(status),
             "runs", worker.allocations.size());
     checkUnresponsive(worker);
@@ -97,6 +98,9 @@
 {
     m_parts.log.write(
         "worker-over", "worker", worker.listed.incarnation.id, "why", leasesEnded, "runs", worker.allocations.size());
+    // A worker that is cut off from this entry only is still listed.
+    if (!worker.isListed)
+        recordWorkerCrash(worker, leasesEnded, false);
     std::vector<TaskRun> runs;
     for (const auto& [run, allocation] : worker.allocations)
         runs.push_back(run);
@@ -109,6 +113,7 @@
     const absl::string_view why = incarnationEndName(end);
     m_parts.log.write("worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs",
         worker.allocations.size(), "acknowledgedThrough", worker.acknowledgedThrough);
+    recordWorkerCrash(worker, why, true);
     // A start can have reached the next incarnation under the same id before its begin was known here.
     const bool mayStartArrive = end != IncarnationEnd::OtherAnswered;
     std::vector<TaskRun> runs;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -281,6 +281,7 @@
     const size_t waiting = waitingTasks(step).size();
     if (waiting == 0)
         return StepOutcome::Placed;
+    openWorkersTo(policyOf(*job).queue);
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
     step.lacksRoom = false;
@@ -292,6 +293,8 @@
             m_parts.onMoreQuotaWanted();
         return StepOutcome::Skipped;
     }
+    if (startableTasks(*job, rank.ref).empty())
+        return StepOutcome::Skipped;
     step.lacksRoom = !hasRoomForTask(*job, rank.ref);
     if (step.lacksRoom)
         return StepOutcome::Skipped;
@@ -328,6 +331,8 @@
         task.workerStarted = choice.worker->startedUnixMillis;
         runs.push_back({ { job.spec.id, ref.occurrence, ref.step, choice.index }, task.run });
         allocate(*choice.worker, runs.back(), demand, spec.isService, job.spec.account);
+        if (task.isSuspect && !spec.isGang)
+            choice.worker->isolate(runs.back());
     }
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
--- a/src/CellReply.h
+++ b/src/CellReply.h
@@ -44,6 +44,15 @@
     RefusalCode reason = RefusalCode::Unspecified;
     /** After a refusal by admission control, when the job may be sent again; else 0. */
     uint32_t retryAfterSeconds = 0;
+    /** After Found, of a job that was given up as workers crashed under one of its tasks: how many did; else 0. */
+    uint32_t crashes = 0;
+
+    static CellReply found(JobPhase phase, uint32_t crashes)
+    {
+        CellReply reply { CellOutcome::Found, phase };
+        reply.crashes = crashes;
+        return reply;
+    }
 };
 
 } // namespace cicada
--- a/src/CellRoomSearch.cpp
+++ b/src/CellRoomSearch.cpp
@@ -134,6 +134,9 @@
     // A gang for which room or tickets are being gathered here would begin anew elsewhere.
     if (!isTransferable(job) || isKeptHere(job.spec.id, ref) || isGatheringTickets(job, ref))
         return false;
+    // Suspects wait for a worker of their own.
+    if (startableTasks(job, ref).empty())
+        return now - std::max(job.crashedAt, job.arrivedAt) >= unplacedDelay;
     const StepSpec& spec = job.stepSpec(ref);
     if (waited >= unplacedDelay || !hasRoomForTask(job, ref))
         return true;
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -59,6 +59,8 @@
     const std::vector<StepRank> ranks = orderReadySteps();
     m_usableWorkers.clear();
     clearUnmetDemands();
+    updateProbation();
+    placeSuspects();
     const std::vector<Reservation> reservations = reserveForGangs(ranks);
     placeWithReservedTickets(reservations);
     const size_t end = placeFrom(ranks, 0, reservations);
@@ -72,6 +74,7 @@
         worker.backfillable = Resources();
     }
     m_backfillUntil = absl::ZeroDuration();
+    openWorkersTo("");
 }
 
 std::vector<StepRank> Cell::orderReadySteps()
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -45,7 +45,7 @@
     const bool hasTicket = allowed != step.advice.allowed.end();
     const bool lacksTicket = policyOf(job).advice.isNeeded && (!hasTicket || allowed->second.validUntil <= now);
     const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease && !lacksTicket;
-    if (!worker || !isWanted || !worker->isUsable(m_parts.timers.clock().now())) {
+    if (!worker || !isWanted || !worker->isUsable(now)) {
         if (worker)
             handleStartFailure(run, *worker, OrderStatus::NotSent);
         return;
@@ -101,10 +101,10 @@
     case OrderStatus::NoReply:
         m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
         allocation->second.unansweredAt = now;
-        ++worker.failedSyncs;
+        recordSilence(worker);
         return sync(worker, false);
     case OrderStatus::NotSent:
-        ++worker.failedSyncs;
+        recordSilence(worker);
         scheduleSync(worker, absl::Milliseconds(100));
         [[fallthrough]];
     default:
@@ -137,6 +137,8 @@
 {
     if (why == notListed)
         worker.recordUnanswered(run, m_parts.timers.clock().now());
+    const auto allocation = worker.allocations.find(run);
+    const CrashedRun crash = allocation == worker.allocations.end() ? CrashedRun::None : allocation->second.crash;
     release(worker, run);
     CellJob* job = findJob(run.task.job);
     CellTask* task = job ? job->find(run.task) : nullptr;
@@ -148,6 +150,7 @@
     task->lostOn = why == leasesEnded ? worker.listed.incarnation.id : std::string();
     const StepRef ref { run.task.occurrence, run.task.step };
     stopRemainingGang(*job, ref);
+    recordRunCrash(*job, run, worker, crash);
     queueStep(*job, ref);
 }
 
@@ -349,6 +352,7 @@
     const StepSpec& spec = job.stepSpec(ref);
     worker.failedJobs.clear();
     worker.suspensionCount = 0;
+    job.crashedWorkers = 0;
     // When one member of a gang finishes, the whole gang counts as finished.
     for (uint32_t i = 0; i < step.tasks.size(); ++i) {
         if (i != name.index && !spec.isGang)
--- a/src/CellSuspensions.cpp
+++ b/src/CellSuspensions.cpp
@@ -58,6 +58,7 @@
 void Cell::checkStuckRuns()
 {
     for (auto& [id, worker] : m_workers) {
+        clearProvenSuspects(worker);
         if (worker.failedSyncs > 0 || !worker.hasReplied)
             continue;
         std::vector<TaskRun> stuck;
@@ -82,6 +83,7 @@
         if (stuck.size() >= 2)
             suspendPlacement(worker, absl::Seconds(5), "runs-stand-still");
     }
+    publishIsolation();
     m_parts.timers.after(stuckCheckInterval, guarded([this] { checkStuckRuns(); }));
     schedulePlacement();
 }
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -148,6 +148,7 @@
             absl::ToInt64Milliseconds(now - m_ownedSince));
         if (started != 0)
             worker.startedUnixMillis = started;
+        recordInheritedCrash(worker);
     } else if (worker.failedSyncs > 0) {
         m_parts.log.write(
             "worker-regained", "worker", id, "silentMs", absl::ToInt64Milliseconds(now - worker.lastReplyAt));
@@ -155,6 +156,7 @@
     const bool wasUsable = worker.isUsable(now);
     worker.hasReplied = true;
     worker.failedSyncs = 0;
+    worker.silentSince = absl::InfiniteDuration();
     worker.lastReplyAt = now;
     recordClock(worker, reply.workerClockMillis);
     worker.recordList(reply.workerClockMillis, now);
@@ -221,6 +223,7 @@
     allocation.visibleFrom = std::min(allocation.visibleFrom, now);
     allocation.wasConfirmed = true;
     allocation.wasListed = true;
+    allocation.crash = CrashedRun::None;
     const bool isCurrent = task && task->run == listed.run.run && task->hasActiveRun() && task->worker == id;
     if (!isCurrent || isEnded(job->phase)) {
         allocation.isStopWanted = true;
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -247,6 +247,8 @@
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
     job->acceptedAt = now - absl::Milliseconds(std::max<int64_t>(0, nowUnix - job->acceptedUnixMillis));
     job->arrivedAt = now;
+    if (job->hasSuspects())
+        m_suspectJobs.insert(id);
     m_parts.log.write("job-arrived", "job", id, "cell", m_term.cell);
     advance(*job);
 }
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -63,6 +63,8 @@
     pendingAcks.clear();
     failedJobs.clear();
     failedSyncs = 0;
+    silentSince = absl::InfiniteDuration();
+    confinedTo.clear();
 }
 
 void CellWorker::allocate(
@@ -87,11 +89,35 @@
     used = used - found->second.demand;
     if (found->second.isOfService)
         usedByServices = usedByServices - found->second.demand;
+    isolatedRuns -= found->second.isIsolated ? 1 : 0;
     allocations.erase(found);
     return !account.empty();
 }
 
-Resources CellWorker::free() const { return listed.capacity - used - reserved; }
+Resources CellWorker::free() const
+{
+    if (isKept())
+        return {};
+    return listed.capacity - used - reserved;
+}
+
+void CellWorker::isolate(const TaskRun& run)
+{
+    const auto found = allocations.find(run);
+    if (found == allocations.end() || found->second.isIsolated)
+        return;
+    found->second.isIsolated = true;
+    ++isolatedRuns;
+}
+
+void CellWorker::endIsolation(const TaskRun& run)
+{
+    const auto found = allocations.find(run);
+    if (found == allocations.end() || !found->second.isIsolated)
+        return;
+    found->second.isIsolated = false;
+    --isolatedRuns;
+}
 
 Resources CellWorker::freeInTime() const { return listed.capacity - usedByServices; }
 
@@ -100,6 +126,12 @@
     return isListed && hasReplied && clock.isKnown() && !listed.isDraining && failedSyncs == 0 && suspendedUntil <= now;
 }
 
+void CellWorker::recordSilence(Instant now)
+{
+    silentSince = std::min(silentSince, now);
+    ++failedSyncs;
+}
+
 void CellWorker::recordUnanswered(const TaskRun& run, Instant now)
 {
     const auto found = allocations.find(run);
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -8,6 +8,7 @@
 
 #include "AccountUsage.h"
 #include "Clock.h"
+#include "CrashVerdict.h"
 #include "RunTimeEstimates.h"
 #include "WorkerOrders.h"
 
@@ -15,6 +16,7 @@
 #include "absl/container/flat_hash_set.h"
 
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace cicada {
@@ -61,6 +63,16 @@
     OtherAnswered,
 };
 
+/** What the crash of its worker says about a run. */
+enum class CrashedRun {
+    /** The worker has not crashed since the run was ordered, or its next incarnation has listed the run. */
+    None,
+    /** The order may have reached the worker before it crashed. */
+    Possible,
+    /** The run had begun, as far as can be known. */
+    Counted,
+};
+
 /** Capacity allocated to a run. */
 struct RunAllocation {
     Resources demand;
@@ -83,6 +95,9 @@
     bool wasListed = false;
     /** When the start was found to have no reply; a list requested earlier need not show the run. */
     Instant unansweredAt = absl::ZeroDuration();
+    /** Nothing else is placed beside the run, as its task is a suspect. */
+    bool isIsolated = false;
+    CrashedRun crash = CrashedRun::None;
     bool isStopWanted = false;
     Instant stopSentAt = absl::ZeroDuration() - absl::Hours(1);
 };
@@ -112,6 +127,14 @@
     Resources used;
     /** The part of `used` that services hold. */
     Resources usedByServices;
+    /** How many of the allocations are isolated. */
+    size_t isolatedRuns = 0;
+    /** Suspects are to run here as soon as the worker has no other runs; decided anew in each placement round. */
+    bool isSetAside = false;
+    /** The queue on probation to whose work the worker is kept; empty for none. */
+    std::string confinedTo;
+    /** The step that is being placed may not use the worker, because of what either is confined to. */
+    bool isClosed = false;
     /** Capacity reserved for steps with a better rank, in the current placement round. */
     Resources reserved;
     /** The part of `reserved` that work may use if it ends before the step begins. */
@@ -130,6 +153,8 @@
     bool isSyncing = false;
     bool isSyncScheduled = false;
     int failedSyncs = 0;
+    /** When orders began to be without replies; infinite while the worker replies. */
+    Instant silentSince = absl::InfiniteDuration();
     Instant lastReplyAt = absl::ZeroDuration();
     /** When the worker made the latest list that was processed, and the one before. That is earlier than the reply was
      * processed if this entry was paused meanwhile. */
@@ -158,10 +183,19 @@
         const TaskRun& run, const Resources& demand, bool isOfService, const std::string& account, AccountUsage& usage);
     /** Releases the run's capacity; whether it counted as an account's. */
     bool release(const TaskRun& run, AccountUsage& usage);
+    /** Whether the worker is kept for suspects or for another queue's work than that which is being placed. */
+    bool isKept() const { return isClosed || isSetAside || isolatedRuns > 0; }
+    /** What is free for new runs; nothing on a worker that is kept for suspects or for another queue's work. */
     Resources free() const;
+    /** Keeps other runs from the worker until this one is released. */
+    void isolate(const TaskRun& run);
+    /** Lets other runs be placed beside this one again. */
+    void endIsolation(const TaskRun& run);
     /** What is free once all runs but those of services have ended. */
     Resources freeInTime() const;
     bool isUsable(Instant now) const;
+    /** Records that an order had no reply. */
+    void recordSilence(Instant now);
     /** Records that a start without a reply is given up now. */
     void recordUnanswered(const TaskRun& run, Instant now);
     /** Records that the ends up to `sequence` are durable. */
--- /dev/null
+++ b/src/CrashVerdict.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/** \file
+ * Decides what the crash of a worker says about a task that ran there. Several tasks run on a worker, and any of them
+ * may have crashed it, or none. A task under which one worker has crashed is a suspect and runs apart from other jobs
+ * from then on, so that the next crash shows whose fault it is. Without I/O; Cell supplies what it knows, and carries
+ * the verdict out.
+ */
+
+#include "absl/strings/string_view.h"
+
+#include <cstdint>
+
+namespace cicada {
+
+/** When a task is given up because workers crash under it. */
+struct CrashLimits {
+    /** A task is given up when this many workers have crashed under it, whatever else ran there. Where the last of them
+     * ran nothing but the task's job, one fewer is enough. */
+    uint32_t maxCrashes = 3;
+};
+
+/** The least and the greatest value that `CrashLimits::maxCrashes` may have. With one, each task that ran on a worker
+ * that loses power would be given up. */
+constexpr uint32_t minMaxCrashes = 2;
+constexpr uint32_t maxMaxCrashes = 10;
+
+/** How a worker crashed, as seen by one of the jobs that had runs there. */
+struct WorkerCrash {
+    /** The worker ran nothing but the job. */
+    bool ranOneJob = false;
+    /** Other workers, on which the job had no run, went away at about the same time. */
+    bool isSimultaneous = false;
+};
+
+/** What a crash says about a task that ran on the worker. */
+enum class CrashVerdict {
+    /** The cause lies elsewhere, as when a rack loses power. */
+    Unrelated,
+    /** The task may be the cause. */
+    Suspect,
+    /** The task is not started again. */
+    GiveUp,
+};
+
+/** The stable name of a verdict, for logs. */
+absl::string_view crashVerdictName(CrashVerdict);
+
+/** Decides about a task under which `crashes` workers have crashed, the last of them as in `crash`. `isDeadlyWorkKnown`
+ * says that tasks have lately been given up, so that simultaneous crashes need no other cause. */
+CrashVerdict crashVerdict(uint32_t crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits&);
+
+} // namespace cicada
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -28,7 +28,7 @@
                 return { GatewayStatus::Refused, JobPhase::Queued, static_cast<uint64_t>(reply.reason) };
             return { GatewayStatus::Refused, JobPhase::Queued, reply.retryAfterSeconds };
         case CellOutcome::Found:
-            return { GatewayStatus::Found, reply.phase };
+            return { GatewayStatus::Found, reply.phase, reply.crashes };
         case CellOutcome::Cancelled:
             return { GatewayStatus::Cancelled };
         case CellOutcome::Moved:
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -43,8 +43,9 @@
 struct GatewayReply {
     GatewayStatus status = GatewayStatus::Unreached;
     JobPhase phase = JobPhase::Queued;
-    /** After Counted, the number of jobs; after Moved, the cell; after Refused, the RefusalCode, which entries of
-     * former builds ignore and leave 0. */
+    /** After Counted, the number of jobs; after Moved, the cell; after Refused, the RefusalCode; after Found, how many
+     * workers crashed under the task for which the job was given up. Entries of former builds ignore the last two and
+     * leave 0. */
     uint64_t count = 0;
 
     bool isRefusedFor(RefusalCode reason) const
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -101,6 +101,43 @@
     CHECK(!job->recordFailure({ { job->spec.id, 0, 1, 0 }, 5 }));
 }
 
+TEST(CellRecords, crashesComeBackAndRecordsOfTheFormerBuildHaveNone)
+{
+    using FormerTask = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
+        std::string, std::vector<uint32_t>>;
+    auto job = sample();
+    const TaskName name { job->spec.id, 0, 0, 1 };
+    job->find(name)->run = 4;
+    LONGS_EQUAL(1, job->recordCrash({ name, 3 }));
+    LONGS_EQUAL(2, job->recordCrash({ name, 4 }));
+    LONGS_EQUAL(2, job->recordCrash({ name, 4 }));
+    auto read = sample();
+    CHECK(applyRunRecord(*read, encodeRunRecord(*job)).has_value());
+    CHECK(read->find(name)->isSuspect);
+    LONGS_EQUAL(2, read->recordCrash({ name, 4 }));
+    const std::vector<FormerTask> tasks = { { 0, 0, 1, 0, 4, 0, "w", 0, "", {} } };
+    auto former = sample();
+    CHECK(
+        applyRunRecord(*former, Internal::packFields(1u, int64_t { 0 }, tasks, std::vector<int>(), true)).has_value());
+    CHECK(!former->hasSuspects());
+}
+
+TEST(CellRecords, whyAJobWasGivenUpOutlastsItsTasks)
+{
+    auto job = sample();
+    const TaskName name { job->spec.id, 0, 0, 1 };
+    job->find(name)->run = 2;
+    job->recordCrash({ name, 1 });
+    job->recordCrash({ name, 2 });
+    job->phase = JobPhase::Failed;
+    LONGS_EQUAL(0, endedJobOf(encodeRunRecord(*job)).value().crashes);
+    job->givenUpFor = name;
+    LONGS_EQUAL(2, endedJobOf(encodeRunRecord(*job)).value().crashes);
+    auto read = sample();
+    CHECK(applyRunRecord(*read, encodeRunRecord(*job)).has_value());
+    LONGS_EQUAL(2, crashesAtEnd(*read));
+}
+
 TEST(CellRecords, aRecordUnderAnotherIdIsNotTaken)
 {
     CHECK(!decodeJobRecord("ffffffffffffffff", encodeJobRecord(*sample())).has_value());
@@ -117,10 +154,9 @@
             text.resize(random() % text.size());
         else
             text[random() % text.size()] = static_cast<char>(random());
-        int64_t ended = 0;
         decodeJobRecord("0123456789abcdef", text).has_value();
         auto target = sample();
         applyRunRecord(*target, text).has_value();
-        endedPhaseOf(text, ended).has_value();
+        endedJobOf(text).has_value();
     }
 }
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "CellFailureWorld.h"
+#include "CrashVerdict.h"
 
 using namespace cicada;
 using namespace cicada::test;
@@ -202,3 +203,16 @@
     CHECK(world.crashesUnder(deadly) <= 3);
     expectAllEnd();
 }
+
+TEST(DeadlyTasks, theLimitOfCrashesIsASetting)
+{
+    CrashLimits two;
+    two.maxCrashes = 2;
+    CHECK(crashVerdict(2, { false, true }, false, two) == CrashVerdict::GiveUp);
+    CHECK(crashVerdict(2, { false, false }, false, {}) == CrashVerdict::Suspect);
+    CHECK(crashVerdict(2, { true, false }, false, {}) == CrashVerdict::GiveUp);
+    CHECK(crashVerdict(2, { true, true }, false, {}) == CrashVerdict::Suspect);
+    CHECK(crashVerdict(3, { false, true }, false, {}) == CrashVerdict::GiveUp);
+    CHECK(crashVerdict(1, { false, true }, false, {}) == CrashVerdict::Unrelated);
+    CHECK(crashVerdict(1, { false, true }, true, {}) == CrashVerdict::Suspect);
+}
--- a/test/support/CellWorldEntry.h
+++ b/test/support/CellWorldEntry.h
@@ -221,7 +221,8 @@
         , policy(world, *this)
         , links(world, *this)
         , host(CellHost::Parts { store, orders, policy, links, timers, log, metrics,
-              { entryName, incarnation, entryName + ":1", "region", 0.25 }, { world.m_maxLease },
+              { entryName, incarnation, entryName + ":1", "region", 0.25 },
+              { world.m_maxLease, absl::Seconds(120), {} },
               [this, &world] { return std::make_unique<CellWorld::Roster>(world, rosters); },
               [&world](const std::function<void(std::optional<size_t>)>& done) { done(world.m_workers.size()); },
               [&world](const std::string& queue) { return &world.policyOfJob(queue); },
