--- a/test/error/AdapterTest.cpp
+++ b/test/error/AdapterTest.cpp
@@ -137,6 +137,14 @@
     CHECK(!parseNodeSettings(with(goodSettings, "10.2.0.1:80", "10.2.0.1:99999")).has_value());
     CHECK(!parseNodeSettings(with(goodSettings, "6000", "\"6000\"")).has_value());
     CHECK(!parseNodeSettings("{").has_value());
+    LONGS_EQUAL(3, parseNodeSettings(goodSettings).value().bounds.crashes.maxCrashes);
+    const auto withMaxCrashes = [](const char* value) {
+        return parseNodeSettings(
+            with(goodSettings, "\"plannedStopS\"", absl::StrCat("\"maxCrashes\":", value, ",\"plannedStopS\"")));
+    };
+    LONGS_EQUAL(2, withMaxCrashes("2").value().bounds.crashes.maxCrashes);
+    for (const char* value : { "1", "11", "2.5", "\"2\"" })
+        CHECK(!withMaxCrashes(value).has_value());
 }
 
 TEST(Adapter, aConfigurationIsTranslated)
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -4,6 +4,8 @@
 
 #include "CellFailureWorld.h"
 #include "CrashVerdict.h"
+#include "JobApi.h"
+#include "SilentStore.h"
 
 using namespace cicada;
 using namespace cicada::test;
@@ -204,6 +206,31 @@
     expectAllEnd();
 }
 
+TEST(DeadlyTasks, theCallerReadsWhyAfterAChangeOfOwners)
+{
+    const std::string id = "0123456789abcdef";
+    makeDeadly(id);
+    world.submit(other(), makeJob(id, 1));
+    expectFailed(id);
+    world.kill(owner());
+    CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+    ManualClock clock;
+    TimerQueue timers { clock };
+    EventLog log { "e", -1 };
+    Metrics metrics;
+    SilentStore store;
+    platform::Catalog catalog { store, timers, log, metrics };
+    catalog.take(
+        R"({"version":1,"routes":[{"name":"queue","hostname":"h","prefix":"/p/","service":"service"}]})", "test");
+    platform::JobApi api { catalog, world.gateway(other()), log, metrics };
+    std::string body;
+    api.handle(
+        { "GET", "/p/" + id, "", "h", 0, "", "" }, [&](const platform::HttpResponse& given) { body = given.body; });
+    CHECK(world.runUntil([&] { return !body.empty(); }, absl::Seconds(3)));
+    STRCMP_CONTAINS(R"("state":"failed")", body.c_str());
+    STRCMP_CONTAINS("2 executors crashed while they ran one of its tasks", body.c_str());
+}
+
 TEST(DeadlyTasks, theLimitOfCrashesIsASetting)
 {
     CrashLimits two;
