Start nothing on a worker that has shrunk below what it holds

Cause: capacity is checked when a run is placed. Its intent may be stored for seconds while the store is slow, and the start then went out whatever the worker had said of itself since. Change: a start is sent only if all that is allocated on the worker fits into what it lists now; a worker that has grown begins a placement round at once; worker-capacity-changed is logged with what the worker holds. What was looked at besides and holds: reservations and free room are computed in each round from the listed capacity, negative room fits nothing, entries with missing or negative capacity name no worker, a successor counts inherited runs. Measured: CapacityChanges aStartWhoseIntentWasStoredSlowlyDoesNotOverfillAWorkerThatHasShrunk fails without the check (more than it can hold, on twelve workers) and passes with it; the three others pass with and without it.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -465,6 +465,7 @@
     // CellSync.cpp: synchronization of each worker's state.
     void handleListed(const std::string& id, const ListedWorker* listed);
     CellWorker* findWorker(const std::string& id);
+    void reportCapacityChange(const CellWorker& worker, const Resources& capacity);
     /** Stops the services' tasks on a worker that has begun to drain, so that they start elsewhere before it leaves. */
     void moveServices(CellWorker& worker);
     void scheduleSync(CellWorker& worker, absl::Duration delay);
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -1,5 +1,7 @@
 #include "Cell.h"
 
+#include "Job.h"
+
 #include <algorithm>
 
 namespace cicada {
@@ -45,7 +47,9 @@
     const bool hasTicket = allowed != step.advice.allowed.end();
     const bool lacksTicket = policyOf(job).advice.isNeeded && (!hasTicket || allowed->second.validUntil <= now);
     const bool isWanted = !isEnded(job.phase) && !m_isSuperseded && lease >= minStartLease && !lacksTicket;
-    if (!worker || !isWanted || !worker->isUsable(now)) {
+    // The worker may have shrunk while the intent was being stored.
+    const bool hasRoom = worker && fits(worker->used, worker->listed.capacity);
+    if (!hasRoom || !isWanted || !worker->isUsable(now)) {
         if (worker)
             handleStartFailure(run, *worker, OrderStatus::NotSent);
         return;
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -1,6 +1,8 @@
 #include "Cell.h"
 #include "CellDirectory.h"
 
+#include "Job.h"
+
 #include <algorithm>
 
 namespace cicada {
@@ -48,14 +50,29 @@
     if (isRestarted)
         endIncarnation(worker, IncarnationEnd::RestartListed);
     const bool beginsToDrain = listed->isDraining && !worker.listed.isDraining;
+    const bool hasGrown = !isNew && !fits(listed->capacity, worker.listed.capacity);
+    const bool hasShrunk = !isNew && !fits(worker.listed.capacity, listed->capacity);
+    if (hasGrown || hasShrunk)
+        reportCapacityChange(worker, listed->capacity);
     worker.listed = *listed;
     worker.isListed = true;
     if (beginsToDrain)
         moveServices(worker);
+    if (hasGrown)
+        schedulePlacement();
     if (isNew || isRestarted || hasMoved)
         scheduleSync(worker, absl::ZeroDuration());
 }
 
+void Cell::reportCapacityChange(const CellWorker& worker, const Resources& capacity)
+{
+    const Resources& former = worker.listed.capacity;
+    m_parts.log.write("worker-capacity-changed", "worker", worker.listed.incarnation.id, "formerCpuMillis",
+        former.cpuMillis, "cpuMillis", capacity.cpuMillis, "formerMemoryMiB", former.memoryMiB, "memoryMiB",
+        capacity.memoryMiB, "formerAccelerators", former.accelerators, "accelerators", capacity.accelerators,
+        "usedCpuMillis", worker.used.cpuMillis, "usedMemoryMiB", worker.used.memoryMiB);
+}
+
 void Cell::moveServices(CellWorker& worker)
 {
     // All that still runs when the worker leaves is lost, and that shows only when its leases have expired.
