Suspects that can start go before those that wait for tickets, and wait no longer than 8 s

Cause: workers were set aside for a suspect that waited for tickets before the next suspect was looked at, and nothing bounded the wait of a task with one crash under it, or of the tasks that its job held back. Change: two passes, the first starts what can start, the second sets workers aside. After 8 s a task with one crash under it starts like any other; with two it still waits for a worker of its own.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -240,7 +240,8 @@
         CellJob& job, StepRef ref, const std::vector<CellWorker*>& eligible, std::vector<Choice>& choices);
     std::vector<Choice> chooseWorkers(CellJob& job, StepRef ref, const std::vector<CellWorker*>& eligible,
         bool mustPlaceAll, const std::string& onlyRack);
-    void storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices);
+    /** `isIsolated` keeps other work from the workers until the runs are over. */
+    void storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices, bool isIsolated = false);
     std::vector<uint32_t> waitingTasks(const CellStep& step) const;
 
     // CellAccounts.cpp: the limits of client accounts.
@@ -422,6 +423,10 @@
     static bool isSuspectAsAWhole(const CellJob& job);
     /** Whether tasks of the step that are no suspects have to wait until one of the job's suspects has finished. */
     bool isHeldBack(const CellJob& job, StepRef ref) const;
+    /** Whether no worker of their own was to be had for the job's suspects for long. */
+    bool hasWaitedForIsolation(const CellJob& job) const;
+    /** Whether the task may only start on a worker without other jobs. */
+    bool runsApart(const CellJob& job, const CellTask& task) const;
     /** The ready steps with waiting suspects, in the order in which steps get capacity. */
     std::vector<StepRank> stepsWithSuspects();
     /** Starts suspects on workers without other runs, and sets workers aside for those that wait. */
--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -111,8 +111,8 @@
     const std::vector<CellTask>& tasks = job.step(ref).tasks;
     // Suspects start apart, but for the members of a gang.
     if (!spec.isGang)
-        waiting.erase(
-            std::remove_if(waiting.begin(), waiting.end(), [&tasks](uint32_t index) { return tasks[index].isSuspect; }),
+        waiting.erase(std::remove_if(
+                          waiting.begin(), waiting.end(), [&](uint32_t index) { return runsApart(job, tasks[index]); }),
             waiting.end());
     const uint64_t startable = startableWithinLimit(job, spec);
     if (startable >= waiting.size())
--- a/src/CellIsolation.cpp
+++ b/src/CellIsolation.cpp
@@ -27,6 +27,9 @@
     constexpr absl::Duration unknownPenalty = absl::Seconds(1);
     /** A task that has been at work this long no longer keeps others from its worker. */
     constexpr absl::Duration suspectProvenAfter = absl::Seconds(10);
+    /** How long a task with one crash under it waits for a worker of its own. Then it starts like any other, since
+     * otherwise room would stay unused for as long as other suspects crash theirs. */
+    constexpr absl::Duration isolationPatience = absl::Seconds(8);
     /** With so many crashed workers, the job as a whole is the suspect. */
     constexpr uint32_t minCrashedWorkers = 2;
 
@@ -45,7 +48,17 @@
 
 bool Cell::isHeldBack(const CellJob& job, StepRef ref) const
 {
-    return !job.stepSpec(ref).isGang && isSuspectAsAWhole(job);
+    return !job.stepSpec(ref).isGang && isSuspectAsAWhole(job) && !hasWaitedForIsolation(job);
+}
+
+bool Cell::hasWaitedForIsolation(const CellJob& job) const
+{
+    return m_parts.timers.clock().now() - job.crashedAt > isolationPatience;
+}
+
+bool Cell::runsApart(const CellJob& job, const CellTask& task) const
+{
+    return task.isSuspect && (task.crashedRuns.size() > 1 || !hasWaitedForIsolation(job));
 }
 
 std::vector<StepRank> Cell::stepsWithSuspects()
@@ -80,13 +93,17 @@
     if (m_suspectJobs.empty())
         return;
     m_freeLanes.clear();
+    std::vector<std::pair<StepRank, size_t>> open;
     for (const StepRank& rank : stepsWithSuspects()) {
         CellJob* job = findJob(rank.job);
         const bool mayStart = job && job->isStored && job->step(rank.ref).notBefore <= m_parts.timers.clock().now();
-        if (!mayStart || freeLanes(policyOf(*job).service) == 0)
-            continue;
-        const size_t open = placeSuspectsOf(*job, rank.ref);
-        setWorkersAside(*job, rank.ref, open);
+        if (mayStart && freeLanes(policyOf(*job).service) > 0)
+            open.emplace_back(rank, placeSuspectsOf(*job, rank.ref));
+    }
+    // Only what no suspect can use now is set aside: one that waits for tickets must not keep others from starting.
+    for (const auto& [rank, tasks] : open) {
+        if (CellJob* job = findJob(rank.job))
+            setWorkersAside(*job, rank.ref, tasks);
     }
 }
 
@@ -112,7 +129,7 @@
         --lanes;
     }
     if (!choices.empty())
-        storeIntent(job, ref, choices);
+        storeIntent(job, ref, choices, true);
     if (!suspects.empty() && allowed > 0)
         requestSuspectAdvice(job, ref, std::move(withoutTicket));
     return allowed > 0 ? suspects.size() : 0;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -312,7 +312,7 @@
     return choices.size() == waiting ? StepOutcome::Placed : StepOutcome::Unplaced;
 }
 
-void Cell::storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices)
+void Cell::storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices, bool isIsolated)
 {
     const StepSpec& spec = job.stepSpec(ref);
     const Resources demand = demandOf(spec);
@@ -331,7 +331,7 @@
         task.workerStarted = choice.worker->startedUnixMillis;
         runs.push_back({ { job.spec.id, ref.occurrence, ref.step, choice.index }, task.run });
         allocate(*choice.worker, runs.back(), demand, spec.isService, job.spec.account);
-        if (task.isSuspect && !spec.isGang)
+        if (isIsolated)
             choice.worker->isolate(runs.back());
     }
     if (job.phase == JobPhase::Queued)
