Cell: its parts, term and transfers get headers of their own

Change: CellParts.h and CellTransfer.h hold types that others need without the class. No change of logic.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -15,8 +15,10 @@
 #include "Advisor.h"
 #include "AllowedShare.h"
 #include "CellJob.h"
+#include "CellParts.h"
 #include "CellReply.h"
 #include "CellRoom.h"
+#include "CellTransfer.h"
 #include "CellWorker.h"
 #include "ClientAccount.h"
 #include "CrashLog.h"
@@ -42,53 +44,11 @@
 
 namespace cicada {
 
-/** Limits set by the platform, and values derived from them. */
-struct CellBounds {
-    /** The maximum lease that a worker grants. */
-    absl::Duration maxLease = absl::Seconds(6);
-    /** How long the end of a job can be queried. */
-    absl::Duration endedRetention = absl::Seconds(120);
-    CrashLimits crashes;
-};
-
-/** One entry's term as the owner of a cell. */
-struct CellTerm {
-    uint32_t cell = 0;
-    /** Number of cells in total; a worker's rack determines its cell. */
-    uint32_t cells = 1;
-    /** The cell's row and the revision under which this entry holds it, which is also the fencing token. */
-    std::string row;
-    uint64_t token = 0;
-};
-
 /** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
 class Cell final : public AccountDemand {
 public:
     using Reply = absl::AnyInvocable<void(CellReply)>;
-    struct Parts {
-        TransactionalStore& store;
-        WorkerOrders& orders;
-        WorkerRoster& roster;
-        AdvisorSlots& advisorSlots;
-        RoomFinder& rooms;
-        TimerQueue& timers;
-        EventLog& log;
-        Metrics& metrics;
-        CellBounds bounds;
-        /** The current policy of a queue, or null when the queue is no longer in the configuration. */
-        std::function<const QueuePolicy*(const std::string& queue)> policyOf;
-        /** Another entry owns the cell: this object must be destroyed, but not within the call. */
-        std::function<void(const std::string& why)> onSuperseded;
-        /** What accounts may have allocated in this cell. */
-        std::shared_ptr<const AccountQuota> quota;
-        /** The client account in force, or null; empty where there are no accounts. */
-        std::function<const ClientAccount*(const std::string& account)> accountOf = nullptr;
-        /** Whether the configuration has been read; until then the accounts' limits are not known. Empty for always.
-         */
-        std::function<bool()> areAccountsKnown = nullptr;
-        /** The quota of an account holds up a step. */
-        std::function<void()> onMoreQuotaWanted = nullptr;
-    };
+    using Parts = CellParts;
 
     /** Everything in `parts` must outlive the cell. */
     Cell(Parts parts, CellTerm term);
@@ -141,20 +101,8 @@
         /** It can't start now, which showed without trying the workers. */
         Skipped,
     };
-    /** A transfer of a job to another cell of which it is not known that it is done. */
-    struct Transfer {
-        uint32_t destination = 0;
-        /** Of the marks that stand in the destination, if that is the job's home; else 0. */
-        uint64_t markRevision = 0;
-        /** An attempt had no reply, and may take effect later. */
-        bool mayApplyLate = false;
-        int failures = 0;
-    };
-    /** Tells where a job is whose home this cell is. */
-    struct Mark {
-        uint32_t cell = 0;
-        Instant checkedAt;
-    };
+    using Transfer = CellTransfer;
+    using Mark = TransferMark;
     static Resources freeOn(const CellWorker& worker, RoomBasis basis);
     struct Choice {
         uint32_t index = 0;
