Look for suspects only in jobs that have some

Cause: each step that was looked at in a placement round listed its startable tasks once more, though nearly no job ever has a suspect. Change: the jobs that may have suspects are known by id; all others take the way that they took before. No change of what starts where.

--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -105,12 +105,13 @@
 std::vector<uint32_t> Cell::startableTasks(CellJob& job, StepRef ref) const
 {
     const StepSpec& spec = job.stepSpec(ref);
-    if (isHeldBack(job, ref))
-        return {};
     std::vector<uint32_t> waiting = waitingTasks(job.step(ref));
+    const bool hasSuspects = m_suspectJobs.contains(job.spec.id);
+    if (hasSuspects && isHeldBack(job, ref))
+        return {};
     const std::vector<CellTask>& tasks = job.step(ref).tasks;
     // Suspects start apart, but for the members of a gang.
-    if (!spec.isGang)
+    if (hasSuspects && !spec.isGang)
         waiting.erase(std::remove_if(
                           waiting.begin(), waiting.end(), [&](uint32_t index) { return runsApart(job, tasks[index]); }),
             waiting.end());
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -293,7 +293,7 @@
             m_parts.onMoreQuotaWanted();
         return StepOutcome::Skipped;
     }
-    if (startableTasks(*job, rank.ref).empty())
+    if (m_suspectJobs.contains(rank.job) && startableTasks(*job, rank.ref).empty())
         return StepOutcome::Skipped;
     step.lacksRoom = !hasRoomForTask(*job, rank.ref);
     if (step.lacksRoom)
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -105,6 +105,8 @@
 
 void Cell::openWorkersTo(const std::string& queue)
 {
+    if (m_probation.isEmpty() && m_openTo.empty())
+        return;
     const std::string group = m_probation.includes(queue) ? queue : std::string();
     if (group == m_openTo)
         return;
