--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -36,7 +36,7 @@
 
 void Cell::recordWorkerCrash(CellWorker& worker, absl::string_view why, bool isCertain)
 {
-    // What still runs on a worker that has announced its end is lost, and that is nobody's fault.
+    // The runs of a draining worker end with it as announced; that is no crash.
     if (worker.listed.isDraining)
         return;
     const Instant now = m_parts.timers.clock().now();
--- a/src/CellTransfer.h
+++ b/src/CellTransfer.h
@@ -13,7 +13,7 @@
 /** A transfer of a job to another cell of which it is not known that it is done. */
 struct CellTransfer {
     uint32_t destination = 0;
-    /** Of the marks that stand in the destination, if that is the job's home; else 0. */
+    /** The revision of the marks in the destination, if that is the job's home cell; else 0. */
     uint64_t markRevision = 0;
     /** An attempt had no reply, and may take effect later. */
     bool mayApplyLate = false;
