Storms of deadly tasks: when a run crashed its worker counts, and new jobs of such a queue begin with one task

Cause: every run on a crashed worker was as suspect as any other; several crashes within half a second counted as a loss of power, which in a storm is always so; and nothing was known of a queue's next jobs from those that had just been given up. Change: the time for which runs had been at work is taken into account. How soon tasks crash their workers is learnt from crashes of workers that ran one job (CrashDelays). A run that had been at work for longer is not kept apart if another had just begun beside it, and such a crash does not count towards giving it up, up to two of them; one that had just begun is a suspect whatever else went away at that time, and waits for a worker of its own however long that takes. After a job was given up, and while a queue is on probation, its jobs begin with one task, one such job at a time on a worker, on the one with the fewest runs. Suspects also start on workers that all other work has left empty. A successor no longer keeps workers that run several jobs for a suspect among them.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -137,13 +137,12 @@
                     const StepSpec& spec = job->spec.steps[s];
                     allocate(worker, run, demandOf(spec), spec.isService, job->spec.account);
                     worker.allocations[run].isInherited = true;
-                    if (tasks[i].isSuspect && !spec.isGang)
-                        worker.isolate(run);
                     ++activeRuns;
                 }
             }
         }
     }
+    isolateInherited();
     m_isLoaded = true;
     m_loadedAt = now;
     m_parts.timers.after(hearingTime, guarded([this] { schedulePlacement(); }));
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -21,6 +21,7 @@
 #include "CellTransfer.h"
 #include "CellWorker.h"
 #include "ClientAccount.h"
+#include "CrashDelays.h"
 #include "CrashLog.h"
 #include "DurableWriter.h"
 #include "GangReservation.h"
@@ -357,28 +358,49 @@
     /** Records that the worker's incarnation has ended with its runs, if it had not announced that. `isCertain` is
      * false if the worker may only have been cut off. */
     void recordWorkerCrash(CellWorker& worker, absl::string_view why, bool isCertain);
+    /** A run whose start is known, with its job, and how long it had been at work when its worker went silent. */
+    struct RunAge {
+        const TaskRun* run = nullptr;
+        const CellJob* job = nullptr;
+        absl::Duration age;
+    };
+    std::vector<RunAge> agesOn(const CellWorker& worker);
+    /** Records for how long the runs on a worker that has crashed had been at work. */
+    void recordAges(CellWorker& worker);
     /** Records a crash if the worker has restarted since a former owner ordered its runs. */
     void recordInheritedCrash(CellWorker& worker);
     /** What the worker's last crash says about the job's tasks that ran there. */
     WorkerCrash crashAsSeenBy(const std::string& job, const std::string& worker) const;
     static bool runsJob(const CellWorker& worker, const std::string& job);
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
-    void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, CrashedRun kind);
+    void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
+    /** How many workers have crashed under the task, by what is known now of how soon tasks crash their workers. */
+    TaskCrashes crashesOf(const CellTask& task) const;
     void giveUp(CellJob& job, const TaskName& task, uint32_t crashes);
 
     // CellIsolation.cpp: where tasks run that may crash their worker.
     /** Whether workers crashed under several of the job's tasks, so that one of them shows what to expect of all. */
-    static bool isSuspectAsAWhole(const CellJob& job);
+    bool isSuspectAsAWhole(const CellJob& job) const;
     /** Whether tasks of the step that are no suspects have to wait until one of the job's suspects has finished. */
     bool isHeldBack(const CellJob& job, StepRef ref) const;
     /** Whether no worker of their own was to be had for the job's suspects for long. */
     bool hasWaitedForIsolation(const CellJob& job) const;
+    /** Whether runs that had just begun beside the task are the likely causes of all crashes under it. */
+    bool isLikelySound(const CellTask& task) const;
+    /** Whether nothing else explains several crashes under the task, or only it had just begun at the last one. */
+    bool isLikelyDeadly(const CellTask& task) const;
     /** Whether the task may only start on a worker without other jobs. */
     bool runsApart(const CellJob& job, const CellTask& task) const;
-    /** The ready steps with waiting suspects, in the order in which steps get capacity. */
+    /** Keeps other work from workers on which a former owner has started suspects apart. */
+    void isolateInherited();
+    /** The waiting tasks of the step that may only start apart, by index; the likely cause of a crash comes last. */
+    std::vector<uint32_t> waitingSuspects(const CellJob& job, StepRef ref) const;
+    /** The ready steps with such tasks, those first that may be sound, in the order in which steps get capacity. */
     std::vector<StepRank> stepsWithSuspects();
     /** Starts suspects on workers without other runs, and sets workers aside for those that wait. */
     void placeSuspects();
+    /** Starts suspects on workers that are still empty when all other work has had its turn. */
+    void placeSuspectsOnIdleWorkers();
     /** Starts suspects of the step; returns how many of them still wait for a worker. */
     size_t placeSuspectsOf(CellJob& job, StepRef ref);
     /** Puts as many of the suspects on the worker as it has room for. */
@@ -395,23 +417,39 @@
     bool hasTicketFor(CellJob& job, StepRef ref, const CellWorker& worker);
     /** How many more of the service's workers suspects may have, in the current placement round. */
     size_t& freeLanes(const std::string& service);
-    /** Whether tasks wait for the service that are no suspects and whose queue is not on probation. */
+    /** Whether tasks wait for the service that are no suspects and not confined. */
     bool hasOtherWorkWaiting(const std::string& service);
+    /** Whether a waiting task of the step may start beside other jobs. */
+    bool hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const;
     void setWorkersAside(CellJob& job, StepRef ref, size_t tasks);
     void publishIsolation();
     /** Suspects that have been at work for long no longer keep others from the worker. */
     void clearProvenSuspects(CellWorker& worker);
 
-    // CellProbation.cpp: workers to which queues are confined.
+    // CellProbation.cpp: trials of new jobs, and workers to which queues are confined.
+    /** Whether the step has to wait for a first task of its job to show that it does not crash its worker, as other
+     * jobs of the queue have lately done. */
+    bool needsTrial(const CellJob& job, StepRef ref) const;
+    /** Whether a first task is being started or is at work, or waits to be started apart. */
+    bool isTrialUnderWay(const CellJob& job) const;
+    /** Whether a task of the job has finished, or has been at work for long enough. */
+    bool hasPassedTrial(const CellJob& job) const;
+    /** How long a first task has to be at work. */
+    absl::Duration trialLength() const;
+    /** Looks at the job's other tasks again when the one that has just begun will have been at work for long enough. */
+    void scheduleEndOfTrial(const CellJob& job);
     /** Records that an order to the worker had no reply. */
     void recordSilence(CellWorker& worker);
+    /** If only one job had just begun on the worker, counts the crash against its queue. */
+    void recordSuspectedCrash(const CellWorker& worker);
     /** Counts the crash of the worker against the queues whose tasks ran there. */
     void recordCrashOfQueues(const CellWorker& worker);
     /** Begins and ends probations that are due, and keeps workers for the queues on probation. */
     void updateProbation();
     void confineQueue(const std::string& queue);
+    bool hasConfinedWorkWaiting(const std::string& queue) const;
     void releaseConfined(const std::string& queue, size_t count);
-    /** Makes free() show what steps of the queue may use. */
+    /** Makes free() show what confined steps of the queue may use; with an empty name, what all others may. */
     void openWorkersTo(const std::string& queue);
     void closeConfinedWorkers();
 
@@ -554,6 +592,7 @@
     /** Queues whose correction has a metric of its own. */
     absl::flat_hash_set<std::string> m_queuesWithMetric;
     CrashLog m_crashLog;
+    CrashDelays m_crashDelays;
     /** Until then, the last task that was given up explains crashes of several workers at once. */
     Instant m_deadlyWorkKnownUntil = absl::ZeroDuration();
     QueueProbation m_probation;
@@ -561,8 +600,11 @@
     std::string m_openTo;
     /** Jobs that may have suspects. */
     absl::btree_set<std::string> m_suspectJobs;
-    /** By service, for the current placement round. */
+    /** By service, for the current pass over the suspects. */
     absl::flat_hash_map<std::string, size_t> m_freeLanes;
+    Instant m_nextIsolationReport = absl::ZeroDuration();
+    /** Other work has had its turn in the current placement round. */
+    bool m_mayUseIdleWorkers = false;
     absl::flat_hash_map<std::string, Transfer> m_transfers;
     absl::flat_hash_map<std::string, std::vector<absl::AnyInvocable<void()>>> m_requestsWhileMoving;
     absl::flat_hash_map<std::string, Mark> m_marks;
--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -115,6 +115,8 @@
         waiting.erase(std::remove_if(
                           waiting.begin(), waiting.end(), [&](uint32_t index) { return runsApart(job, tasks[index]); }),
             waiting.end());
+    if (needsTrial(job, ref))
+        waiting.resize(std::min<size_t>(waiting.size(), isTrialUnderWay(job) ? 0 : 1));
     const uint64_t startable = startableWithinLimit(job, spec);
     if (startable >= waiting.size())
         return waiting;
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -32,6 +32,12 @@
         return allocation.wasSent ? CrashedRun::Possible : CrashedRun::None;
     }
 
+    /** For logs; -1 if infinite. */
+    int64_t millisOf(absl::Duration age)
+    {
+        return age == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(age);
+    }
+
 } // namespace
 
 void Cell::recordWorkerCrash(CellWorker& worker, absl::string_view why, bool isCertain)
@@ -52,9 +58,12 @@
     }
     if (runs == 0)
         return;
+    recordAges(worker);
     const bool isNoted = crash.wasIsolated && worker.failedSyncs > 0;
     if (!isNoted)
         recordCrashOfQueues(worker);
+    if (isCertain && !crash.wasIsolated && worker.failedSyncs > 0)
+        recordSuspectedCrash(worker);
     for (const std::string& id : crash.jobs) {
         CellJob* job = findJob(id);
         if (!job)
@@ -71,6 +80,37 @@
     m_crashLog.record(std::move(crash));
 }
 
+std::vector<Cell::RunAge> Cell::agesOn(const CellWorker& worker)
+{
+    const Instant silentAt = std::min(worker.silentSince, m_parts.timers.clock().now());
+    std::vector<RunAge> ages;
+    for (const auto& [run, allocation] : worker.allocations) {
+        CellJob* job = findJob(run.task.job);
+        const CellTask* task = job ? job->find(run.task) : nullptr;
+        // When a former owner started a run is not known.
+        const bool isKnown = task && task->run == run.run && allocation.wasSent && !allocation.isInherited
+            && task->startedAt > absl::ZeroDuration() && task->startedAt <= silentAt;
+        if (isKnown)
+            ages.push_back({ &run, job, silentAt - task->startedAt });
+    }
+    return ages;
+}
+
+void Cell::recordAges(CellWorker& worker)
+{
+    const std::vector<RunAge> ages = agesOn(worker);
+    for (auto& [run, allocation] : worker.allocations) {
+        RunAges& atCrash = allocation.agesAtCrash;
+        atCrash = {};
+        for (const RunAge& other : ages) {
+            if (*other.run == run)
+                atCrash.own = other.age;
+            else if (other.run->task.job != run.task.job && !hasPassedTrial(*other.job))
+                atCrash.youngestOther = std::min(atCrash.youngestOther, other.age);
+        }
+    }
+}
+
 void Cell::recordInheritedCrash(CellWorker& worker)
 {
     const bool hasRestarted = std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto& item) {
@@ -105,9 +145,9 @@
         [&job](const auto& item) { return item.first.task.job == job; });
 }
 
-void Cell::recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, CrashedRun kind)
+void Cell::recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost)
 {
-    if (kind == CrashedRun::None || isEnded(job.phase))
+    if (lost.crash == CrashedRun::None || isEnded(job.phase))
         return;
     const Instant now = m_parts.timers.clock().now();
     CellTask& task = *job.find(run.task);
@@ -115,28 +155,46 @@
         && now - task.startedAt >= serviceProvenAfter;
     if (isProven)
         task.crashedRuns.clear();
-    const bool isCounted = kind == CrashedRun::Counted;
-    const uint32_t crashes = isCounted ? job.recordCrash(run) : static_cast<uint32_t>(task.crashedRuns.size());
+    const bool isCounted = lost.crash == CrashedRun::Counted;
+    task.agesAtLastCrash = lost.agesAtCrash;
+    if (isCounted && job.recordCrash(run))
+        task.agesAtCrashes.push_back(lost.agesAtCrash);
     const std::string& id = worker.listed.incarnation.id;
-    const WorkerCrash crash = crashAsSeenBy(job.spec.id, id);
+    WorkerCrash crash = crashAsSeenBy(job.spec.id, id);
+    crash.isSoonAfterStart = m_crashDelays.isSoonAfterStart(lost.agesAtCrash, now);
+    if (isCounted && crash.ranOneJob && !crash.hasOtherCause())
+        m_crashDelays.record(lost.agesAtCrash, now);
     const bool isDeadlyWorkKnown = m_deadlyWorkKnownUntil > now;
-    const CrashVerdict verdict = isCounted ? crashVerdict(crashes, crash, isDeadlyWorkKnown, m_parts.bounds.crashes)
-                                           : crashVerdict(1, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
+    const TaskCrashes crashes = crashesOf(task);
+    const CrashVerdict verdict
+        = crashVerdict(isCounted ? crashes : TaskCrashes {}, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
     m_parts.log.write("run-crashed", "run", describeRun(run), "worker", id, "queue", job.policy.queue, "crashes",
-        crashes, "counted", isCounted, "alone", crash.ranOneJob, "simultaneous", crash.isSimultaneous, "verdict",
-        crashVerdictName(verdict));
+        crashes.all, "unexplained", crashes.unexplained, "counted", isCounted, "alone", crash.ranOneJob, "simultaneous",
+        crash.isSimultaneous, "ageMs", millisOf(lost.agesAtCrash.own), "youngestOtherMs",
+        millisOf(lost.agesAtCrash.youngestOther), "verdict", crashVerdictName(verdict));
     m_parts.metrics.count(absl::StrCat("cicada_runs_crashed{verdict=\"", crashVerdictName(verdict), "\"}"));
     if (verdict == CrashVerdict::Suspect) {
         task.isSuspect = true;
         m_suspectJobs.insert(job.spec.id);
     }
     if (verdict == CrashVerdict::GiveUp)
-        giveUp(job, run.task, crashes);
+        giveUp(job, run.task, crashes.all);
+}
+
+TaskCrashes Cell::crashesOf(const CellTask& task) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    const auto explained = std::count_if(task.agesAtCrashes.begin(), task.agesAtCrashes.end(),
+        [&](const RunAges& ages) { return m_crashDelays.isLikelyCausedByOther(ages, now); });
+    const auto all = static_cast<uint32_t>(task.crashedRuns.size());
+    return { all, all - std::min(all, static_cast<uint32_t>(explained)) };
 }
 
 void Cell::giveUp(CellJob& job, const TaskName& task, uint32_t crashes)
 {
-    m_deadlyWorkKnownUntil = m_parts.timers.clock().now() + CrashLog::retention;
+    const Instant now = m_parts.timers.clock().now();
+    m_deadlyWorkKnownUntil = now + CrashLog::retention;
+    m_probation.recordGivenUp(job.policy.queue, job.acceptedAt);
     job.givenUpFor = task;
     m_parts.log.write("job-given-up", "job", job.spec.id, "task", describeTask(task), "queue", job.policy.queue,
         "account", job.spec.account, "crashes", crashes, "limit", m_parts.bounds.crashes.maxCrashes);
--- a/src/CellIsolation.cpp
+++ b/src/CellIsolation.cpp
@@ -16,20 +16,26 @@
 
 namespace {
 
-    /** Suspects may have this share of a service's workers, while other work waits and otherwise. */
+    /** Suspects may have this share of a service's workers, while other work waits and otherwise, or where it has left
+     * workers empty. */
     constexpr double maxIsolatedShare = 0.25;
     constexpr double maxIsolatedShareWhenIdle = 0.75;
+    /** Tickets are requested so long before the worker is expected to be empty. */
+    constexpr absl::Duration ticketLead = absl::Seconds(1);
     /** As many workers are asked about in one request for advice. */
     constexpr size_t maxAdviceWorkers = 8;
     /** Unknown workers are asked about until so many are known to be allowed. */
     constexpr size_t minAllowedWorkers = 3;
     /** A worker that may not be allowed is set aside only if it is empty this much sooner. */
     constexpr absl::Duration unknownPenalty = absl::Seconds(1);
-    /** A task that has been at work this long no longer keeps others from its worker. */
+    /** A task that has been at work this long no longer keeps others from its worker, or sooner if tasks are known to
+     * crash their workers sooner, but not before the lesser time. */
     constexpr absl::Duration suspectProvenAfter = absl::Seconds(10);
+    constexpr absl::Duration minProof = absl::Milliseconds(500);
     /** How long a task with one crash under it waits for a worker of its own. Then it starts like any other, since
      * otherwise room would stay unused for as long as other suspects crash theirs. */
     constexpr absl::Duration isolationPatience = absl::Seconds(8);
+    constexpr absl::Duration isolationReportInterval = absl::Seconds(2);
     /** With so many crashed workers, the job as a whole is the suspect. */
     constexpr uint32_t minCrashedWorkers = 2;
 
@@ -41,9 +47,28 @@
 
 } // namespace
 
-bool Cell::isSuspectAsAWhole(const CellJob& job)
+bool Cell::isSuspectAsAWhole(const CellJob& job) const
 {
-    return job.crashedWorkers >= minCrashedWorkers && job.hasSuspects();
+    if (job.crashedWorkers < minCrashedWorkers)
+        return false;
+    return job.anyTask([this](const CellTask& task) {
+        return task.isSuspect && task.stage != TaskStage::Finished && !isLikelySound(task);
+    });
+}
+
+bool Cell::isLikelySound(const CellTask& task) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    const TaskCrashes crashes = crashesOf(task);
+    // Whoever was beside such a run twice is not to lose a third run.
+    return crashes.all <= 1 && crashes.unexplained == 0
+        && m_crashDelays.isLikelyCausedByOther(task.agesAtLastCrash, now);
+}
+
+bool Cell::isLikelyDeadly(const CellTask& task) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    return crashesOf(task).unexplained > 1 || m_crashDelays.isLikelyCause(task.agesAtLastCrash, now);
 }
 
 bool Cell::isHeldBack(const CellJob& job, StepRef ref) const
@@ -58,12 +83,50 @@
 
 bool Cell::runsApart(const CellJob& job, const CellTask& task) const
 {
-    return task.isSuspect && (task.crashedRuns.size() > 1 || !hasWaitedForIsolation(job));
+    if (!task.isSuspect || isLikelySound(task))
+        return false;
+    return task.crashedRuns.size() > 1 || isLikelyDeadly(task) || !hasWaitedForIsolation(job);
+}
+
+void Cell::isolateInherited()
+{
+    for (auto& [id, worker] : m_workers) {
+        absl::btree_set<std::string> jobs;
+        std::vector<TaskRun> suspects;
+        for (const auto& [run, allocation] : worker.allocations) {
+            CellJob* job = findJob(run.task.job);
+            if (!job)
+                continue;
+            if (!allocation.isOfService)
+                jobs.insert(run.task.job);
+            if (job->find(run.task)->isSuspect && !job->spec.steps[run.task.step].isGang)
+                suspects.push_back(run);
+        }
+        // One that runs several jobs was not kept for suspects.
+        if (jobs.size() > 1)
+            continue;
+        for (const TaskRun& run : suspects)
+            worker.isolate(run);
+    }
+}
+
+std::vector<uint32_t> Cell::waitingSuspects(const CellJob& job, StepRef ref) const
+{
+    const std::vector<CellTask>& tasks = job.step(ref).tasks;
+    std::vector<uint32_t> suspects;
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].stage == TaskStage::Waiting && runsApart(job, tasks[i]))
+            suspects.push_back(i);
+    }
+    std::stable_partition(
+        suspects.begin(), suspects.end(), [&tasks, this](uint32_t i) { return !isLikelyDeadly(tasks[i]); });
+    return suspects;
 }
 
 std::vector<StepRank> Cell::stepsWithSuspects()
 {
     std::vector<StepRank> steps;
+    std::vector<StepRank> likelyDeadly;
     std::vector<std::string> cleared;
     for (const std::string& id : m_suspectJobs) {
         CellJob* job = findJob(id);
@@ -75,14 +138,20 @@
             for (uint32_t s = 0; s < job->spec.steps.size(); ++s) {
                 const CellStep& step = job->step({ k, s });
                 const bool isWaiting = step.sortKey && !job->stepSpec({ k, s }).isGang;
-                if (isWaiting && !step.waitingSuspects().empty())
-                    steps.push_back({ *step.sortKey, id, { k, s } });
+                const std::vector<uint32_t> suspects
+                    = isWaiting ? waitingSuspects(*job, { k, s }) : std::vector<uint32_t>();
+                if (suspects.empty())
+                    continue;
+                const bool isDeadly = isLikelyDeadly(step.tasks[suspects.front()]);
+                (isDeadly ? likelyDeadly : steps).push_back({ *step.sortKey, id, { k, s } });
             }
         }
     }
     for (const std::string& id : cleared)
         m_suspectJobs.erase(id);
     std::sort(steps.begin(), steps.end());
+    std::sort(likelyDeadly.begin(), likelyDeadly.end());
+    steps.insert(steps.end(), likelyDeadly.begin(), likelyDeadly.end());
     return steps;
 }
 
@@ -107,23 +176,42 @@
     }
 }
 
+void Cell::placeSuspectsOnIdleWorkers()
+{
+    if (m_suspectJobs.empty())
+        return;
+    m_freeLanes.clear();
+    m_mayUseIdleWorkers = true;
+    for (const StepRank& rank : stepsWithSuspects()) {
+        CellJob* job = findJob(rank.job);
+        const bool mayStart = job && job->isStored && job->step(rank.ref).notBefore <= m_parts.timers.clock().now();
+        if (mayStart && freeLanes(policyOf(*job).service) > 0)
+            placeSuspectsOf(*job, rank.ref);
+    }
+    m_mayUseIdleWorkers = false;
+    m_freeLanes.clear();
+}
+
 size_t Cell::placeSuspectsOf(CellJob& job, StepRef ref)
 {
     const StepSpec& spec = job.stepSpec(ref);
-    std::vector<uint32_t> suspects = job.step(ref).waitingSuspects();
+    std::vector<uint32_t> suspects = waitingSuspects(job, ref);
     suspects.resize(std::min<uint64_t>(suspects.size(), startableWithinLimit(job, spec)));
     size_t& lanes = freeLanes(policyOf(job).service);
     size_t allowed = std::min(lanes, workersAllowed(job));
     std::vector<Choice> choices;
     std::vector<CellWorker*> withoutTicket;
+    const Instant soon = m_parts.timers.clock().now() + ticketLead;
     for (CellWorker* worker : isolableWorkers(job, ref)) {
         const bool isEmpty = worker->allocations.size() == servicesOn(*worker);
-        if (suspects.empty() || allowed == 0 || !isEmpty)
+        if (suspects.empty() || allowed == 0 || emptyAt(*worker) > soon)
             break;
         if (!hasTicketFor(job, ref, *worker)) {
             withoutTicket.push_back(worker);
             continue;
         }
+        if (!isEmpty)
+            continue;
         fillWorker(*worker, spec, suspects, choices);
         --allowed;
         --lanes;
@@ -175,7 +263,9 @@
     std::vector<CellWorker*> workers;
     for (CellWorker* worker : possibleWorkers(job, ref)) {
         const bool hasRoomWhenEmpty = fits(demand, worker->freeInTime());
-        const bool isFree = worker->isolatedRuns == 0 && !worker->isSetAside && worker->confinedTo.empty();
+        const bool isReserved = worker->reserved.cpuMillis > 0 || worker->reserved.memoryMiB > 0;
+        const bool isFree
+            = worker->isolatedRuns == 0 && !worker->isSetAside && worker->confinedTo.empty() && !isReserved;
         if (isFree && hasRoomWhenEmpty && hasLabel(worker->listed, spec.requiredLabel))
             workers.push_back(worker);
     }
@@ -230,7 +320,8 @@
         ++listed;
         taken += worker.isolatedRuns > 0 ? 1 : 0;
     }
-    const double share = hasOtherWorkWaiting(service) ? maxIsolatedShare : maxIsolatedShareWhenIdle;
+    const bool isIdle = m_mayUseIdleWorkers || !hasOtherWorkWaiting(service);
+    const double share = isIdle ? maxIsolatedShareWhenIdle : maxIsolatedShare;
     const auto limit = std::max<size_t>(1, static_cast<size_t>(static_cast<double>(listed) * share));
     lanes->second = limit > taken ? limit - taken : 0;
     return lanes->second;
@@ -238,17 +329,22 @@
 
 bool Cell::hasOtherWorkWaiting(const std::string& service)
 {
-    const auto isOther = [](const CellTask& task) { return task.stage == TaskStage::Waiting && !task.isSuspect; };
     return std::any_of(m_ready.begin(), m_ready.end(), [&](const StepRank& rank) {
         CellJob* job = findJob(rank.job);
         if (!job || policyOf(*job).service != service || isHeldBack(*job, rank.ref)
-            || m_probation.includes(policyOf(*job).queue))
+            || m_probation.confines(policyOf(*job).queue, job->acceptedAt))
             return false;
-        const std::vector<CellTask>& tasks = job->step(rank.ref).tasks;
-        return std::any_of(tasks.begin(), tasks.end(), isOther);
+        return hasWorkForSharedWorkers(*job, rank.ref);
     });
 }
 
+bool Cell::hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const
+{
+    const std::vector<CellTask>& tasks = job.step(ref).tasks;
+    return std::any_of(tasks.begin(), tasks.end(),
+        [&](const CellTask& task) { return task.stage == TaskStage::Waiting && !runsApart(job, task); });
+}
+
 void Cell::setWorkersAside(CellJob& job, StepRef ref, size_t tasks)
 {
     const StepSpec& spec = job.stepSpec(ref);
@@ -272,11 +368,24 @@
         if (const CellJob* job = findJob(id))
             suspects += job->openSuspects();
     }
-    const auto isolated = std::count_if(m_workers.begin(), m_workers.end(),
-        [](const auto& item) { return item.second.isolatedRuns > 0 || item.second.isSetAside; });
+    const auto count = [this](auto predicate) {
+        return std::count_if(m_workers.begin(), m_workers.end(),
+            [&](const auto& item) { return item.second.isListed && predicate(item.second); });
+    };
+    const auto isolated = count([](const CellWorker& worker) { return worker.isolatedRuns > 0; });
+    const auto setAside = count([](const CellWorker& worker) { return worker.isSetAside; });
     const std::string label = absl::StrCat("{cell=\"", m_term.cell, "\"}");
     m_parts.metrics.gauge(absl::StrCat("cicada_suspect_tasks", label), static_cast<double>(suspects));
-    m_parts.metrics.gauge(absl::StrCat("cicada_isolated_workers", label), static_cast<double>(isolated));
+    m_parts.metrics.gauge(absl::StrCat("cicada_isolated_workers", label), static_cast<double>(isolated + setAside));
+    const Instant now = m_parts.timers.clock().now();
+    if (suspects == 0 || now < m_nextIsolationReport)
+        return;
+    m_nextIsolationReport = now + isolationReportInterval;
+    m_parts.log.write("isolation", "cell", m_term.cell, "suspects", suspects, "isolatedWorkers", isolated, "setAside",
+        setAside, "confined", count([](const CellWorker& worker) { return !worker.confinedTo.empty(); }), "silent",
+        count([](const CellWorker& worker) { return worker.failedSyncs > 0; }), "empty",
+        count([](const CellWorker& worker) { return worker.failedSyncs == 0 && worker.allocations.empty(); }), "listed",
+        count([](const CellWorker&) { return true; }));
 }
 
 void Cell::clearProvenSuspects(CellWorker& worker)
@@ -284,12 +393,14 @@
     const Instant now = m_parts.timers.clock().now();
     if (worker.isolatedRuns == 0 || worker.failedSyncs > 0)
         return;
+    const absl::Duration proof
+        = std::clamp(m_crashDelays.limit(now).value_or(suspectProvenAfter), minProof, suspectProvenAfter);
     std::vector<TaskRun> proven;
     for (const auto& [run, allocation] : worker.allocations) {
         CellJob* job = allocation.isIsolated ? findJob(run.task.job) : nullptr;
         CellTask* task = job ? job->find(run.task) : nullptr;
         const bool isProven = task && task->run == run.run && task->stage == TaskStage::Running
-            && now - task->startedAt >= suspectProvenAfter;
+            && now - task->startedAt >= (task->crashedRuns.size() > 1 ? suspectProvenAfter : proof);
         if (!isProven)
             continue;
         task->isSuspect = false;
@@ -299,6 +410,8 @@
         m_parts.log.write("suspect-cleared", "run", describeRun(run), "worker", worker.listed.incarnation.id);
         worker.endIsolation(run);
     }
+    if (!proven.empty())
+        schedulePlacement();
 }
 
 } // namespace cicada
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -167,16 +167,6 @@
     return counts;
 }
 
-std::vector<uint32_t> CellStep::waitingSuspects() const
-{
-    std::vector<uint32_t> suspects;
-    for (uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].isSuspect && tasks[i].stage == TaskStage::Waiting)
-            suspects.push_back(i);
-    }
-    return suspects;
-}
-
 CellTask* CellJob::find(const TaskName& name)
 {
     if (name.occurrence >= occurrences.size() || name.step >= occurrences[name.occurrence].size())
@@ -207,12 +197,13 @@
     return true;
 }
 
-uint32_t CellJob::recordCrash(const TaskRun& run)
+bool CellJob::recordCrash(const TaskRun& run)
 {
     std::vector<uint32_t>& crashed = find(run.task)->crashedRuns;
-    if (std::find(crashed.begin(), crashed.end(), run.run) == crashed.end())
-        crashed.push_back(run.run);
-    return static_cast<uint32_t>(crashed.size());
+    if (std::find(crashed.begin(), crashed.end(), run.run) != crashed.end())
+        return false;
+    crashed.push_back(run.run);
+    return true;
 }
 
 size_t CellJob::openSuspects() const
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -7,6 +7,7 @@
  */
 
 #include "Clock.h"
+#include "CrashDelays.h"
 #include "StepOrder.h"
 #include "WaitingWork.h"
 #include "WorkerOrders.h"
@@ -15,6 +16,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -50,6 +52,10 @@
     std::vector<uint32_t> crashedRuns;
     /** A worker may have crashed because of the task, which therefore runs apart from other jobs. */
     bool isSuspect = false;
+    /** How long those of these runs had been at work of whose crash this owner knows. */
+    std::vector<RunAges> agesAtCrashes;
+    /** The same for the last crash, also if the run may have begun after it. */
+    RunAges agesAtLastCrash;
     /** The worker of the current run. */
     std::string worker;
     /** The start time of that worker's incarnation, in milliseconds since 1970; 0 if unknown. */
@@ -131,8 +137,6 @@
     std::optional<WaitingItem> waitingItem;
 
     bool isFinished() const { return finished == tasks.size(); }
-    /** The waiting tasks that are suspects, by index. */
-    std::vector<uint32_t> waitingSuspects() const;
     /** How many active runs of the step each worker has, by the worker's id. */
     absl::flat_hash_map<std::string, uint32_t> activeRunsByWorker() const;
 };
@@ -181,11 +185,22 @@
     uint32_t failuresOf(const TaskName&) const;
     /** Records that a run of the task ended as failed; false if that was known. */
     bool recordFailure(const TaskRun&);
-    /** Records that a worker crashed under a run of the task, and returns under how many of its runs one has. */
-    uint32_t recordCrash(const TaskRun&);
+    /** Records that a worker crashed under a run of the task; false if that was known. */
+    bool recordCrash(const TaskRun&);
     /** How many of the tasks are suspects and have not finished. */
     size_t openSuspects() const;
     bool hasSuspects() const { return openSuspects() > 0; }
+    /** Whether the predicate holds for one of the tasks. */
+    template <typename Predicate> bool anyTask(Predicate predicate) const
+    {
+        for (const auto& steps : occurrences) {
+            for (const CellStep& step : steps) {
+                if (std::any_of(step.tasks.begin(), step.tasks.end(), predicate))
+                    return true;
+            }
+        }
+        return false;
+    }
     bool allFinished() const;
     /** Processors times estimated run time of one task of the step, in thousandths of a core times milliseconds. */
     double workOfTask(StepRef ref) const;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -171,6 +171,8 @@
     if (spec.maxPerWorker > 0)
         counts = step.activeRunsByWorker();
     const bool backfills = mayBackfill(job, ref);
+    const bool isTrial = needsTrial(job, ref);
+    const Instant now = m_parts.timers.clock().now();
     struct FreeCapacity {
         CellWorker* worker;
         Resources free;
@@ -180,6 +182,8 @@
     for (CellWorker* worker : eligible) {
         if (!onlyRack.empty() && worker->listed.rack != onlyRack)
             continue;
+        if (isTrial && worker->trialUntil > now)
+            continue;
         if (fits(demand, freeFor(*worker, backfills)))
             freeCapacities.push_back({ worker, freeFor(*worker, backfills),
                 !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
@@ -194,8 +198,11 @@
             const std::string& id = freeCapacity.worker->listed.incarnation.id;
             if (spec.maxPerWorker > 0 && counts[id] >= spec.maxPerWorker)
                 continue;
-            const double score = freeShareAfter(freeCapacity.free, demand, freeCapacity.worker->listed.capacity)
-                - (freeCapacity.isOnDataRack ? 10 : 0) + (freeCapacity.worker->slowdown - 1);
+            // A job on trial begins where a crash would cost least.
+            const double score = isTrial
+                ? static_cast<double>(freeCapacity.worker->allocations.size())
+                : freeShareAfter(freeCapacity.free, demand, freeCapacity.worker->listed.capacity)
+                    - (freeCapacity.isOnDataRack ? 10 : 0) + (freeCapacity.worker->slowdown - 1);
             if (!best || score < bestScore) {
                 best = &freeCapacity;
                 bestScore = score;
@@ -281,7 +288,7 @@
     const size_t waiting = waitingTasks(step).size();
     if (waiting == 0)
         return StepOutcome::Placed;
-    openWorkersTo(policyOf(*job).queue);
+    openWorkersTo(m_probation.confines(policyOf(*job).queue, job->acceptedAt) ? policyOf(*job).queue : "");
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
     step.lacksRoom = false;
@@ -293,7 +300,8 @@
             m_parts.onMoreQuotaWanted();
         return StepOutcome::Skipped;
     }
-    if (m_suspectJobs.contains(rank.job) && startableTasks(*job, rank.ref).empty())
+    const bool mayBeHeldBack = m_suspectJobs.contains(rank.job) || needsTrial(*job, rank.ref);
+    if (mayBeHeldBack && startableTasks(*job, rank.ref).empty())
         return StepOutcome::Skipped;
     step.lacksRoom = !hasRoomForTask(*job, rank.ref);
     if (step.lacksRoom)
@@ -316,6 +324,8 @@
 {
     const StepSpec& spec = job.stepSpec(ref);
     const Resources demand = demandOf(spec);
+    const bool isTrial = !isIsolated && needsTrial(job, ref);
+    const Instant now = m_parts.timers.clock().now();
     CellStep& step = job.step(ref);
     uint32_t run = 0;
     if (spec.isGang) {
@@ -333,10 +343,11 @@
         allocate(*choice.worker, runs.back(), demand, spec.isService, job.spec.account);
         if (isIsolated)
             choice.worker->isolate(runs.back());
+        if (isTrial)
+            choice.worker->trialUntil = now + trialLength();
     }
     if (job.phase == JobPhase::Queued)
         job.phase = JobPhase::Running;
-    const Instant now = m_parts.timers.clock().now();
     // Excess work does not count, so that an account loses none of what it is owed by using capacity that no other work
     // needs.
     if (!job.isExcess && !spec.isService && m_hasAccounts)
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -1,6 +1,7 @@
 /** \file
- * The part of Cell that confines the work of queues on probation to part of the workers, which get no other work
- * meanwhile. QueueProbation decides which queues these are.
+ * The part of Cell that limits what queues can do whose tasks crash workers. After a job was given up, the next jobs of
+ * its queue begin with one task. The work of queues on probation is confined to part of the workers, which get no other
+ * work meanwhile. QueueProbation decides which queues these are.
  */
 
 #include "Cell.h"
@@ -15,9 +16,51 @@
      * otherwise. */
     constexpr double confinedShare = 0.25;
     constexpr double confinedShareWhenIdle = 0.6;
+    /** How long a first task has to be at work while it is not known how soon tasks crash their workers. */
+    constexpr absl::Duration defaultTrialLength = absl::Seconds(1);
+    constexpr absl::Duration maxTrialLength = absl::Seconds(2);
 
 } // namespace
 
+absl::Duration Cell::trialLength() const
+{
+    return std::min(maxTrialLength, m_crashDelays.limit(m_parts.timers.clock().now()).value_or(defaultTrialLength));
+}
+
+bool Cell::hasPassedTrial(const CellJob& job) const
+{
+    const Instant now = m_parts.timers.clock().now();
+    const absl::Duration length = trialLength();
+    return job.anyTask([&](const CellTask& task) {
+        const auto worker = m_workers.find(task.worker);
+        const bool isAtWork = task.stage == TaskStage::Running && worker != m_workers.end()
+            && worker->second.failedSyncs == 0 && now - task.startedAt >= length;
+        return isAtWork || task.stage == TaskStage::Finished;
+    });
+}
+
+bool Cell::needsTrial(const CellJob& job, StepRef ref) const
+{
+    const StepSpec& spec = job.stepSpec(ref);
+    if (spec.isGang || spec.isService || !m_probation.needsTrial(job.policy.queue, job.acceptedAt))
+        return false;
+    const bool hasWaited = job.crashedWorkers > 0 && hasWaitedForIsolation(job);
+    return !hasWaited && !hasPassedTrial(job);
+}
+
+bool Cell::isTrialUnderWay(const CellJob& job) const
+{
+    return job.anyTask([&](const CellTask& task) {
+        return task.hasActiveRun() || (task.stage == TaskStage::Waiting && runsApart(job, task));
+    });
+}
+
+void Cell::scheduleEndOfTrial(const CellJob& job)
+{
+    if (m_probation.needsTrial(job.policy.queue, job.acceptedAt))
+        m_parts.timers.after(trialLength(), guarded([this] { schedulePlacement(); }));
+}
+
 void Cell::recordSilence(CellWorker& worker)
 {
     const Instant now = m_parts.timers.clock().now();
@@ -28,17 +71,35 @@
         recordCrashOfQueues(worker);
 }
 
+void Cell::recordSuspectedCrash(const CellWorker& worker)
+{
+    const Instant now = m_parts.timers.clock().now();
+    const CellJob* suspect = nullptr;
+    for (const RunAge& run : agesOn(worker)) {
+        const bool hasJustBegun = m_crashDelays.isSoonAfterStart({ run.age, absl::InfiniteDuration() }, now);
+        if (!hasJustBegun || run.job == suspect || hasPassedTrial(*run.job))
+            continue;
+        if (suspect)
+            return;
+        suspect = run.job;
+    }
+    if (suspect)
+        m_probation.recordSuspectedCrash(suspect->policy.queue, suspect->acceptedAt, worker.silentSince, now);
+}
+
 void Cell::recordCrashOfQueues(const CellWorker& worker)
 {
     const Instant now = m_parts.timers.clock().now();
-    absl::btree_set<std::string> queues;
+    // By queue, when the latest of its jobs there was accepted.
+    absl::btree_map<std::string, Instant> queues;
     for (const auto& [run, allocation] : worker.allocations) {
-        if (const CellJob* job = findJob(run.task.job))
-            queues.insert(job->policy.queue);
+        const CellJob* job = findJob(run.task.job);
+        if (job)
+            queues[job->policy.queue] = std::max(queues[job->policy.queue], job->acceptedAt);
     }
-    for (const std::string& queue : queues) {
+    for (const auto& [queue, acceptedAt] : queues) {
         if (worker.isolatedRuns > 0)
-            m_probation.recordIsolatedCrash(queue, now);
+            m_probation.recordIsolatedCrash(queue, acceptedAt, now);
         else
             m_probation.recordSharedCrash(queue, queues.size() == 1, now);
     }
@@ -77,7 +138,8 @@
         confined += worker.confinedTo == queue ? 1 : 0;
     }
     const double share = hasOtherWorkWaiting(policy->service) ? confinedShare : confinedShareWhenIdle;
-    const auto limit = std::max<size_t>(1, static_cast<size_t>(static_cast<double>(listed) * share));
+    const auto most = std::max<size_t>(1, static_cast<size_t>(static_cast<double>(listed) * share));
+    const size_t limit = hasConfinedWorkWaiting(queue) ? most : 0;
     if (confined > limit)
         releaseConfined(queue, confined - limit);
     std::vector<CellWorker*> free = usableWorkers(policy->service);
@@ -91,6 +153,15 @@
         worker->confinedTo = queue;
 }
 
+bool Cell::hasConfinedWorkWaiting(const std::string& queue) const
+{
+    return std::any_of(m_ready.begin(), m_ready.end(), [&](const StepRank& rank) {
+        const auto job = m_jobs.find(rank.job);
+        return job != m_jobs.end() && job->second->policy.queue == queue
+            && m_probation.confines(queue, job->second->acceptedAt) && hasWorkForSharedWorkers(*job->second, rank.ref);
+    });
+}
+
 void Cell::releaseConfined(const std::string& queue, size_t count)
 {
     for (auto& [id, worker] : m_workers) {
@@ -105,12 +176,9 @@
 
 void Cell::openWorkersTo(const std::string& queue)
 {
-    if (m_probation.isEmpty() && m_openTo.empty())
-        return;
-    const std::string group = m_probation.includes(queue) ? queue : std::string();
-    if (group == m_openTo)
+    if (queue == m_openTo)
         return;
-    m_openTo = group;
+    m_openTo = queue;
     closeConfinedWorkers();
     clearUnmetDemands();
 }
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -68,13 +68,14 @@
         continueRound(ranks, end, reservations);
     if (end < ranks.size())
         scheduleContinuation();
+    openWorkersTo("");
+    placeSuspectsOnIdleWorkers();
     // Advice that arrives later is used in the next round, which makes new reservations.
     for (auto& [id, worker] : m_workers) {
         worker.reserved = Resources();
         worker.backfillable = Resources();
     }
     m_backfillUntil = absl::ZeroDuration();
-    openWorkersTo("");
 }
 
 std::vector<StepRank> Cell::orderReadySteps()
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -94,6 +94,8 @@
             job->hasBegun = true;
         if (task && task->run == run.run && task->stage == TaskStage::Starting)
             task->stage = TaskStage::Running;
+        if (job)
+            scheduleEndOfTrial(*job);
         if (!job || isEnded(job->phase) || allocation->second.isStopWanted)
             requestStop(worker, run);
         return scheduleSync(worker, absl::ZeroDuration());
@@ -142,7 +144,7 @@
     if (why == notListed)
         worker.recordUnanswered(run, m_parts.timers.clock().now());
     const auto allocation = worker.allocations.find(run);
-    const CrashedRun crash = allocation == worker.allocations.end() ? CrashedRun::None : allocation->second.crash;
+    const RunAllocation lost = allocation == worker.allocations.end() ? RunAllocation() : allocation->second;
     release(worker, run);
     CellJob* job = findJob(run.task.job);
     CellTask* task = job ? job->find(run.task) : nullptr;
@@ -154,7 +156,7 @@
     task->lostOn = why == leasesEnded ? worker.listed.incarnation.id : std::string();
     const StepRef ref { run.task.occurrence, run.task.step };
     stopRemainingGang(*job, ref);
-    recordRunCrash(*job, run, worker, crash);
+    recordRunCrash(*job, run, worker, lost);
     queueStep(*job, ref);
 }
 
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -65,6 +65,7 @@
     failedSyncs = 0;
     silentSince = absl::InfiniteDuration();
     confinedTo.clear();
+    trialUntil = absl::ZeroDuration();
 }
 
 void CellWorker::allocate(
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -8,6 +8,7 @@
 
 #include "AccountUsage.h"
 #include "Clock.h"
+#include "CrashDelays.h"
 #include "CrashVerdict.h"
 #include "RunTimeEstimates.h"
 #include "WorkerOrders.h"
@@ -98,6 +99,8 @@
     /** Nothing else is placed beside the run, as its task is a suspect. */
     bool isIsolated = false;
     CrashedRun crash = CrashedRun::None;
+    /** When the worker went silent before the crash. */
+    RunAges agesAtCrash = {};
     bool isStopWanted = false;
     Instant stopSentAt = absl::ZeroDuration() - absl::Hours(1);
 };
@@ -133,6 +136,8 @@
     bool isSetAside = false;
     /** The queue on probation to whose work the worker is kept; empty for none. */
     std::string confinedTo;
+    /** Until then, a job that began with one task here may still crash the worker, and no other one begins here. */
+    Instant trialUntil = absl::ZeroDuration();
     /** The step that is being placed may not use the worker, because of what either is confined to. */
     bool isClosed = false;
     /** Capacity reserved for steps with a better rank, in the current placement round. */
--- a/src/CrashVerdict.cpp
+++ b/src/CrashVerdict.cpp
@@ -17,12 +17,15 @@
     return "";
 }
 
-CrashVerdict crashVerdict(uint32_t crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits& limits)
+CrashVerdict crashVerdict(
+    const TaskCrashes& crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits& limits)
 {
-    const bool isCertain = crash.ranOneJob && !crash.isSimultaneous && crashes > 1;
-    if (crashes >= limits.maxCrashes || (isCertain && crashes + 1 >= limits.maxCrashes))
+    const bool isCertain = crash.ranOneJob && !crash.hasOtherCause() && crashes.unexplained > 1;
+    if (crashes.unexplained >= limits.maxCrashes || (isCertain && crashes.unexplained + 1 >= limits.maxCrashes))
         return CrashVerdict::GiveUp;
-    if (crashes == 1 && crash.isSimultaneous && !isDeadlyWorkKnown)
+    if (crashes.all >= limits.maxCrashes + maxExplainedCrashes)
+        return CrashVerdict::GiveUp;
+    if (crashes.all <= 1 && crash.hasOtherCause() && !isDeadlyWorkKnown)
         return CrashVerdict::Unrelated;
     return CrashVerdict::Suspect;
 }
--- a/src/CrashVerdict.h
+++ b/src/CrashVerdict.h
@@ -16,10 +16,20 @@
 /** When a task is given up because workers crash under it. */
 struct CrashLimits {
     /** A task is given up when this many workers have crashed under it, whatever else ran there. Where the last of them
-     * ran nothing but the task's job, one fewer is enough. */
+     * ran nothing but the task's job, one fewer is enough. Crashes that another run explains do not count. */
     uint32_t maxCrashes = 3;
 };
 
+/** A task is given up after so many more crashes than `CrashLimits::maxCrashes`, even if other runs explain them. */
+constexpr uint32_t maxExplainedCrashes = 2;
+
+/** How many workers have crashed under a task. */
+struct TaskCrashes {
+    uint32_t all = 0;
+    /** Those of them that no other run explains. */
+    uint32_t unexplained = 0;
+};
+
 /** The least and the greatest value that `CrashLimits::maxCrashes` may have. With one, each task that ran on a worker
  * that loses power would be given up. */
 constexpr uint32_t minMaxCrashes = 2;
@@ -31,6 +41,11 @@
     bool ranOneJob = false;
     /** Other workers, on which the job had no run, went away at about the same time. */
     bool isSimultaneous = false;
+    /** The run had just begun, which explains the crash whatever else went away at that time. */
+    bool isSoonAfterStart = false;
+
+    /** Whether the crash has a cause outside the tasks. */
+    bool hasOtherCause() const { return isSimultaneous && !isSoonAfterStart; }
 };
 
 /** What a crash says about a task that ran on the worker. */
@@ -46,8 +61,9 @@
 /** The stable name of a verdict, for logs. */
 absl::string_view crashVerdictName(CrashVerdict);
 
-/** Decides about a task under which `crashes` workers have crashed, the last of them as in `crash`. `isDeadlyWorkKnown`
- * says that tasks have lately been given up, so that simultaneous crashes need no other cause. */
-CrashVerdict crashVerdict(uint32_t crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits&);
+/** Decides about a task under which workers have crashed, the last of them as in `crash`. `isDeadlyWorkKnown` says that
+ * tasks have lately been given up, so that simultaneous crashes need no other cause. */
+CrashVerdict crashVerdict(
+    const TaskCrashes& crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits&);
 
 } // namespace cicada
--- a/src/QueueProbation.cpp
+++ b/src/QueueProbation.cpp
@@ -4,9 +4,51 @@
 
 namespace cicada {
 
-void QueueProbation::recordIsolatedCrash(const std::string& queue, Instant now)
+namespace {
+
+    /** No job waits for so long. */
+    constexpr absl::Duration forgottenAfter = absl::Minutes(10);
+
+    using TimesByQueue = absl::btree_map<std::string, Instant>;
+
+    void keepLatest(TimesByQueue& times, const std::string& queue, Instant at)
+    {
+        const auto [entry, isNew] = times.try_emplace(queue, at);
+        entry->second = std::max(entry->second, at);
+    }
+
+    void forgetOld(std::deque<Instant>& crashes, Instant now)
+    {
+        while (!crashes.empty() && now - crashes.front() > QueueProbation::window)
+            crashes.pop_front();
+    }
+
+    bool isWithin(const TimesByQueue& times, const std::string& queue, Instant at, absl::Duration period)
+    {
+        const auto found = times.find(queue);
+        return found != times.end() && at - found->second <= period;
+    }
+
+} // namespace
+
+void QueueProbation::recordIsolatedCrash(const std::string& queue, Instant acceptedAt, Instant now)
 {
     m_isolatedCrashes[queue].push_back(now);
+    keepLatest(m_latestSuspect, queue, acceptedAt);
+}
+
+void QueueProbation::recordSuspectedCrash(const std::string& queue, Instant acceptedAt, Instant crashedAt, Instant now)
+{
+    SuspectedCrashes& crashes = m_suspectedCrashes[queue];
+    if (absl::AbsDuration(crashedAt - crashes.lastAt) >= sameCause)
+        crashes.foundAt.push_back(now);
+    crashes.lastAt = crashedAt;
+    keepLatest(m_latestSuspect, queue, acceptedAt);
+}
+
+void QueueProbation::recordGivenUp(const std::string& queue, Instant acceptedAt)
+{
+    keepLatest(m_latestGivenUp, queue, acceptedAt);
 }
 
 void QueueProbation::recordSharedCrash(const std::string& queue, bool ranNothingElse, Instant now)
@@ -19,10 +61,28 @@
         found->second = std::max(found->second, now + length);
 }
 
+bool QueueProbation::needsTrial(const std::string& queue, Instant acceptedAt) const
+{
+    return isWithin(m_latestGivenUp, queue, acceptedAt, trialPeriod) || confines(queue, acceptedAt);
+}
+
+bool QueueProbation::confines(const std::string& queue, Instant acceptedAt) const
+{
+    return includes(queue) && isWithin(m_latestSuspect, queue, acceptedAt, confinedPeriod);
+}
+
 std::vector<QueueProbation::Change> QueueProbation::update(Instant now)
 {
     std::vector<Change> changes;
+    absl::erase_if(m_latestGivenUp, [now](const auto& item) { return now - item.second > forgottenAfter; });
+    absl::erase_if(m_latestSuspect, [now](const auto& item) { return now - item.second > forgottenAfter; });
     absl::erase_if(m_sharedCrashes, [now](const auto& item) { return now - item.second > length; });
+    for (auto& [queue, crashes] : m_isolatedCrashes)
+        forgetOld(crashes, now);
+    for (auto& [queue, crashes] : m_suspectedCrashes)
+        forgetOld(crashes.foundAt, now);
+    absl::erase_if(m_isolatedCrashes, [](const auto& item) { return item.second.empty(); });
+    absl::erase_if(m_suspectedCrashes, [](const auto& item) { return item.second.foundAt.empty(); });
     for (auto it = m_until.begin(); it != m_until.end();) {
         if (it->second > now) {
             ++it;
@@ -31,14 +91,17 @@
         changes.push_back({ it->first, false });
         it = m_until.erase(it);
     }
-    for (auto it = m_isolatedCrashes.begin(); it != m_isolatedCrashes.end();) {
-        auto& [queue, crashes] = *it;
-        while (!crashes.empty() && now - crashes.front() > window)
-            crashes.pop_front();
-        if (crashes.size() >= crashesToBegin && m_sharedCrashes.contains(queue)
-            && m_until.emplace(queue, now + length).second)
+    const auto begin = [&](const std::string& queue) {
+        if (m_until.emplace(queue, now + length).second)
             changes.push_back({ queue, true });
-        it = crashes.empty() ? m_isolatedCrashes.erase(it) : std::next(it);
+    };
+    for (const auto& [queue, crashes] : m_isolatedCrashes) {
+        if (crashes.size() >= crashesToBegin && m_sharedCrashes.contains(queue))
+            begin(queue);
+    }
+    for (const auto& [queue, crashes] : m_suspectedCrashes) {
+        if (crashes.foundAt.size() >= suspectedToBegin)
+            begin(queue);
     }
     return changes;
 }
