--- a/test/failure/Soak.sh
+++ b/test/failure/Soak.sh
@@ -9,21 +9,25 @@
 lanes=3
 lane() { # number: plays every third seed at ports of its own
     sed -n 's/^\([0-9][0-9]*\) .*/\1/p' "$here/seeds.txt" | awk -v l="$1" -v n=$lanes 'NR % n == l' | while read -r seed; do
-        "$build/cicada-soak" --node "$build/cicada-node" --first "$seed" --seconds 8 --port $((base + $1 * 400)) --keep "$work/lane$1"
+        "$build/cicada-soak" --node "$build/cicada-node" --first "$seed" --seconds 8 --port $((base + $1 * 300)) --keep "$work/lane$1"
     done > "$work/lane$1.txt" 2>&1
 }
 for l in $(seq 0 $((lanes - 1))); do lane "$l" & done
 for seed in 1 2; do
-    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --cells 2 --seconds 12 --port $((base + lanes * 400)) --keep "$work/lane$lanes"
+    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --cells 2 --seconds 12 --port $((base + lanes * 300)) --keep "$work/lane$lanes"
 done > "$work/lane$lanes.txt" 2>&1 &
 for seed in 3 4; do
     "$build/cicada-soak" --node "$build/cicada-node" --first $seed --accounts --cells $((seed - 2)) --seconds 10 \
-        --port $((base + (lanes + 1) * 400)) --keep "$work/lane$((lanes + 1))"
+        --port $((base + (lanes + 1) * 300)) --keep "$work/lane$((lanes + 1))"
 done > "$work/lane$((lanes + 1)).txt" 2>&1 &
+for seed in 5 6; do
+    "$build/cicada-soak" --node "$build/cicada-node" --first $seed --deadly --cells $((seed - 4)) --seconds 10 \
+        --port $((base + (lanes + 2) * 300)) --keep "$work/lane$((lanes + 2))"
+done > "$work/lane$((lanes + 2)).txt" 2>&1 &
 wait
 broken=$(grep -h 'BROKEN\|^seed [0-9]*: ' "$work"/lane*.txt | grep -v ', kept$')
 played=$(grep -ch ', kept$\|, BROKEN$' "$work"/lane*.txt | awk '{n += $1} END {print n}')
-wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 4))
+wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 6))
 if [ -n "$broken" ] || [ "$played" != "$wanted" ]; then
     echo "FAILED: $played of $wanted seeds were played"
     cat "$work"/lane*.txt
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -65,6 +65,7 @@
     job.isGang = m_random() % 6 == 0;
     job.account = m_judge.accounts().empty() ? 0 : m_random() % m_judge.accounts().size();
     job.hasUnknownKey = !m_judge.accounts().empty() && m_random() % 20 == 0;
+    job.isDeadly = m_hasDeadlyJobs && m_random() % 15 == 0;
     return job;
 }
 
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -19,6 +19,8 @@
 public:
     SoakCallers(boost::asio::io_context&, const Clock&, SoakJudge&, std::vector<Endpoint> nodes, uint64_t seed);
 
+    /** Some jobs are to crash executors. */
+    void addDeadlyJobs() { m_hasDeadlyJobs = true; }
     /** Hands jobs in at intervals until stop(). */
     void start();
     /** Hands nothing in any more; goes on asking. */
@@ -50,6 +52,7 @@
     platform::HttpClient m_http;
     const std::vector<Endpoint> m_nodes;
     std::mt19937_64 m_random;
+    bool m_hasDeadlyJobs = false;
     bool m_isStopped = false;
     size_t m_handingIn = 0;
 };
--- a/test/soak/SoakJudge.cpp
+++ b/test/soak/SoakJudge.cpp
@@ -12,6 +12,11 @@
 
     /** After a cancel was acknowledged tasks may start for the users' bound of 3 s, and an order may hang for 6 s. */
     constexpr absl::Duration cancelBound = absl::Seconds(9);
+    /** From this many crashes under one of its tasks on, a job may be shown as failed. */
+    constexpr uint32_t crashesToGiveUp = 2;
+    /** After this many crashes, a task may only be started so many times more. */
+    constexpr uint32_t maxCrashes = 3;
+    constexpr uint32_t maxStartsAfterCrashes = 2;
 
     struct TaskId {
         std::string job;
@@ -73,6 +78,29 @@
     return false;
 }
 
+bool SoakJudge::mayBeGivenUp(const SoakJob& job) const
+{
+    for (size_t step = 0; step < job.tasksOfStep.size(); ++step) {
+        for (uint32_t i = 0; i < job.tasksOfStep[step]; ++i) {
+            const auto task = m_tasks.find(taskName(job.id, step, i));
+            if (task != m_tasks.end() && task->second.crashes >= crashesToGiveUp)
+                return true;
+        }
+    }
+    return false;
+}
+
+void SoakJudge::checkCrashes(const SoakJob& job, const std::string& executor, const GridRun& run)
+{
+    if (!job.isDeadly || run.task != taskName(job.id, 0, 0))
+        return;
+    Task& task = m_tasks[run.task];
+    task.startsAfterCrashes += task.crashes >= maxCrashes ? 1 : 0;
+    if (task.startsAfterCrashes > maxStartsAfterCrashes)
+        violate(absl::StrCat("task ", run.task, " run ", run.number, " starts after ", task.crashes, " crashes"));
+    m_onDeadlyStart(executor);
+}
+
 void SoakJudge::accepted(const std::string& id) { m_jobs.at(id).isAccepted = true; }
 
 void SoakJudge::refused(const std::string& id)
@@ -102,7 +130,7 @@
     job.ended = state;
     if (state == "completed" && !allDone(job, job.tasksOfStep.size()))
         violate(absl::StrCat("job ", id, " is shown as completed and has tasks that are not done"));
-    if (state == "failed" && !hasFailedOut(job))
+    if (state == "failed" && !hasFailedOut(job) && !(job.isDeadly && mayBeGivenUp(job)))
         violate(absl::StrCat("job ", id, " is shown as failed without having failed so often"));
     if (state == "cancelled" && !job.isCancelSent)
         violate(absl::StrCat("job ", id, " is shown as cancelled without having been cancelled"));
@@ -149,6 +177,7 @@
     used += job->cpuMillis;
     if (used > GridLayout::cpuMillis)
         violate(absl::StrCat(what, "the executor holds ", used, " thousandths of a core"));
+    checkCrashes(*job, executor, run);
 }
 
 void SoakJudge::checkAccount(const SoakJob& job, const std::string& what)
@@ -176,6 +205,7 @@
         task.runsAt.reset();
     task.wasDone = task.wasDone || how == "done";
     task.failures += how == "failed" ? 1 : 0;
+    task.crashes += how == "lost" ? 1 : 0;
 }
 
 void SoakJudge::acknowledged(const GridRun& run, const std::string& how)
--- a/test/soak/SoakJudge.h
+++ b/test/soak/SoakJudge.h
@@ -16,6 +16,7 @@
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     /** Every run fails. */
     bool isHopeless = false;
     bool isGang = false;
+    /** Its first task crashes each executor that starts it. */
+    bool isDeadly = false;
 
     // What callers were told.
     bool isAccepted = false;
@@ -60,6 +63,12 @@
     void add(SoakJob job) { m_jobs.emplace(job.id, std::move(job)); }
     const absl::btree_map<std::string, SoakJob>& jobs() const { return m_jobs; }
 
+    /** Called when an executor has started a task that crashes it. */
+    void setOnDeadlyStart(std::function<void(const std::string& executor)> handler)
+    {
+        m_onDeadlyStart = std::move(handler);
+    }
+
     // Callers.
     void accepted(const std::string& id);
     void refused(const std::string& id);
@@ -87,12 +96,17 @@
         bool wasDone = false;
         bool isDoneAcknowledged = false;
         uint32_t failures = 0;
+        uint32_t crashes = 0;
+        uint32_t startsAfterCrashes = 0;
         TaskHistory history;
     };
 
     SoakJob* jobOf(const GridRun&);
     bool allDone(const SoakJob& job, size_t steps) const;
     bool hasFailedOut(const SoakJob& job) const;
+    /** Whether executors have crashed under a task of the job as often as it takes to give the job up. */
+    bool mayBeGivenUp(const SoakJob& job) const;
+    void checkCrashes(const SoakJob& job, const std::string& executor, const GridRun& run);
     void checkAccount(const SoakJob& job, const std::string& what);
 
     const Clock& m_clock;
@@ -105,6 +119,7 @@
     absl::btree_set<std::string> m_startedJobs;
     std::vector<std::string> m_violations;
     size_t m_starts = 0;
+    std::function<void(const std::string& executor)> m_onDeadlyStart;
 };
 
 } // namespace cicada::test
--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -35,6 +35,7 @@
   -x, --executors N     executors (default 12)
   -l, --cells N         cells; with several, whole racks are lost and restarts are listed late (default 1)
   -a, --accounts        callers have keys of client accounts, one of them with a limit; some keys are unknown
+  -d, --deadly          some tasks crash each executor that starts them
   -p, --port N          the first of the loopback ports that are used (default 20000)
   -k, --keep FOLDER     where logs go and stay (default: a folder that is removed when all is well)
   -h, --help            print this text
@@ -59,6 +60,7 @@
     int executors = 12;
     int cells = 1;
     bool hasAccounts = false;
+    bool hasDeadlyJobs = false;
     uint16_t port = 20000;
     std::string folder;
 };
@@ -94,6 +96,8 @@
     void harmExecutor(size_t executor);
     void loseRack(size_t rack);
     void restartExecutor(size_t number);
+    /** The executor crashes soon, and is back after some seconds. */
+    void crashExecutor(const std::string& id);
     void endFaults();
     absl::Duration between(int64_t minMillis, int64_t maxMillis)
     {
@@ -157,6 +161,9 @@
         addresses.push_back({ host, port(offset) });
     }
     m_callers = std::make_unique<SoakCallers>(m_io, m_clock, m_judge, std::move(addresses), m_seed + 1);
+    if (m_options.hasDeadlyJobs)
+        m_callers->addDeadlyJobs();
+    m_judge.setOnDeadlyStart([this](const std::string& executor) { crashExecutor(executor); });
     return success();
 }
 
@@ -346,6 +353,20 @@
     later(m_io, between(0, 1500), [this, number] { m_grid->list(number); });
 }
 
+void Soak::crashExecutor(const std::string& id)
+{
+    const auto& executors = m_grid->executors();
+    const auto found = std::find_if(
+        executors.begin(), executors.end(), [&id](const auto& executor) { return executor->id() == id; });
+    const auto number = static_cast<size_t>(found - executors.begin());
+    later(m_io, between(20, 150), [this, number] {
+        note(absl::StrCat("executor ", number, " crashes under a task"));
+        m_proxies[number]->cut(true, true);
+        restartExecutor(number);
+        later(m_io, between(1500, 3000), [this, number] { m_proxies[number]->heal(); });
+    });
+}
+
 void Soak::loseRack(size_t rack)
 {
     const absl::Duration length = between(2000, 9000);
@@ -421,17 +442,19 @@
         { "count", required_argument, nullptr, 'c' }, { "seconds", required_argument, nullptr, 's' },
         { "entries", required_argument, nullptr, 'e' }, { "executors", required_argument, nullptr, 'x' },
         { "cells", required_argument, nullptr, 'l' }, { "accounts", no_argument, nullptr, 'a' },
-        { "port", required_argument, nullptr, 'p' }, { "keep", required_argument, nullptr, 'k' },
-        { "help", no_argument, nullptr, 'h' }, {} };
+        { "deadly", no_argument, nullptr, 'd' }, { "port", required_argument, nullptr, 'p' },
+        { "keep", required_argument, nullptr, 'k' }, { "help", no_argument, nullptr, 'h' }, {} };
     Options options;
     bool isWrong = false;
-    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:ap:k:h", names, nullptr)) != -1;) {
+    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:adp:k:h", names, nullptr)) != -1;) {
         if (name == 'n')
             options.node = optarg;
         else if (name == 'k')
             options.folder = optarg;
         else if (name == 'a')
             options.hasAccounts = true;
+        else if (name == 'd')
+            options.hasDeadlyJobs = true;
         else if (name == 'h' || name == '?')
             isWrong = true;
         else {
