A confined job waits at most 8 s for its queue's workers; a task is given up at the third crash in any case

Change: a job is confined for 8 s from its acceptance at most, to a fifth of the workers, two fifths while nothing else waits; after that it begins with one task on any worker. Explained crashes matter for where a task starts and for its second crash, no longer for the third.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -447,6 +447,8 @@
     /** Begins and ends probations that are due, and keeps workers for the queues on probation. */
     void updateProbation();
     void confineQueue(const std::string& queue);
+    /** Whether the job may only use workers that are kept for its queue. */
+    bool isConfined(const CellJob& job) const;
     bool hasConfinedWorkWaiting(const std::string& queue) const;
     void releaseConfined(const std::string& queue, size_t count);
     /** Makes free() show what confined steps of the queue may use; with an empty name, what all others may. */
--- a/src/CellIsolation.cpp
+++ b/src/CellIsolation.cpp
@@ -331,8 +331,7 @@
 {
     return std::any_of(m_ready.begin(), m_ready.end(), [&](const StepRank& rank) {
         CellJob* job = findJob(rank.job);
-        if (!job || policyOf(*job).service != service || isHeldBack(*job, rank.ref)
-            || m_probation.confines(policyOf(*job).queue, job->acceptedAt))
+        if (!job || policyOf(*job).service != service || isHeldBack(*job, rank.ref) || isConfined(*job))
             return false;
         return hasWorkForSharedWorkers(*job, rank.ref);
     });
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -288,7 +288,7 @@
     const size_t waiting = waitingTasks(step).size();
     if (waiting == 0)
         return StepOutcome::Placed;
-    openWorkersTo(m_probation.confines(policyOf(*job).queue, job->acceptedAt) ? policyOf(*job).queue : "");
+    openWorkersTo(isConfined(*job) ? job->policy.queue : "");
     // A gang starts again only when no member of its last run is active.
     const bool mustWait = (spec.isGang && waiting < step.tasks.size()) || step.notBefore > m_parts.timers.clock().now();
     step.lacksRoom = false;
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -14,8 +14,8 @@
 
     /** The share of a service's workers to which a queue on probation is confined, while work of others waits and
      * otherwise. */
-    constexpr double confinedShare = 0.25;
-    constexpr double confinedShareWhenIdle = 0.6;
+    constexpr double confinedShare = 0.2;
+    constexpr double confinedShareWhenIdle = 0.4;
     /** How long a first task has to be at work while it is not known how soon tasks crash their workers. */
     constexpr absl::Duration defaultTrialLength = absl::Seconds(1);
     constexpr absl::Duration maxTrialLength = absl::Seconds(2);
@@ -153,12 +153,17 @@
         worker->confinedTo = queue;
 }
 
+bool Cell::isConfined(const CellJob& job) const
+{
+    return m_probation.confines(job.policy.queue, job.acceptedAt, m_parts.timers.clock().now());
+}
+
 bool Cell::hasConfinedWorkWaiting(const std::string& queue) const
 {
     return std::any_of(m_ready.begin(), m_ready.end(), [&](const StepRank& rank) {
         const auto job = m_jobs.find(rank.job);
-        return job != m_jobs.end() && job->second->policy.queue == queue
-            && m_probation.confines(queue, job->second->acceptedAt) && hasWorkForSharedWorkers(*job->second, rank.ref);
+        return job != m_jobs.end() && job->second->policy.queue == queue && isConfined(*job->second)
+            && hasWorkForSharedWorkers(*job->second, rank.ref);
     });
 }
 
--- a/src/CrashVerdict.cpp
+++ b/src/CrashVerdict.cpp
@@ -21,9 +21,7 @@
     const TaskCrashes& crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits& limits)
 {
     const bool isCertain = crash.ranOneJob && !crash.hasOtherCause() && crashes.unexplained > 1;
-    if (crashes.unexplained >= limits.maxCrashes || (isCertain && crashes.unexplained + 1 >= limits.maxCrashes))
-        return CrashVerdict::GiveUp;
-    if (crashes.all >= limits.maxCrashes + maxExplainedCrashes)
+    if (crashes.all >= limits.maxCrashes || (isCertain && crashes.unexplained + 1 >= limits.maxCrashes))
         return CrashVerdict::GiveUp;
     if (crashes.all <= 1 && crash.hasOtherCause() && !isDeadlyWorkKnown)
         return CrashVerdict::Unrelated;
--- a/src/CrashVerdict.h
+++ b/src/CrashVerdict.h
@@ -16,13 +16,10 @@
 /** When a task is given up because workers crash under it. */
 struct CrashLimits {
     /** A task is given up when this many workers have crashed under it, whatever else ran there. Where the last of them
-     * ran nothing but the task's job, one fewer is enough. Crashes that another run explains do not count. */
+     * ran nothing but the task's job, one fewer is enough, not counting crashes that another run explains. */
     uint32_t maxCrashes = 3;
 };
 
-/** A task is given up after so many more crashes than `CrashLimits::maxCrashes`, even if other runs explain them. */
-constexpr uint32_t maxExplainedCrashes = 2;
-
 /** How many workers have crashed under a task. */
 struct TaskCrashes {
     uint32_t all = 0;
--- a/src/QueueProbation.cpp
+++ b/src/QueueProbation.cpp
@@ -63,12 +63,14 @@
 
 bool QueueProbation::needsTrial(const std::string& queue, Instant acceptedAt) const
 {
-    return isWithin(m_latestGivenUp, queue, acceptedAt, trialPeriod) || confines(queue, acceptedAt);
+    return isWithin(m_latestGivenUp, queue, acceptedAt, trialPeriod)
+        || (includes(queue) && isWithin(m_latestSuspect, queue, acceptedAt, confinedPeriod));
 }
 
-bool QueueProbation::confines(const std::string& queue, Instant acceptedAt) const
+bool QueueProbation::confines(const std::string& queue, Instant acceptedAt, Instant now) const
 {
-    return includes(queue) && isWithin(m_latestSuspect, queue, acceptedAt, confinedPeriod);
+    return includes(queue) && now - acceptedAt <= maxConfined
+        && isWithin(m_latestSuspect, queue, acceptedAt, confinedPeriod);
 }
 
 std::vector<QueueProbation::Change> QueueProbation::update(Instant now)
--- a/src/QueueProbation.h
+++ b/src/QueueProbation.h
@@ -37,7 +37,7 @@
     std::vector<Change> update(Instant now);
     bool includes(const std::string& queue) const { return m_until.contains(queue); }
     /** Whether a job of the queue that was accepted at `acceptedAt` is confined. */
-    bool confines(const std::string& queue, Instant acceptedAt) const;
+    bool confines(const std::string& queue, Instant acceptedAt, Instant now) const;
     bool isEmpty() const { return m_until.empty(); }
     /** Of each queue on probation, when it ends. */
     const absl::btree_map<std::string, Instant>& queues() const { return m_until; }
@@ -54,6 +54,8 @@
     /** For how long after the latest job that may have crashed its worker further jobs are confined, by the times of
      * their acceptance; such a job may have waited, and the crash shows seconds later. */
     static constexpr absl::Duration confinedPeriod = absl::Seconds(12);
+    /** No job is confined for longer, so that those which wait behind deadly ones start in the end. */
+    static constexpr absl::Duration maxConfined = absl::Seconds(8);
     /** For how long after a job that was given up further jobs begin with one task, by the times of their acceptance.
      */
     static constexpr absl::Duration trialPeriod = absl::Seconds(30);
