--- a/src/Cell.h
+++ b/src/Cell.h
@@ -16,6 +16,7 @@
 #include "AllowedShare.h"
 #include "CellJob.h"
 #include "CellParts.h"
+#include "CellPlacement.h"
 #include "CellReply.h"
 #include "CellRoom.h"
 #include "CellTransfer.h"
@@ -83,32 +84,12 @@
 
 private:
     using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
-    /** Free capacity that one step withholds from all others during a placement round. */
-    struct Reservation {
-        const StepRank* rank = nullptr;
-        std::vector<std::pair<CellWorker*, Resources>> freeCapacities;
-        /** Work that ends by `m_backfillUntil` may use the capacity. */
-        bool isBackfilled = false;
-
-        void hold() const;
-        void release() const;
-    };
-    /** What a placement round did with a step. */
-    enum class StepOutcome {
-        /** No task of it waits any more. */
-        Placed,
-        /** It was tried on the workers, and tasks still wait. */
-        Unplaced,
-        /** It can't start now, which showed without trying the workers. */
-        Skipped,
-    };
     using Transfer = CellTransfer;
     using Mark = TransferMark;
     static Resources freeOn(const CellWorker& worker, RoomBasis basis);
-    struct Choice {
-        uint32_t index = 0;
-        CellWorker* worker = nullptr;
-    };
+    using Reservation = CapacityReservation;
+    using StepOutcome = PlacementOutcome;
+    using Choice = PlacementChoice;
 
     static constexpr absl::string_view jobKind = "job";
     static constexpr absl::string_view runKind = "run";
@@ -358,12 +339,7 @@
     /** Records that the worker's incarnation has ended with its runs, if it had not announced that. `isCertain` is
      * false if the worker may only have been cut off. */
     void recordWorkerCrash(CellWorker& worker, absl::string_view why, bool isCertain);
-    /** A run whose start is known, with its job, and how long it had been at work when its worker went silent. */
-    struct RunAge {
-        const TaskRun* run = nullptr;
-        const CellJob* job = nullptr;
-        absl::Duration age;
-    };
+    /** The runs on the worker whose start is known. */
     std::vector<RunAge> agesOn(const CellWorker& worker);
     /** Records for how long the runs on a worker that has crashed had been at work. */
     void recordAges(CellWorker& worker);
@@ -374,29 +350,35 @@
     static bool runsJob(const CellWorker& worker, const std::string& job);
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
     void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
-    /** How many workers have crashed under the task, by what is known now of how soon tasks crash their workers. */
-    TaskCrashes crashesOf(const CellTask& task) const;
     void giveUp(CellJob& job, const TaskName& task, uint32_t crashes);
 
-    // CellIsolation.cpp: where tasks run that may crash their worker.
+    // CellSuspects.cpp: which tasks may have crashed their worker.
+    /** How many workers have crashed under the task, by what is known now of how soon tasks crash their workers. */
+    TaskCrashes crashesOf(const CellTask& task) const;
+    /** Whether runs that had just begun beside the task are the likely causes of all crashes under it. */
+    bool isLikelySound(const CellTask& task) const;
+    /** Whether nothing else explains several crashes under the task, or only it had just begun at the last one. */
+    bool isLikelyDeadly(const CellTask& task) const;
     /** Whether workers crashed under several of the job's tasks, so that one of them shows what to expect of all. */
     bool isSuspectAsAWhole(const CellJob& job) const;
     /** Whether tasks of the step that are no suspects have to wait until one of the job's suspects has finished. */
     bool isHeldBack(const CellJob& job, StepRef ref) const;
     /** Whether no worker of their own was to be had for the job's suspects for long. */
     bool hasWaitedForIsolation(const CellJob& job) const;
-    /** Whether runs that had just begun beside the task are the likely causes of all crashes under it. */
-    bool isLikelySound(const CellTask& task) const;
-    /** Whether nothing else explains several crashes under the task, or only it had just begun at the last one. */
-    bool isLikelyDeadly(const CellTask& task) const;
     /** Whether the task may only start on a worker without other jobs. */
     bool runsApart(const CellJob& job, const CellTask& task) const;
-    /** Keeps other work from workers on which a former owner has started suspects apart. */
-    void isolateInherited();
     /** The waiting tasks of the step that may only start apart, by index; the likely cause of a crash comes last. */
     std::vector<uint32_t> waitingSuspects(const CellJob& job, StepRef ref) const;
     /** The ready steps with such tasks, those first that may be sound, in the order in which steps get capacity. */
     std::vector<StepRank> stepsWithSuspects();
+    /** Whether a waiting task of the step may start beside other jobs. */
+    bool hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const;
+    /** Suspects that have been at work for long no longer keep others from the worker. */
+    void clearProvenSuspects(CellWorker& worker);
+
+    // CellIsolation.cpp: where tasks run that may crash their worker.
+    /** Keeps other work from workers on which a former owner has started suspects apart. */
+    void isolateInherited();
     /** Starts suspects on workers without other runs, and sets workers aside for those that wait. */
     void placeSuspects();
     /** Starts suspects on workers that are still empty when all other work has had its turn. */
@@ -416,15 +398,11 @@
     Instant emptyAt(const CellWorker& worker);
     bool hasTicketFor(CellJob& job, StepRef ref, const CellWorker& worker);
     /** How many more of the service's workers suspects may have, in the current placement round. */
-    size_t& freeLanes(const std::string& service);
+    size_t& isolationQuota(const std::string& service);
     /** Whether tasks wait for the service that are no suspects and not confined. */
     bool hasOtherWorkWaiting(const std::string& service);
-    /** Whether a waiting task of the step may start beside other jobs. */
-    bool hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const;
     void setWorkersAside(CellJob& job, StepRef ref, size_t tasks);
     void publishIsolation();
-    /** Suspects that have been at work for long no longer keep others from the worker. */
-    void clearProvenSuspects(CellWorker& worker);
 
     // CellProbation.cpp: trials of new jobs, and workers to which queues are confined.
     /** Whether the step has to wait for a first task of its job to show that it does not crash its worker, as other
@@ -603,7 +581,7 @@
     /** Jobs that may have suspects. */
     absl::btree_set<std::string> m_suspectJobs;
     /** By service, for the current pass over the suspects. */
-    absl::flat_hash_map<std::string, size_t> m_freeLanes;
+    absl::flat_hash_map<std::string, size_t> m_isolationQuotas;
     Instant m_nextIsolationReport = absl::ZeroDuration();
     /** Other work has had its turn in the current placement round. */
     bool m_mayUseIdleWorkers = false;
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -80,7 +80,7 @@
     m_crashLog.record(std::move(crash));
 }
 
-std::vector<Cell::RunAge> Cell::agesOn(const CellWorker& worker)
+std::vector<RunAge> Cell::agesOn(const CellWorker& worker)
 {
     const Instant silentAt = std::min(worker.silentSince, m_parts.timers.clock().now());
     std::vector<RunAge> ages;
@@ -181,15 +181,6 @@
         giveUp(job, run.task, crashes.all);
 }
 
-TaskCrashes Cell::crashesOf(const CellTask& task) const
-{
-    const Instant now = m_parts.timers.clock().now();
-    const auto explained = std::count_if(task.agesAtCrashes.begin(), task.agesAtCrashes.end(),
-        [&](const RunAges& ages) { return m_crashDelays.isLikelyCausedByOther(ages, now); });
-    const auto all = static_cast<uint32_t>(task.crashedRuns.size());
-    return { all, all - std::min(all, static_cast<uint32_t>(explained)) };
-}
-
 void Cell::giveUp(CellJob& job, const TaskName& task, uint32_t crashes)
 {
     const Instant now = m_parts.timers.clock().now();
--- a/src/CellIsolation.cpp
+++ b/src/CellIsolation.cpp
@@ -28,16 +28,7 @@
     constexpr size_t minAllowedWorkers = 3;
     /** A worker that may not be allowed is set aside only if it is empty this much sooner. */
     constexpr absl::Duration unknownPenalty = absl::Seconds(1);
-    /** A task that has been at work this long no longer keeps others from its worker, or sooner if tasks are known to
-     * crash their workers sooner, but not before the lesser time. */
-    constexpr absl::Duration suspectProvenAfter = absl::Seconds(10);
-    constexpr absl::Duration minProof = absl::Milliseconds(500);
-    /** How long a task with one crash under it waits for a worker of its own. Then it starts like any other, since
-     * otherwise room would stay unused for as long as other suspects crash theirs. */
-    constexpr absl::Duration isolationPatience = absl::Seconds(8);
     constexpr absl::Duration isolationReportInterval = absl::Seconds(2);
-    /** With so many crashed workers, the job as a whole is the suspect. */
-    constexpr uint32_t minCrashedWorkers = 2;
 
     size_t servicesOn(const CellWorker& worker)
     {
@@ -47,47 +38,6 @@
 
 } // namespace
 
-bool Cell::isSuspectAsAWhole(const CellJob& job) const
-{
-    if (job.crashedWorkers < minCrashedWorkers)
-        return false;
-    return job.anyTask([this](const CellTask& task) {
-        return task.isSuspect && task.stage != TaskStage::Finished && !isLikelySound(task);
-    });
-}
-
-bool Cell::isLikelySound(const CellTask& task) const
-{
-    const Instant now = m_parts.timers.clock().now();
-    const TaskCrashes crashes = crashesOf(task);
-    // Whoever was beside such a run twice is not to lose a third run.
-    return crashes.all <= 1 && crashes.unexplained == 0
-        && m_crashDelays.isLikelyCausedByOther(task.agesAtLastCrash, now);
-}
-
-bool Cell::isLikelyDeadly(const CellTask& task) const
-{
-    const Instant now = m_parts.timers.clock().now();
-    return crashesOf(task).unexplained > 1 || m_crashDelays.isLikelyCause(task.agesAtLastCrash, now);
-}
-
-bool Cell::isHeldBack(const CellJob& job, StepRef ref) const
-{
-    return !job.stepSpec(ref).isGang && isSuspectAsAWhole(job) && !hasWaitedForIsolation(job);
-}
-
-bool Cell::hasWaitedForIsolation(const CellJob& job) const
-{
-    return m_parts.timers.clock().now() - job.crashedAt > isolationPatience;
-}
-
-bool Cell::runsApart(const CellJob& job, const CellTask& task) const
-{
-    if (!task.isSuspect || isLikelySound(task))
-        return false;
-    return task.crashedRuns.size() > 1 || isLikelyDeadly(task) || !hasWaitedForIsolation(job);
-}
-
 void Cell::isolateInherited()
 {
     for (auto& [id, worker] : m_workers) {
@@ -110,63 +60,18 @@
     }
 }
 
-std::vector<uint32_t> Cell::waitingSuspects(const CellJob& job, StepRef ref) const
-{
-    const std::vector<CellTask>& tasks = job.step(ref).tasks;
-    std::vector<uint32_t> suspects;
-    for (uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].stage == TaskStage::Waiting && runsApart(job, tasks[i]))
-            suspects.push_back(i);
-    }
-    std::stable_partition(
-        suspects.begin(), suspects.end(), [&tasks, this](uint32_t i) { return !isLikelyDeadly(tasks[i]); });
-    return suspects;
-}
-
-std::vector<StepRank> Cell::stepsWithSuspects()
-{
-    std::vector<StepRank> steps;
-    std::vector<StepRank> likelyDeadly;
-    std::vector<std::string> cleared;
-    for (const std::string& id : m_suspectJobs) {
-        CellJob* job = findJob(id);
-        if (!job || isEnded(job->phase) || !job->hasSuspects()) {
-            cleared.push_back(id);
-            continue;
-        }
-        for (uint32_t k = 0; k < job->occurrences.size(); ++k) {
-            for (uint32_t s = 0; s < job->spec.steps.size(); ++s) {
-                const CellStep& step = job->step({ k, s });
-                const bool isWaiting = step.sortKey && !job->stepSpec({ k, s }).isGang;
-                const std::vector<uint32_t> suspects
-                    = isWaiting ? waitingSuspects(*job, { k, s }) : std::vector<uint32_t>();
-                if (suspects.empty())
-                    continue;
-                const bool isDeadly = isLikelyDeadly(step.tasks[suspects.front()]);
-                (isDeadly ? likelyDeadly : steps).push_back({ *step.sortKey, id, { k, s } });
-            }
-        }
-    }
-    for (const std::string& id : cleared)
-        m_suspectJobs.erase(id);
-    std::sort(steps.begin(), steps.end());
-    std::sort(likelyDeadly.begin(), likelyDeadly.end());
-    steps.insert(steps.end(), likelyDeadly.begin(), likelyDeadly.end());
-    return steps;
-}
-
 void Cell::placeSuspects()
 {
     for (auto& [id, worker] : m_workers)
         worker.isSetAside = false;
     if (m_suspectJobs.empty())
         return;
-    m_freeLanes.clear();
+    m_isolationQuotas.clear();
     std::vector<std::pair<StepRank, size_t>> open;
     for (const StepRank& rank : stepsWithSuspects()) {
         CellJob* job = findJob(rank.job);
         const bool mayStart = job && job->isStored && job->step(rank.ref).notBefore <= m_parts.timers.clock().now();
-        if (mayStart && freeLanes(policyOf(*job).service) > 0)
+        if (mayStart && isolationQuota(policyOf(*job).service) > 0)
             open.emplace_back(rank, placeSuspectsOf(*job, rank.ref));
     }
     // Only what no suspect can use now is set aside: one that waits for tickets must not keep others from starting.
@@ -180,16 +85,16 @@
 {
     if (m_suspectJobs.empty())
         return;
-    m_freeLanes.clear();
+    m_isolationQuotas.clear();
     m_mayUseIdleWorkers = true;
     for (const StepRank& rank : stepsWithSuspects()) {
         CellJob* job = findJob(rank.job);
         const bool mayStart = job && job->isStored && job->step(rank.ref).notBefore <= m_parts.timers.clock().now();
-        if (mayStart && freeLanes(policyOf(*job).service) > 0)
+        if (mayStart && isolationQuota(policyOf(*job).service) > 0)
             placeSuspectsOf(*job, rank.ref);
     }
     m_mayUseIdleWorkers = false;
-    m_freeLanes.clear();
+    m_isolationQuotas.clear();
 }
 
 size_t Cell::placeSuspectsOf(CellJob& job, StepRef ref)
@@ -197,8 +102,8 @@
     const StepSpec& spec = job.stepSpec(ref);
     std::vector<uint32_t> suspects = waitingSuspects(job, ref);
     suspects.resize(std::min<uint64_t>(suspects.size(), startableWithinLimit(job, spec)));
-    size_t& lanes = freeLanes(policyOf(job).service);
-    size_t allowed = std::min(lanes, workersAllowed(job));
+    size_t& quota = isolationQuota(policyOf(job).service);
+    size_t allowed = std::min(quota, workersAllowed(job));
     std::vector<Choice> choices;
     std::vector<CellWorker*> withoutTicket;
     const Instant soon = m_parts.timers.clock().now() + ticketLead;
@@ -214,7 +119,7 @@
             continue;
         fillWorker(*worker, spec, suspects, choices);
         --allowed;
-        --lanes;
+        --quota;
     }
     if (!choices.empty())
         storeIntent(job, ref, choices, true);
@@ -306,11 +211,11 @@
     return entry != allowed.end() && entry->second.validUntil > m_parts.timers.clock().now() + ticketMargin;
 }
 
-size_t& Cell::freeLanes(const std::string& service)
+size_t& Cell::isolationQuota(const std::string& service)
 {
-    const auto [lanes, isNew] = m_freeLanes.try_emplace(service);
+    const auto [quota, isNew] = m_isolationQuotas.try_emplace(service);
     if (!isNew)
-        return lanes->second;
+        return quota->second;
     // Workers that suspects have crashed and that are not back yet count, too.
     size_t listed = 0;
     size_t taken = 0;
@@ -323,8 +228,8 @@
     const bool isIdle = m_mayUseIdleWorkers || !hasOtherWorkWaiting(service);
     const double share = isIdle ? maxIsolatedShareWhenIdle : maxIsolatedShare;
     const auto limit = std::max<size_t>(1, static_cast<size_t>(static_cast<double>(listed) * share));
-    lanes->second = limit > taken ? limit - taken : 0;
-    return lanes->second;
+    quota->second = limit > taken ? limit - taken : 0;
+    return quota->second;
 }
 
 bool Cell::hasOtherWorkWaiting(const std::string& service)
@@ -337,18 +242,11 @@
     });
 }
 
-bool Cell::hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const
-{
-    const std::vector<CellTask>& tasks = job.step(ref).tasks;
-    return std::any_of(tasks.begin(), tasks.end(),
-        [&](const CellTask& task) { return task.stage == TaskStage::Waiting && !runsApart(job, task); });
-}
-
 void Cell::setWorkersAside(CellJob& job, StepRef ref, size_t tasks)
 {
     const StepSpec& spec = job.stepSpec(ref);
-    size_t& lanes = freeLanes(policyOf(job).service);
-    size_t allowed = std::min(lanes, workersAllowed(job));
+    size_t& quota = isolationQuota(policyOf(job).service);
+    size_t allowed = std::min(quota, workersAllowed(job));
     uint64_t room = 0;
     for (CellWorker* worker : isolableWorkers(job, ref)) {
         if (allowed == 0 || room >= tasks)
@@ -356,7 +254,7 @@
         worker->isSetAside = true;
         room += countFittingTasks(demandOf(spec), worker->freeInTime(), spec.maxPerWorker);
         --allowed;
-        --lanes;
+        --quota;
     }
 }
 
@@ -387,30 +285,4 @@
         count([](const CellWorker&) { return true; }));
 }
 
-void Cell::clearProvenSuspects(CellWorker& worker)
-{
-    const Instant now = m_parts.timers.clock().now();
-    if (worker.isolatedRuns == 0 || worker.failedSyncs > 0)
-        return;
-    const absl::Duration proof
-        = std::clamp(m_crashDelays.limit(now).value_or(suspectProvenAfter), minProof, suspectProvenAfter);
-    std::vector<TaskRun> proven;
-    for (const auto& [run, allocation] : worker.allocations) {
-        CellJob* job = allocation.isIsolated ? findJob(run.task.job) : nullptr;
-        CellTask* task = job ? job->find(run.task) : nullptr;
-        const bool isProven = task && task->run == run.run && task->stage == TaskStage::Running
-            && now - task->startedAt >= (task->crashedRuns.size() > 1 ? suspectProvenAfter : proof);
-        if (!isProven)
-            continue;
-        task->isSuspect = false;
-        proven.push_back(run);
-    }
-    for (const TaskRun& run : proven) {
-        m_parts.log.write("suspect-cleared", "run", describeRun(run), "worker", worker.listed.incarnation.id);
-        worker.endIsolation(run);
-    }
-    if (!proven.empty())
-        schedulePlacement();
-}
-
 } // namespace cicada
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-void Cell::Reservation::hold() const
+void CapacityReservation::hold() const
 {
     for (const auto& [worker, freeCapacity] : freeCapacities)
         worker->reserved = worker->reserved + freeCapacity;
@@ -56,7 +56,7 @@
         worker->backfillable = isBackfilled ? worker->backfillable + freeCapacity : worker->backfillable;
 }
 
-void Cell::Reservation::release() const
+void CapacityReservation::release() const
 {
     for (const auto& [worker, freeCapacity] : freeCapacities)
         worker->reserved = worker->reserved - freeCapacity;
