A loss of many workers at once convicts no suspect that had just begun

Cause: lets a crash soon after the start of a lone suspect count whatever else goes away at that time, and a lone suspect whose start had no reply counted as begun. Change: where an eighth of the workers or more go silent at the same time, neither holds, and such crashes put no queue on probation. The ages of a service's runs are forgotten with its crashes; at most 32 delays are remembered; an unused function is gone.

--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -17,17 +17,24 @@
 
     /** So many other workers that went away at the same time point to a cause outside the tasks. */
     constexpr size_t minSimultaneous = 2;
+    /** One in so many of the workers, as in a rack or behind a cut, points to it whatever had just begun. */
+    constexpr size_t massLossPart = 8;
     /** A service that has been at work for this long does not crash its worker by being started. */
     constexpr absl::Duration serviceProvenAfter = absl::Seconds(60);
     /** Names of jobs in one line of the log. */
     constexpr size_t maxLoggedJobs = 20;
 
+    /** Whether the run has begun, as far as can be known. */
+    bool hasBegun(const RunAllocation& allocation)
+    {
+        return allocation.wasConfirmed || allocation.wasListed || allocation.isInherited;
+    }
+
     /** What to make of the run when its worker crashes. A start without a reply may have come too late; but where a
      * suspect is alone, nothing else explains the crash. Of a former owner's start, only the intent is known. */
     CrashedRun crashOf(const RunAllocation& allocation)
     {
-        const bool hasBegun = allocation.wasConfirmed || allocation.wasListed || allocation.isInherited;
-        if (hasBegun || (allocation.isIsolated && allocation.wasSent))
+        if (hasBegun(allocation) || (allocation.isIsolated && allocation.wasSent))
             return CrashedRun::Counted;
         return allocation.wasSent ? CrashedRun::Possible : CrashedRun::None;
     }
@@ -62,8 +69,6 @@
     const bool isNoted = crash.wasIsolated && worker.failedSyncs > 0;
     if (!isNoted)
         recordCrashOfQueues(worker);
-    if (isCertain && !crash.wasIsolated && worker.failedSyncs > 0)
-        recordSuspectedCrash(worker);
     for (const std::string& id : crash.jobs) {
         CellJob* job = findJob(id);
         if (!job)
@@ -77,7 +82,10 @@
         crash.jobs.size(), "isolated", crash.wasIsolated, "silentMs",
         absl::ToInt64Milliseconds(now - crash.silentSince), "named", absl::StrJoin(named, ","));
     m_parts.metrics.count("cicada_worker_crashes");
+    const bool maySuspectQueue = isCertain && !crash.wasIsolated && worker.failedSyncs > 0;
     m_crashLog.record(std::move(crash));
+    if (maySuspectQueue)
+        recordSuspectedCrash(worker);
 }
 
 std::vector<RunAge> Cell::agesOn(const CellWorker& worker)
@@ -136,7 +144,11 @@
             && !other.allocations.empty() && !runsJob(other, job);
     });
     const size_t others = m_crashLog.othersAtSameTime(*crash, job) + static_cast<size_t>(silentOthers);
-    return { crash->jobs.size() == 1, others >= minSimultaneous };
+    const bool isSimultaneous = others >= minSimultaneous;
+    const auto listed = static_cast<size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(), [](const auto& item) { return item.second.isListed; }));
+    const bool isMassLoss = isSimultaneous && (others + 1) * massLossPart >= listed;
+    return { crash->jobs.size() == 1, isSimultaneous, false, isMassLoss };
 }
 
 bool Cell::runsJob(const CellWorker& worker, const std::string& job)
@@ -153,15 +165,18 @@
     CellTask& task = *job.find(run.task);
     const bool isProven = job.spec.steps[run.task.step].isService && task.startedAt > absl::ZeroDuration()
         && now - task.startedAt >= serviceProvenAfter;
-    if (isProven)
+    if (isProven) {
         task.crashedRuns.clear();
-    const bool isCounted = lost.crash == CrashedRun::Counted;
-    task.agesAtLastCrash = lost.agesAtCrash;
-    if (isCounted && job.recordCrash(run))
-        task.agesAtCrashes.push_back(lost.agesAtCrash);
+        task.agesAtCrashes.clear();
+    }
     const std::string& id = worker.listed.incarnation.id;
     WorkerCrash crash = crashAsSeenBy(job.spec.id, id);
     crash.isSoonAfterStart = m_crashDelays.isSoonAfterStart(lost.agesAtCrash, now);
+    // A suspect that was alone need not have begun if a large part of the workers went away.
+    const bool isCounted = lost.crash == CrashedRun::Counted && (hasBegun(lost) || !crash.isMassLoss);
+    task.agesAtLastCrash = lost.agesAtCrash;
+    if (isCounted && job.recordCrash(run))
+        task.agesAtCrashes.push_back(lost.agesAtCrash);
     if (isCounted && crash.ranOneJob && !crash.hasOtherCause())
         m_crashDelays.record(lost.agesAtCrash, now);
     const bool isDeadlyWorkKnown = m_deadlyWorkKnownUntil > now;
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -83,7 +83,7 @@
             return;
         suspect = run.job;
     }
-    if (suspect)
+    if (suspect && !crashAsSeenBy(suspect->spec.id, worker.listed.incarnation.id).isMassLoss)
         m_probation.recordSuspectedCrash(suspect->policy.queue, suspect->acceptedAt, worker.silentSince, now);
 }
 
--- a/src/CrashDelays.cpp
+++ b/src/CrashDelays.cpp
@@ -18,7 +18,7 @@
     if (ages.own == absl::InfiniteDuration())
         return;
     m_delays.push_back({ ages.own, now });
-    while (now - m_delays.front().recordedAt > retention)
+    while (m_delays.size() > maxRemembered || now - m_delays.front().recordedAt > retention)
         m_delays.pop_front();
 }
 
--- a/src/CrashDelays.h
+++ b/src/CrashDelays.h
@@ -21,7 +21,7 @@
     absl::Duration youngestOther = absl::InfiniteDuration();
 };
 
-/** Remembers the ages at which tasks have crashed their workers, for `retention`. */
+/** Remembers the ages at which tasks have lately crashed their workers. */
 class CrashDelays {
 public:
     /** A run crashed its worker; has no effect if its age is not known. */
@@ -36,6 +36,8 @@
     bool isLikelyCause(const RunAges& ages, Instant now) const;
 
     static constexpr absl::Duration retention = absl::Seconds(30);
+    /** The latest ones are remembered. */
+    static constexpr size_t maxRemembered = 32;
     /** The limit while nothing is remembered, for runs that have just begun. */
     static constexpr absl::Duration defaultLimit = absl::Milliseconds(500);
 
--- a/src/CrashVerdict.h
+++ b/src/CrashVerdict.h
@@ -38,11 +38,13 @@
     bool ranOneJob = false;
     /** Other workers, on which the job had no run, went away at about the same time. */
     bool isSimultaneous = false;
-    /** The run had just begun, which explains the crash whatever else went away at that time. */
+    /** The run had just begun, which explains the crash even if a few others went away at that time. */
     bool isSoonAfterStart = false;
+    /** A large part of the workers went away at about the same time. */
+    bool isMassLoss = false;
 
     /** Whether the crash has a cause outside the tasks. */
-    bool hasOtherCause() const { return isSimultaneous && !isSoonAfterStart; }
+    bool hasOtherCause() const { return isMassLoss || (isSimultaneous && !isSoonAfterStart); }
 };
 
 /** What a crash says about a task that ran on the worker. */
--- a/src/QueueProbation.h
+++ b/src/QueueProbation.h
@@ -16,7 +16,7 @@
 
 namespace cicada {
 
-/** Counts the crashes for which a queue is certainly the cause. */
+/** Counts the crashes of which the tasks of a queue are the likely cause. */
 class QueueProbation {
 public:
     /** A worker went away that ran nothing but a suspect of the queue, whose job was accepted at `acceptedAt`. */
@@ -38,7 +38,6 @@
     bool includes(const std::string& queue) const { return m_until.contains(queue); }
     /** Whether a job of the queue that was accepted at `acceptedAt` is confined. */
     bool confines(const std::string& queue, Instant acceptedAt, Instant now) const;
-    bool isEmpty() const { return m_until.empty(); }
     /** Of each queue on probation, when it ends. */
     const absl::btree_map<std::string, Instant>& queues() const { return m_until; }
 
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -124,15 +124,19 @@
 
 TEST(DeadlyTasks, manyDeadlyJobsAtOnceAreNotTakenForALossOfPower)
 {
-    world.setResetsOnCrash();
-    world.setDeadly([](const TaskName& task) { return task.job.rfind("deadly", 0) == 0; });
+    CellWorld fleet { 4, 96, 7 };
+    CHECK(fleet.runUntil([&] { return fleet.owner().has_value(); }, absl::Seconds(5)));
+    fleet.setResetsOnCrash();
+    fleet.setDeadly([](const TaskName& task) { return task.job.rfind("deadly", 0) == 0; });
+    const size_t at = fleet.owner().value();
     for (int i = 0; i < 9; ++i)
-        world.submit(other(), makeJob(absl::StrCat("deadly", i), 1, 2500));
+        fleet.submit(at, makeJob(absl::StrCat("deadly", i), 1, 2500));
     for (int i = 0; i < 9; ++i) {
         const std::string id = absl::StrCat("deadly", i);
-        expectFailed(id, absl::Seconds(60));
-        CHECK(world.crashesUnder({ id, 0, 0, 0 }) <= 2);
+        CHECK(fleet.runUntil([&] { return fleet.ask(at, id) == JobPhase::Failed; }, absl::Seconds(60)));
+        CHECK(fleet.crashesUnder({ id, 0, 0, 0 }) <= 2);
     }
+    STRCMP_EQUAL("", fleet.report().c_str());
 }
 
 TEST(DeadlyTasks, deadlyTasksThatWaitForAWorkerOfTheirOwnAreNotStartedBesideOthersMeanwhile)
@@ -222,6 +226,36 @@
         CHECK(world.ask(other(), absl::StrCat("job", i)) == JobPhase::Finished);
 }
 
+TEST(DeadlyTasks, noJobIsFailedWhenManyWorkersAreLostJustAfterASuspectHasBegun)
+{
+    world.setResetsOnCrash();
+    for (int i = 0; i < 10; ++i, ++jobs)
+        world.submit(other(), makeJob(absl::StrCat("job", jobs), 3, 1000, absl::Seconds(4)));
+    const auto startsAgain = [&](size_t starts) {
+        CHECK(world.runUntil([&] { return world.startsOf("suspect") == starts; }, absl::Seconds(20)));
+        world.run(absl::Milliseconds(100));
+    };
+    const auto runsSuspect = [](const WorldWorker& worker) {
+        return std::any_of(
+            worker.runs.begin(), worker.runs.end(), [](const auto& item) { return item.first.task.job == "suspect"; });
+    };
+    world.submit(other(), makeJob("suspect", 1, 1000, absl::Seconds(4)));
+    startsAgain(1);
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (runsSuspect(world.workers()[i]))
+            world.crashWorker(i, absl::Seconds(3));
+    }
+    startsAgain(2);
+    size_t lost = 0;
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        const bool isBusy = !world.workers()[i].runs.empty();
+        if (runsSuspect(world.workers()[i]) || (isBusy && lost++ < 5))
+            world.crashWorker(i, absl::Seconds(3));
+    }
+    CHECK(world.runUntil([&] { return world.ask(other(), "suspect") == JobPhase::Finished; }, absl::Seconds(40)));
+    expectAllEnd(absl::Seconds(60));
+}
+
 TEST(DeadlyTasks, aDeadlyServiceIsGivenUp)
 {
     makeDeadly("deadly");
@@ -292,6 +326,7 @@
     CHECK(crashVerdict({ 1, 1 }, { false, true }, true, {}) == CrashVerdict::Suspect);
     CHECK(crashVerdict({ 1, 1 }, { false, true, true }, false, {}) == CrashVerdict::Suspect);
     CHECK(crashVerdict({ 2, 2 }, { true, true, true }, false, {}) == CrashVerdict::GiveUp);
+    CHECK(crashVerdict({ 2, 2 }, { true, true, true, true }, false, {}) == CrashVerdict::Suspect);
     CHECK(crashVerdict({ 2, 1 }, { true, false, true }, false, {}) == CrashVerdict::Suspect);
     CHECK(crashVerdict({ 3, 1 }, { false, false }, false, {}) == CrashVerdict::GiveUp);
 }
