--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -18,7 +18,9 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 VALUE_BYTES = 1048576
 HOLD_MAX_MS = 6000
+GANG_TIMEOUT_S = 3.0
 BEAT_S = 1.5
+MOST_CHANNELS = 64    # of an executor
 
 
 class Record:
@@ -51,9 +53,12 @@
     return method, target, headers, body
 
 
-def serve_with(handler, open_writers=None):
-    """A connection handler: answers one request after the other; None as answer closes the channel."""
+def serve_with(handler, open_writers=None, most_channels=None):
+    """A connection handler: answers one request after the other; None as answer closes the channel. A channel beyond
+    `most_channels` is reset."""
     async def serve(reader, writer):
+        if most_channels is not None and len(open_writers) >= most_channels:
+            return writer.transport.abort()
         if open_writers is not None:
             open_writers.add(writer)
         try:
@@ -239,7 +244,8 @@
 # ---------------------------------------------------------------- executors
 
 class Executor:
-    """Runs what it is told to; `work` in a job's spec is how long its tasks work, in seconds."""
+    """Runs what it is told to. `work` in a job's spec is how long its tasks work, in seconds; `gang` says of how many
+    tasks a gang consists, which work only from when all of one run are present."""
 
     def __init__(self, platform, number, address, labels, capacity):
         self.platform, self.id, self.address = platform, f"i-{number:08x}", address
@@ -253,7 +259,7 @@
         self.is_up = True
         self.event = asyncio.Event()
         self.writers = set()
-        self.server = await asyncio.start_server(serve_with(self.handle, self.writers), *self.address)
+        self.server = await asyncio.start_server(serve_with(self.handle, self.writers, MOST_CHANNELS), *self.address)
         await self.beat()
 
     async def crash(self):
@@ -328,15 +334,36 @@
             return 409, dict(base, reason="old")
         work = re.search(r"work=([\d.]+)", order["spec"])
         seconds = float(work.group(1)) if work else 0.3
-        timer = asyncio.get_running_loop().call_later(seconds, self.end, run, "done")
-        self.running[run] = {"timer": timer, "at": time.monotonic(), "seconds": seconds}
+        gang = re.search(r"gang=(\d+)", order["spec"])
+        wait = (GANG_TIMEOUT_S, "alone") if gang else (seconds, "done")
+        timer = asyncio.get_running_loop().call_later(wait[0], self.end, run, wait[1])
+        self.running[run] = {"timer": timer, "at": time.monotonic(), "seconds": seconds, "gang": None}
+        if gang:
+            self.join(run, int(gang.group(1)), seconds)
         self.platform.started(self, run)
         return 200, base
 
+    def join(self, run, size, seconds):
+        key = (run[0].rsplit(".", 1)[0], run[1])
+        members = self.platform.gangs.setdefault(key, {})
+        members[run] = self
+        self.running[run]["gang"] = key
+        if len(members) < size:
+            return
+        for member, executor in members.items():
+            executor.running[member]["timer"].cancel()
+            executor.running[member]["timer"] = asyncio.get_running_loop().call_later(seconds, executor.end, member, "done")
+
     def end(self, run, how):
         if run not in self.running:
             return
-        self.running.pop(run)["timer"].cancel()
+        ended = self.running.pop(run)
+        ended["timer"].cancel()
+        members = self.platform.gangs.get(ended["gang"], {})
+        members.pop(run, None)
+        # The members of a gang end well together; another end of one breaks the others.
+        for member, executor in list(members.items()):
+            asyncio.get_running_loop().call_soon(executor.end, member, "done" if how == "done" else "broken")
         self.over[run[0]] = max(self.over.get(run[0], 0), run[1])
         self.sequence += 1
         self.finished.append([self.sequence, run[0], run[1], how, ""])
@@ -442,7 +469,7 @@
         self.nodes = [Node(self, n + 1) for n in range(nodes)]
         capacity = capacity or {"cpu": 64000, "memMb": 262144, "gpu": 0}
         self.executors = [Executor(self, n, (f"127.{self.net}.{100 + n}", 8080), ["a", f"r1-{n // 8}"], capacity) for n in range(executors)]
-        self.starts, self.ends, self.version = [], [], 0
+        self.starts, self.ends, self.gangs, self.version = [], [], {}, 0
         self.on_start = None
 
     def spawn(self, coroutine):
