Logs say what is known of a crashed run's start, and how long its worker had not been heard

Cause: of a run that counts as crashed, run-crashed did not tell whether its start had been confirmed, was unanswered, had been refused or was only intended by a former owner; whether the worker was heard shortly before the order could not be read either. Change: run-crashed has start=, run-ordered has heardMs=, and start-refused says that another incarnation answered a start.

--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -39,6 +39,16 @@
         return allocation.wasSent ? CrashedRun::Possible : CrashedRun::None;
     }
 
+    /** How much is known of the run's start, for logs. */
+    absl::string_view startName(const RunAllocation& allocation)
+    {
+        if (allocation.wasConfirmed || allocation.wasListed)
+            return "confirmed";
+        if (allocation.isInherited)
+            return "intended-by-former-owner";
+        return allocation.isStarting ? "reply-outstanding" : "unanswered";
+    }
+
     /** For logs; -1 if infinite. */
     int64_t millisOf(absl::Duration age)
     {
@@ -184,7 +194,7 @@
     const CrashVerdict verdict
         = crashVerdict(isCounted ? crashes : TaskCrashes {}, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
     m_parts.log.write("run-crashed", "run", describeRun(run), "worker", id, "queue", job.policy.queue, "crashes",
-        crashes.all, "unexplained", crashes.unexplained, "counted", isCounted, "alone", crash.ranOneJob, "simultaneous",
+        crashes.all, "unexplained", crashes.unexplained, "counted", isCounted, "start", startName(lost), "alone", crash.ranOneJob, "simultaneous",
         crash.isSimultaneous, "ageMs", millisOf(lost.agesAtCrash.own), "youngestOtherMs",
         millisOf(lost.agesAtCrash.youngestOther), "verdict", crashVerdictName(verdict));
     m_parts.metrics.count(absl::StrCat("cicada_runs_crashed{verdict=\"", crashVerdictName(verdict), "\"}"));
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -65,7 +65,8 @@
     worker->allocations[run].isStarting = true;
     worker->allocations[run].wasSent = true;
     m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token, "waitedMs",
-        absl::ToInt64Milliseconds(now - step.readyAt), "slackMs", absl::ToInt64Milliseconds(step.latestStart - now));
+        absl::ToInt64Milliseconds(now - step.readyAt), "slackMs", absl::ToInt64Milliseconds(step.latestStart - now),
+        "heardMs", absl::ToInt64Milliseconds(now - worker->lastReplyAt));
     m_parts.metrics.count("cicada_runs_ordered");
     m_parts.orders.start(worker->listed.incarnation, std::move(order),
         guarded([this, run, id = task->worker, generation = worker->generation](OrderReply reply) {
@@ -103,6 +104,7 @@
     case OrderStatus::Fenced:
         return handleSuperseded("fenced-by-worker");
     case OrderStatus::OtherIncarnation:
+        m_parts.log.write("start-refused", "run", describeRun(run), "worker", id, "why", "other-incarnation");
         return endIncarnation(worker, IncarnationEnd::OtherAnswered);
     case OrderStatus::NoReply:
         m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
