A task on a worker that has restarted and not been heard has not passed its trial

Cause: between the listing of a worker's restart and its first reply, failedSyncs is 0 again and the tasks that its former incarnation ran are still shown as running, so hasPassedTrial() took a task whose worker had just crashed under it for one at work for seconds, and all other tasks of its job were started beside it. Change: only a worker whose current incarnation has replied counts.

--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -33,8 +33,10 @@
     const absl::Duration length = trialLength();
     return job.anyTask([&](const CellTask& task) {
         const auto worker = m_workers.find(task.worker);
-        const bool isAtWork = task.stage == TaskStage::Running && worker != m_workers.end()
-            && worker->second.failedSyncs == 0 && now - task.startedAt >= length;
+        // Of a worker that has restarted, it is not known yet whether it still has the run.
+        const bool isHeard
+            = worker != m_workers.end() && worker->second.hasReplied && worker->second.failedSyncs == 0;
+        const bool isAtWork = isHeard && task.stage == TaskStage::Running && now - task.startedAt >= length;
         return isAtWork || task.stage == TaskStage::Finished;
     });
 }
