A start that no worker has confirmed is no crash under its task until the third

Cause: crashOf() took a suspect's start on a worker of its own as begun once it had been sent, also when another incarnation had refused it (421) or nothing answered, and every run that a former owner had intended. An idle worker is asked every 8 s, so one that went down stays usable for seconds and is the best candidate for a suspect. Change: only confirmed or listed runs count as before. Unanswered starts and intents of former owners are kept apart in the run record and count toward the third crash only, and are forgotten once a run of the task has worked for a second or has a listed end; a refused start counts for nothing. A task with any such crash is ordered only once its worker has replied to a sync.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -315,6 +315,14 @@
     /** Orders starts whose intents were sent to the store at `intendedAt` and are durable now. */
     void sendStarts(const std::string& id, const std::vector<TaskRun>& runs, Instant intendedAt);
     void sendStart(CellJob& job, const TaskRun& run, Instant intendedAt);
+    /** Runs that are ordered together, by the workers that must reply to a sync before that. */
+    using StartBatches = absl::btree_map<absl::btree_set<std::string>, std::vector<TaskRun>>;
+    StartBatches batchesByUnheardWorkers(CellJob& job, const std::vector<TaskRun>& runs);
+    /** Whether the run starts only once its worker has replied to a sync: its task may have crashed a worker, and a
+     * start that is lost with a worker that was down already would look like another such crash. */
+    bool mustHearWorker(CellJob& job, const TaskRun& run);
+    /** Syncs the workers, and calls back when each has replied or is found not to; at once if there are none. */
+    void hearWorkers(const absl::btree_set<std::string>& ids, absl::AnyInvocable<void()> then);
     void handleStartReply(const TaskRun& run, const std::string& worker, const OrderReply& reply);
     void handleStartFailure(const TaskRun& run, CellWorker& worker, OrderStatus why);
     void requestStop(CellWorker& worker, const TaskRun& run);
@@ -351,6 +359,8 @@
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
     void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
     void giveUp(CellJob& job, const TaskName& task, uint32_t crashes);
+    /** The worker of the run has outlived its start, so other starts of the task were lost before they arrived. */
+    void forgetPossibleCrashes(CellTask& task, const TaskRun& run);
 
     // CellSuspects.cpp: which tasks may have crashed their worker.
     /** How many workers have crashed under the task, by what is known now of how soon tasks crash their workers. */
@@ -440,7 +450,8 @@
     /** Stops the services' tasks on a worker that has begun to drain, so that they start elsewhere before it leaves. */
     void moveServices(CellWorker& worker);
     void scheduleSync(CellWorker& worker, absl::Duration delay);
-    void sync(CellWorker& worker, bool mayWait);
+    /** `then` is called when the reply, or that there is none, has been processed. */
+    void sync(CellWorker& worker, bool mayWait, absl::AnyInvocable<void()> then = nullptr);
     void handleSync(const std::string& id, Instant sentAt, SyncReply reply);
     /** False when some of the listed ends can't be processed yet. */
     bool applyLists(CellWorker& worker, Instant sentAt, SyncReply& reply);
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -24,19 +24,13 @@
     /** Names of jobs in one line of the log. */
     constexpr size_t maxLoggedJobs = 20;
 
-    /** Whether the run has begun, as far as can be known. */
-    bool hasBegun(const RunAllocation& allocation)
-    {
-        return allocation.wasConfirmed || allocation.wasListed || allocation.isInherited;
-    }
-
-    /** What to make of the run when its worker crashes. A start without a reply may have come too late; but where a
-     * suspect is alone, nothing else explains the crash. Of a former owner's start, only the intent is known. */
+    /** What to make of the run when its worker crashes. A start without a reply may have come too late. Of a former
+     * owner's start only the intent is known: that owner may have ended before it sent the order. */
     CrashedRun crashOf(const RunAllocation& allocation)
     {
-        if (hasBegun(allocation) || (allocation.isIsolated && allocation.wasSent))
+        if (allocation.wasConfirmed || allocation.wasListed)
             return CrashedRun::Counted;
-        return allocation.wasSent ? CrashedRun::Possible : CrashedRun::None;
+        return allocation.wasSent || allocation.isInherited ? CrashedRun::Possible : CrashedRun::None;
     }
 
     /** How much is known of the run's start, for logs. */
@@ -177,33 +171,46 @@
         && now - task.startedAt >= serviceProvenAfter;
     if (isProven) {
         task.crashedRuns.clear();
+        task.possiblyCrashedRuns.clear();
         task.agesAtCrashes.clear();
     }
     const std::string& id = worker.listed.incarnation.id;
     WorkerCrash crash = crashAsSeenBy(job.spec.id, id);
     crash.isSoonAfterStart = m_crashDelays.isSoonAfterStart(lost.agesAtCrash, now);
-    // A suspect that was alone need not have begun if a large part of the workers went away.
-    const bool isCounted = lost.crash == CrashedRun::Counted && (hasBegun(lost) || !crash.isMassLoss);
+    const bool isCounted = lost.crash == CrashedRun::Counted;
+    // Where a large part of the workers went away, a start that may not have reached its worker says nothing.
+    const bool isPossible = lost.crash == CrashedRun::Possible && !crash.isMassLoss;
     task.agesAtLastCrash = lost.agesAtCrash;
-    if (isCounted && job.recordCrash(run))
+    const bool isNew = (isCounted || isPossible) && job.recordCrash(run, lost.crash);
+    if (isNew && isCounted)
         task.agesAtCrashes.push_back(lost.agesAtCrash);
     if (isCounted && crash.ranOneJob && !crash.hasOtherCause())
         m_crashDelays.record(lost.agesAtCrash, now);
     const bool isDeadlyWorkKnown = m_deadlyWorkKnownUntil > now;
     const TaskCrashes crashes = crashesOf(task);
-    const CrashVerdict verdict
-        = crashVerdict(isCounted ? crashes : TaskCrashes {}, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
+    const CrashVerdict verdict = crashVerdict(
+        isCounted || isPossible ? crashes : TaskCrashes {}, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
     m_parts.log.write("run-crashed", "run", describeRun(run), "worker", id, "queue", job.policy.queue, "crashes",
-        crashes.all, "unexplained", crashes.unexplained, "counted", isCounted, "start", startName(lost), "alone", crash.ranOneJob, "simultaneous",
-        crash.isSimultaneous, "ageMs", millisOf(lost.agesAtCrash.own), "youngestOtherMs",
-        millisOf(lost.agesAtCrash.youngestOther), "verdict", crashVerdictName(verdict));
+        crashes.all, "unexplained", crashes.unexplained, "possible", crashes.possible, "counted", isCounted, "start",
+        startName(lost), "alone", crash.ranOneJob, "simultaneous", crash.isSimultaneous, "ageMs",
+        millisOf(lost.agesAtCrash.own), "youngestOtherMs", millisOf(lost.agesAtCrash.youngestOther), "verdict",
+        crashVerdictName(verdict));
     m_parts.metrics.count(absl::StrCat("cicada_runs_crashed{verdict=\"", crashVerdictName(verdict), "\"}"));
     if (verdict == CrashVerdict::Suspect) {
         task.isSuspect = true;
         m_suspectJobs.insert(job.spec.id);
     }
     if (verdict == CrashVerdict::GiveUp)
-        giveUp(job, run.task, crashes.all);
+        giveUp(job, run.task, task.crashes());
+}
+
+void Cell::forgetPossibleCrashes(CellTask& task, const TaskRun& run)
+{
+    if (task.possiblyCrashedRuns.empty())
+        return;
+    m_parts.log.write("possible-crashes-refuted", "run", describeRun(run), "possible", task.possiblyCrashedRuns.size());
+    m_parts.metrics.count("cicada_possible_crashes_refuted", task.possiblyCrashedRuns.size());
+    task.possiblyCrashedRuns.clear();
 }
 
 void Cell::giveUp(CellJob& job, const TaskName& task, uint32_t crashes)
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -12,10 +12,11 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, and
-     * the runs that were on a worker when it crashed. Records of former versions lack the last two. */
+    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, the
+     * runs that were on a worker when it crashed, and those that may have been. Records of former versions lack the
+     * last three. */
     using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
-        std::string, std::vector<uint32_t>, std::vector<uint32_t>>;
+        std::string, std::vector<uint32_t>, std::vector<uint32_t>, std::vector<uint32_t>>;
     /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. */
     using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>>;
     /** Stands for a failed run of which only the number of attempts is known. */
@@ -126,9 +127,9 @@
         uint32_t failures = 0;
         std::vector<uint32_t> ownFailedRuns;
         std::tie(ignored, ignored, ignored, form, task.run, failures, task.worker, task.workerStarted, task.checkpoint,
-            ownFailedRuns, task.crashedRuns)
+            ownFailedRuns, task.crashedRuns, task.possiblyCrashedRuns)
             = fields;
-        task.isSuspect = !task.crashedRuns.empty();
+        task.isSuspect = task.crashes() > 0;
         if (failedRuns.empty())
             failedRuns = std::move(ownFailedRuns);
         if (failedRuns.size() < failures)
@@ -197,12 +198,15 @@
     return true;
 }
 
-bool CellJob::recordCrash(const TaskRun& run)
+bool CellJob::recordCrash(const TaskRun& run, CrashedRun crash)
 {
-    std::vector<uint32_t>& crashed = find(run.task)->crashedRuns;
-    if (std::find(crashed.begin(), crashed.end(), run.run) != crashed.end())
+    CellTask& task = *find(run.task);
+    const auto isIn = [&run](const std::vector<uint32_t>& runs) {
+        return std::find(runs.begin(), runs.end(), run.run) != runs.end();
+    };
+    if (crash == CrashedRun::None || isIn(task.crashedRuns) || isIn(task.possiblyCrashedRuns))
         return false;
-    crashed.push_back(run.run);
+    (crash == CrashedRun::Counted ? task.crashedRuns : task.possiblyCrashedRuns).push_back(run.run);
     return true;
 }
 
@@ -362,7 +366,8 @@
                 const bool hasFinished = task.stage == TaskStage::Finished;
                 tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf(name),
                     hasFinished ? std::string() : task.worker, task.workerStarted,
-                    hasFinished ? std::string() : task.checkpoint, task.failedRuns, task.crashedRuns);
+                    hasFinished ? std::string() : task.checkpoint, task.failedRuns, task.crashedRuns,
+                    task.possiblyCrashedRuns);
             }
         }
     }
@@ -396,7 +401,7 @@
         restore(*task, fields, job.failedRunsOf(name));
         if (task->stage == TaskStage::Finished)
             ++job.step({ name.occurrence, name.step }).finished;
-        if (job.phase == JobPhase::Failed && task->stage == TaskStage::Waiting && !task->crashedRuns.empty())
+        if (job.phase == JobPhase::Failed && task->stage == TaskStage::Waiting && task->crashes() > 0)
             job.givenUpFor = name;
     }
     return success();
@@ -427,7 +432,7 @@
     ended.phase = static_cast<JobPhase>(phase);
     for (const TaskFields& task : tasks) {
         const bool isActive = std::get<3>(task) == StoredActive;
-        const auto crashes = static_cast<uint32_t>(std::get<10>(task).size());
+        const auto crashes = static_cast<uint32_t>(std::get<10>(task).size() + std::get<11>(task).size());
         if (ended.phase == JobPhase::Failed && !isActive)
             ended.crashes = std::max(ended.crashes, crashes);
     }
@@ -439,7 +444,7 @@
     if (!job.givenUpFor)
         return 0;
     const TaskName& name = *job.givenUpFor;
-    return static_cast<uint32_t>(job.step({ name.occurrence, name.step }).tasks[name.index].crashedRuns.size());
+    return job.step({ name.occurrence, name.step }).tasks[name.index].crashes();
 }
 
 } // namespace cicada
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -8,6 +8,7 @@
 
 #include "Clock.h"
 #include "CrashDelays.h"
+#include "CrashVerdict.h"
 #include "StepOrder.h"
 #include "WaitingWork.h"
 #include "WorkerOrders.h"
@@ -50,6 +51,8 @@
     std::vector<uint32_t> failedRuns;
     /** The runs that were on a worker when it crashed. */
     std::vector<uint32_t> crashedRuns;
+    /** The runs whose start may have reached a worker before it crashed, and may not. */
+    std::vector<uint32_t> possiblyCrashedRuns;
     /** A worker may have crashed because of the task, which therefore runs apart from other jobs. */
     bool isSuspect = false;
     /** How long those of these runs had been at work of whose crash this owner knows. */
@@ -73,6 +76,8 @@
     /** The current run began from a checkpoint. */
     bool wasRestored = false;
 
+    /** How many workers have crashed under the task, or may have. */
+    uint32_t crashes() const { return static_cast<uint32_t>(crashedRuns.size() + possiblyCrashedRuns.size()); }
     bool hasActiveRun() const
     {
         return stage == TaskStage::StoringIntent || stage == TaskStage::Starting || stage == TaskStage::Running;
@@ -185,8 +190,8 @@
     uint32_t failuresOf(const TaskName&) const;
     /** Records that a run of the task ended as failed; false if that was known. */
     bool recordFailure(const TaskRun&);
-    /** Records that a worker crashed under a run of the task; false if that was known. */
-    bool recordCrash(const TaskRun&);
+    /** Records that a worker crashed under a run of the task, or may have; false if that was known. */
+    bool recordCrash(const TaskRun&, CrashedRun);
     /** How many of the tasks are suspects and have not finished. */
     size_t openSuspects() const;
     bool hasSuspects() const { return openSuspects() > 0; }
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -30,8 +30,51 @@
     CellJob* job = findJob(id);
     if (!job)
         return;
-    for (const TaskRun& run : runs)
-        sendStart(*job, run, intendedAt);
+    for (auto& [unheard, batch] : batchesByUnheardWorkers(*job, runs)) {
+        hearWorkers(unheard, [this, id, intendedAt, batch = std::move(batch)] {
+            for (const TaskRun& run : batch) {
+                if (CellJob* current = findJob(id))
+                    sendStart(*current, run, intendedAt);
+            }
+        });
+    }
+}
+
+Cell::StartBatches Cell::batchesByUnheardWorkers(CellJob& job, const std::vector<TaskRun>& runs)
+{
+    const bool isGang = !runs.empty() && job.spec.steps[runs.front().task.step].isGang;
+    absl::btree_set<std::string> allUnheard;
+    StartBatches batches;
+    for (const TaskRun& run : runs) {
+        absl::btree_set<std::string> unheard;
+        if (mustHearWorker(job, run))
+            unheard.insert(job.find(run.task)->worker);
+        allUnheard.insert(unheard.begin(), unheard.end());
+        batches[unheard].push_back(run);
+    }
+    // The members of a gang start together.
+    return isGang ? StartBatches { { allUnheard, runs } } : batches;
+}
+
+bool Cell::mustHearWorker(CellJob& job, const TaskRun& run)
+{
+    const CellTask* task = job.find(run.task);
+    return task && task->run == run.run && task->stage == TaskStage::StoringIntent && task->crashes() > 0;
+}
+
+void Cell::hearWorkers(const absl::btree_set<std::string>& ids, absl::AnyInvocable<void()> then)
+{
+    if (ids.empty())
+        return then();
+    auto whenAllReplied = std::make_shared<absl::AnyInvocable<void()>>(std::move(then));
+    auto open = std::make_shared<size_t>(ids.size());
+    for (const std::string& id : ids) {
+        m_parts.metrics.count("cicada_workers_heard_before_start");
+        sync(m_workers[id], false, [whenAllReplied, open] {
+            if (--*open == 0)
+                (*whenAllReplied)();
+        });
+    }
 }
 
 void Cell::sendStart(CellJob& job, const TaskRun& run, Instant intendedAt)
@@ -105,6 +148,7 @@
         return handleSuperseded("fenced-by-worker");
     case OrderStatus::OtherIncarnation:
         m_parts.log.write("start-refused", "run", describeRun(run), "worker", id, "why", "other-incarnation");
+        allocation->second.wasSent = false;
         return endIncarnation(worker, IncarnationEnd::OtherAnswered);
     case OrderStatus::NoReply:
         m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
@@ -262,6 +306,8 @@
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
     const bool isCurrent = task && task->run == ended.run.run && task->hasActiveRun();
+    if (task)
+        forgetPossibleCrashes(*task, ended.run);
     m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.incarnation.id, "sequence",
         ended.sequence, "ending", runEndingName(ended.ending), "current", isCurrent ? 1 : 0, "failuresBefore",
         task ? job->failuresOf(name) : 0);
--- a/src/CellSuspects.cpp
+++ b/src/CellSuspects.cpp
@@ -30,7 +30,8 @@
     const auto explained = std::count_if(task.agesAtCrashes.begin(), task.agesAtCrashes.end(),
         [&](const RunAges& ages) { return m_crashDelays.isLikelyCausedByOther(ages, now); });
     const auto all = static_cast<uint32_t>(task.crashedRuns.size());
-    return { all, all - std::min(all, static_cast<uint32_t>(explained)) };
+    return { all, all - std::min(all, static_cast<uint32_t>(explained)),
+        static_cast<uint32_t>(task.possiblyCrashedRuns.size()) };
 }
 
 bool Cell::isLikelySound(const CellTask& task) const
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -13,6 +13,8 @@
     constexpr absl::Duration maxSyncWait = absl::Milliseconds(1500);
     /** Sync interval of a worker that runs nothing. */
     constexpr absl::Duration idleInterval = absl::Seconds(8);
+    /** A task whose run is at work for this long does not crash its worker before that replies. */
+    constexpr absl::Duration provenAfter = absl::Seconds(1);
     /** How long a sync is delayed so that it can acknowledge ends that are not durable yet; then the lease is renewed
      * anyway. */
     constexpr absl::Duration ackTimeout = absl::Milliseconds(400);
@@ -106,7 +108,7 @@
     }));
 }
 
-void Cell::sync(CellWorker& worker, bool mayWait)
+void Cell::sync(CellWorker& worker, bool mayWait, absl::AnyInvocable<void()> then)
 {
     if (worker.listed.incarnation.address.host.empty() || m_isSuperseded)
         return;
@@ -127,18 +129,22 @@
         worker.isSyncing = true;
     m_parts.metrics.count("cicada_worker_syncs");
     m_parts.orders.sync(worker.listed.incarnation, order,
-        guarded([this, id = worker.listed.incarnation.id, generation = worker.generation, now, mayWait,
-                    acknowledged = order.acknowledgedThrough](SyncReply reply) {
-            CellWorker* target = findWorker(id);
-            if (!target || target->generation != generation)
-                return;
-            if (mayWait)
-                target->isSyncing = false;
-            const bool isDone = reply.status == OrderStatus::Done;
-            handleSync(id, now, std::move(reply));
-            if (isDone && target->generation == generation)
-                target->forgottenThrough = std::max(target->forgottenThrough, acknowledged);
-        }));
+        guarded(
+            [this, id = worker.listed.incarnation.id, generation = worker.generation, now, mayWait,
+                acknowledged = order.acknowledgedThrough,
+                then = then ? absl::AnyInvocable<void()>(guarded(std::move(then))) : nullptr](SyncReply reply) mutable {
+                CellWorker* target = findWorker(id);
+                if (target && target->generation == generation) {
+                    if (mayWait)
+                        target->isSyncing = false;
+                    const bool isDone = reply.status == OrderStatus::Done;
+                    handleSync(id, now, std::move(reply));
+                    if (isDone && target->generation == generation)
+                        target->forgottenThrough = std::max(target->forgottenThrough, acknowledged);
+                }
+                if (then)
+                    then();
+            }));
 }
 
 void Cell::handleSync(const std::string& id, Instant sentAt, SyncReply reply)
@@ -252,6 +258,8 @@
         if (task->startedAt == absl::ZeroDuration())
             task->startedAt = now;
     }
+    if (now - task->startedAt >= provenAfter)
+        forgetPossibleCrashes(*task, listed.run);
     if (!listed.checkpoint.empty())
         task->checkpoint = listed.checkpoint;
     if (listed.percent > task->percent) {
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -64,16 +64,6 @@
     OtherAnswered,
 };
 
-/** What the crash of its worker says about a run. */
-enum class CrashedRun {
-    /** The worker has not crashed since the run was ordered, or its next incarnation has listed the run. */
-    None,
-    /** The order may have reached the worker before it crashed. */
-    Possible,
-    /** The run had begun, as far as can be known. */
-    Counted,
-};
-
 /** Capacity allocated to a run. */
 struct RunAllocation {
     Resources demand;
@@ -87,7 +77,7 @@
     bool isInherited = false;
     /** A reply to the start is outstanding. */
     bool isStarting = false;
-    /** The start order was sent. */
+    /** The start order was sent, and not refused by another incarnation. */
     bool wasSent = false;
     /** The worker has confirmed the run, so its start is no longer in flight. The reply to a start does not tell which
      * incarnation gave it. */
--- a/src/CrashVerdict.cpp
+++ b/src/CrashVerdict.cpp
@@ -4,6 +4,13 @@
 
 namespace cicada {
 
+namespace {
+
+    /** With fewer, a start that was lost by chance could decide. */
+    constexpr uint32_t minCrashesWithPossible = 3;
+
+} // namespace
+
 absl::string_view crashVerdictName(CrashVerdict verdict)
 {
     switch (verdict) {
@@ -21,7 +28,9 @@
     const TaskCrashes& crashes, const WorkerCrash& crash, bool isDeadlyWorkKnown, const CrashLimits& limits)
 {
     const bool isCertain = crash.ranOneJob && !crash.hasOtherCause() && crashes.unexplained > 1;
-    if (crashes.all >= limits.maxCrashes || (isCertain && crashes.unexplained + 1 >= limits.maxCrashes))
+    const uint32_t maxWithPossible = std::max(limits.maxCrashes, minCrashesWithPossible);
+    if (crashes.all >= limits.maxCrashes || crashes.all + crashes.possible >= maxWithPossible
+        || (isCertain && crashes.unexplained + 1 >= limits.maxCrashes))
         return CrashVerdict::GiveUp;
     if (crashes.all <= 1 && crash.hasOtherCause() && !isDeadlyWorkKnown)
         return CrashVerdict::Unrelated;
--- a/src/CrashVerdict.h
+++ b/src/CrashVerdict.h
@@ -13,18 +13,32 @@
 
 namespace cicada {
 
+/** What the crash of its worker says about a run. */
+enum class CrashedRun {
+    /** The worker has not crashed since the run was ordered, or its next incarnation has listed the run. */
+    None,
+    /** The order may have reached the worker before it crashed, and may not. */
+    Possible,
+    /** The worker had confirmed or listed the run. */
+    Counted,
+};
+
 /** When a task is given up because workers crash under it. */
 struct CrashLimits {
     /** A task is given up when this many workers have crashed under it, whatever else ran there. Where the last of them
-     * ran nothing but the task's job, one fewer is enough, not counting crashes that another run explains. */
+     * ran nothing but the task's job, one fewer is enough, not counting crashes that another run explains. Crashes
+     * before which the run may not have begun count for the former only. */
     uint32_t maxCrashes = 3;
 };
 
 /** How many workers have crashed under a task. */
 struct TaskCrashes {
+    /** Those before which the run is known to have begun. */
     uint32_t all = 0;
     /** Those of them that no other run explains. */
     uint32_t unexplained = 0;
+    /** Those before which the run may not have begun. */
+    uint32_t possible = 0;
 };
 
 /** The least and the greatest value that `CrashLimits::maxCrashes` may have. With one, each task that ran on a worker
--- a/test/failure/CapacityChangesTest.cpp
+++ b/test/failure/CapacityChangesTest.cpp
@@ -63,3 +63,25 @@
     world.run(absl::Milliseconds(100));
     LONGS_EQUAL(1, world.startsOf("job"));
 }
+
+TEST(CapacityChanges, workersThatShrinkDuringABurstAreNotOverfilledAndAllWorkEnds)
+{
+    const auto setQuarter = [this](int64_t cpuMillis) {
+        for (size_t i = 0; i < world.workers().size(); i += 4)
+            world.setCapacity(i, { cpuMillis, 16000, 0 });
+    };
+    for (int i = 0; i < 12; ++i, ++jobs)
+        world.submit(other(), makeJob(absl::StrCat("job", jobs), 4, 1000, absl::Seconds(3)));
+    world.run(absl::Seconds(1));
+    setQuarter(2200);
+    world.run(absl::Milliseconds(500));
+    // What is being stopped still counts.
+    world.cancel(other(), "job0");
+    world.cancel(other(), "job5");
+    for (int i = 0; i < 12; ++i) {
+        submitSome(3, other());
+        world.run(absl::Milliseconds(300));
+    }
+    setQuarter(4000);
+    expectAllEnd();
+}
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -19,6 +19,41 @@
     {
         world.setDeadly([job](const TaskName& task) { return task.job == job; }, away);
     }
+    void expectFinished(const std::string& job, absl::Duration limit = absl::Seconds(40))
+    {
+        size_t at = world.owner().value_or(0);
+        CHECK(world.runUntil(
+            [&] {
+                const std::optional<JobPhase> phase = world.ask(at = world.owner().value_or(at), job);
+                return phase && isEnded(*phase);
+            },
+            limit));
+        CHECK(world.ask(at, job) == JobPhase::Finished);
+    }
+    /** Hands in a job of one task that takes all of a worker while another one is idle and all others are at work for
+     * long; returns the worker that runs it, then the idle one. */
+    std::vector<size_t> runOnOneOfTwoWorkers(const std::string& job)
+    {
+        Submission busy = makeJob("busy", static_cast<uint32_t>(world.workers().size()) - 2, 1000, absl::Seconds(60));
+        busy.steps[0].maxPerWorker = 1;
+        world.submit(other(), busy);
+        CHECK(world.runUntil([&] { return world.startsOf("busy") == busy.steps[0].taskCount; }, absl::Seconds(5)));
+        world.submit(other(), makeJob(job, 1, 4000, absl::Seconds(8)));
+        CHECK(world.runUntil([&] { return world.startsOf(job) == 1; }, absl::Seconds(5)));
+        world.run(absl::Seconds(3));
+        std::vector<size_t> running;
+        std::vector<size_t> idle;
+        for (size_t i = 0; i < world.workers().size(); ++i) {
+            const WorldWorker& worker = world.workers()[i];
+            if (worker.runs.empty())
+                idle.push_back(i);
+            else if (worker.runs.begin()->first.task.job == job)
+                running.push_back(i);
+        }
+        LONGS_EQUAL(1, running.size());
+        LONGS_EQUAL(1, idle.size());
+        return { running.front(), idle.front() };
+    }
     /** Waits until the job is shown as failed. */
     void expectFailed(const std::string& job, absl::Duration limit = absl::Seconds(30))
     {
@@ -55,6 +90,24 @@
     CHECK(world.crashesUnder(deadly) <= 3);
 }
 
+TEST(DeadlyTasks, crashesAreCountedWhenTheOwnerIsKilledAsSoonAsItHasOrderedAStart)
+{
+    makeDeadly("deadly");
+    submitSome(10, other());
+    world.submit(other(), makeJob("deadly", 1));
+    for (size_t start = 1; start <= 5; ++start) {
+        if (!world.runUntil([&] { return world.startsOf("deadly") >= start; }, absl::Seconds(25)))
+            break;
+        const size_t killed = owner();
+        world.kill(killed);
+        world.run(absl::Seconds(1));
+        world.start(killed);
+    }
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+    expectAllEnd();
+}
+
 TEST(DeadlyTasks, aCrashThatOnlyTheNextOwnerDiscoversCounts)
 {
     makeDeadly("deadly");
@@ -80,6 +133,81 @@
     CHECK(world.crashesUnder(deadly) <= 3);
 }
 
+TEST(DeadlyTasks, aStartThatTheNextIncarnationRefusesIsNoCrashUnderItsTask)
+{
+    for (size_t i : runOnOneOfTwoWorkers("job")) {
+        world.workers()[i].nextId = absl::StrCat("next", i);
+        world.workers()[i].listingDelay = absl::Seconds(3);
+        world.workers()[i].isDark = true;
+        world.crashWorker(i, absl::Seconds(2));
+    }
+    expectFinished("job");
+    LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
+}
+
+TEST(DeadlyTasks, aStartWithoutAReplyToAWorkerThatIsDownIsNoCrashUnderItsTask)
+{
+    // The idle worker is down when the start is sent, and back under its id before the platform's list drops it.
+    const std::vector<size_t> two = runOnOneOfTwoWorkers("job");
+    world.workers()[two.back()].isDark = true;
+    world.crashWorker(two.back(), absl::Seconds(4));
+    world.crashWorker(two.front(), absl::Milliseconds(500));
+    expectFinished("job");
+    LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
+}
+
+TEST(DeadlyTasks, anIntentWhoseOrderNeverArrivedIsNoCrashUnderItsTask)
+{
+    const std::vector<size_t> two = runOnOneOfTwoWorkers("job");
+    world.crashWorker(two.front(), absl::Milliseconds(100));
+    CHECK(world.runUntil([&] { return world.counter("cicada_worker_crashes") == 1; }, absl::Seconds(10)));
+    // No order of the owner arrives any more; it ends, and so does the worker that it has chosen.
+    const size_t former = owner();
+    for (WorldWorker& worker : world.workers())
+        worker.cutFrom.insert(absl::StrCat("e", former));
+    world.run(absl::Milliseconds(100));
+    world.kill(former);
+    for (const size_t i : two)
+        world.crashWorker(i, absl::Milliseconds(100));
+    expectFinished("job");
+    LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
+}
+
+TEST(DeadlyTasks, startsThatWereLostDoNotCountOnceARunOfTheTaskHasWorked)
+{
+    // Two workers go down before they reply to its start, the third one while it is at work.
+    world.setCrashesBeforeReply();
+    world.setDeadly([this](const TaskName&) { return world.startsOf("job") <= 2; });
+    world.submit(other(), makeJob("job", 1, 4000, absl::Seconds(8)));
+    CHECK(world.runUntil([&] { return world.startsOf("job") == 3; }, absl::Seconds(30)));
+    world.run(absl::Seconds(4));
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (!world.workers()[i].runs.empty())
+            world.crashWorker(i, absl::Seconds(2));
+    }
+    expectFinished("job");
+    CHECK(world.counter("cicada_possible_crashes_refuted") > 0);
+}
+
+TEST(DeadlyTasks, aTaskThatCrashesWorkersBeforeTheyReplyIsGivenUpByTheThirdCrash)
+{
+    makeDeadly("deadly");
+    world.setCrashesBeforeReply();
+    world.submit(other(), makeJob("deadly", 1));
+    expectFailed("deadly", absl::Seconds(60));
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
+TEST(DeadlyTasks, aGangThatCrashesWorkersBeforeTheyReplyIsGivenUp)
+{
+    makeDeadly("deadly");
+    world.setCrashesBeforeReply();
+    Submission gang = makeJob("deadly", 6);
+    gang.steps[0].isGang = true;
+    world.submit(other(), gang);
+    expectFailed("deadly", absl::Seconds(60));
+}
+
 TEST(DeadlyTasks, aJobThatMovesToAnotherCellTakesItsCrashesAlong)
 {
     CellWorld cells { 4, 16, 7 };
@@ -327,6 +455,10 @@
     CHECK(crashVerdict({ 1, 1 }, { false, true, true }, false, {}) == CrashVerdict::Suspect);
     CHECK(crashVerdict({ 2, 2 }, { true, true, true }, false, {}) == CrashVerdict::GiveUp);
     CHECK(crashVerdict({ 2, 2 }, { true, true, true, true }, false, {}) == CrashVerdict::Suspect);
+    CHECK(crashVerdict({ 1, 1, 1 }, { true, false }, false, {}) == CrashVerdict::Suspect);
+    CHECK(crashVerdict({ 1, 1, 1 }, { true, false }, false, two) == CrashVerdict::Suspect);
+    CHECK(crashVerdict({ 1, 1, 2 }, { true, false }, false, {}) == CrashVerdict::GiveUp);
+    CHECK(crashVerdict({ 0, 0, 3 }, { false, true }, false, {}) == CrashVerdict::GiveUp);
     CHECK(crashVerdict({ 2, 1 }, { true, false, true }, false, {}) == CrashVerdict::Suspect);
     CHECK(crashVerdict({ 3, 1 }, { false, false }, false, {}) == CrashVerdict::GiveUp);
 }
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -75,6 +75,12 @@
     /** Entries that can't reach the worker. */
     absl::btree_set<std::string> cutFrom;
     bool isDown = false;
+    /** While the worker is down, calls to it end without a reply, as on a connection that was open before. */
+    bool isDark = false;
+    /** The id under which it comes back after its next crash, at the same address; empty for the same one. */
+    std::string nextId;
+    /** The id of its former incarnation, for which it answers that it is another one. */
+    std::string formerId;
     bool isDraining = false;
     /** How long the platform's list takes to show a restart. */
     absl::Duration listingDelay;
@@ -156,6 +162,8 @@
     using Deadly = std::function<bool(const TaskName&)>;
     /** From now on workers crash soon after they have started such a task, and are back `away` later. */
     void setDeadly(Deadly deadly, absl::Duration away = absl::Seconds(3));
+    /** Such a task crashes its worker before the start is answered. */
+    void setCrashesBeforeReply() { m_crashesBeforeReply = true; }
     /** Under how many runs of the task a worker has crashed. */
     size_t crashesUnder(const TaskName& task) const;
     /** How many workers have crashed under tasks of the job; each crash counts once. */
@@ -278,6 +286,13 @@
     void acknowledge(WorldWorker&, uint64_t through);
     void judge(const TaskName&);
     void listWorker(const WorldWorker&);
+    void unlistWorker(const std::string& id);
+    /** The state of a call that reaches no running worker, and how long it is waited for. */
+    struct NoAnswer {
+        OrderStatus status = OrderStatus::NoReply;
+        absl::Duration after;
+    };
+    NoAnswer noAnswerOf(const WorkerIncarnation&, absl::Duration delay);
     WorldWorker* workerOf(const WorkerIncarnation&, size_t& index);
     absl::Duration delay();
     /** What a congested link adds to a call, one way. */
@@ -318,6 +333,7 @@
     Work m_work;
     Deadly m_deadly;
     absl::Duration m_crashedFor = absl::Seconds(3);
+    bool m_crashesBeforeReply = false;
     bool m_resetsOnCrash = false;
     bool m_listsProgress = false;
     double m_wastedCoreSeconds = 0;
--- a/test/support/CellWorldCrashes.cpp
+++ b/test/support/CellWorldCrashes.cpp
@@ -51,6 +51,8 @@
 {
     if (!m_deadly || !m_deadly(run.task))
         return;
+    if (m_crashesBeforeReply)
+        return crashWorker(index, m_crashedFor);
     m_timers.after(deadlyDelay, [this, index, serial, run] {
         const auto found = m_workers[index].runs.find(run);
         if (found != m_workers[index].runs.end() && found->second.serial == serial)
--- a/test/support/CellWorldEntry.h
+++ b/test/support/CellWorldEntry.h
@@ -130,6 +130,11 @@
             tell(worker);
     }
     void unwatch() override { m_onChange = nullptr; }
+    void forget(const std::string& id)
+    {
+        if (m_onChange)
+            m_onChange(id, nullptr);
+    }
     void tell(const WorldWorker& worker)
     {
         if (!m_onChange)
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -114,9 +114,9 @@
         violate(absl::StrCat("more than it can hold: ", worker.id, " with ", describeRun(run)));
     judgeLimit(run);
     judgeCrashes(run);
-    crashSoon(index, serial, run);
     extendLease(index, order.leaseEndMillis);
     m_timers.after(work, [this, index, run, serial] { runDone(index, run, serial); });
+    crashSoon(index, serial, run);
     return reply;
 }
 
