Jobs on trial that have waited for 8 s start beside other trials

Cause: after a job was given up, each further job of its queue begins with one task, on a worker without another such trial. Where workers crash late after a start, a trial lasts 2 s, so that all workers together begin 70 jobs a second at best, and with the few workers that a queue's policy allows far fewer. Evidence: step-waits of these jobs with freeWithTicket=110 and no start; the new test fails without the change (200 jobs on 12 workers not ended after 16 s). Change: a job that has waited for 8 s may begin on a worker that has another trial. It still begins with one task.

--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    /** A job on trial that has waited longer than this starts its task beside other trials. */
+    constexpr absl::Duration maxTrialWait = absl::Seconds(8);
+
     /** The share of the worker's capacity that stays free beside the task: the larger of the shares of processors and
      * memory. */
     double freeShareAfter(const Resources& free, const Resources& demand, const Resources& capacity)
@@ -173,6 +176,7 @@
     const bool backfills = mayBackfill(job, ref);
     const bool isTrial = needsTrial(job, ref);
     const Instant now = m_parts.timers.clock().now();
+    const bool keepsTrialsApart = isTrial && now - step.readyAt <= maxTrialWait;
     struct FreeCapacity {
         CellWorker* worker;
         Resources free;
@@ -182,7 +186,7 @@
     for (CellWorker* worker : eligible) {
         if (!onlyRack.empty() && worker->listed.rack != onlyRack)
             continue;
-        if (isTrial && worker->trialUntil > now)
+        if (keepsTrialsApart && worker->trialUntil > now)
             continue;
         if (fits(demand, freeFor(*worker, backfills)))
             freeCapacities.push_back({ worker, freeFor(*worker, backfills),
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -302,6 +302,25 @@
     CHECK(world.runUntil([&] { return world.ask(other(), "wide") == JobPhase::Finished; }, absl::Seconds(10)));
 }
 
+TEST(DeadlyTasks, soundJobsThatWaitForTrialsBesideRoomStartInTime)
+{
+    // Workers crash a second after the job's starts, so that trials are long.
+    for (size_t start = 1; start <= 2; ++start) {
+        if (start == 1)
+            world.submit(other(), makeJob("deadly", 1, 1000, absl::Seconds(8)));
+        CHECK(world.runUntil([&] { return world.startsOf("deadly") == start; }, absl::Seconds(20)));
+        world.run(absl::Milliseconds(1200));
+        for (size_t i = 0; i < world.workers().size(); ++i) {
+            if (!world.workers()[i].runs.empty())
+                world.crashWorker(i, absl::Seconds(2));
+        }
+    }
+    expectFailed("deadly");
+    for (int i = 0; i < 200; ++i, ++jobs)
+        world.submit(other(), makeJob(absl::StrCat("job", jobs), 1));
+    expectAllEnd(absl::Seconds(16));
+}
+
 TEST(DeadlyTasks, aQueueOfDeadlyJobsLeavesOthersTheirWorkers)
 {
     world.setDeadly([](const TaskName& task) { return task.job.rfind("deadly", 0) == 0; });
