--- a/src/CellLeases.cpp
+++ b/src/CellLeases.cpp
@@ -65,9 +65,11 @@
 void Cell::handleSyncFailure(CellWorker& worker, OrderStatus status)
 {
     recordSilence(worker);
-    if (worker.failedSyncs == 1)
+    if (worker.failedSyncs == 1) {
+        m_parts.metrics.count("cicada_workers_silent");
         m_parts.log.write("worker-silent", "worker", worker.listed.incarnation.id, "status", orderStatusName(status),
             "runs", worker.allocations.size());
+    }
     checkUnresponsive(worker);
     if (!worker.isListed && worker.allocations.empty())
         return;
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -34,8 +34,7 @@
     return job.anyTask([&](const CellTask& task) {
         const auto worker = m_workers.find(task.worker);
         // Of a worker that has restarted, it is not known yet whether it still has the run.
-        const bool isHeard
-            = worker != m_workers.end() && worker->second.hasReplied && worker->second.failedSyncs == 0;
+        const bool isHeard = worker != m_workers.end() && worker->second.hasReplied && worker->second.failedSyncs == 0;
         const bool isAtWork = isHeard && task.stage == TaskStage::Running && now - task.startedAt >= length;
         return isAtWork || task.stage == TaskStage::Finished;
     });
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -171,6 +171,8 @@
         suspendPlacement(worker, unhealthySuspension, "unhealthy");
     if (why == OrderStatus::NoCapacity)
         suspendPlacement(worker, absl::Milliseconds(500), "says-no-room");
+    if (why == OrderStatus::Congested)
+        suspendPlacement(worker, absl::Milliseconds(500), orderStatusName(why));
     CellJob* job = findJob(run.task.job);
     if (job) {
         CellStep& step = job->step({ run.task.occurrence, run.task.step });
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -15,6 +15,8 @@
     constexpr absl::Duration idleInterval = absl::Seconds(8);
     /** A task whose run is at work for this long does not crash its worker before that replies. */
     constexpr absl::Duration provenAfter = absl::Seconds(1);
+    /** When this entry could not send a sync, as other orders to the worker wait for their replies. */
+    constexpr absl::Duration congestionDelay = absl::Milliseconds(100);
     /** How long a sync is delayed so that it can acknowledge ends that are not durable yet; then the lease is renewed
      * anyway. */
     constexpr absl::Duration ackTimeout = absl::Milliseconds(400);
@@ -155,6 +157,8 @@
         return handleSuperseded("fenced-by-worker");
     if (reply.status == OrderStatus::OtherIncarnation)
         return endIncarnation(worker, IncarnationEnd::OtherAnswered);
+    if (reply.status == OrderStatus::Congested)
+        return scheduleSync(worker, congestionDelay);
     if (reply.status != OrderStatus::Done)
         return handleSyncFailure(worker, reply.status);
     const int64_t started = reply.startedUnixMillis;
--- a/src/WorkerOrders.cpp
+++ b/src/WorkerOrders.cpp
@@ -25,6 +25,8 @@
         return "other-life";
     case OrderStatus::NotSent:
         return "not-sent";
+    case OrderStatus::Congested:
+        return "congested";
     case OrderStatus::NoReply:
         return "no-reply";
     }
--- a/src/WorkerOrders.h
+++ b/src/WorkerOrders.h
@@ -53,6 +53,8 @@
     OtherIncarnation,
     /** No connection was made: the order was not sent. */
     NotSent,
+    /** Too many other orders to the worker were waiting for their replies: the order was not sent. */
+    Congested,
     /** No reply: the order may have been executed, or may still be executed later. */
     NoReply,
 };
--- a/test/failure/HttpClientTest.cpp
+++ b/test/failure/HttpClientTest.cpp
@@ -106,7 +106,8 @@
 TEST(HttpCalls, anAcknowledgementIsNotSentAgainToAWorkerThatMayHaveRestarted)
 {
     EventLog log("test", -1);
-    WorkerLink link(client, log);
+    Metrics metrics;
+    WorkerLink link(client, log, metrics);
     const WorkerIncarnation worker { "w", { "127.0.0.1", acceptor.local_endpoint().port() } };
     serveOnceThenVanish();
     for (const uint64_t acknowledged : { 0, 3 }) {
