--- a/test/failure/WorkerConnectionsTest.cpp
+++ b/test/failure/WorkerConnectionsTest.cpp
@@ -273,6 +273,17 @@
     LONGS_EQUAL(0, owner.http.openConnections());
 }
 
+TEST(WorkerConnections, anEntryThatOwnsNothingAnyMoreClosesItsConnectionsAtOnce)
+{
+    FewConnections executor(io, 64);
+    Owner owner(io, clock);
+    owner.start(executor.worker(), 10);
+    run(absl::Milliseconds(400));
+    owner.http.closeIdleConnections(absl::ZeroDuration());
+    run(absl::Milliseconds(50));
+    LONGS_EQUAL(0, executor.open());
+}
+
 TEST(WorkerConnections, anOrderThatWaitsTooLongForItsTurnIsSaidNotToBeSent)
 {
     FewConnections executor(io, 64);
