Cell: which tasks are suspects is decided by a class of its own

The judgements of tasks under which workers crashed depend on nothing but the job, what is known of how soon tasks crash workers, and the clock: SuspectTasks has them, CellWorker says whether it runs a job. No change of behaviour.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -21,6 +21,7 @@
               [this](const std::string& key) { return valueOf(key); }, [this] { handleSuperseded("row-changed"); } },
           { m_term.row, m_term.token })
     , m_accountRate(m_term.cells)
+    , m_suspects(m_crashDelays, m_parts.timers.clock())
 {
 }
 
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -33,6 +33,7 @@
 #include "RoomFinder.h"
 #include "RunTimeEstimates.h"
 #include "StepOrder.h"
+#include "SuspectTasks.h"
 #include "UnmetDemands.h"
 #include "WaitingWork.h"
 
@@ -355,7 +356,6 @@
     void recordInheritedCrash(CellWorker& worker);
     /** What the worker's last crash says about the job's tasks that ran there. */
     WorkerCrash crashAsSeenBy(const std::string& job, const std::string& worker) const;
-    static bool runsJob(const CellWorker& worker, const std::string& job);
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
     void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
     void giveUp(CellJob& job, const TaskName& task, uint32_t crashes);
@@ -363,26 +363,9 @@
     void forgetPossibleCrashes(CellTask& task, const TaskRun& run);
 
     // CellSuspects.cpp: which tasks may have crashed their worker.
-    /** How many workers have crashed under the task, by what is known now of how soon tasks crash their workers. */
-    TaskCrashes crashesOf(const CellTask& task) const;
-    /** Whether runs that had just begun beside the task are the likely causes of all crashes under it. */
-    bool isLikelySound(const CellTask& task) const;
-    /** Whether nothing else explains several crashes under the task, or only it had just begun at the last one. */
-    bool isLikelyDeadly(const CellTask& task) const;
-    /** Whether workers crashed under several of the job's tasks, so that one of them shows what to expect of all. */
-    bool isSuspectAsAWhole(const CellJob& job) const;
-    /** Whether tasks of the step that are no suspects have to wait until one of the job's suspects has finished. */
-    bool isHeldBack(const CellJob& job, StepRef ref) const;
-    /** Whether no worker of their own was to be had for the job's suspects for long. */
-    bool hasWaitedForIsolation(const CellJob& job) const;
-    /** Whether the task may only start on a worker without other jobs. */
-    bool runsApart(const CellJob& job, const CellTask& task) const;
-    /** The waiting tasks of the step that may only start apart, by index; the likely cause of a crash comes last. */
-    std::vector<uint32_t> waitingSuspects(const CellJob& job, StepRef ref) const;
-    /** The ready steps with such tasks, those first that may be sound, in the order in which steps get capacity. */
+    /** The ready steps with suspects that may only start apart, those first that may be sound, in the order in which
+     * steps get capacity. */
     std::vector<StepRank> stepsWithSuspects();
-    /** Whether a waiting task of the step may start beside other jobs. */
-    bool hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const;
     /** Suspects that have been at work for long no longer keep others from the worker. */
     void clearProvenSuspects(CellWorker& worker);
 
@@ -584,6 +567,7 @@
     absl::flat_hash_set<std::string> m_queuesWithMetric;
     CrashLog m_crashLog;
     CrashDelays m_crashDelays;
+    SuspectTasks m_suspects;
     /** Until then, the last task that was given up explains crashes of several workers at once. */
     Instant m_deadlyWorkKnownUntil = absl::ZeroDuration();
     QueueProbation m_probation;
--- a/src/CellAccounts.cpp
+++ b/src/CellAccounts.cpp
@@ -107,13 +107,13 @@
     const StepSpec& spec = job.stepSpec(ref);
     std::vector<uint32_t> waiting = waitingTasks(job.step(ref));
     const bool hasSuspects = m_suspectJobs.contains(job.spec.id);
-    if (hasSuspects && isHeldBack(job, ref))
+    if (hasSuspects && m_suspects.isHeldBack(job, ref))
         return {};
     const std::vector<CellTask>& tasks = job.step(ref).tasks;
     // Suspects start apart, but for the members of a gang.
     if (hasSuspects && !spec.isGang)
-        waiting.erase(std::remove_if(
-                          waiting.begin(), waiting.end(), [&](uint32_t index) { return runsApart(job, tasks[index]); }),
+        waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                          [&](uint32_t index) { return m_suspects.runsApart(job, tasks[index]); }),
             waiting.end());
     if (needsTrial(job, ref))
         waiting.resize(std::min<size_t>(waiting.size(), isTrialUnderWay(job) ? 0 : 1));
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -145,7 +145,7 @@
         const CellWorker& other = item.second;
         return item.first != worker && other.failedSyncs > 0
             && CrashLog::isSameTime(other.silentSince, crash->silentSince) && other.isolatedRuns == 0
-            && !other.allocations.empty() && !runsJob(other, job);
+            && !other.allocations.empty() && !other.runsJob(job);
     });
     const size_t others = m_crashLog.othersAtSameTime(*crash, job) + static_cast<size_t>(silentOthers);
     const bool isSimultaneous = others >= minSimultaneous;
@@ -155,12 +155,6 @@
     return { crash->jobs.size() == 1, isSimultaneous, false, isMassLoss };
 }
 
-bool Cell::runsJob(const CellWorker& worker, const std::string& job)
-{
-    return std::any_of(worker.allocations.begin(), worker.allocations.end(),
-        [&job](const auto& item) { return item.first.task.job == job; });
-}
-
 void Cell::recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost)
 {
     if (lost.crash == CrashedRun::None || isEnded(job.phase))
@@ -187,7 +181,7 @@
     if (isCounted && crash.ranOneJob && !crash.hasOtherCause())
         m_crashDelays.record(lost.agesAtCrash, now);
     const bool isDeadlyWorkKnown = m_deadlyWorkKnownUntil > now;
-    const TaskCrashes crashes = crashesOf(task);
+    const TaskCrashes crashes = m_suspects.crashesOf(task);
     const CrashVerdict verdict = crashVerdict(
         isCounted || isPossible ? crashes : TaskCrashes {}, crash, isDeadlyWorkKnown, m_parts.bounds.crashes);
     m_parts.log.write("run-crashed", "run", describeRun(run), "worker", id, "queue", job.policy.queue, "crashes",
--- a/src/CellIsolation.cpp
+++ b/src/CellIsolation.cpp
@@ -100,7 +100,7 @@
 size_t Cell::placeSuspectsOf(CellJob& job, StepRef ref)
 {
     const StepSpec& spec = job.stepSpec(ref);
-    std::vector<uint32_t> suspects = waitingSuspects(job, ref);
+    std::vector<uint32_t> suspects = m_suspects.waitingSuspects(job, ref);
     suspects.resize(std::min<uint64_t>(suspects.size(), startableWithinLimit(job, spec)));
     size_t& quota = isolationQuota(policyOf(job).service);
     size_t allowed = std::min(quota, workersAllowed(job));
@@ -154,10 +154,10 @@
 
 size_t Cell::workersAllowed(const CellJob& job) const
 {
-    if (!isSuspectAsAWhole(job))
+    if (!m_suspects.isSuspectAsAWhole(job))
         return std::numeric_limits<size_t>::max();
     const bool isAnyIsolated = std::any_of(m_workers.begin(), m_workers.end(),
-        [&](const auto& item) { return item.second.isolatedRuns > 0 && runsJob(item.second, job.spec.id); });
+        [&](const auto& item) { return item.second.isolatedRuns > 0 && item.second.runsJob(job.spec.id); });
     return isAnyIsolated ? 0 : 1;
 }
 
@@ -236,9 +236,9 @@
 {
     return std::any_of(m_ready.begin(), m_ready.end(), [&](const StepRank& rank) {
         CellJob* job = findJob(rank.job);
-        if (!job || policyOf(*job).service != service || isHeldBack(*job, rank.ref) || isConfined(*job))
+        if (!job || policyOf(*job).service != service || m_suspects.isHeldBack(*job, rank.ref) || isConfined(*job))
             return false;
-        return hasWorkForSharedWorkers(*job, rank.ref);
+        return m_suspects.hasWorkForSharedWorkers(*job, rank.ref);
     });
 }
 
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -45,14 +45,14 @@
     const StepSpec& spec = job.stepSpec(ref);
     if (spec.isGang || spec.isService || !m_probation.needsTrial(job.policy.queue, job.acceptedAt))
         return false;
-    const bool hasWaited = job.crashedWorkers > 0 && hasWaitedForIsolation(job);
+    const bool hasWaited = job.crashedWorkers > 0 && m_suspects.hasWaitedForIsolation(job);
     return !hasWaited && !hasPassedTrial(job);
 }
 
 bool Cell::isTrialUnderWay(const CellJob& job) const
 {
     return job.anyTask([&](const CellTask& task) {
-        return task.hasActiveRun() || (task.stage == TaskStage::Waiting && runsApart(job, task));
+        return task.hasActiveRun() || (task.stage == TaskStage::Waiting && m_suspects.runsApart(job, task));
     });
 }
 
@@ -164,7 +164,7 @@
     return std::any_of(m_ready.begin(), m_ready.end(), [&](const StepRank& rank) {
         const auto job = m_jobs.find(rank.job);
         return job != m_jobs.end() && job->second->policy.queue == queue && isConfined(*job->second)
-            && hasWorkForSharedWorkers(*job->second, rank.ref);
+            && m_suspects.hasWorkForSharedWorkers(*job->second, rank.ref);
     });
 }
 
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -122,6 +122,12 @@
 
 Resources CellWorker::freeInTime() const { return listed.capacity - usedByServices; }
 
+bool CellWorker::runsJob(const std::string& job) const
+{
+    return std::any_of(
+        allocations.begin(), allocations.end(), [&job](const auto& item) { return item.first.task.job == job; });
+}
+
 bool CellWorker::isUsable(Instant now) const
 {
     return isListed && hasReplied && clock.isKnown() && !listed.isDraining && failedSyncs == 0 && suspendedUntil <= now;
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -188,6 +188,7 @@
     void endIsolation(const TaskRun& run);
     /** What is free once all runs but those of services have ended. */
     Resources freeInTime() const;
+    bool runsJob(const std::string& job) const;
     bool isUsable(Instant now) const;
     /** Records that an order had no reply. */
     void recordSilence(Instant now);
