A start that its worker outlived without the run is no crash under its task

Cause: three starts without a reply counted as possible crashes, though each of the workers had listed its runs, without this one, up to 4 s after the order, before it went down. Change: such a start is no crash if the worker made a list more than 0.5 s after the order.

--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -24,12 +24,18 @@
     /** Names of jobs in one line of the log. */
     constexpr size_t maxLoggedJobs = 20;
 
-    /** What to make of the run when its worker crashes. A start without a reply may have come too late. Of a former
-     * owner's start only the intent is known: that owner may have ended before it sent the order. */
-    CrashedRun crashOf(const RunAllocation& allocation)
+    /** A worker that lists its runs so long after a start was ordered would list this one, or has not received it. */
+    constexpr absl::Duration maxStartTransit = absl::Milliseconds(500);
+
+    /** What to make of the run when its worker crashes. A start without a reply may have come too late, and did not
+     * crash a worker that has outlived it without the run. Of a former owner's start only the intent is known: that
+     * owner may have ended before it sent the order. */
+    CrashedRun crashOf(const RunAllocation& allocation, bool hasOutlivedStart)
     {
         if (allocation.wasConfirmed || allocation.wasListed)
             return CrashedRun::Counted;
+        if (hasOutlivedStart && !allocation.isInherited)
+            return CrashedRun::None;
         return allocation.wasSent || allocation.isInherited ? CrashedRun::Possible : CrashedRun::None;
     }
 
@@ -61,7 +67,10 @@
         worker.isolatedRuns > 0, {} };
     size_t runs = 0;
     for (auto& [run, allocation] : worker.allocations) {
-        allocation.crash = crashOf(allocation);
+        CellJob* job = findJob(run.task.job);
+        const CellTask* task = job ? job->find(run.task) : nullptr;
+        const bool isCurrent = task && task->run == run.run;
+        allocation.crash = crashOf(allocation, isCurrent && worker.listedAt - task->startedAt > maxStartTransit);
         if (allocation.crash == CrashedRun::None)
             continue;
         crash.jobs.insert(run.task.job);
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -173,6 +173,28 @@
     LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
 }
 
+TEST(DeadlyTasks, aStartThatItsWorkerOutlivedWithoutTheRunIsNoCrashUnderItsTask)
+{
+    Submission busy = makeJob("busy", static_cast<uint32_t>(world.workers().size()) - 1, 4000, absl::Seconds(100));
+    world.submit(other(), busy);
+    CHECK(world.runUntil([&] { return world.startsOf("busy") == busy.steps[0].taskCount; }, absl::Seconds(5)));
+    size_t idle = 0;
+    while (!world.workers()[idle].runs.empty())
+        ++idle;
+    // The worker answers no orders, only lists, which show no run until it goes down.
+    world.submit(other(), makeJob("job", 1, 4000, absl::Seconds(8)));
+    for (uint64_t order = 1; order <= 4; ++order) {
+        const uint64_t ordered = world.counter("cicada_runs_ordered");
+        world.workers()[idle].lateShare = 1;
+        CHECK(world.runUntil([&] { return world.counter("cicada_runs_ordered") > ordered; }, absl::Seconds(20)));
+        world.run(absl::Milliseconds(2000));
+        world.crashWorker(idle, absl::Seconds(2));
+        world.workers()[idle].lateShare = 0;
+        world.run(absl::Milliseconds(2100));
+    }
+    expectFinished("job");
+}
+
 TEST(DeadlyTasks, startsThatWereLostDoNotCountOnceARunOfTheTaskHasWorked)
 {
     // Two workers go down before they reply to its start, the third one while it is at work.
