Soak: a deadly task is still at work when its executor crashes; broken verdicts say what was under the job

The stand-in crashes an executor 20 to 150 ms after a deadly start, while tasks of the soak take 100 to 900 ms: a deadly task of 133 ms ended as done before two of the crashes that it caused, and the judge, which counts runs lost in a crash, took the job that was given up for a sound one. A deadly task now works for at least 1 s, so that each crash that it causes is counted; the judge's check is unchanged. Its message now names deadly or sound, the length of the tasks, and failures and crashes under each.

--- a/test/soak/SoakJudge.cpp
+++ b/test/soak/SoakJudge.cpp
@@ -17,6 +17,8 @@
     /** After this many crashes, a task may only be started so many times more. */
     constexpr uint32_t maxCrashes = 3;
     constexpr uint32_t maxStartsAfterCrashes = 2;
+    /** A deadly task is still at work when its executor crashes. */
+    constexpr absl::Duration minDeadlyWork = absl::Seconds(1);
 
     struct TaskId {
         std::string job;
@@ -37,6 +39,11 @@
         return absl::StrCat(job, ".0.", step, ".", index);
     }
 
+    bool isDeadlyTask(const SoakJob& job, const GridRun& run)
+    {
+        return job.isDeadly && run.task == taskName(job.id, 0, 0);
+    }
+
 } // namespace
 
 void SoakJudge::violate(const std::string& what) { m_violations.push_back(what); }
@@ -90,9 +97,24 @@
     return false;
 }
 
+std::string SoakJudge::describe(const SoakJob& job) const
+{
+    std::string text = absl::StrCat(job.isDeadly ? "deadly" : "sound", job.isGang ? " gang" : "", " job with tasks of ",
+        absl::ToInt64Milliseconds(job.work), " ms");
+    for (size_t step = 0; step < job.tasksOfStep.size(); ++step) {
+        for (uint32_t i = 0; i < job.tasksOfStep[step]; ++i) {
+            const auto task = m_tasks.find(taskName(job.id, step, i));
+            if (task != m_tasks.end())
+                absl::StrAppend(&text, "; task ", step, ".", i, " failed ", task->second.failures, " times, crashed ",
+                    task->second.crashes, " times", task->second.wasDone ? ", was done" : "");
+        }
+    }
+    return text;
+}
+
 void SoakJudge::checkCrashes(const SoakJob& job, const std::string& executor, const GridRun& run)
 {
-    if (!job.isDeadly || run.task != taskName(job.id, 0, 0))
+    if (!isDeadlyTask(job, run))
         return;
     Task& task = m_tasks[run.task];
     task.startsAfterCrashes += task.crashes >= maxCrashes ? 1 : 0;
@@ -131,7 +153,7 @@
     if (state == "completed" && !allDone(job, job.tasksOfStep.size()))
         violate(absl::StrCat("job ", id, " is shown as completed and has tasks that are not done"));
     if (state == "failed" && !hasFailedOut(job) && !(job.isDeadly && mayBeGivenUp(job)))
-        violate(absl::StrCat("job ", id, " is shown as failed without having failed so often"));
+        violate(absl::StrCat("job ", id, " is shown as failed without having failed so often: ", describe(job)));
     if (state == "cancelled" && !job.isCancelSent)
         violate(absl::StrCat("job ", id, " is shown as cancelled without having been cancelled"));
 }
@@ -139,7 +161,9 @@
 absl::Duration SoakJudge::workOf(const GridRun& run)
 {
     const SoakJob* job = jobOf(run);
-    return job ? job->work : absl::ZeroDuration();
+    if (!job)
+        return absl::ZeroDuration();
+    return isDeadlyTask(*job, run) ? std::max(job->work, minDeadlyWork) : job->work;
 }
 
 bool SoakJudge::fails(const GridRun& run)
--- a/test/soak/SoakJudge.h
+++ b/test/soak/SoakJudge.h
@@ -106,6 +106,8 @@
     bool hasFailedOut(const SoakJob& job) const;
     /** Whether executors have crashed under a task of the job as often as it takes to give the job up. */
     bool mayBeGivenUp(const SoakJob& job) const;
+    /** The failures and crashes under each task of the job. */
+    std::string describe(const SoakJob& job) const;
     void checkCrashes(const SoakJob& job, const std::string& executor, const GridRun& run);
     void checkAccount(const SoakJob& job, const std::string& what);
 
