A gang with suspects starts on workers that run no suspects of other jobs

Cause: tasks under which a worker crashed run apart from other jobs, but members of gangs did not (CellSuspects left gangs out, as they need several workers at once). So a sound gang and a deadly one that had crashed a worker together were packed on one worker again, up to the third crash.

A gang with suspects now leaves out workers with suspects of other jobs that are at work and not proven. It needs no empty worker, so it waits only until those have ended, been given up or been at work for long enough, and as other suspects only for 8 s after its first crash. What proves a suspect is decided in SuspectTasks for both uses.

soundGangsAreNotGivenUp... fails before.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -366,6 +366,8 @@
     /** The ready steps with suspects that may only start apart, those first that may be sound, in the order in which
      * steps get capacity. */
     std::vector<StepRank> stepsWithSuspects();
+    /** Whether the worker runs a suspect of another job that may still crash it. */
+    bool runsSuspectOfOthers(const CellWorker& worker, const std::string& job);
     /** Suspects that have been at work for long no longer keep others from the worker. */
     void clearProvenSuspects(CellWorker& worker);
 
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -177,6 +177,7 @@
     const bool isTrial = needsTrial(job, ref);
     const Instant now = m_parts.timers.clock().now();
     const bool keepsTrialsApart = isTrial && now - step.readyAt <= maxTrialWait;
+    const bool avoidsSuspects = m_suspects.isSuspectGang(job, ref);
     struct FreeCapacity {
         CellWorker* worker;
         Resources free;
@@ -188,6 +189,8 @@
             continue;
         if (keepsTrialsApart && worker->trialUntil > now)
             continue;
+        if (avoidsSuspects && runsSuspectOfOthers(*worker, job.spec.id))
+            continue;
         if (fits(demand, freeFor(*worker, backfills)))
             freeCapacities.push_back({ worker, freeFor(*worker, backfills),
                 !spec.dataRack.empty() && worker->listed.rack == spec.dataRack });
--- a/src/CellSuspects.cpp
+++ b/src/CellSuspects.cpp
@@ -9,15 +9,6 @@
 
 namespace cicada {
 
-namespace {
-
-    /** A task that has been at work this long no longer keeps others from its worker, or sooner if tasks are known to
-     * crash their workers sooner, but not before the lesser time. */
-    constexpr absl::Duration suspectProvenAfter = absl::Seconds(10);
-    constexpr absl::Duration minProof = absl::Milliseconds(500);
-
-} // namespace
-
 std::vector<StepRank> Cell::stepsWithSuspects()
 {
     std::vector<StepRank> steps;
@@ -50,20 +41,25 @@
     return steps;
 }
 
+bool Cell::runsSuspectOfOthers(const CellWorker& worker, const std::string& jobId)
+{
+    return std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto& item) {
+        const TaskRun& run = item.first;
+        CellJob* job = run.task.job != jobId && m_suspectJobs.contains(run.task.job) ? findJob(run.task.job) : nullptr;
+        const CellTask* task = job ? job->find(run.task) : nullptr;
+        return task && task->run == run.run && m_suspects.mayCrashWorker(*task);
+    });
+}
+
 void Cell::clearProvenSuspects(CellWorker& worker)
 {
-    const Instant now = m_parts.timers.clock().now();
     if (worker.isolatedRuns == 0 || worker.failedSyncs > 0)
         return;
-    const absl::Duration proof
-        = std::clamp(m_crashDelays.limit(now).value_or(suspectProvenAfter), minProof, suspectProvenAfter);
     std::vector<TaskRun> proven;
     for (const auto& [run, allocation] : worker.allocations) {
         CellJob* job = allocation.isIsolated ? findJob(run.task.job) : nullptr;
         CellTask* task = job ? job->find(run.task) : nullptr;
-        const bool isProven = task && task->run == run.run && task->stage == TaskStage::Running
-            && now - task->startedAt >= (task->crashedRuns.size() > 1 ? suspectProvenAfter : proof);
-        if (!isProven)
+        if (!task || task->run != run.run || !m_suspects.isProven(*task))
             continue;
         task->isSuspect = false;
         proven.push_back(run);
--- a/src/SuspectTasks.cpp
+++ b/src/SuspectTasks.cpp
@@ -9,6 +9,10 @@
     /** How long a task with one crash under it waits for a worker of its own. Then it starts like any other, since
      * otherwise room would stay unused for as long as other suspects crash theirs. */
     constexpr absl::Duration isolationTimeout = absl::Seconds(8);
+    /** A task that has been at work this long no longer keeps others from its worker, or sooner if tasks are known to
+     * crash their workers sooner, but not before the lesser time. */
+    constexpr absl::Duration suspectProvenAfter = absl::Seconds(10);
+    constexpr absl::Duration minProof = absl::Milliseconds(500);
     /** With so many crashed workers, the job as a whole is the suspect. */
     constexpr uint32_t minCrashedWorkers = 2;
 
@@ -78,6 +82,25 @@
     return suspects;
 }
 
+bool SuspectTasks::isSuspectGang(const CellJob& job, StepRef ref) const
+{
+    return job.stepSpec(ref).isGang && !waitingSuspects(job, ref).empty();
+}
+
+bool SuspectTasks::isProven(const CellTask& task) const
+{
+    const Instant now = m_clock.now();
+    const absl::Duration proof
+        = std::clamp(m_crashDelays.limit(now).value_or(suspectProvenAfter), minProof, suspectProvenAfter);
+    return task.stage == TaskStage::Running
+        && now - task.startedAt >= (task.crashedRuns.size() > 1 ? suspectProvenAfter : proof);
+}
+
+bool SuspectTasks::mayCrashWorker(const CellTask& task) const
+{
+    return task.isSuspect && task.hasActiveRun() && !isLikelySound(task) && !isProven(task);
+}
+
 bool SuspectTasks::hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const
 {
     const std::vector<CellTask>& tasks = job.step(ref).tasks;
--- a/src/SuspectTasks.h
+++ b/src/SuspectTasks.h
@@ -41,6 +41,12 @@
     bool runsApart(const CellJob& job, const CellTask& task) const;
     /** The waiting tasks of the step that may only start apart, by index; the likely cause of a crash comes last. */
     std::vector<uint32_t> waitingSuspects(const CellJob& job, StepRef ref) const;
+    /** Whether the step is a gang with suspects, which starts on workers that run no suspects of other jobs. */
+    bool isSuspectGang(const CellJob& job, StepRef ref) const;
+    /** Whether the task has been at work for so long that it no longer keeps others from its worker. */
+    bool isProven(const CellTask& task) const;
+    /** Whether the task is a suspect at work that is not proven. */
+    bool mayCrashWorker(const CellTask& task) const;
     /** Whether a waiting task of the step may start beside other jobs. */
     bool hasWorkForSharedWorkers(const CellJob& job, StepRef ref) const;
 
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -446,6 +446,25 @@
     expectAllEnd();
 }
 
+TEST(DeadlyTasks, soundGangsAreNotGivenUpForTheCrashesOfDeadlyGangs)
+{
+    world.setDeadly([](const TaskName& task) { return task.job[0] == 'd' && task.index == 0; });
+    const auto submitGang = [this](const std::string& job, absl::Duration work) {
+        Submission gang = makeJob(job, 3, 300, work);
+        gang.steps[0].isGang = true;
+        world.submit(other(), gang);
+    };
+    for (int i = 0; i < 6; ++i) {
+        submitGang(absl::StrCat("deadly", i), absl::Seconds(20));
+        submitGang(absl::StrCat("sound", i), absl::Seconds(2));
+        world.run(absl::Milliseconds(50));
+    }
+    for (int i = 0; i < 6; ++i) {
+        expectFinished(absl::StrCat("sound", i));
+        expectFailed(absl::StrCat("deadly", i));
+    }
+}
+
 TEST(DeadlyTasks, whereAdviceIsNeededADeadlyTaskIsGivenUpToo)
 {
     world.policy().advice = { true, absl::Milliseconds(10), absl::Milliseconds(1), absl::Seconds(2) };
