--- a/src/ConnectionLimit.cpp
+++ b/src/ConnectionLimit.cpp
@@ -7,7 +7,7 @@
 bool ConnectionLimit::allowsAnother(size_t open, absl::Duration waited, bool mayRepeat, Instant now) const
 {
     // Without any connection, nothing else tells whether the server takes one again.
-    if (open == 0)
+    if (open == 0 || m_bounds.isUnlimited())
         return true;
     if (open >= m_bounds.max)
         return false;
@@ -25,6 +25,8 @@
 
 void ConnectionLimit::recordRefusal(size_t others, Instant now)
 {
+    if (m_bounds.isUnlimited())
+        return;
     m_hasRefused = true;
     m_accepted = std::max<size_t>(1, others);
     m_nextTryAt = now + refusalPause;
--- a/src/ConnectionLimit.h
+++ b/src/ConnectionLimit.h
@@ -13,7 +13,7 @@
 
 namespace cicada {
 
-/** Bounds of the connections to one server. */
+/** Bounds of the connections to one server; by default there are none, and refusals change nothing. */
 struct ConnectionBounds {
     /** So many are opened whenever a call needs one. */
     size_t usual = std::numeric_limits<size_t>::max();
@@ -21,6 +21,8 @@
     size_t max = std::numeric_limits<size_t>::max();
     /** Idle connections but the one that was used last are closed after this time. */
     absl::Duration surplusIdleTime = absl::InfiniteDuration();
+
+    bool isUnlimited() const { return max == std::numeric_limits<size_t>::max(); }
 };
 
 /** Decides when another connection to a server is opened. */
--- a/test/failure/WorkerConnectionsTest.cpp
+++ b/test/failure/WorkerConnectionsTest.cpp
@@ -259,6 +259,15 @@
     CHECK(!limit.allowsAnother(16, absl::Hours(1), true, now));
 }
 
+TEST(WorkerConnections, callsToAServerWithoutALimitDoNotWaitForEachOtherAfterARefusal)
+{
+    ConnectionLimit limit({});
+    limit.recordRefusal(1, absl::ZeroDuration());
+    CHECK(limit.allowsAnother(5, absl::ZeroDuration(), false, absl::ZeroDuration()));
+    CHECK(!limit.isTryDue(5, absl::Hours(1)));
+    CHECK(!limit.isSingle());
+}
+
 TEST(WorkerConnections, idleConnectionsAreClosed)
 {
     FewConnections executor(io, 64);
