--- a/test/failure/PipelinedCallsTest.cpp
+++ b/test/failure/PipelinedCallsTest.cpp
@@ -105,11 +105,12 @@
         io.restart();
         io.run_for(std::chrono::milliseconds(30));
     }
-    void send(bool mayPipeline, bool mayRetry = false)
+    void send(bool mayPipeline, bool mayRetry = false) { sendTo(server, client, mayPipeline, mayRetry); }
+    void sendTo(const SlowServer& to, HttpClient& by, bool mayPipeline, bool mayRetry = false)
     {
-        HttpCall call { { "127.0.0.1", server.port() }, "GET", "/", "", {}, absl::Seconds(2), mayRetry };
+        HttpCall call { { "127.0.0.1", to.port() }, "GET", "/", "", {}, absl::Seconds(2), mayRetry };
         call.mayPipeline = mayPipeline;
-        client.send(std::move(call), [this](HttpResult result) { results.push_back(std::move(result)); });
+        by.send(std::move(call), [this](HttpResult result) { results.push_back(std::move(result)); });
         runLoop();
     }
     void respond()
@@ -131,6 +132,20 @@
     LONGS_EQUAL(1, server.connections());
 }
 
+TEST(PipelinedCalls, aCallGoesBehindAFewOthersRatherThanOverANewConnection)
+{
+    SlowServer other(io);
+    HttpClient many(io, clock, { 3, 3 });
+    sendTo(other, many, false);
+    other.respond();
+    runLoop();
+    for (int i = 0; i < 4; ++i)
+        sendTo(other, many, true);
+    LONGS_EQUAL(1, many.openConnections());
+    sendTo(other, many, true);
+    LONGS_EQUAL(2, many.openConnections());
+}
+
 TEST(PipelinedCalls, noCallIsSentBehindOneWhoseResponseMayTakeLong)
 {
     send(false);
