--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -2,66 +2,26 @@
  * What a cell does about tasks under which workers crash, and about the work that ran beside them.
  */
 
-#include "CellFailureWorld.h"
 #include "CrashVerdict.h"
+#include "DeadlyWorld.h"
 #include "JobApi.h"
 #include "SilentStore.h"
 
 using namespace cicada;
 using namespace cicada::test;
 
-TEST_GROUP_BASE(DeadlyTasks, CellFailureWorld)
-{
-    const TaskName deadly { "deadly", 0, 0, 0 };
-
-    /** Every task of the job crashes its worker. */
-    void makeDeadly(const std::string& job, absl::Duration away = absl::Seconds(3))
-    {
-        world.setDeadly([job](const TaskName& task) { return task.job == job; }, away);
-    }
-    void expectFinished(const std::string& job, absl::Duration limit = absl::Seconds(40))
-    {
-        size_t at = world.owner().value_or(0);
-        CHECK(world.runUntil(
-            [&] {
-                const std::optional<JobPhase> phase = world.ask(at = world.owner().value_or(at), job);
-                return phase && isEnded(*phase);
-            },
-            limit));
-        CHECK(world.ask(at, job) == JobPhase::Finished);
-    }
-    /** Hands in a job of one task that takes all of a worker while another one is idle and all others are at work for
-     * long; returns the worker that runs it, then the idle one. */
-    std::vector<size_t> runOnOneOfTwoWorkers(const std::string& job)
-    {
-        Submission busy = makeJob("busy", static_cast<uint32_t>(world.workers().size()) - 2, 1000, absl::Seconds(60));
-        busy.steps[0].maxPerWorker = 1;
-        world.submit(other(), busy);
-        CHECK(world.runUntil([&] { return world.startsOf("busy") == busy.steps[0].taskCount; }, absl::Seconds(5)));
-        world.submit(other(), makeJob(job, 1, 4000, absl::Seconds(8)));
-        CHECK(world.runUntil([&] { return world.startsOf(job) == 1; }, absl::Seconds(5)));
-        world.run(absl::Seconds(3));
-        std::vector<size_t> running;
-        std::vector<size_t> idle;
-        for (size_t i = 0; i < world.workers().size(); ++i) {
-            const WorldWorker& worker = world.workers()[i];
-            if (worker.runs.empty())
-                idle.push_back(i);
-            else if (worker.runs.begin()->first.task.job == job)
-                running.push_back(i);
-        }
-        LONGS_EQUAL(1, running.size());
-        LONGS_EQUAL(1, idle.size());
-        return { running.front(), idle.front() };
-    }
-    /** Waits until the job is shown as failed. */
-    void expectFailed(const std::string& job, absl::Duration limit = absl::Seconds(30))
-    {
-        size_t at = world.owner().value_or(0);
-        CHECK(
-            world.runUntil([&] { return world.ask(at = world.owner().value_or(at), job) == JobPhase::Failed; }, limit));
-    }
-};
+TEST_GROUP_BASE(DeadlyTasks, DeadlyWorld) {
+    /** Kills the owner when the number has risen, at most five times, and starts it again `away` later. */
+    void killOwnerAfterEach(const std::function<size_t()>& number, absl::Duration away) {
+        for (size_t i = 1; i <= 5; ++i) { if (!world.runUntil([&] { return number() >= i; }, absl::Seconds(25))) return;
+const size_t killed = owner();
+world.kill(killed);
+world.run(away);
+world.start(killed);
+}
+}
+}
+;
 
 TEST(DeadlyTasks, aTaskUnderWhichWorkersCrashIsGivenUpByTheThirdCrash)
 {
@@ -77,15 +37,7 @@
 {
     makeDeadly("deadly");
     world.submit(other(), makeJob("deadly", 1));
-    for (size_t crash = 1; crash <= 5; ++crash) {
-        const bool hasCrashed = world.runUntil([&] { return world.crashesUnder(deadly) >= crash; }, absl::Seconds(25));
-        if (!hasCrashed)
-            break;
-        const size_t killed = owner();
-        world.kill(killed);
-        world.run(absl::Seconds(1));
-        world.start(killed);
-    }
+    killOwnerAfterEach([this] { return world.crashesUnder(deadly); }, absl::Seconds(1));
     expectFailed("deadly");
     CHECK(world.crashesUnder(deadly) <= 3);
 }
@@ -95,14 +47,7 @@
     makeDeadly("deadly");
     submitSome(10, other());
     world.submit(other(), makeJob("deadly", 1));
-    for (size_t start = 1; start <= 5; ++start) {
-        if (!world.runUntil([&] { return world.startsOf("deadly") >= start; }, absl::Seconds(25)))
-            break;
-        const size_t killed = owner();
-        world.kill(killed);
-        world.run(absl::Seconds(1));
-        world.start(killed);
-    }
+    killOwnerAfterEach([this] { return world.startsOf("deadly"); }, absl::Seconds(1));
     expectFailed("deadly");
     CHECK(world.crashesUnder(deadly) <= 3);
     expectAllEnd();
@@ -112,15 +57,8 @@
 {
     makeDeadly("deadly");
     world.submit(other(), makeJob("deadly", 1));
-    for (size_t crash = 1; crash <= 5; ++crash) {
-        if (!world.runUntil([&] { return world.crashesUnder(deadly) >= crash; }, absl::Seconds(25)))
-            break;
-        // The worker is back before the successor hears it.
-        const size_t killed = owner();
-        world.kill(killed);
-        world.run(absl::Seconds(4));
-        world.start(killed);
-    }
+    // The worker is back before the successor hears it.
+    killOwnerAfterEach([this] { return world.crashesUnder(deadly); }, absl::Seconds(4));
     expectFailed("deadly");
     CHECK(world.crashesUnder(deadly) <= 3);
 }
@@ -133,103 +71,6 @@
     CHECK(world.crashesUnder(deadly) <= 3);
 }
 
-TEST(DeadlyTasks, aStartThatTheNextIncarnationRefusesIsNoCrashUnderItsTask)
-{
-    for (size_t i : runOnOneOfTwoWorkers("job")) {
-        world.workers()[i].nextId = absl::StrCat("next", i);
-        world.workers()[i].listingDelay = absl::Seconds(3);
-        world.workers()[i].isDark = true;
-        world.crashWorker(i, absl::Seconds(2));
-    }
-    expectFinished("job");
-    LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
-}
-
-TEST(DeadlyTasks, aStartWithoutAReplyToAWorkerThatIsDownIsNoCrashUnderItsTask)
-{
-    // The idle worker is down when the start is sent, and back under its id before the platform's list drops it.
-    const std::vector<size_t> two = runOnOneOfTwoWorkers("job");
-    world.workers()[two.back()].isDark = true;
-    world.crashWorker(two.back(), absl::Seconds(4));
-    world.crashWorker(two.front(), absl::Milliseconds(500));
-    expectFinished("job");
-    LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
-}
-
-TEST(DeadlyTasks, anIntentWhoseOrderNeverArrivedIsNoCrashUnderItsTask)
-{
-    const std::vector<size_t> two = runOnOneOfTwoWorkers("job");
-    world.crashWorker(two.front(), absl::Milliseconds(100));
-    CHECK(world.runUntil([&] { return world.counter("cicada_worker_crashes") == 1; }, absl::Seconds(10)));
-    // No order of the owner arrives any more; it ends, and so does the worker that it has chosen.
-    const size_t former = owner();
-    for (WorldWorker& worker : world.workers())
-        worker.cutFrom.insert(absl::StrCat("e", former));
-    world.run(absl::Milliseconds(100));
-    world.kill(former);
-    for (const size_t i : two)
-        world.crashWorker(i, absl::Milliseconds(100));
-    expectFinished("job");
-    LONGS_EQUAL(1, world.crashesUnder({ "job", 0, 0, 0 }));
-}
-
-TEST(DeadlyTasks, aStartThatItsWorkerOutlivedWithoutTheRunIsNoCrashUnderItsTask)
-{
-    Submission busy = makeJob("busy", static_cast<uint32_t>(world.workers().size()) - 1, 4000, absl::Seconds(100));
-    world.submit(other(), busy);
-    CHECK(world.runUntil([&] { return world.startsOf("busy") == busy.steps[0].taskCount; }, absl::Seconds(5)));
-    size_t idle = 0;
-    while (!world.workers()[idle].runs.empty())
-        ++idle;
-    // The worker answers no orders, only lists, which show no run until it goes down.
-    world.submit(other(), makeJob("job", 1, 4000, absl::Seconds(8)));
-    for (uint64_t order = 1; order <= 4; ++order) {
-        const uint64_t ordered = world.counter("cicada_runs_ordered");
-        world.workers()[idle].lateShare = 1;
-        CHECK(world.runUntil([&] { return world.counter("cicada_runs_ordered") > ordered; }, absl::Seconds(20)));
-        world.run(absl::Milliseconds(2000));
-        world.crashWorker(idle, absl::Seconds(2));
-        world.workers()[idle].lateShare = 0;
-        world.run(absl::Milliseconds(2100));
-    }
-    expectFinished("job");
-}
-
-TEST(DeadlyTasks, startsThatWereLostDoNotCountOnceARunOfTheTaskHasWorked)
-{
-    // Two workers go down before they reply to its start, the third one while it is at work.
-    world.setCrashesBeforeReply();
-    world.setDeadly([this](const TaskName&) { return world.startsOf("job") <= 2; });
-    world.submit(other(), makeJob("job", 1, 4000, absl::Seconds(8)));
-    CHECK(world.runUntil([&] { return world.startsOf("job") == 3; }, absl::Seconds(30)));
-    world.run(absl::Seconds(4));
-    for (size_t i = 0; i < world.workers().size(); ++i) {
-        if (!world.workers()[i].runs.empty())
-            world.crashWorker(i, absl::Seconds(2));
-    }
-    expectFinished("job");
-    CHECK(world.counter("cicada_possible_crashes_refuted") > 0);
-}
-
-TEST(DeadlyTasks, aTaskThatCrashesWorkersBeforeTheyReplyIsGivenUpByTheThirdCrash)
-{
-    makeDeadly("deadly");
-    world.setCrashesBeforeReply();
-    world.submit(other(), makeJob("deadly", 1));
-    expectFailed("deadly", absl::Seconds(60));
-    CHECK(world.crashesUnder(deadly) <= 3);
-}
-
-TEST(DeadlyTasks, aGangThatCrashesWorkersBeforeTheyReplyIsGivenUp)
-{
-    makeDeadly("deadly");
-    world.setCrashesBeforeReply();
-    Submission gang = makeJob("deadly", 6);
-    gang.steps[0].isGang = true;
-    world.submit(other(), gang);
-    expectFailed("deadly", absl::Seconds(60));
-}
-
 TEST(DeadlyTasks, aJobThatMovesToAnotherCellTakesItsCrashesAlong)
 {
     CellWorld cells { 4, 16, 7 };
@@ -435,36 +276,6 @@
     CHECK(world.crashesUnder(deadly) <= 3);
 }
 
-TEST(DeadlyTasks, aDeadlyGangIsGivenUp)
-{
-    makeDeadly("deadly");
-    Submission gang = makeJob("deadly", 6);
-    gang.steps[0].isGang = true;
-    world.submit(other(), gang);
-    submitSome(10, other());
-    expectFailed("deadly", absl::Seconds(60));
-    expectAllEnd();
-}
-
-TEST(DeadlyTasks, soundGangsAreNotGivenUpForTheCrashesOfDeadlyGangs)
-{
-    world.setDeadly([](const TaskName& task) { return task.job[0] == 'd' && task.index == 0; });
-    const auto submitGang = [this](const std::string& job, absl::Duration work) {
-        Submission gang = makeJob(job, 3, 300, work);
-        gang.steps[0].isGang = true;
-        world.submit(other(), gang);
-    };
-    for (int i = 0; i < 6; ++i) {
-        submitGang(absl::StrCat("deadly", i), absl::Seconds(20));
-        submitGang(absl::StrCat("sound", i), absl::Seconds(2));
-        world.run(absl::Milliseconds(50));
-    }
-    for (int i = 0; i < 6; ++i) {
-        expectFinished(absl::StrCat("sound", i));
-        expectFailed(absl::StrCat("deadly", i));
-    }
-}
-
 TEST(DeadlyTasks, whereAdviceIsNeededADeadlyTaskIsGivenUpToo)
 {
     world.policy().advice = { true, absl::Milliseconds(10), absl::Milliseconds(1), absl::Seconds(2) };
