--- a/test/failure/DeadlyGangsTest.cpp
+++ b/test/failure/DeadlyGangsTest.cpp
@@ -46,3 +46,20 @@
         expectFailed(absl::StrCat("deadly", i));
     }
 }
+
+TEST(DeadlyGangs, aSuspectGangWaitsOnlySecondsForAnotherThatIsAtWork)
+{
+    Submission busy = makeJob("busy", static_cast<uint32_t>(world.workers().size()) - 1, 4000, absl::Seconds(300));
+    world.submit(other(), busy);
+    CHECK(world.runUntil([&] { return world.startsOf("busy") == busy.steps[0].taskCount; }, absl::Seconds(5)));
+    submitGang("a", 2, 300, absl::Seconds(200));
+    submitGang("b", 2, 300, absl::Seconds(200));
+    CHECK(world.runUntil([&] { return world.startsOf("a") == 2 && world.startsOf("b") == 2; }, absl::Seconds(5)));
+    world.run(absl::Seconds(2));
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (world.workers()[i].runs.size() > 1)
+            world.crashWorker(i, absl::Milliseconds(500));
+    }
+    CHECK(world.runUntil([&] { return world.startsOf("a") + world.startsOf("b") == 6; }, absl::Seconds(10)));
+    CHECK(world.runUntil([&] { return world.startsOf("a") + world.startsOf("b") == 8; }, absl::Seconds(15)));
+}
