After a call without a response, none is sent behind another for a while

Cause: responses come in the order of the calls, so one order that a worker leaves without an answer takes those behind it on its connection along, and each is then a start that may have crashed its worker.

--- a/test/failure/PipelinedCallsTest.cpp
+++ b/test/failure/PipelinedCallsTest.cpp
@@ -194,6 +194,22 @@
     CHECK(results.back().outcome == HttpOutcome::ResponseReceived);
 }
 
+TEST(PipelinedCalls, afterACallWithoutAResponseNoneIsSentBehindAnother)
+{
+    send(true);
+    io.restart();
+    io.run_for(std::chrono::milliseconds(2200));
+    LONGS_EQUAL(1, results.size());
+    server.reset();
+    send(true);
+    respond();
+    send(true);
+    send(true);
+    LONGS_EQUAL(4, server.requests());
+    respond();
+    LONGS_EQUAL(5, server.requests());
+}
+
 TEST(PipelinedCalls, aCallWithoutAResponseEndsInTimeTogetherWithThoseBehindIt)
 {
     send(true);
