Lost starts decide only beside crashes that nothing else explains, and not after much work

Cause: two starts without an answer and one confirmed crash gave the job up, though the confirmed one was explained by another run that had just begun (unexplained=0), and the task had been at work for 2.1 s then, so it does not crash workers before they reply. The third now is of possible crashes and those that no other run explains, and a run that is lost after a second of work refutes possible ones as one that is listed does. A task that crashes each worker is still given up by its third crash: confirmed ones count as before, and ones before any reply are three possible ones.

startsThatWereLostDecideOnlyBeside... and startsThatWereLostDoNotCountBeside... fail before.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -359,8 +359,9 @@
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
     void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
     void giveUp(CellJob& job, const TaskName& task, uint32_t crashes);
-    /** The worker of the run has outlived its start, so other starts of the task were lost before they arrived. */
-    void forgetPossibleCrashes(CellTask& task, const TaskRun& run);
+    /** The run has been at work for this long, or has ended. If it has outlived its start, other starts of the task
+     * were lost before they arrived. */
+    void forgetPossibleCrashes(CellTask& task, const TaskRun& run, absl::Duration atWork);
 
     // CellSuspects.cpp: which tasks may have crashed their worker.
     /** The ready steps with suspects that may only start apart, those first that may be sound, in the order in which
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -27,6 +27,9 @@
     /** A worker that lists its runs so long after a start was ordered would list this one, or has not received it. */
     constexpr absl::Duration maxStartTransit = absl::Milliseconds(500);
 
+    /** A task that has been at work for this long does not crash its worker before that replies. */
+    constexpr absl::Duration maxStartTime = absl::Seconds(1);
+
     /** What to make of the run when its worker crashes. A start without a reply may have come too late, and did not
      * crash a worker that has outlived it without the run. Of a former owner's start only the intent is known: that
      * owner may have ended before it sent the order. */
@@ -184,6 +187,8 @@
     // Where a large part of the workers went away, a start that may not have reached its worker says nothing.
     const bool isPossible = lost.crash == CrashedRun::Possible && !crash.isMassLoss;
     task.agesAtLastCrash = lost.agesAtCrash;
+    if (isCounted && lost.agesAtCrash.own < absl::InfiniteDuration())
+        forgetPossibleCrashes(task, run, lost.agesAtCrash.own);
     const bool isNew = (isCounted || isPossible) && job.recordCrash(run, lost.crash);
     if (isNew && isCounted)
         task.agesAtCrashes.push_back(lost.agesAtCrash);
@@ -207,9 +212,9 @@
         giveUp(job, run.task, task.crashes());
 }
 
-void Cell::forgetPossibleCrashes(CellTask& task, const TaskRun& run)
+void Cell::forgetPossibleCrashes(CellTask& task, const TaskRun& run, absl::Duration atWork)
 {
-    if (task.possiblyCrashedRuns.empty())
+    if (task.possiblyCrashedRuns.empty() || atWork < maxStartTime)
         return;
     m_parts.log.write("possible-crashes-refuted", "run", describeRun(run), "possible", task.possiblyCrashedRuns.size());
     m_parts.metrics.count("cicada_possible_crashes_refuted", task.possiblyCrashedRuns.size());
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -309,7 +309,7 @@
     CellTask* task = job ? job->find(name) : nullptr;
     const bool isCurrent = task && task->run == ended.run.run && task->hasActiveRun();
     if (task)
-        forgetPossibleCrashes(*task, ended.run);
+        forgetPossibleCrashes(*task, ended.run, absl::InfiniteDuration());
     m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.incarnation.id, "sequence",
         ended.sequence, "ending", runEndingName(ended.ending), "current", isCurrent ? 1 : 0, "failuresBefore",
         task ? job->failuresOf(name) : 0);
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -13,8 +13,6 @@
     constexpr absl::Duration maxSyncWait = absl::Milliseconds(1500);
     /** Sync interval of a worker that runs nothing. */
     constexpr absl::Duration idleInterval = absl::Seconds(8);
-    /** A task whose run is at work for this long does not crash its worker before that replies. */
-    constexpr absl::Duration provenAfter = absl::Seconds(1);
     /** When this entry could not send a sync, as other orders to the worker wait for their replies. */
     constexpr absl::Duration congestionDelay = absl::Milliseconds(100);
     /** How long a sync is delayed so that it can acknowledge ends that are not durable yet; then the lease is renewed
@@ -262,8 +260,7 @@
         if (task->startedAt == absl::ZeroDuration())
             task->startedAt = now;
     }
-    if (now - task->startedAt >= provenAfter)
-        forgetPossibleCrashes(*task, listed.run);
+    forgetPossibleCrashes(*task, listed.run, now - task->startedAt);
     if (!listed.checkpoint.empty())
         task->checkpoint = listed.checkpoint;
     if (listed.percent > task->percent) {
--- a/src/CrashVerdict.cpp
+++ b/src/CrashVerdict.cpp
@@ -29,7 +29,7 @@
 {
     const bool isCertain = crash.ranOneJob && !crash.hasOtherCause() && crashes.unexplained > 1;
     const uint32_t maxWithPossible = std::max(limits.maxCrashes, minCrashesWithPossible);
-    if (crashes.all >= limits.maxCrashes || crashes.all + crashes.possible >= maxWithPossible
+    if (crashes.all >= limits.maxCrashes || crashes.unexplained + crashes.possible >= maxWithPossible
         || (isCertain && crashes.unexplained + 1 >= limits.maxCrashes))
         return CrashVerdict::GiveUp;
     if (crashes.all <= 1 && crash.hasOtherCause() && !isDeadlyWorkKnown)
--- a/src/CrashVerdict.h
+++ b/src/CrashVerdict.h
@@ -27,7 +27,8 @@
 struct CrashLimits {
     /** A task is given up when this many workers have crashed under it, whatever else ran there. Where the last of them
      * ran nothing but the task's job, one fewer is enough, not counting crashes that another run explains. Crashes
-     * before which the run may not have begun count for the former only. */
+     * before which the run may not have begun count for the former only, and together with those that no other run
+     * explains. */
     uint32_t maxCrashes = 3;
 };
 
--- a/test/failure/UnconfirmedCrashesTest.cpp
+++ b/test/failure/UnconfirmedCrashesTest.cpp
@@ -3,6 +3,7 @@
  * no deadly task.
  */
 
+#include "CrashVerdict.h"
 #include "DeadlyWorld.h"
 
 using namespace cicada;
@@ -113,6 +114,29 @@
     CHECK(world.counter("cicada_possible_crashes_refuted") > 0);
 }
 
+TEST(UnconfirmedCrashes, startsThatWereLostDoNotCountBesideACrashAfterMuchWork)
+{
+    // Two workers go down before they reply to its start, the third one before it lists the run a second time.
+    world.setCrashesBeforeReply();
+    world.setDeadly([this](const TaskName&) { return world.startsOf("job") <= 2; });
+    world.submit(other(), makeJob("job", 1, 4000, absl::Seconds(8)));
+    CHECK(world.runUntil([&] { return world.startsOf("job") == 3; }, absl::Seconds(30)));
+    world.run(absl::Milliseconds(1300));
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (!world.workers()[i].runs.empty())
+            world.crashWorker(i, absl::Seconds(2));
+    }
+    expectFinished("job");
+}
+
+TEST(UnconfirmedCrashes, startsThatWereLostDecideOnlyBesideCrashesThatNothingElseExplains)
+{
+    const WorkerCrash crash { false, false };
+    CHECK(crashVerdict({ 1, 0, 2 }, crash, false, {}) == CrashVerdict::Suspect);
+    CHECK(crashVerdict({ 1, 1, 2 }, crash, false, {}) == CrashVerdict::GiveUp);
+    CHECK(crashVerdict({ 0, 0, 3 }, crash, false, {}) == CrashVerdict::GiveUp);
+}
+
 TEST(UnconfirmedCrashes, aTaskThatCrashesWorkersBeforeTheyReplyIsGivenUpByTheThirdCrash)
 {
     makeDeadly("deadly");
