--- a/review/platform-3/platform_standin.py
+++ b/review/platform-3/platform_standin.py
@@ -4,6 +4,11 @@
 platform_standin.py --port P --executors N [--racks R] [--cpu MILLIS] [--mem MB] [--work MS]: the store is at P, the
 executors at P+1 and on. A queue has no advice. What an executor starts and ends, and what the store refuses, is written
 to standard output, one line each with the milliseconds since the start.
+
+A job whose spec is {"gang": N, "work": MS} has a gang of N tasks that save their progress. The members of a run begin
+when all are present; each has to carry the same checkpoint, as the pages say, and those that don't are not one gang: they
+wait, and end as `alone` after --gang-timeout. A POST of {"task": NAME, "forMs": MS} to P+149 has the
+executor crash that runs the task: it forgets all, is silent for that time, and starts again under its id.
 """
 import argparse
 import asyncio
@@ -193,14 +198,77 @@
                 pass
 
 
+class Gang:
+    """The members of one run of a gang, on all executors."""
+
+    running = {}
+
+    def __init__(self, key, spec, options):
+        self.key, self.width, self.work, self.options = key, spec["gang"], spec["work"], options
+        self.members = {}
+        self.begun_at, self.resumed_at = None, 0
+
+    @classmethod
+    def of(cls, run, spec, options):
+        key = (run[0].rsplit(".", 1)[0], run[1])
+        return cls.running.setdefault(key, cls(key, spec, options))
+
+    def join(self, executor, run, checkpoint):
+        self.members[run[0]] = (executor, run, checkpoint)
+        loop = asyncio.get_running_loop()
+        checkpoints = {member[2] for member in self.members.values()}
+        if len(self.members) == self.width and len(checkpoints) == 1:
+            self.begun_at, self.resumed_at = time.monotonic(), int(checkpoint or "0", 16)
+            note("gang begins", *self.key, "at", checkpoint or "the start")
+            loop.call_later((self.work - self.resumed_at) / 1000, self.end_all, "done")
+        else:
+            if len(self.members) == self.width:
+                note("gang can't begin", *self.key, "its members carry", *sorted(repr(value) for value in checkpoints))
+            loop.call_later(self.options.gang_timeout / 1000, self.give_up, executor, run)
+
+    def saved(self, checkpoint):
+        if self.begun_at is None:
+            return checkpoint
+        step = self.options.checkpoint_interval
+        progress = self.resumed_at + int((time.monotonic() - self.begun_at) * 1000) // step * step
+        return f"{progress:016x}" if progress else ""
+
+    def give_up(self, executor, run):
+        if self.begun_at is None and run[0] in self.members:
+            executor.finish(run, "alone")
+
+    def end_all(self, how):
+        for executor, run, _ in list(self.members.values()):
+            executor.finish(run, how)
+
+    def leave(self, run):
+        self.members.pop(run[0], None)
+        if self.begun_at is not None:
+            self.end_all("broken")
+
+
 class Executor:
     def __init__(self, name, options):
-        self.name, self.options = name, options
+        self.name, self.options, self.dark_until = name, options, 0
+        self.reset()
+
+    def reset(self):
         self.begun, self.born = time.monotonic(), int(time.time() * 1000)
         self.fence, self.lease, self.sequence = 0, 0, 0
         self.runs, self.highest, self.ended = {}, {}, []
+        self.gangs = {}
         self.changed = asyncio.Event()
 
+    def crash(self, for_ms):
+        note("crash", self.name)
+        gangs, self.gangs = self.gangs, {}
+        for run in self.runs:
+            note("end", run[0], run[1], self.name, "lost")
+        self.reset()
+        self.dark_until = time.monotonic() + for_ms / 1000
+        for run, (gang, _) in gangs.items():
+            gang.leave(run)
+
     def clock(self):
         return int((time.monotonic() - self.begun) * 1000)
 
@@ -208,6 +276,8 @@
         return {"clockMs": self.clock(), "born": self.born, **more}
 
     async def handle(self, method, path, query, body, expect):
+        if time.monotonic() < self.dark_until:
+            return None
         if expect and expect != self.name:
             return 421, {}
         order = json.loads(body)
@@ -233,7 +303,9 @@
                 await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
             except asyncio.TimeoutError:
                 pass
-        running = [[task, run, "", 10, 0] for task, run in self.runs]
+        if time.monotonic() < self.dark_until:
+            return None
+        running = [[task, run, self.saved((task, run)), 10, 0] for task, run in self.runs]
         return 200, self.answer(running=running, finished=self.ended[:500])
 
     def extend(self, deadline):
@@ -249,19 +321,34 @@
         if run[1] <= self.highest.get(run[0], 0):
             return 409, self.answer(reason="old")
         self.runs[run] = time.monotonic()
-        note("start", run[0], run[1], self.name)
+        note("start", run[0], run[1], self.name, order.get("checkpoint", ""))
+        if order["spec"].startswith("{"):
+            gang = Gang.of(run, json.loads(order["spec"]), self.options)
+            self.gangs[run] = (gang, order.get("checkpoint", ""))
+            gang.join(self, run, order.get("checkpoint", ""))
+            return 200, self.answer()
         asyncio.get_running_loop().call_later(self.options.work / 1000, self.finish, run, "done")
         return 200, self.answer()
 
+    def saved(self, run):
+        gang, checkpoint = self.gangs.get(run, (None, ""))
+        return gang.saved(checkpoint) if gang else ""
+
     def finish(self, run, how):
         if self.runs.pop(run, None) is None:
             return
+        saved = "" if how == "done" else self.saved(run)
+        gang, _ = self.gangs.pop(run, (None, ""))
         self.sequence += 1
         self.highest[run[0]] = max(self.highest.get(run[0], 0), run[1])
-        self.ended.append([self.sequence, run[0], run[1], how, ""])
-        note("end", run[0], run[1], self.name, how)
+        self.ended.append([self.sequence, run[0], run[1], how, saved])
+        note("end", run[0], run[1], self.name, how, saved)
         self.changed.set()
         self.changed = asyncio.Event()
+        if gang and how != "alone":
+            gang.members.pop(run[0], None)
+            if how not in ("done", "broken"):
+                gang.leave(run)
 
     async def watch_lease(self):
         while True:
@@ -271,26 +358,47 @@
                     self.finish(run, "lapsed")
 
 
+def register(store, executor, port, number, options):
+    store.put(f"servers/{executor.name}", json.dumps({
+        "service": "s", "address": f"127.0.0.1:{port}", "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+        "coldRemainingMs": 0, "sequence": 1, "born": executor.born, "labels": ["a", f"r{number % options.racks}"],
+        "capacity": {"cpu": options.cpu, "memMb": options.mem, "gpu": 0}}).encode())
+
+
 async def main():
     parser = argparse.ArgumentParser()
-    for name, default in (("port", 0), ("executors", 6), ("racks", 2), ("cpu", 64000), ("mem", 262144), ("work", 300)):
+    for name, default in (("port", 0), ("executors", 6), ("racks", 2), ("cpu", 64000), ("mem", 262144), ("work", 300), ("gang-timeout", 3000), ("checkpoint-interval", 500)):
         parser.add_argument(f"--{name}", type=int, default=default)
     options = parser.parse_args()
     store = Store(options)
     servers = [await Server(store.handle).listen(options.port)]
     tasks = [asyncio.create_task(store.expire())]
+    executors = []
     for i in range(options.executors):
         executor = Executor(executor_id(i), options)
         port = options.port + 1 + i
         servers.append(await Server(executor.handle).listen(port))
         tasks.append(asyncio.create_task(executor.watch_lease()))
-        store.put(f"servers/{executor.name}", json.dumps({
-            "service": "s", "address": f"127.0.0.1:{port}", "zone": "z", "version": "v1", "slots": 8, "state": "ready",
-            "coldRemainingMs": 0, "sequence": 1, "born": executor.born, "labels": ["a", f"r{i % options.racks}"],
-            "capacity": {"cpu": options.cpu, "memMb": options.mem, "gpu": 0}}).encode())
+        executors.append((executor, port, i))
+        register(store, executor, port, i, options)
+
     route = {"name": "r-a", "hostname": "a.example", "prefix": "/jobs/", "kind": "non_idempotent", "timeoutMs": 3000,
              "targetLatencyMs": 1200, "priority": 1, "service": "s", "maxAttempts": 3, "stretch": 2.2}
     store.put("op/config", json.dumps({"version": 7, "routes": [route], "services": [{"name": "s"}], "limits": {}}).encode())
+
+    async def control(method, path, query, body, expect):
+        order = json.loads(body)
+        executor, port, number = next(row for row in executors if any(run[0] == order["task"] for run in row[0].runs))
+        executor.crash(order["forMs"])
+
+        def restart():
+            executor.reset()
+            register(store, executor, port, number, options)
+
+        asyncio.get_running_loop().call_later(order["forMs"] / 1000, restart)
+        return 200, {}
+
+    servers.append(await Server(control).listen(options.port + 149))
     note("listening", options.port)
     await asyncio.gather(*tasks)
 
--- a/review/platform-3/small-deployment.sh
+++ b/review/platform-3/small-deployment.sh
@@ -8,7 +8,7 @@
 work=$(mktemp -d)
 pids=()
 declare -A entry
-base=$((20000 + ($$ * 7 + RANDOM) % 30000 / 200 * 200))
+base=$(python3 "$root/review/platform-3/free_ports.py" 170)
 memory_mb=260
 daemon=$root/target/cicada-node
 standin=$root/review/platform-3/platform_standin.py
