--- a/review/platform-3/platform_standin.py
+++ b/review/platform-3/platform_standin.py
@@ -7,8 +7,10 @@
 
 A job whose spec is {"gang": N, "work": MS} has a gang of N tasks that save their progress. The members of a run begin
 when all are present; each has to carry the same checkpoint, as the pages say, and those that don't are not one gang: they
-wait, and end as `alone` after --gang-timeout. A POST of {"task": NAME, "forMs": MS} to P+149 has the
-executor crash that runs the task: it forgets all, is silent for that time, and starts again under its id.
+wait, and end as `alone` after --gang-timeout. A POST of {"task": NAME, "forMs": MS} to /crash at P+149 has the
+executor crash that runs the task: it forgets all, is silent for that time, and starts again under its id, with "kind" as
+another kind. Its entry shows that at once, or, after an outage of the store, "entryAfterMs" after its return. A POST of
+{"forMs": MS} to /outage has the store answer 503 for that time.
 """
 import argparse
 import asyncio
@@ -83,7 +85,7 @@
     def __init__(self, options):
         self.options = options
         self.items, self.events, self.leases = {}, [], {}
-        self.revision, self.next_lease = 1, 1
+        self.revision, self.next_lease, self.down_until = 1, 1, 0
         self.changed = asyncio.Event()
 
     def put(self, key, value, lease=0):
@@ -102,6 +104,7 @@
             self.events.append((self.revision, key, {"key": key, "revision": self.revision, "deleted": True}))
 
     def wake(self):
+        """Lets the watches that wait look again."""
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -123,6 +126,8 @@
 
     async def handle(self, method, path, query, body, expect):
         await asyncio.sleep(0.004)
+        if time.monotonic() < self.down_until:
+            return 503, {}
         name = path.removeprefix("/cicadaspread/")
         if name == "kv-txn":
             return self.transact(json.loads(body))
@@ -186,10 +191,13 @@
         return 200, {"items": items, "hasMore": more, "storeRevision": self.revision}
 
     async def watch(self, query):
+        down_until = self.down_until
         until, after = time.monotonic() + int(query["waitMs"]) / 1000, int(query["after"])
         while True:
             events = [event for revision, key, event in self.events if revision > after and key.startswith(query["prefix"])]
             left = until - time.monotonic()
+            if down_until != self.down_until:
+                return 503, {}
             if events or left <= 0:
                 return 200, {"events": events, "storeRevision": self.revision}
             try:
@@ -248,8 +256,8 @@
 
 
 class Executor:
-    def __init__(self, name, options):
-        self.name, self.options, self.dark_until = name, options, 0
+    def __init__(self, name, options, kind):
+        self.name, self.options, self.dark_until, self.kind = name, options, 0, kind
         self.reset()
 
     def reset(self):
@@ -321,7 +329,7 @@
         if run[1] <= self.highest.get(run[0], 0):
             return 409, self.answer(reason="old")
         self.runs[run] = time.monotonic()
-        note("start", run[0], run[1], self.name, order.get("checkpoint", ""))
+        note("start", run[0], run[1], self.name, order.get("checkpoint", "") or "-", f"kind={self.kind}", order["spec"][:40])
         if order["spec"].startswith("{"):
             gang = Gang.of(run, json.loads(order["spec"]), self.options)
             self.gangs[run] = (gang, order.get("checkpoint", ""))
@@ -361,7 +369,7 @@
 def register(store, executor, port, number, options):
     store.put(f"servers/{executor.name}", json.dumps({
         "service": "s", "address": f"127.0.0.1:{port}", "zone": "z", "version": "v1", "slots": 8, "state": "ready",
-        "coldRemainingMs": 0, "sequence": 1, "born": executor.born, "labels": ["a", f"r{number % options.racks}"],
+        "coldRemainingMs": 0, "sequence": 1, "born": executor.born, "labels": [executor.kind, f"r{number % options.racks}"],
         "capacity": {"cpu": options.cpu, "memMb": options.mem, "gpu": 0}}).encode())
 
 
@@ -369,13 +377,14 @@
     parser = argparse.ArgumentParser()
     for name, default in (("port", 0), ("executors", 6), ("racks", 2), ("cpu", 64000), ("mem", 262144), ("work", 300), ("gang-timeout", 3000), ("checkpoint-interval", 500)):
         parser.add_argument(f"--{name}", type=int, default=default)
+    parser.add_argument("--kinds", default="a")
     options = parser.parse_args()
     store = Store(options)
     servers = [await Server(store.handle).listen(options.port)]
     tasks = [asyncio.create_task(store.expire())]
     executors = []
     for i in range(options.executors):
-        executor = Executor(executor_id(i), options)
+        executor = Executor(executor_id(i), options, options.kinds[i % len(options.kinds)])
         port = options.port + 1 + i
         servers.append(await Server(executor.handle).listen(port))
         tasks.append(asyncio.create_task(executor.watch_lease()))
@@ -388,14 +397,28 @@
 
     async def control(method, path, query, body, expect):
         order = json.loads(body)
+        loop = asyncio.get_running_loop()
+        if path == "/outage":
+            note("store down for", order["forMs"])
+            store.down_until = time.monotonic() + order["forMs"] / 1000
+            store.wake()
+            return 200, {}
         executor, port, number = next(row for row in executors if any(run[0] == order["task"] for run in row[0].runs))
         executor.crash(order["forMs"])
 
         def restart():
             executor.reset()
+            executor.kind = order.get("kind", executor.kind)
+            note("back", executor.name, "of kind", executor.kind)
+            # While the store is down, the entry waits for its return, and then for a while.
+            down = store.down_until - time.monotonic()
+            loop.call_later(down + order.get("entryAfterMs", 0) / 1000 if down > 0 else 0, show)
+
+        def show():
             register(store, executor, port, number, options)
+            note("entry of", executor.name, "shows kind", executor.kind)
 
-        asyncio.get_running_loop().call_later(order["forMs"] / 1000, restart)
+        loop.call_later(order["forMs"] / 1000, restart)
         return 200, {}
 
     servers.append(await Server(control).listen(options.port + 149))
--- a/review/platform-3/small-deployment.sh
+++ b/review/platform-3/small-deployment.sh
@@ -33,6 +33,7 @@
 start_platform() { # options of the stand-in
     python3 "$standin" --port "$base" "$@" > "$work/platform.log" 2>&1 &
     pids+=($!)
+    disown
     for _ in $(seq 100); do grep -q listening "$work/platform.log" && return; sleep 0.1; done
     cannot_run "the stand-in of the platform doesn't listen"
 }
@@ -47,6 +48,7 @@
     (cd "$root" && CICADASPREAD_NODE_FILE="$work/settings$1.json" exec target/cicada-node) >> "$work/entry$1.log" 2>&1 &
     entry[$1]=$!
     pids+=($!)
+    disown
 }
 is_ready() { [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((base + 151 + $1 * 5))/cicadaspread/ready")" = 200 ]; }
 start_deployment() { # options of the stand-in
