--- a/review/platform-3/platform_standin.py
+++ b/review/platform-3/platform_standin.py
@@ -2,8 +2,8 @@
 """A stand-in for the users' platform: its store, and executors, on loopback ports, as the pages publish them.
 
 platform_standin.py --port P --executors N [--racks R] [--cpu MILLIS] [--mem MB] [--work MS]: the store is at P, the
-executors at P+1 and on. A queue has no advice. What an executor starts and ends, and what the store refuses, is written
-to standard output, one line each with the milliseconds since the start.
+executors at P+1 and on. Two queues, /jobs/ and /reports/, have no advice. What an executor starts and ends, and what the
+store refuses, is written to standard output, one line each with the milliseconds since the start.
 
 A job whose spec is {"gang": N, "work": MS} has a gang of N tasks that save their progress. The members of a run begin
 when all are present; each has to carry the same checkpoint, as the pages say, and those that don't are not one gang: they
@@ -393,7 +393,7 @@
 
     route = {"name": "r-a", "hostname": "a.example", "prefix": "/jobs/", "kind": "non_idempotent", "timeoutMs": 3000,
              "targetLatencyMs": 1200, "priority": 1, "service": "s", "maxAttempts": 3, "stretch": 2.2}
-    store.put("op/config", json.dumps({"version": 7, "routes": [route], "services": [{"name": "s"}], "limits": {}}).encode())
+    store.put("op/config", json.dumps({"version": 7, "routes": [route, {**route, "name": "r-b", "prefix": "/reports/"}], "services": [{"name": "s"}], "limits": {}}).encode())
 
     async def control(method, path, query, body, expect):
         order = json.loads(body)
