--- a/review/platform-3/platform_standin.py
+++ b/review/platform-3/platform_standin.py
@@ -8,9 +8,9 @@
 A job whose spec is {"gang": N, "work": MS} has a gang of N tasks that save their progress. The members of a run begin
 when all are present; each has to carry the same checkpoint, as the pages say, and those that don't are not one gang: they
 wait, and end as `alone` after --gang-timeout. A POST of {"task": NAME, "forMs": MS} to /crash at P+149 has the
-executor crash that runs the task: it forgets all, is silent for that time, and starts again under its id, with "kind" as
-another kind. Its entry shows that at once, or, after an outage of the store, "entryAfterMs" after its return. A POST of
-{"forMs": MS} to /outage has the store answer 503 for that time.
+executor crash that runs the task: it forgets all, is silent for that time (with "ends": its port is closed instead), and
+starts again under its id, with "kind" as another kind. Its entry shows that "entryAfterMs" later, or later than the return
+of the store. A POST of {"forMs": MS} to /outage has the store answer 503 for that time.
 """
 import argparse
 import asyncio
@@ -43,9 +43,10 @@
     """HTTP/1.1 on one port; `handler` gets method, path, query and body, and returns a status and a JSON object."""
 
     def __init__(self, handler):
-        self.handler = handler
+        self.handler, self.writers, self.listener = handler, set(), None
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 line = await reader.readline()
@@ -75,10 +76,17 @@
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def listen(self, port):
-        return await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 24)
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 24)
+
+    def end(self):
+        """As when the process dies: the port has no listener, and all channels are reset."""
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
 
 class Store:
@@ -380,15 +388,16 @@
     parser.add_argument("--kinds", default="a")
     options = parser.parse_args()
     store = Store(options)
-    servers = [await Server(store.handle).listen(options.port)]
+    await Server(store.handle).listen(options.port)
     tasks = [asyncio.create_task(store.expire())]
     executors = []
     for i in range(options.executors):
         executor = Executor(executor_id(i), options, options.kinds[i % len(options.kinds)])
         port = options.port + 1 + i
-        servers.append(await Server(executor.handle).listen(port))
+        server = Server(executor.handle)
+        await server.listen(port)
         tasks.append(asyncio.create_task(executor.watch_lease()))
-        executors.append((executor, port, i))
+        executors.append((executor, port, i, server))
         register(store, executor, port, i, options)
 
     route = {"name": "r-a", "hostname": "a.example", "prefix": "/jobs/", "kind": "non_idempotent", "timeoutMs": 3000,
@@ -397,31 +406,33 @@
 
     async def control(method, path, query, body, expect):
         order = json.loads(body)
-        loop = asyncio.get_running_loop()
         if path == "/outage":
             note("store down for", order["forMs"])
             store.down_until = time.monotonic() + order["forMs"] / 1000
             store.wake()
             return 200, {}
-        executor, port, number = next(row for row in executors if any(run[0] == order["task"] for run in row[0].runs))
+        executor, port, number, server = next(row for row in executors if any(run[0] == order["task"] for run in row[0].runs))
         executor.crash(order["forMs"])
+        if order.get("ends"):
+            server.end()
 
-        def restart():
+        async def restart():
+            await asyncio.sleep(order["forMs"] / 1000)
             executor.reset()
             executor.kind = order.get("kind", executor.kind)
+            if order.get("ends"):
+                await server.listen(port)
             note("back", executor.name, "of kind", executor.kind)
-            # While the store is down, the entry waits for its return, and then for a while.
-            down = store.down_until - time.monotonic()
-            loop.call_later(down + order.get("entryAfterMs", 0) / 1000 if down > 0 else 0, show)
-
-        def show():
+            # While the store is down, the entry waits for its return.
+            down = max(0, store.down_until - time.monotonic())
+            await asyncio.sleep(down + order.get("entryAfterMs", 0) / 1000)
             register(store, executor, port, number, options)
             note("entry of", executor.name, "shows kind", executor.kind)
 
-        loop.call_later(order["forMs"] / 1000, restart)
+        tasks.append(asyncio.create_task(restart()))
         return 200, {}
 
-    servers.append(await Server(control).listen(options.port + 149))
+    await Server(control).listen(options.port + 149)
     note("listening", options.port)
     await asyncio.gather(*tasks)
 
