--- a/review/platform-3/small-deployment.sh
+++ b/review/platform-3/small-deployment.sh
@@ -24,7 +24,7 @@
 note() { echo "$(date +%H:%M:%S.%3N) $*" >> "$record"; }
 cannot_run() { note "CAN'T RUN: $1"; echo "can't run: $1"; exit 2; }
 verdict() { # status, text
-    { echo; echo "store and executors:"; tail -n 400 "$work/platform.log"; } >> "$record"
+    { echo; echo "store and executors:"; tail -n 5000 "$work/platform.log"; } >> "$record"
     note "$2"
     echo "$2"
     exit "$1"
