--- a/review/platform-3/small-deployment.sh
+++ b/review/platform-3/small-deployment.sh
@@ -30,11 +30,20 @@
     exit "$1"
 }
 
-start_platform() { # options of the stand-in
-    python3 "$standin" --port "$base" "$@" > "$work/platform.log" 2>&1 &
-    pids+=($!)
-    disown
-    for _ in $(seq 100); do grep -q listening "$work/platform.log" && return; sleep 0.1; done
+start_platform() { # options of the stand-in; another script may take the same free ports at that moment
+    local attempt platform
+    for attempt in 1 2 3 4 5; do
+        python3 "$standin" --port "$base" "$@" > "$work/platform.log" 2>&1 &
+        platform=$!
+        pids+=("$platform")
+        disown
+        for _ in $(seq 100); do
+            grep -q listening "$work/platform.log" && return
+            kill -0 "$platform" 2>/dev/null || break
+            sleep 0.1
+        done
+        base=$(python3 "$root/review/platform-3/free_ports.py" 170)
+    done
     cannot_run "the stand-in of the platform doesn't listen"
 }
 start_entry() { # number
