Logs tell a lapse that counts as a crash from a crash

Cause: run-crashed and worker-crashed do not say whether the platform still listed the worker, nor when it was last heard, and nothing is written when a worker lists the end of a run that counts as crashed under it. Change: worker-crashed has listed= and heardMs=, run-ended has takenForCrashed=, and cicada_crashed_runs_refuted counts these. No decision changes.

--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -94,7 +94,8 @@
     }
     const std::vector<std::string> named(
         crash.jobs.begin(), std::next(crash.jobs.begin(), std::min<ptrdiff_t>(maxLoggedJobs, crash.jobs.size())));
-    m_parts.log.write("worker-crashed", "worker", crash.worker, "why", why, "certain", isCertain, "runs", runs, "jobs",
+    m_parts.log.write("worker-crashed", "worker", crash.worker, "why", why, "certain", isCertain, "listed",
+        worker.isListed, "heardMs", absl::ToInt64Milliseconds(now - worker.lastReplyAt), "runs", runs, "jobs",
         crash.jobs.size(), "isolated", crash.wasIsolated, "silentMs",
         absl::ToInt64Milliseconds(now - crash.silentSince), "named", absl::StrJoin(named, ","));
     m_parts.metrics.count("cicada_worker_crashes");
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -158,6 +158,14 @@
     return "queued";
 }
 
+bool CellTask::hasCrashed(uint32_t number) const
+{
+    const auto isIn = [number](const std::vector<uint32_t>& runs) {
+        return std::find(runs.begin(), runs.end(), number) != runs.end();
+    };
+    return isIn(crashedRuns) || isIn(possiblyCrashedRuns);
+}
+
 absl::flat_hash_map<std::string, uint32_t> CellStep::activeRunsByWorker() const
 {
     absl::flat_hash_map<std::string, uint32_t> counts;
@@ -201,10 +209,7 @@
 bool CellJob::recordCrash(const TaskRun& run, CrashedRun crash)
 {
     CellTask& task = *find(run.task);
-    const auto isIn = [&run](const std::vector<uint32_t>& runs) {
-        return std::find(runs.begin(), runs.end(), run.run) != runs.end();
-    };
-    if (crash == CrashedRun::None || isIn(task.crashedRuns) || isIn(task.possiblyCrashedRuns))
+    if (crash == CrashedRun::None || task.hasCrashed(run.run))
         return false;
     (crash == CrashedRun::Counted ? task.crashedRuns : task.possiblyCrashedRuns).push_back(run.run);
     return true;
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -78,6 +78,8 @@
 
     /** How many workers have crashed under the task, or may have. */
     uint32_t crashes() const { return static_cast<uint32_t>(crashedRuns.size() + possiblyCrashedRuns.size()); }
+    /** Whether this run counts as one under which a worker crashed, or may have. */
+    bool hasCrashed(uint32_t number) const;
     bool hasActiveRun() const
     {
         return stage == TaskStage::StoringIntent || stage == TaskStage::Starting || stage == TaskStage::Running;
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -308,12 +308,15 @@
     CellJob* job = findJob(name.job);
     CellTask* task = job ? job->find(name) : nullptr;
     const bool isCurrent = task && task->run == ended.run.run && task->hasActiveRun();
+    const bool wasTakenForCrashed = task && task->hasCrashed(ended.run.run);
     if (task)
         forgetPossibleCrashes(*task, ended.run, absl::InfiniteDuration());
     m_parts.log.write("run-ended", "run", describeRun(ended.run), "worker", worker.listed.incarnation.id, "sequence",
-        ended.sequence, "ending", runEndingName(ended.ending), "current", isCurrent ? 1 : 0, "failuresBefore",
-        task ? job->failuresOf(name) : 0);
+        ended.sequence, "ending", runEndingName(ended.ending), "current", isCurrent ? 1 : 0, "takenForCrashed",
+        wasTakenForCrashed ? 1 : 0, "failuresBefore", task ? job->failuresOf(name) : 0);
     m_parts.metrics.count(absl::StrCat("cicada_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
+    if (wasTakenForCrashed)
+        m_parts.metrics.count("cicada_crashed_runs_refuted");
     if (task && !isCurrent)
         m_parts.metrics.count(absl::StrCat("cicada_former_runs_ended{ending=\"", runEndingName(ended.ending), "\"}"));
     if (job)
