--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -151,6 +151,24 @@
     }
 }
 
+void CellWorld::cutOffWorker(size_t index, bool isCut)
+{
+    WorldWorker& worker = m_workers[index];
+    worker.isCut = isCut;
+    worker.isCutFromList = isCut;
+    if (!isCut) {
+        worker.isDropped = false;
+        return listWorker(worker);
+    }
+    m_timers.after(listingExpiry, [this, index] {
+        WorldWorker& silent = m_workers[index];
+        if (!silent.isCutFromList)
+            return;
+        silent.isDropped = true;
+        unlistWorker(silent.id);
+    });
+}
+
 void CellWorld::setStore(size_t index, StoreMood mood)
 {
     if (m_entries[index])
@@ -207,7 +225,8 @@
             m_timers.after(std::max(listingExpiry - away, absl::ZeroDuration()),
                 [this, former = reborn.formerId] { unlistWorker(former); });
         }
-        reborn.started += reborn.startedStepMillis;
+        reborn.started = reborn.startedStepMillis ? reborn.started + *reborn.startedStepMillis
+                                                  : std::max(reborn.started + 1, m_clock.wallMicros() / 1000);
         reborn.startedAt = now();
         m_timers.after(reborn.listingDelay, [this, index] { listWorker(m_workers[index]); });
     });
@@ -221,6 +240,8 @@
 
 void CellWorld::listWorker(const WorldWorker& worker)
 {
+    if (worker.isCutFromList)
+        return;
     for (auto& entry : m_entries) {
         if (!entry || !entry->isAlive)
             continue;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -72,6 +72,10 @@
     uint64_t acknowledged = 0;
     std::vector<absl::AnyInvocable<void()>> waiting;
     bool isCut = false;
+    /** Nothing that the worker says of itself reaches the platform's list. */
+    bool isCutFromList = false;
+    /** The platform's list has dropped the worker. */
+    bool isDropped = false;
     /** Entries that can't reach the worker. */
     absl::btree_set<std::string> cutFrom;
     bool isDown = false;
@@ -84,8 +88,9 @@
     bool isDraining = false;
     /** How long the platform's list takes to show a restart. */
     absl::Duration listingDelay;
-    /** What a restart adds to the start time that the worker states; negative for a time of day that was set back. */
-    int64_t startedStepMillis = 100000;
+    /** What a restart adds to the start time that the worker states, negative for a time of day that was set back;
+     * without a value, the worker states the time of day. */
+    std::optional<int64_t> startedStepMillis;
     /** Added to the time that a sync takes to reach the worker. */
     absl::Duration syncDelay;
     /** The worker is cut off once this many more syncs have reached it; calls then end without a reply at once. */
@@ -152,6 +157,9 @@
     void congest(size_t entry, absl::Duration extra);
     /** Cuts a worker off from all entries but this one. */
     void cutFromOthers(size_t worker, size_t entry);
+    /** Cuts a worker off from all entries and from the platform's list, which drops it after three missed heartbeats;
+     * or heals that. */
+    void cutOffWorker(size_t worker, bool isCut);
     /** Steps the time of day of all entries. */
     void stepWallClock(absl::Duration by) { m_clock.stepWall(by); }
     void setStore(size_t entry, StoreMood);
--- a/test/support/CellWorldEntry.h
+++ b/test/support/CellWorldEntry.h
@@ -139,7 +139,7 @@
     {
         if (!m_onChange)
             return;
-        if (worker.isDown)
+        if (worker.isDown || worker.isDropped)
             return m_onChange(worker.id, nullptr);
         ListedWorker listed;
         listed.incarnation = { worker.id, { worker.id, 1 } };
