A deadly task whose worker is back only after the lease counts, as its connections were closed right after the start

Cause: the end of an incarnation was dated by its successor alone. A process that ends also closes its connections: the owner saw that 11 ms after the order, and took it for any other silence. Change: a call without a reply says whether the worker's end closed or refused the connection (wasClosed). A run whose worker closed its connections within half a second of the order, was not heard again and has restarted counts, however late that shows. Closing alone counts for nothing. While that is awaited, the step waits for 3 s; a worker that is not listed any more is asked every 0.5 s, later every 4 s. The test aTaskWhoseWorkersCloseTheirConnections... plays workers that are away for 7 s.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -380,6 +380,10 @@
     /** Lets the step wait if the task has lately been lost again and again and nothing is known of these workers, and
      * gives the job up if they restarted each time after the task had just begun. */
     void boundRestarts(CellJob& job, const TaskName& name);
+    /** The step starts nothing before the delay is over. */
+    void delayStep(CellJob& job, const TaskName& name, absl::Duration delay);
+    /** What the step may have waited for has come. */
+    void letStepGoOn(CellJob& job, const TaskName& name);
     /** Whether runs of the task were lost with their workers in the last minute. */
     bool hasLatelyLostRuns(const CellTask& task) const;
     /** Takes a crash back that the run has outlived; whether there was one. */
@@ -440,7 +444,7 @@
     /** Looks at the job's other tasks again when the one that has just begun will have been at work for long enough. */
     void scheduleEndOfTrial(const CellJob& job);
     /** Records that an order to the worker had no reply. */
-    void recordSilence(CellWorker& worker);
+    void recordSilence(CellWorker& worker, bool wasClosed);
     /** If only one job had just begun on the worker, counts the crash against its queue. */
     void recordSuspectedCrash(const CellWorker& worker);
     /** Counts the crash of the worker against the queues whose tasks ran there. */
@@ -473,7 +477,7 @@
     bool applyEnds(CellWorker& worker, std::vector<EndedRun>& ended);
 
     // CellLeases.cpp: leases, and the runs of workers that do not reply or have restarted.
-    void handleSyncFailure(CellWorker& worker, OrderStatus status);
+    void handleSyncFailure(CellWorker& worker, const SyncReply& reply);
     /** Every lease on the worker has expired: concludes all its runs. */
     void concludeExpiredRuns(CellWorker& worker);
     void endIncarnation(CellWorker& worker, IncarnationEnd end, const NextIncarnation& next);
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -119,12 +119,13 @@
             continue;
         LostRun lost = lostRunOf(worker, run, allocation);
         lost.hasRestarted = loss.hasRestarted;
-        lost.endedUnderLease = loss.hasEndedBy(worker.leaseUntil(allocation));
+        RunEvidence evidence = evidenceOf(EvidenceKind::Undecided, run, worker, allocation, loss);
+        lost.endedUnderLease = loss.hasEndedBy(worker.leaseUntil(allocation)) || hasClosedSoon(evidence);
         allocation.crash = crashedRunOf(lost);
         if (allocation.crash == CrashedRun::None)
             continue;
-        allocation.evidence
-            = std::make_shared<RunEvidence>(evidenceOf(kindOf(allocation.crash), run, worker, allocation, loss));
+        evidence.kind = kindOf(allocation.crash);
+        allocation.evidence = std::make_shared<RunEvidence>(std::move(evidence));
         if (allocation.crash == CrashedRun::LateRestart)
             continue;
         crash.jobs.insert(run.task.job);
@@ -244,6 +245,9 @@
     if (task && task->run == run.run && !allocation.isInherited)
         evidence.knownAtWorkMillis
             = absl::ToInt64Milliseconds(std::max(absl::ZeroDuration(), worker.lastReplyAt - task->startedAt));
+    if (evidence.knownAtWorkMillis >= 0 && worker.closedAt >= task->startedAt
+        && worker.closedAt < absl::InfiniteDuration())
+        evidence.closedAfterMillis = absl::ToInt64Milliseconds(worker.closedAt - task->startedAt);
     evidence.token = m_term.token;
     return evidence;
 }
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -12,10 +12,10 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    /** Run, kind, worker, source, when ordered, end of the lease, start of the next incarnation, when found, age, token
-     * and sequence number. */
+    /** Run, kind, worker, source, when ordered, end of the lease, start of the next incarnation, when found, for how
+     * long it was known to be at work and when connections closed, token and sequence number. */
     using EvidenceFields = std::tuple<uint32_t, uint32_t, std::string, std::string, int64_t, int64_t, int64_t, int64_t,
-        int64_t, uint64_t, uint64_t>;
+        int64_t, int64_t, uint64_t, uint64_t>;
     /** A record keeps the evidence of so many runs; of the others it keeps what counts. */
     constexpr size_t maxEvidencePerRecord = 500;
     /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, the
@@ -111,7 +111,8 @@
         for (const RunEvidence& evidence : all)
             packed.emplace_back(evidence.run, static_cast<uint32_t>(evidence.kind), evidence.worker, evidence.source,
                 evidence.orderedUnixMillis, evidence.leaseUntilUnixMillis, evidence.nextStartUnixMillis,
-                evidence.foundUnixMillis, evidence.knownAtWorkMillis, evidence.token, evidence.sequence);
+                evidence.foundUnixMillis, evidence.knownAtWorkMillis, evidence.closedAfterMillis, evidence.token,
+                evidence.sequence);
         return packed;
     }
 
@@ -123,7 +124,7 @@
             uint32_t kind = 0;
             std::tie(evidence.run, kind, evidence.worker, evidence.source, evidence.orderedUnixMillis,
                 evidence.leaseUntilUnixMillis, evidence.nextStartUnixMillis, evidence.foundUnixMillis,
-                evidence.knownAtWorkMillis, evidence.token, evidence.sequence)
+                evidence.knownAtWorkMillis, evidence.closedAfterMillis, evidence.token, evidence.sequence)
                 = fields;
             evidence.kind = static_cast<EvidenceKind>(kind);
             unpacked.push_back(std::move(evidence));
--- a/src/CellLeases.cpp
+++ b/src/CellLeases.cpp
@@ -14,8 +14,11 @@
     constexpr absl::Duration syncRetryDelay = absl::Milliseconds(250);
     /** When another incarnation answers at the listed address, the listing is out of date and goes within seconds. */
     constexpr absl::Duration staleAddressDelay = absl::Seconds(2);
-    /** Sync interval of a worker that is not listed any more, while it may tell what became of its runs. */
-    constexpr absl::Duration followInterval = absl::Seconds(4);
+    /** Sync intervals of a worker that is not listed any more, while it may tell what became of its runs: until the
+     * time is over in which workers are usually back, and then. */
+    constexpr absl::Duration followInterval = absl::Milliseconds(500);
+    constexpr absl::Duration lateFollowInterval = absl::Seconds(4);
+    constexpr absl::Duration usualAbsence = absl::Seconds(12);
     constexpr absl::Duration maxLeaseDuration = absl::Seconds(6);
     /** How far the estimate of a worker's clock, from which the ends of its leases are calculated, may lag. */
     constexpr absl::Duration clockEstimateMargin = absl::Milliseconds(500);
@@ -77,18 +80,19 @@
     return end;
 }
 
-void Cell::handleSyncFailure(CellWorker& worker, OrderStatus status)
+void Cell::handleSyncFailure(CellWorker& worker, const SyncReply& reply)
 {
-    recordSilence(worker);
+    recordSilence(worker, reply.wasClosed);
     if (worker.failedSyncs == 1) {
         m_parts.metrics.count("cicada_workers_silent");
-        m_parts.log.write("worker-silent", "worker", worker.listed.incarnation.id, "status", orderStatusName(status),
-            "runs", worker.allocations.size());
+        m_parts.log.write("worker-silent", "worker", worker.listed.incarnation.id, "status",
+            orderStatusName(reply.status), "closed", reply.wasClosed, "runs", worker.allocations.size());
     }
     checkUnresponsive(worker);
     if (!worker.isListed && worker.allocations.empty()) {
-        if (worker.isFollowed(m_parts.timers.clock().now()))
-            scheduleSync(worker, followInterval);
+        const Instant now = m_parts.timers.clock().now();
+        if (worker.isFollowed(now))
+            scheduleSync(worker, now - worker.lastReplyAt < usualAbsence ? followInterval : lateFollowInterval);
         return;
     }
     scheduleSync(worker, syncRetryDelay * std::min(worker.failedSyncs, worker.isWatched() ? 2 : 8));
--- a/src/CellLostRuns.cpp
+++ b/src/CellLostRuns.cpp
@@ -17,6 +17,9 @@
      * if each time the worker restarted after the run had just begun, however late that showed. */
     constexpr size_t maxUnexplained = 5;
     constexpr absl::Duration holdTime = absl::Seconds(10);
+    /** How long a task waits for what became of a worker whose end closed its connections when the task had just begun:
+     * most that crash are back by then. */
+    constexpr absl::Duration timeToReturn = absl::Seconds(3);
 
 } // namespace
 
@@ -63,10 +66,7 @@
         CellTask* task = job ? job->find(lost.run.task) : nullptr;
         if (!task || !removeEvidence(task->evidence, lost.run.run))
             continue;
-        // What it waits for has come.
-        CellStep& step = job->step({ lost.run.task.occurrence, lost.run.task.step });
-        step.notBefore = std::min(step.notBefore, m_parts.timers.clock().now());
-        schedulePlacement();
+        letStepGoOn(*job, lost.run.task);
     }
 }
 
@@ -85,7 +85,8 @@
     for (UndecidedRun& lost : std::exchange(worker.undecidedRuns, {})) {
         const bool wasConfirmed = lost.allocation.wasConfirmed || lost.allocation.wasListed;
         // Whether a start without a reply arrived can't be told any more.
-        const bool hasCrashed = wasConfirmed && loss.hasEndedBy(lost.leaseUntil);
+        const bool hasCrashed
+            = wasConfirmed && (loss.hasEndedBy(lost.leaseUntil) || hasClosedSoon(*lost.allocation.evidence));
         const absl::string_view verdict = hasCrashed ? "crashed" : "restarted-late";
         m_parts.log.write("run-decided", "run", describeRun(lost.run), "worker", worker.listed.incarnation.id,
             "verdict", verdict, "nextStart", loss.nextStartUnixMillis, "leaseUntil",
@@ -104,10 +105,18 @@
             ++job->crashedWorkers;
             job->crashedAt = loss.foundAt;
         }
+        letStepGoOn(*job, lost.run.task);
         recordRunCrash(*job, lost.run, worker, lost.allocation);
     }
 }
 
+void Cell::letStepGoOn(CellJob& job, const TaskName& name)
+{
+    CellStep& step = job.step({ name.occurrence, name.step });
+    step.notBefore = std::min(step.notBefore, m_parts.timers.clock().now());
+    schedulePlacement();
+}
+
 void Cell::boundRestarts(CellJob& job, const TaskName& name)
 {
     const CellTask& task = *job.find(name);
@@ -123,16 +132,23 @@
             && run.knownAtWorkMillis <= absl::ToInt64Milliseconds(CrashDelays::defaultLimit);
         restartsAfterStart += run.kind == EvidenceKind::LateRestart && hadJustBegun ? 1 : 0;
     }
+    const RunEvidence& last = task.evidence.back();
+    if (last.kind == EvidenceKind::Undecided && hasClosedSoon(last))
+        delayStep(job, name, timeToReturn);
     if (restartsAfterStart >= maxUnexplained)
         return giveUp(job, name, static_cast<uint32_t>(restartsAfterStart));
     if (unexplained < maxUnexplained)
         return;
+    delayStep(job, name, holdTime);
+}
+
+void Cell::delayStep(CellJob& job, const TaskName& name, absl::Duration delay)
+{
     CellStep& step = job.step({ name.occurrence, name.step });
-    step.notBefore = std::max(step.notBefore, m_parts.timers.clock().now() + holdTime);
-    m_parts.log.write("step-held-back", "task", describeTask(name), "lost", unexplained, "forMs",
-        absl::ToInt64Milliseconds(holdTime));
+    step.notBefore = std::max(step.notBefore, m_parts.timers.clock().now() + delay);
+    m_parts.log.write("step-held-back", "task", describeTask(name), "forMs", absl::ToInt64Milliseconds(delay));
     m_parts.metrics.count("cicada_steps_held_back");
-    m_parts.timers.after(holdTime, guarded([this] { schedulePlacement(); }));
+    m_parts.timers.after(delay, guarded([this] { schedulePlacement(); }));
 }
 
 bool Cell::hasLatelyLostRuns(const CellTask& task) const
--- a/src/CellProbation.cpp
+++ b/src/CellProbation.cpp
@@ -62,10 +62,10 @@
         m_parts.timers.after(trialLength(), guarded([this] { schedulePlacement(); }));
 }
 
-void Cell::recordSilence(CellWorker& worker)
+void Cell::recordSilence(CellWorker& worker, bool wasClosed)
 {
     const Instant now = m_parts.timers.clock().now();
-    worker.recordSilence(now);
+    worker.recordSilence(now, wasClosed);
     const bool goesSilent = worker.silentSince == now;
     // A suspect that had the worker to itself is likely to have crashed it. Whether it did shows seconds later.
     if (goesSilent && worker.isolatedRuns > 0)
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -158,10 +158,10 @@
     case OrderStatus::NoReply:
         m_parts.log.write("start-unanswered", "run", describeRun(run), "worker", id);
         allocation->second.unansweredAt = now;
-        recordSilence(worker);
+        recordSilence(worker, reply.wasClosed);
         return sync(worker, false);
     case OrderStatus::NotSent:
-        recordSilence(worker);
+        recordSilence(worker, reply.wasClosed);
         scheduleSync(worker, absl::Milliseconds(100));
         [[fallthrough]];
     default:
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -164,7 +164,7 @@
     if (reply.status == OrderStatus::Congested)
         return scheduleSync(worker, congestionDelay);
     if (reply.status != OrderStatus::Done)
-        return handleSyncFailure(worker, reply.status);
+        return handleSyncFailure(worker, reply);
     const int64_t started = reply.startedUnixMillis;
     if (worker.startedUnixMillis != 0 && started != 0 && started != worker.startedUnixMillis) {
         // A reply that a later incarnation's has overtaken. An earlier start in the reply to a newer request is that of
@@ -190,6 +190,7 @@
     worker.hasReplied = true;
     worker.failedSyncs = 0;
     worker.silentSince = absl::InfiniteDuration();
+    worker.closedAt = absl::InfiniteDuration();
     worker.lastReplyAt = now;
     recordClock(worker, reply.workerClockMillis);
     worker.recordList(reply.workerClockMillis, now);
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -66,6 +66,7 @@
     failedJobs.clear();
     failedSyncs = 0;
     silentSince = absl::InfiniteDuration();
+    closedAt = absl::InfiniteDuration();
     confinedTo.clear();
     trialUntil = absl::ZeroDuration();
 }
@@ -154,8 +155,10 @@
     return isListed && hasReplied && clock.isKnown() && !listed.isDraining && failedSyncs == 0 && suspendedUntil <= now;
 }
 
-void CellWorker::recordSilence(Instant now)
+void CellWorker::recordSilence(Instant now, bool wasClosed)
 {
+    if (wasClosed)
+        closedAt = std::min(closedAt, now);
     silentSince = std::min(silentSince, now);
     ++failedSyncs;
 }
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -180,6 +180,8 @@
     /** When orders began to be without replies; infinite while the worker replies. */
     Instant silentSince = absl::InfiniteDuration();
     Instant lastReplyAt = absl::ZeroDuration();
+    /** When the worker's end closed its connections after that; infinite if it did not. */
+    Instant closedAt = absl::InfiniteDuration();
     /** When the worker made the latest list that was processed, and the one before. That is earlier than the reply was
      * processed if this entry was paused meanwhile. */
     Instant listedAt = absl::ZeroDuration();
@@ -226,7 +228,7 @@
     Instant leaseUntil(const RunAllocation& allocation) const;
     bool isUsable(Instant now) const;
     /** Records that an order had no reply. */
-    void recordSilence(Instant now);
+    void recordSilence(Instant now, bool wasClosed);
     /** Records that a start without a reply is given up now. */
     void recordUnanswered(const TaskRun& run, Instant now);
     /** Records that the ends up to `sequence` are durable. */
--- a/src/FailureEvidence.cpp
+++ b/src/FailureEvidence.cpp
@@ -23,7 +23,8 @@
                 evidenceKindName(run.kind), "counts", counts(run.kind, task.isForCrashes), "worker", run.worker,
                 "source", run.source, "ordered", run.orderedUnixMillis, "leaseUntil", run.leaseUntilUnixMillis,
                 "nextStart", run.nextStartUnixMillis, "found", run.foundUnixMillis, "knownAtWorkMs",
-                run.knownAtWorkMillis, "token", run.token, "sequence", run.sequence);
+                run.knownAtWorkMillis, "closedAfterMs", run.closedAfterMillis, "token", run.token, "sequence",
+                run.sequence);
     }
 }
 
--- a/src/RunEvidence.cpp
+++ b/src/RunEvidence.cpp
@@ -1,5 +1,7 @@
 #include "RunEvidence.h"
 
+#include "CrashDelays.h"
+
 #include <algorithm>
 
 namespace cicada {
@@ -21,6 +23,12 @@
     return "unknown";
 }
 
+bool hasClosedSoon(const RunEvidence& evidence)
+{
+    return evidence.closedAfterMillis >= 0
+        && evidence.closedAfterMillis <= absl::ToInt64Milliseconds(CrashDelays::defaultLimit);
+}
+
 void addEvidence(std::vector<RunEvidence>& all, RunEvidence added)
 {
     removeEvidence(all, added.run);
--- a/src/RunEvidence.h
+++ b/src/RunEvidence.h
@@ -49,12 +49,18 @@
     int64_t foundUnixMillis = 0;
     /** How long after the start was ordered the worker was last heard; -1 if unknown. */
     int64_t knownAtWorkMillis = -1;
+    /** How long after that the worker's end closed its connections, not to be heard again; -1 if it did not. */
+    int64_t closedAfterMillis = -1;
     /** The fencing token of the owner that found it. */
     uint64_t token = 0;
     /** Of a failed run, the sequence number under which the worker listed its end. */
     uint64_t sequence = 0;
 };
 
+/** Whether the worker's end closed its connections when the run had just begun, as a task does that crashes the worker
+ * which starts it. */
+bool hasClosedSoon(const RunEvidence&);
+
 /** Adds evidence in place of what is there of the same run; beyond `maxEvidencePerTask` the oldest goes that
  * is undecided, or else the oldest. */
 void addEvidence(std::vector<RunEvidence>& all, RunEvidence added);
--- a/src/WorkerOrders.h
+++ b/src/WorkerOrders.h
@@ -65,6 +65,8 @@
 struct OrderReply {
     OrderStatus status = OrderStatus::NoReply;
     std::optional<int64_t> workerClockMillis;
+    /** Without a reply: the worker's end closed the connection or refused it, rather than that time ran out. */
+    bool wasClosed = false;
 };
 
 /** An order to start a run. */
@@ -130,6 +132,8 @@
     std::vector<EndedRun> ended;
     /** False when more runs may have ended than the reply has room for. */
     bool hasAllEnds = true;
+    /** As in `OrderReply`. */
+    bool wasClosed = false;
 };
 
 /** Sends orders to workers. Used on the decision thread only; callbacks run on it too, and never within the call. */
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -138,8 +138,9 @@
     task.stage = TaskStage::Running;
     task.orderedUnixMillis = 77;
     CHECK(job->recordCrash({ name, 2 }, CrashedRun::Counted));
-    addEvidence(task.evidence, { 1, EvidenceKind::Undecided, "w1", "leases-ended", 10, 20, 0, 25, -1, 5, 0 });
-    addEvidence(task.evidence, { 2, EvidenceKind::Crash, "w2", "other-incarnation-answers", 30, 40, 35, 36, 80, 6, 0 });
+    addEvidence(task.evidence, { 1, EvidenceKind::Undecided, "w1", "leases-ended", 10, 20, 0, 25, -1, -1, 5, 0 });
+    addEvidence(
+        task.evidence, { 2, EvidenceKind::Crash, "w2", "other-incarnation-answers", 30, 40, 35, 36, 80, 90, 6, 0 });
     auto read = sample();
     CHECK(applyRunRecord(*read, encodeRunRecord(*job)).has_value());
     LONGS_EQUAL(77, read->find(name)->orderedUnixMillis);
@@ -159,6 +160,7 @@
     STRCMP_EQUAL("other-incarnation-answers", last.source.c_str());
     LONGS_EQUAL(40, last.leaseUntilUnixMillis);
     LONGS_EQUAL(35, last.nextStartUnixMillis);
+    LONGS_EQUAL(90, last.closedAfterMillis);
 }
 
 TEST(CellRecords, theFailedRunsOfAnExhaustedTaskOutlastItsJobAndAreNoCrashes)
@@ -168,7 +170,7 @@
     CHECK(job->recordFailure({ name, 1 }));
     CHECK(job->recordCrash({ name, 2 }, CrashedRun::Counted));
     addEvidence(
-        job->find(name)->evidence, { 1, EvidenceKind::Failed, "w1", "listed-by-worker", 0, 0, 0, 25, -1, 5, 9 });
+        job->find(name)->evidence, { 1, EvidenceKind::Failed, "w1", "listed-by-worker", 0, 0, 0, 25, -1, -1, 5, 9 });
     job->phase = JobPhase::Failed;
     job->exhaustedTask = name;
     const EndedJob ended = endedJobOf(encodeRunRecord(*job)).value();
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -101,6 +101,15 @@
     CHECK(world.crashesUnder(deadly) <= 3);
 }
 
+TEST(DeadlyTasks, aTaskWhoseWorkersCloseTheirConnectionsAndComeBackAfterTheirLeasesIsGivenUpByTheThirdCrash)
+{
+    world.setResetsOnCrash();
+    makeDeadly("deadly", absl::Seconds(7));
+    world.submit(other(), makeJob("deadly", 1));
+    expectFailed("deadly", absl::Seconds(60));
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
 TEST(DeadlyTasks, aTaskWhoseWorkersComeBackOnlyAfterTheirLeasesIsGivenUpByTheFifthCrash)
 {
     makeDeadly("deadly", absl::Seconds(8));
--- a/test/support/CellWorldLinks.cpp
+++ b/test/support/CellWorldLinks.cpp
@@ -50,6 +50,7 @@
             const NoAnswer why = m_world.noAnswerOf(incarnation, delay);
             Reply none;
             none.status = why.status;
+            none.wasClosed = why.status == OrderStatus::NotSent;
             return reply(why.after, none);
         }
         if (std::uniform_real_distribution<>(0, 1)(m_world.m_random) < worker->lateShare) {
@@ -102,6 +103,7 @@
             const NoAnswer why = m_world.noAnswerOf(incarnation, delay);
             SyncReply none;
             none.status = why.status;
+            none.wasClosed = why.status == OrderStatus::NotSent;
             return reply(worker && worker->syncsUntilCut ? delay : why.after, none);
         }
         if (order.fencingToken < worker->token) {
@@ -117,8 +119,13 @@
         const bool answersNow = order.wait == absl::ZeroDuration() || !worker->ended.empty();
         if (answersNow)
             return reply(back, m_world.listAt(*worker));
+        const auto replyNone = [reply, back](bool wasClosed) {
+            SyncReply none;
+            none.wasClosed = wasClosed;
+            reply(wasClosed ? back : replyTimeout, none);
+        };
         auto isDone = std::make_shared<bool>(false);
-        const auto finish = [this, index, isDone, reply, back] {
+        const auto finish = [this, index, isDone, reply, replyNone, back] {
             if (*isDone)
                 return;
             *isDone = true;
@@ -126,7 +133,7 @@
             if (!at.isDown && !at.isCut)
                 reply(back, m_world.listAt(m_world.m_workers[index]));
             else
-                reply(at.isDown && m_world.m_resetsOnCrash ? back : replyTimeout, SyncReply());
+                replyNone(at.isDown && m_world.m_resetsOnCrash);
         };
         worker->waiting.push_back(finish);
         m_world.m_timers.after(order.wait, finish);
