All members of a gang start from one checkpoint

Cause: the checkpoint was kept for each member by itself. Of the member on the crashed executor the owner knew the one of its last list, of the others that of their ends, and each start carried the member's own. Runs that never begin list what they were started with, so the values never became the same.

The checkpoint of a gang is now kept once, by its step: the newest that a member of its current run has listed, whether as running or with its end. Newest means in the list that was made last, by the worker's clock, as lists are heard in any order; a member that still lists the one before doesn't bring it back. All starts of a run are sent together, so they read the same value. The run record has it with each member, as builds before this one read it; a record of such a build with different values gives one of them to all.

--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -3,6 +3,7 @@
 #include "Pack.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicada {
 
@@ -139,6 +140,16 @@
                                             : TaskStage::Waiting;
     }
 
+    /** Former builds stored one for each member, which could differ; any of them is valid for all. */
+    void restoreGangCheckpoint(CellJob& job, const TaskName& name)
+    {
+        if (!job.spec.steps[name.step].isGang)
+            return;
+        const std::string stored = std::exchange(job.find(name)->checkpoint, std::string());
+        if (job.checkpointOf(name).empty())
+            job.recordCheckpoint(name, stored, absl::ZeroDuration());
+    }
+
 } // namespace
 
 absl::string_view jobPhaseName(JobPhase phase)
@@ -210,6 +221,30 @@
     return true;
 }
 
+const std::string& CellJob::checkpointOf(const TaskName& name) const
+{
+    const CellStep& step = occurrences[name.occurrence][name.step];
+    return spec.steps[name.step].isGang ? step.checkpoint : step.tasks[name.index].checkpoint;
+}
+
+void CellJob::recordCheckpoint(const TaskName& name, const std::string& checkpoint, Instant listedAt)
+{
+    if (checkpoint.empty())
+        return;
+    CellStep& step = occurrences[name.occurrence][name.step];
+    if (!spec.steps[name.step].isGang) {
+        step.tasks[name.index].checkpoint = checkpoint;
+        return;
+    }
+    // Lists are heard in any order, and members may save at slightly different times.
+    if (listedAt < step.checkpointListedAt || checkpoint == step.formerCheckpoint)
+        return;
+    step.checkpointListedAt = listedAt;
+    if (checkpoint == step.checkpoint)
+        return;
+    step.formerCheckpoint = std::exchange(step.checkpoint, checkpoint);
+}
+
 size_t CellJob::openSuspects() const
 {
     const auto isOpenSuspect = [](const CellTask& task) { return task.isSuspect && task.stage != TaskStage::Finished; };
@@ -366,7 +401,7 @@
                 const bool hasFinished = task.stage == TaskStage::Finished;
                 tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf(name),
                     hasFinished ? std::string() : task.worker, task.workerStarted,
-                    hasFinished ? std::string() : task.checkpoint, task.failedRuns, task.crashedRuns,
+                    hasFinished ? std::string() : job.checkpointOf(name), task.failedRuns, task.crashedRuns,
                     task.possiblyCrashedRuns);
             }
         }
@@ -399,6 +434,7 @@
         if (!task)
             return malformed("run record");
         restore(*task, fields, job.failedRunsOf(name));
+        restoreGangCheckpoint(job, name);
         if (task->stage == TaskStage::Finished)
             ++job.step({ name.occurrence, name.step }).finished;
         if (job.phase == JobPhase::Failed && task->stage == TaskStage::Waiting && task->crashes() > 0)
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -66,6 +66,7 @@
     /** The worker on which a run was given up as it could not be heard; empty for none. It may still list that run's
      * end. */
     std::string lostOn;
+    /** Of a gang's member it is kept by its step. */
     std::string checkpoint;
     Instant startedAt = absl::ZeroDuration();
     /** When `percent` last rose, and its value then. */
@@ -124,6 +125,13 @@
     std::vector<uint32_t> failedRuns;
     bool isReady = false;
     Instant readyAt = absl::ZeroDuration();
+    /** For a gang: the newest checkpoint that a member of the current or last run has listed, from which all members go
+     * on. */
+    std::string checkpoint;
+    /** The one before. A member that still lists it is behind the others. */
+    std::string formerCheckpoint;
+    /** When the member made the list that has `checkpoint`; zero if a former owner read it. */
+    Instant checkpointListedAt = absl::ZeroDuration();
     /** For a gang: it gets no exclusive reservation before this time. */
     Instant noExclusiveBefore = absl::ZeroDuration();
     /** When it was last logged why the step waits. */
@@ -192,6 +200,10 @@
     bool recordFailure(const TaskRun&);
     /** Records that a worker crashed under a run of the task, or may have; false if that was known. */
     bool recordCrash(const TaskRun&, CrashedRun);
+    /** From which checkpoint the task's next run goes on; empty for none. */
+    const std::string& checkpointOf(const TaskName&) const;
+    /** Records the checkpoint with which a worker listed the task's current run in a list made at that time. */
+    void recordCheckpoint(const TaskName&, const std::string& checkpoint, Instant listedAt);
     /** How many of the tasks are suspects and have not finished. */
     size_t openSuspects() const;
     bool hasSuspects() const { return openSuspects() > 0; }
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -97,14 +97,15 @@
             handleStartFailure(run, *worker, OrderStatus::NotSent);
         return;
     }
-    StartOrder order { run, job.spec.payload, task->checkpoint, "", m_term.token, nextLeaseEnd(*worker, lease) };
+    const std::string& checkpoint = job.checkpointOf(run.task);
+    StartOrder order { run, job.spec.payload, checkpoint, "", m_term.token, nextLeaseEnd(*worker, lease) };
     if (hasTicket)
         order.ticket = allowed->second.ticket;
     task->stage = TaskStage::Starting;
     task->startedAt = now;
     task->progressAt = now;
     task->percent = -1;
-    task->wasRestored = !task->checkpoint.empty();
+    task->wasRestored = !checkpoint.empty();
     worker->allocations[run].isStarting = true;
     worker->allocations[run].wasSent = true;
     m_parts.log.write("run-ordered", "run", describeRun(run), "worker", task->worker, "token", m_term.token, "waitedMs",
@@ -330,8 +331,7 @@
     }
     if (isCurrent) {
         changed.push_back(name.job);
-        if (!ended.checkpoint.empty())
-            task->checkpoint = ended.checkpoint;
+        job->recordCheckpoint(name, ended.checkpoint, worker.readListMadeAt);
         task->stage = TaskStage::Waiting;
     }
     if (ended.ending == RunEnding::Failed) {
--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -261,8 +261,7 @@
             task->startedAt = now;
     }
     forgetPossibleCrashes(*task, listed.run, now - task->startedAt);
-    if (!listed.checkpoint.empty())
-        task->checkpoint = listed.checkpoint;
+    job->recordCheckpoint(name, listed.checkpoint, worker.readListMadeAt);
     if (listed.percent > task->percent) {
         task->percent = listed.percent;
         task->progressAt = now;
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -44,7 +44,8 @@
 {
     const absl::Duration age = workerMillis ? clock.ageOf(*workerMillis, now) : absl::ZeroDuration();
     formerListedAt = listedAt;
-    listedAt = std::max(listedAt, now - age);
+    readListMadeAt = now - age;
+    listedAt = std::max(listedAt, readListMadeAt);
 }
 
 void CellWorker::beginIncarnation(Instant now)
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -155,6 +155,8 @@
      * processed if this entry was paused meanwhile. */
     Instant listedAt = absl::ZeroDuration();
     Instant formerListedAt = absl::ZeroDuration();
+    /** When the worker made the list that was read last; replies may overtake each other. */
+    Instant readListMadeAt = absl::ZeroDuration();
     /** No tasks are placed on the worker before this time. */
     Instant suspendedUntil = absl::ZeroDuration();
     int suspensionCount = 0;
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -167,3 +167,24 @@
         endedJobOf(text).has_value();
     }
 }
+
+TEST(CellRecords, aGangWhoseMembersHaveDifferentCheckpointsInARecordGoesOnFromOne)
+{
+    auto former = sample();
+    for (uint32_t i = 0; i < 3; ++i) {
+        former->step({ 0, 1 }).tasks[i].run = 2;
+        former->step({ 0, 1 }).tasks[i].checkpoint = i == 0 ? "" : i == 1 ? "c2" : "c1";
+    }
+    auto job = sample();
+    job->spec.steps[1].isGang = true;
+    CHECK(applyRunRecord(*job, encodeRunRecord(*former)).has_value());
+    auto next = sample();
+    next->spec.steps[1].isGang = true;
+    CHECK(applyRunRecord(*next, encodeRunRecord(*job)).has_value());
+    for (const auto* read : { &job, &next }) {
+        const std::string& first = (*read)->checkpointOf({ former->spec.id, 0, 1, 0 });
+        CHECK(!first.empty());
+        STRCMP_EQUAL(first.c_str(), (*read)->checkpointOf({ former->spec.id, 0, 1, 1 }).c_str());
+        STRCMP_EQUAL(first.c_str(), (*read)->checkpointOf({ former->spec.id, 0, 1, 2 }).c_str());
+    }
+}
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -49,6 +49,8 @@
         bool isGang = false;
         uint64_t serial = 0;
         Instant beganAt = absl::ZeroDuration();
+        /** What the run would list as saved; at first what its start carried. */
+        std::string checkpoint = {};
     };
     std::string id;
     std::string rack;
@@ -88,6 +90,8 @@
     int64_t startedStepMillis = 100000;
     /** Added to the time that a sync takes to reach the worker. */
     absl::Duration syncDelay;
+    /** Added to the time that a list of its runs takes to its reader. */
+    absl::Duration listDelay;
     /** The worker is cut off once this many more syncs have reached it; calls then end without a reply at once. */
     std::optional<size_t> syncsUntilCut;
     /** The share of orders that are carried out late and not answered. */
@@ -164,6 +168,8 @@
     void setDeadly(Deadly deadly, absl::Duration away = absl::Seconds(3));
     /** Such a task crashes its worker before the start is answered. */
     void setCrashesBeforeReply() { m_crashesBeforeReply = true; }
+    /** The runs of the job on workers that aren't down save this checkpoint. */
+    void saveCheckpoint(const std::string& job, const std::string& checkpoint);
     /** Under how many runs of the task a worker has crashed. */
     size_t crashesUnder(const TaskName& task) const;
     /** How many workers have crashed under tasks of the job; each crash counts once. */
@@ -253,6 +259,8 @@
         absl::flat_hash_set<TaskName> finishedAcked;
         absl::btree_map<TaskName, TaskHistory> histories;
         absl::btree_map<TaskName, size_t> crashes;
+        /** What the first start of each run of a gang carried, by occurrence, step and run. */
+        absl::btree_map<std::tuple<uint32_t, uint32_t, uint32_t>, std::string> gangCheckpoints;
         size_t workersCrashed = 0;
         size_t attempts = 0;
         size_t starts = 0;
@@ -268,6 +276,8 @@
     void judgeCrashes(const TaskRun& started);
     /** The most that the worker's runs may hold together. */
     static Resources judgedCapacityOf(const WorldWorker& worker);
+    /** All members of a gang carry the same checkpoint. */
+    void judgeCheckpoint(const StartOrder& order);
     void crashSoon(size_t worker, uint64_t serial, const TaskRun& run);
     void recordCrash(const WorldWorker& worker);
     void retrySubmit(size_t entry, const Submission& job);
--- a/test/support/CellWorldLinks.cpp
+++ b/test/support/CellWorldLinks.cpp
@@ -113,7 +113,7 @@
         m_world.acknowledge(*worker, order.acknowledgedThrough);
         if (order.leaseEndMillis)
             m_world.extendLease(index, *order.leaseEndMillis);
-        const absl::Duration back = delay + m_world.congestion(m_entry);
+        const absl::Duration back = delay + m_world.congestion(m_entry) + worker->listDelay;
         const bool answersNow = order.wait == absl::ZeroDuration() || !worker->ended.empty();
         if (answersNow)
             return reply(back, m_world.listAt(*worker));
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -95,7 +95,7 @@
         violate(absl::StrCat("a refused job runs: ", describeRun(run)));
     const uint64_t serial = ++m_lastSerial;
     const absl::Duration work = m_work ? m_work(job.spec, run.task, index) : workOf(job.spec, run.task);
-    worker.runs[run] = { step.demand, now() + work, step.isGang, serial, now() };
+    worker.runs[run] = { step.demand, now() + work, step.isGang, serial, now(), order.checkpoint };
     job.active[run.task] = index;
     ++job.starts;
     job.firstStart = job.firstStart.value_or(now());
@@ -114,12 +114,36 @@
         violate(absl::StrCat("more than it can hold: ", worker.id, " with ", describeRun(run)));
     judgeLimit(run);
     judgeCrashes(run);
+    judgeCheckpoint(order);
     extendLease(index, order.leaseEndMillis);
     m_timers.after(work, [this, index, run, serial] { runDone(index, run, serial); });
     crashSoon(index, serial, run);
     return reply;
 }
 
+void CellWorld::judgeCheckpoint(const StartOrder& order)
+{
+    const TaskName& task = order.run.task;
+    Job& job = m_jobs[task.job];
+    if (!job.spec.steps[task.step].isGang)
+        return;
+    const auto [first, isFirst]
+        = job.gangCheckpoints.try_emplace({ task.occurrence, task.step, order.run.run }, order.checkpoint);
+    if (!isFirst && first->second != order.checkpoint)
+        violate(absl::StrCat("members of a gang carry different checkpoints: ", describeRun(order.run), " has \"",
+            order.checkpoint, "\", another \"", first->second, "\""));
+}
+
+void CellWorld::saveCheckpoint(const std::string& job, const std::string& checkpoint)
+{
+    for (WorldWorker& worker : m_workers) {
+        for (auto& [run, state] : worker.runs) {
+            if (run.task.job == job)
+                state.checkpoint = checkpoint;
+        }
+    }
+}
+
 Resources CellWorld::judgedCapacityOf(const WorldWorker& worker)
 {
     const Resources former = worker.formerCapacity.value_or(worker.capacity);
@@ -209,11 +233,12 @@
         m_finishedAt[run.task.job] = now();
     else
         m_wastedCoreSeconds += absl::ToDoubleSeconds(now() - over.beganAt) * over.demand.cpuMillis / 1000;
+    const std::string saved = ending == RunEnding::Finished ? std::string() : over.checkpoint;
     worker.runs.erase(run);
     m_jobs[run.task.job].active.erase(run.task);
     uint32_t& highest = worker.highestOver[run.task];
     highest = std::max(highest, run.run);
-    worker.ended.push_back({ ++worker.lastSequence, run, ending, "" });
+    worker.ended.push_back({ ++worker.lastSequence, run, ending, saved });
     worker.endedAt[worker.lastSequence] = now();
     auto waiting = std::move(worker.waiting);
     worker.waiting.clear();
@@ -243,7 +268,7 @@
     reply.startedUnixMillis = worker.started;
     for (const auto& [run, state] : worker.runs) {
         const double share = absl::FDivDuration(now() - state.beganAt, state.endsAt - state.beganAt);
-        reply.running.push_back({ run, "", m_listsProgress ? static_cast<int>(share * 100) : 10 });
+        reply.running.push_back({ run, state.checkpoint, m_listsProgress ? static_cast<int>(share * 100) : 10 });
     }
     const size_t count = std::min(worker.ended.size(), worker.maxListedEnds);
     reply.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<ptrdiff_t>(count));
