A restarted executor gets work once its own entry shows

Cause: a reply with a new start made the executor usable at once, with the labels and the capacity of the entry that its former incarnation had written; nothing compared the start time of the reply with that of the entry.

CellWorker::isUsable(), which all placement, admission and the check just before a start ask, now requires that both are of one incarnation. The start times must be equal, not only later, as a time of day may have been set back. That also holds for an owner that is new and for an entry that is ahead of the reply. An entry that comes is used at once: it starts a round of placement. While the two differ, the executor is asked again each second, so that neither being out of date lasts. An entry without a start time is believed if it was heard since the incarnation became known, or 6 s after that: it may have come before the restart was noticed, and would never be heard again. An executor whose entry never comes gets nothing new. A draining state, the service and the capacity are of the same entry.

A restart that the owner hasn't noticed when it sends a start is as before: a start names the id, and the next incarnation has it, too.

--- a/src/CellSync.cpp
+++ b/src/CellSync.cpp
@@ -13,6 +13,8 @@
     constexpr absl::Duration maxSyncWait = absl::Milliseconds(1500);
     /** Sync interval of a worker that runs nothing. */
     constexpr absl::Duration idleInterval = absl::Seconds(8);
+    /** Sync interval of a worker whose reply and entry are of different incarnations: either may be out of date. */
+    constexpr absl::Duration entryRecheckInterval = absl::Seconds(1);
     /** When this entry could not send a sync, as other orders to the worker wait for their replies. */
     constexpr absl::Duration congestionDelay = absl::Milliseconds(100);
     /** How long a sync is delayed so that it can acknowledge ends that are not durable yet; then the lease is renewed
@@ -40,13 +42,16 @@
     if (cellOfKey(listed->rack, m_term.cells) != m_term.cell)
         return;
     CellWorker& worker = m_workers[id];
+    const Instant now = m_parts.timers.clock().now();
+    const bool wasUsable = worker.isUsable(now);
     const bool isNew = !worker.isListed;
     const Endpoint& address = listed->incarnation.address;
     const bool hasMoved = address.host != worker.listed.incarnation.address.host
         || address.port != worker.listed.incarnation.address.port;
     const bool isRestarted = worker.startedUnixMillis != 0 && listed->startedUnixMillis != 0
         && listed->startedUnixMillis > worker.startedUnixMillis;
-    if (isNew || listed->isDraining != worker.listed.isDraining)
+    const bool isOfOtherStart = listed->startedUnixMillis != worker.listed.startedUnixMillis;
+    if (isNew || isOfOtherStart || listed->isDraining != worker.listed.isDraining)
         m_parts.log.write("worker-listed", "worker", id, "service", listed->service, "rack", listed->rack, "draining",
             listed->isDraining, "started", listed->startedUnixMillis);
     if (isRestarted)
@@ -58,11 +63,12 @@
         reportCapacityChange(worker, listed->capacity);
     worker.listed = *listed;
     worker.isListed = true;
+    worker.entryHeardAt = now;
     if (beginsToDrain)
         moveServices(worker);
-    if (hasGrown)
+    if (hasGrown || (!wasUsable && worker.isUsable(now)))
         schedulePlacement();
-    if (isNew || isRestarted || hasMoved)
+    if (isNew || isRestarted || hasMoved || !worker.hasEntryOfIncarnation(now))
         scheduleSync(worker, absl::ZeroDuration());
 }
 
@@ -173,12 +179,15 @@
             absl::ToInt64Milliseconds(now - m_ownedSince));
         if (started != 0)
             worker.startedUnixMillis = started;
+        if (!worker.hasEntryOfIncarnation(now))
+            m_parts.log.write("worker-entry-awaited", "worker", id, "started", started, "listedStarted",
+                worker.listed.startedUnixMillis);
         recordInheritedCrash(worker);
     } else if (worker.failedSyncs > 0) {
         m_parts.log.write(
             "worker-regained", "worker", id, "silentMs", absl::ToInt64Milliseconds(now - worker.lastReplyAt));
     }
-    const bool wasUsable = worker.isUsable(now);
+    const bool wasUsable = worker.isUsable(worker.lastReplyAt);
     worker.hasReplied = true;
     worker.failedSyncs = 0;
     worker.silentSince = absl::InfiniteDuration();
@@ -188,8 +197,10 @@
     const bool hasAppliedAll = applyLists(worker, sentAt, reply);
     if (!wasUsable || !reply.ended.empty())
         schedulePlacement();
-    if (worker.pendingAcks.empty() && hasAppliedAll)
-        return scheduleSync(worker, worker.allocations.empty() ? idleInterval : absl::ZeroDuration());
+    if (worker.pendingAcks.empty() && hasAppliedAll) {
+        const absl::Duration interval = worker.hasEntryOfIncarnation(now) ? idleInterval : entryRecheckInterval;
+        return scheduleSync(worker, worker.allocations.empty() ? interval : absl::ZeroDuration());
+    }
     scheduleSync(worker, ackTimeout);
 }
 
--- a/src/CellWorker.cpp
+++ b/src/CellWorker.cpp
@@ -10,6 +10,8 @@
 
     /** An order that has not arrived after this long counts as lost. */
     constexpr absl::Duration unansweredRetention = absl::Seconds(20);
+    /** A worker's entry follows its start within this time: three heartbeats and the delay of the list. */
+    constexpr absl::Duration maxEntryDelay = absl::Seconds(6);
 
 } // namespace
 
@@ -129,9 +131,18 @@
         allocations.begin(), allocations.end(), [&job](const auto& item) { return item.first.task.job == job; });
 }
 
+bool CellWorker::hasEntryOfIncarnation(Instant now) const
+{
+    // A later start need not be a higher number, as a time of day may have been set back.
+    if (startedUnixMillis != 0 && listed.startedUnixMillis != 0)
+        return startedUnixMillis == listed.startedUnixMillis;
+    return entryHeardAt >= incarnationKnownAt || now - incarnationKnownAt > maxEntryDelay;
+}
+
 bool CellWorker::isUsable(Instant now) const
 {
-    return isListed && hasReplied && clock.isKnown() && !listed.isDraining && failedSyncs == 0 && suspendedUntil <= now;
+    return isListed && hasReplied && hasEntryOfIncarnation(now) && clock.isKnown() && !listed.isDraining
+        && failedSyncs == 0 && suspendedUntil <= now;
 }
 
 void CellWorker::recordSilence(Instant now)
--- a/src/CellWorker.h
+++ b/src/CellWorker.h
@@ -108,8 +108,12 @@
 
 /** One worker of the cell. */
 struct CellWorker {
+    /** The worker's entry. Until the platform's list shows that a worker has restarted, it is of a former incarnation,
+     * of which neither the labels nor the capacity need be those of the current one. */
     ListedWorker listed;
     bool isListed = false;
+    /** When the entry was last heard. */
+    Instant entryHeardAt = absl::ZeroDuration();
     /** The worker replied under this owner's fencing token, so orders of earlier owners can no longer take effect
      * there. */
     bool hasReplied = false;
@@ -191,6 +195,9 @@
     /** What is free once all runs but those of services have ended. */
     Resources freeInTime() const;
     bool runsJob(const std::string& job) const;
+    /** Whether the entry is that of the incarnation that replied. Without start times, one that was heard since that
+     * incarnation became known, or that has been left as it is for long enough, is taken for it. */
+    bool hasEntryOfIncarnation(Instant now) const;
     bool isUsable(Instant now) const;
     /** Records that an order had no reply. */
     void recordSilence(Instant now);
--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -36,6 +36,7 @@
         worker.capacity = { 4000, 16000, 0 };
         worker.startedAt = now() - absl::Milliseconds(137 * static_cast<int64_t>(i));
         worker.started = 1000 + static_cast<int64_t>(i);
+        worker.listedStart = worker.started;
         m_workers.push_back(std::move(worker));
     }
     m_entries.resize(entries);
@@ -207,6 +208,8 @@
             m_timers.after(std::max(listingExpiry - away, absl::ZeroDuration()),
                 [this, former = reborn.formerId] { unlistWorker(former); });
         }
+        if (!reborn.nextKind.empty())
+            reborn.kind = std::exchange(reborn.nextKind, "");
         reborn.started += reborn.startedStepMillis;
         reborn.startedAt = now();
         m_timers.after(reborn.listingDelay, [this, index] { listWorker(m_workers[index]); });
@@ -219,8 +222,10 @@
     listWorker(m_workers[index]);
 }
 
-void CellWorld::listWorker(const WorldWorker& worker)
+void CellWorld::listWorker(WorldWorker& worker)
 {
+    worker.listedKind = worker.kind;
+    worker.listedStart = worker.started;
     for (auto& entry : m_entries) {
         if (!entry || !entry->isAlive)
             continue;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -79,6 +79,15 @@
     bool isDown = false;
     /** While the worker is down, calls to it end without a reply, as on a connection that was open before. */
     bool isDark = false;
+    /** Its label beside its rack. */
+    std::string kind = "a";
+    /** The label that it has after its next crash; empty for the same one. */
+    std::string nextKind;
+    /** What its entry says, which is of its former life until the list shows a restart. */
+    std::string listedKind = "a";
+    int64_t listedStart = 1;
+    /** Its entry doesn't say when it started. */
+    bool hidesStart = false;
     /** The id under which it comes back after its next crash, at the same address; empty for the same one. */
     std::string nextId;
     /** The id of its former incarnation, for which it answers that it is another one. */
@@ -295,7 +304,7 @@
     void extendLease(size_t worker, int64_t end);
     void acknowledge(WorldWorker&, uint64_t through);
     void judge(const TaskName&);
-    void listWorker(const WorldWorker&);
+    void listWorker(WorldWorker&);
     void unlistWorker(const std::string& id);
     /** The state of a call that reaches no running worker, and how long it is waited for. */
     struct NoAnswer {
--- a/test/support/CellWorldEntry.h
+++ b/test/support/CellWorldEntry.h
@@ -143,10 +143,10 @@
             return m_onChange(worker.id, nullptr);
         ListedWorker listed;
         listed.incarnation = { worker.id, { worker.id, 1 } };
-        listed.startedUnixMillis = worker.started;
+        listed.startedUnixMillis = worker.hidesStart ? 0 : worker.listedStart;
         listed.service = "service";
         listed.rack = worker.rack;
-        listed.labels = { "a", worker.rack };
+        listed.labels = { worker.listedKind, worker.rack };
         listed.capacity = worker.capacity;
         listed.isDraining = worker.isDraining;
         m_onChange(worker.id, &listed);
--- a/test/support/CellWorldWorkers.cpp
+++ b/test/support/CellWorldWorkers.cpp
@@ -115,6 +115,10 @@
     judgeLimit(run);
     judgeCrashes(run);
     judgeCheckpoint(order);
+    const bool hasLabel
+        = step.requiredLabel.empty() || step.requiredLabel == worker.kind || step.requiredLabel == worker.rack;
+    if (!hasLabel)
+        violate(absl::StrCat("without the label that it requires: ", describeRun(run), " on ", worker.id));
     extendLease(index, order.leaseEndMillis);
     m_timers.after(work, [this, index, run, serial] { runDone(index, run, serial); });
     crashSoon(index, serial, run);
