--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -74,6 +74,10 @@
     uint64_t acknowledged = 0;
     std::vector<absl::AnyInvocable<void()>> waiting;
     bool isCut = false;
+    /** Nothing that the worker says of itself reaches the platform's list. */
+    bool isCutFromList = false;
+    /** The platform's list has dropped the worker. */
+    bool isDropped = false;
     /** Entries that can't reach the worker. */
     absl::btree_set<std::string> cutFrom;
     bool isDown = false;
@@ -95,8 +99,9 @@
     bool isDraining = false;
     /** How long the platform's list takes to show a restart. */
     absl::Duration listingDelay;
-    /** What a restart adds to the start time that the worker states; negative for a time of day that was set back. */
-    int64_t startedStepMillis = 100000;
+    /** What a restart adds to the start time that the worker states, negative for a time of day that was set back;
+     * without a value, the worker states the time of day. */
+    std::optional<int64_t> startedStepMillis;
     /** Added to the time that a sync takes to reach the worker. */
     absl::Duration syncDelay;
     /** Added to the time that a list of its runs takes to its reader. */
@@ -165,6 +170,9 @@
     void congest(size_t entry, absl::Duration extra);
     /** Cuts a worker off from all entries but this one. */
     void cutFromOthers(size_t worker, size_t entry);
+    /** Cuts a worker off from all entries and from the platform's list, which drops it after three missed heartbeats;
+     * or heals that. */
+    void cutOffWorker(size_t worker, bool isCut);
     /** Steps the time of day of all entries. */
     void stepWallClock(absl::Duration by) { m_clock.stepWall(by); }
     void setStore(size_t entry, StoreMood);
@@ -270,6 +278,9 @@
         absl::btree_map<TaskName, size_t> crashes;
         /** What the first start of each run of a gang carried, by occurrence, step and run. */
         absl::btree_map<std::tuple<uint32_t, uint32_t, uint32_t>, std::string> gangCheckpoints;
+        /** Those of them whose worker has come back, and before the run's lease had ended. */
+        absl::btree_map<TaskName, size_t> returns;
+        absl::btree_map<TaskName, size_t> returnsUnderLease;
         size_t workersCrashed = 0;
         size_t attempts = 0;
         size_t starts = 0;
@@ -281,7 +292,8 @@
     const ClientAccount* accountNamed(const std::string& name) const;
     void announceConfiguration();
     void judgeLimit(const TaskRun& started);
-    /** A task that crashes each worker is not started after this many crashes. */
+    /** A task that crashes each worker is not started after three crashes of workers that were back before the run's
+     * lease had ended, nor after five of workers that were back at all. */
     void judgeCrashes(const TaskRun& started);
     /** The most that the worker's runs may hold together. */
     static Resources judgedCapacityOf(const WorldWorker& worker);
@@ -289,6 +301,8 @@
     void judgeCheckpoint(const StartOrder& order);
     void crashSoon(size_t worker, uint64_t serial, const TaskRun& run);
     void recordCrash(const WorldWorker& worker);
+    /** The next incarnation of a worker that crashed under these tasks has begun. */
+    void recordReturn(const std::vector<TaskName>& tasks, bool isUnderLease);
     void retrySubmit(size_t entry, const Submission& job);
     void violate(const std::string& what);
     int64_t clockOf(const WorldWorker&) const;
