--- a/test/support/CellWorld.cpp
+++ b/test/support/CellWorld.cpp
@@ -36,6 +36,7 @@
         worker.capacity = { 4000, 16000, 0 };
         worker.startedAt = now() - absl::Milliseconds(137 * static_cast<int64_t>(i));
         worker.started = 1000 + static_cast<int64_t>(i);
+        worker.listedStart = worker.started;
         m_workers.push_back(std::move(worker));
     }
     m_entries.resize(entries);
@@ -230,6 +231,8 @@
             m_timers.after(std::max(listingExpiry - away, absl::ZeroDuration()),
                 [this, former = reborn.formerId] { unlistWorker(former); });
         }
+        if (!reborn.nextKind.empty())
+            reborn.kind = std::exchange(reborn.nextKind, "");
         reborn.started = reborn.startedStepMillis ? reborn.started + *reborn.startedStepMillis
                                                   : std::max(reborn.started + 1, m_clock.wallMicros() / 1000);
         reborn.startedAt = now();
@@ -243,10 +246,12 @@
     listWorker(m_workers[index]);
 }
 
-void CellWorld::listWorker(const WorldWorker& worker)
+void CellWorld::listWorker(WorldWorker& worker)
 {
     if (worker.isCutFromList)
         return;
+    worker.listedKind = worker.kind;
+    worker.listedStart = worker.started;
     for (auto& entry : m_entries) {
         if (!entry || !entry->isAlive)
             continue;
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -49,6 +49,8 @@
         bool isGang = false;
         uint64_t serial = 0;
         Instant beganAt = absl::ZeroDuration();
+        /** What the run would list as saved; at first what its start carried. */
+        std::string checkpoint = {};
     };
     std::string id;
     std::string rack;
@@ -81,6 +83,15 @@
     bool isDown = false;
     /** While the worker is down, calls to it end without a reply, as on a connection that was open before. */
     bool isDark = false;
+    /** Its label beside its rack. */
+    std::string kind = "a";
+    /** The label that it has after its next crash; empty for the same one. */
+    std::string nextKind;
+    /** What its entry says, which is of its former life until the list shows a restart. */
+    std::string listedKind = "a";
+    int64_t listedStart = 1;
+    /** Its entry doesn't say when it started. */
+    bool hidesStart = false;
     /** The id under which it comes back after its next crash, at the same address; empty for the same one. */
     std::string nextId;
     /** The id of its former incarnation, for which it answers that it is another one. */
@@ -93,6 +104,8 @@
     std::optional<int64_t> startedStepMillis;
     /** Added to the time that a sync takes to reach the worker. */
     absl::Duration syncDelay;
+    /** Added to the time that a list of its runs takes to its reader. */
+    absl::Duration listDelay;
     /** The worker is cut off once this many more syncs have reached it; calls then end without a reply at once. */
     std::optional<size_t> syncsUntilCut;
     /** The share of orders that are carried out late and not answered. */
@@ -172,6 +185,8 @@
     void setDeadly(Deadly deadly, absl::Duration away = absl::Seconds(3));
     /** Such a task crashes its worker before the start is answered. */
     void setCrashesBeforeReply() { m_crashesBeforeReply = true; }
+    /** The runs of the job on workers that aren't down save this checkpoint. */
+    void saveCheckpoint(const std::string& job, const std::string& checkpoint);
     /** Under how many runs of the task a worker has crashed. */
     size_t crashesUnder(const TaskName& task) const;
     /** How many workers have crashed under tasks of the job; each crash counts once. */
@@ -261,6 +276,8 @@
         absl::flat_hash_set<TaskName> finishedAcked;
         absl::btree_map<TaskName, TaskHistory> histories;
         absl::btree_map<TaskName, size_t> crashes;
+        /** What the first start of each run of a gang carried, by occurrence, step and run. */
+        absl::btree_map<std::tuple<uint32_t, uint32_t, uint32_t>, std::string> gangCheckpoints;
         /** Those of them whose worker has come back, and before the run's lease had ended. */
         absl::btree_map<TaskName, size_t> returns;
         absl::btree_map<TaskName, size_t> returnsUnderLease;
@@ -280,6 +297,8 @@
     void judgeCrashes(const TaskRun& started);
     /** The most that the worker's runs may hold together. */
     static Resources judgedCapacityOf(const WorldWorker& worker);
+    /** All members of a gang carry the same checkpoint. */
+    void judgeCheckpoint(const StartOrder& order);
     void crashSoon(size_t worker, uint64_t serial, const TaskRun& run);
     void recordCrash(const WorldWorker& worker);
     /** The next incarnation of a worker that crashed under these tasks has begun. */
@@ -299,7 +318,7 @@
     void extendLease(size_t worker, int64_t end);
     void acknowledge(WorldWorker&, uint64_t through);
     void judge(const TaskName&);
-    void listWorker(const WorldWorker&);
+    void listWorker(WorldWorker&);
     void unlistWorker(const std::string& id);
     /** The state of a call that reaches no running worker, and how long it is waited for. */
     struct NoAnswer {
