A due time beyond the range of times never comes

Cause: start + interval * K overflowed in Cell::advance(), handleOccurrenceDue() and dueTimeOf(), and a time in the past resulted.

The job is accepted as before; a refusal would also have made stored jobs unreadable, which are checked like new ones.

Looked at besides: estimates and targets go through Duration, which saturates, and reach the cell as whole milliseconds; timers add Durations. Not mended: demand * count in Cell::needs() and freePartOf() can overflow for a demand near the largest integer, of jobs with an account or gangs that fit.

--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -29,7 +29,7 @@
 {
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
     for (uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        const int64_t due = job.spec.occurrences == 0 ? 0 : job.spec.startUnixMillis + job.spec.intervalMillis * k;
+        const int64_t due = job.spec.occurrences == 0 ? 0 : dueUnixMillis(job.spec, k);
         if (due > nowUnix) {
             m_parts.timers.after(absl::Milliseconds(due - nowUnix),
                 guarded([this, id = job.spec.id, k] { handleOccurrenceDue(id, k); }));
@@ -45,7 +45,7 @@
     CellJob* job = findJob(id);
     if (!job || isEnded(job->phase))
         return;
-    const int64_t due = job->spec.startUnixMillis + job->spec.intervalMillis * occurrence;
+    const int64_t due = dueUnixMillis(job->spec, occurrence);
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
     if (due > nowUnix) {
         // The wall clock was set back in the meantime.
@@ -92,7 +92,7 @@
 
 Instant Cell::dueTimeOf(const CellJob& job, uint32_t occurrence) const
 {
-    const int64_t due = job.spec.startUnixMillis + job.spec.intervalMillis * occurrence;
+    const int64_t due = dueUnixMillis(job.spec, occurrence);
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
     return m_parts.timers.clock().now() - absl::Milliseconds(std::max<int64_t>(0, nowUnix - due));
 }
--- a/src/Workload.cpp
+++ b/src/Workload.cpp
@@ -54,6 +54,13 @@
     return success();
 }
 
+int64_t dueUnixMillis(const Submission& job, uint32_t occurrence)
+{
+    constexpr int64_t never = std::numeric_limits<int64_t>::max();
+    const bool isInRange = occurrence == 0 || job.intervalMillis <= (never - job.startUnixMillis) / occurrence;
+    return isInRange ? job.startUnixMillis + job.intervalMillis * occurrence : never;
+}
+
 std::string describeTask(const TaskName& task)
 {
     return absl::StrCat(task.job, ".", task.occurrence, ".", task.step, ".", task.index);
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -100,6 +100,9 @@
 constexpr uint32_t maxTasksPerSubmission = 20000;
 constexpr uint32_t maxOccurrences = 10000;
 
+/** When the occurrence of a job with occurrences is due, in milliseconds since 1970. A time beyond the type's range
+ * becomes its largest number, which never comes. */
+int64_t dueUnixMillis(const Submission&, uint32_t occurrence);
 /** The capacity that one task of the step takes up on its worker. */
 Resources demandOf(const StepSpec&);
 /** The number of tasks of the job's widest step. */
--- a/test/error/ExtremeJobsTest.cpp
+++ b/test/error/ExtremeJobsTest.cpp
@@ -45,3 +45,35 @@
     CHECK(reply.status == GatewayStatus::Refused);
     CHECK(reply.count >= 1 && reply.count <= 5);
 }
+
+TEST(ExtremeJobs, anOccurrenceBeyondTheRangeOfTimesNeverStarts)
+{
+    for (const int64_t interval : { std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max() / 2 }) {
+        const std::string id = absl::StrCat("timed", interval);
+        Submission job = makeJob(id, 2);
+        job.occurrences = 3;
+        job.startUnixMillis = absl::ToInt64Milliseconds(world.now()) + 2000;
+        job.intervalMillis = interval;
+        world.submit(0, job);
+        world.run(absl::Milliseconds(1900));
+        LONGS_EQUAL(0, world.startsOf(id));
+        world.run(absl::Seconds(10));
+        LONGS_EQUAL(2, world.startsOf(id));
+        CHECK(world.ask(0, id) == JobPhase::Running);
+    }
+}
+
+TEST(ExtremeJobs, aNewOwnerDoesNotStartAnOccurrenceBeyondTheRangeOfTimes)
+{
+    Submission job = makeJob("timed", 2);
+    job.occurrences = 2;
+    job.startUnixMillis = std::numeric_limits<int64_t>::max();
+    job.intervalMillis = std::numeric_limits<int64_t>::max();
+    world.submit(0, job);
+    world.run(absl::Seconds(2));
+    world.kill(*world.owner());
+    CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(5)));
+    world.run(absl::Seconds(5));
+    LONGS_EQUAL(0, world.startsOf("timed"));
+    CHECK(world.ask(*world.owner(), "timed") == JobPhase::Queued);
+}
