An id in use is refused to a job of another queue

Cause: the owner answered for any id that it knew, and requests about a job carried no queue.

Two jobs of one id can't both run, as tasks are named by the id alone. So the second hand-in is refused with 409, which names the cause and asks for another id, and GET and DELETE through another queue get 410, after the same confirmation of ownership as for any job that does not exist. The refusal counts only from an owner that is certain to be one. A repeated hand-in to the same queue remains accepted.

Records: the run record of an ended job keeps its queue, in a row that former builds read past; theirs lack it, and then the id is taken for the same queue's, as before. Marks of moved jobs name no queue: their owner reads the job's records once where it needs to know. Messages: requests about a job name its queue in a fifth field.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -236,7 +236,12 @@
 void Cell::acceptJob(Submission spec, QueuePolicy policy, Reply reply)
 {
     const std::string id = spec.id;
-    if (m_endedJobs.contains(id) || m_marks.contains(id))
+    const JobAddress address { id, policy.queue };
+    if (m_marks.contains(id))
+        return acceptMovedJob(address, std::move(reply));
+    if (isOfAnotherQueue(address))
+        return replyIdInUse(address, *queueOf(id), std::move(reply));
+    if (m_endedJobs.contains(id))
         return reply({ CellOutcome::Accepted });
     if (CellJob* known = findJob(id)) {
         m_parts.log.write("job-again", "job", id, "phase", jobPhaseName(known->phase), "stored", known->isStored);
@@ -304,9 +309,36 @@
     }));
 }
 
-void Cell::query(const std::string& id, bool isRedirected, Reply reply)
+std::optional<std::string> Cell::queueOf(const std::string& id) const
 {
-    whenLocated(id, isRedirected, std::move(reply), [this, id](Reply located) {
+    if (const auto found = m_jobs.find(id); found != m_jobs.end())
+        return found->second->policy.queue;
+    const auto ended = m_endedJobs.find(id);
+    if (ended == m_endedJobs.end() || ended->second.queue.empty())
+        return std::nullopt;
+    return ended->second.queue;
+}
+
+bool Cell::isOfAnotherQueue(const JobAddress& address) const
+{
+    return !address.queue.empty() && queueOf(address.id).value_or(address.queue) != address.queue;
+}
+
+void Cell::replyIdInUse(const JobAddress& address, absl::string_view queueInUse, Reply reply)
+{
+    m_parts.log.write(
+        "job-refused", "job", address.id, "queue", address.queue, "why", "id-in-use", "usedBy", queueInUse);
+    CellReply refused { CellOutcome::Refused };
+    refused.reason = RefusalCode::IdInUse;
+    reply(refused);
+}
+
+void Cell::query(const JobAddress& address, bool isRedirected, Reply reply)
+{
+    whenLocated(address.id, isRedirected, std::move(reply), [this, address](Reply located) {
+        const std::string& id = address.id;
+        if (isOfAnotherQueue(address))
+            return replyGone(std::move(located));
         const auto ended = m_endedJobs.find(id);
         if (ended != m_endedJobs.end())
             return located(CellReply::found(ended->second.phase, ended->second.crashes));
@@ -319,17 +351,20 @@
     });
 }
 
-void Cell::cancel(const std::string& id, bool isRedirected, Reply reply)
+void Cell::cancel(const JobAddress& address, bool isRedirected, Reply reply)
 {
-    whenLocated(id, isRedirected, std::move(reply), [this, id](Reply located) {
+    whenLocated(address.id, isRedirected, std::move(reply), [this, address](Reply located) {
+        const std::string& id = address.id;
+        if (isOfAnotherQueue(address))
+            return replyGone(std::move(located));
         const CellJob* job = findJob(id);
         if (!job || !job->isMoving)
             return cancelJob(id, std::move(located));
         // The owner of the cell to which the job moves cancels it, or this one if it stays.
-        m_requestsWhileMoving[id].push_back([this, alive = m_alive, id, located = std::move(located)]() mutable {
+        m_requestsWhileMoving[id].push_back([this, alive = m_alive, address, located = std::move(located)]() mutable {
             if (!*alive)
                 return located({ CellOutcome::NotOwner });
-            cancel(id, false, std::move(located));
+            cancel(address, false, std::move(located));
         });
     });
 }
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -67,8 +67,8 @@
     void submit(Submission, QueuePolicy, Reply);
     /** `isRedirected` says that the owner of another cell has been asked before. What this owner knows may then be
      * older than that answer, so the store is read where it matters. */
-    void query(const std::string& id, bool isRedirected, Reply);
-    void cancel(const std::string& id, bool isRedirected, Reply);
+    void query(const JobAddress&, bool isRedirected, Reply);
+    void cancel(const JobAddress&, bool isRedirected, Reply);
     /** For how many tasks with this demand the cell has room, beside what waits here. */
     uint64_t roomFor(const RoomQuery& query);
     /** Number of stored jobs of the queue of which no task has started. */
@@ -111,6 +111,11 @@
     void runWhenLoaded(absl::AnyInvocable<void()> request);
     void acceptJob(Submission, QueuePolicy, Reply);
     void cancelJob(const std::string& id, Reply);
+    /** The queue of a job of this cell; nothing when there is no such job, or the queue of an ended one is unknown. */
+    std::optional<std::string> queueOf(const std::string& id) const;
+    /** Whether the id is that of a job of another queue. */
+    bool isOfAnotherQueue(const JobAddress&) const;
+    void replyIdInUse(const JobAddress&, absl::string_view queueInUse, Reply);
     /** Says that the job does not exist once a read of the cell's row, sent after the job was looked up, shows that
      * this entry owns the cell; another owner may have accepted it otherwise. */
     void replyGone(Reply);
@@ -504,6 +509,11 @@
     void adoptRecords(const std::string& id, const StoreEntry& record, const StoreEntry& run);
     void readRecord(
         const std::string& key, absl::AnyInvocable<void(bool isRead, const std::optional<StoreEntry>&)> then);
+    /** Replies to a repeated hand-in of a job that is in another cell. */
+    void acceptMovedJob(const JobAddress&, Reply);
+    /** Calls back with the queue of a job that is in another cell; with nothing when the store could not be read, and
+     * an empty name when the records are gone or do not tell. */
+    void readQueueElsewhere(const std::string& id, absl::AnyInvocable<void(std::optional<std::string>)> then);
     /** Calls `then` with `reply` if the job is here or nowhere, and replies otherwise. */
     void whenLocated(const std::string& id, bool isRedirected, Reply reply, absl::AnyInvocable<void(Reply)> then);
     /** Replies with the cell to which the job was transferred, or calls `then` with `reply`. */
--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -17,8 +17,10 @@
      * last three. */
     using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
         std::string, std::vector<uint32_t>, std::vector<uint32_t>, std::vector<uint32_t>>;
-    /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. */
-    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>>;
+    /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. A row
+     * with a queue belongs to no gang: the record of an ended job has one that says whose the job's id is. Former
+     * versions read past it. */
+    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>, std::string>;
     /** Stands for a failed run of which only the number of attempts is known. */
     constexpr uint32_t unknownRun = 0;
     using PolicyFields = std::tuple<std::string, std::string, uint32_t, uint32_t, double, int64_t, int64_t, bool,
@@ -354,7 +356,7 @@
             const auto& all = job.occurrences[k][s].tasks;
             const std::vector<uint32_t>& failed = job.occurrences[k][s].failedRuns;
             if (!failed.empty() && !isOver)
-                gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed);
+                gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed, std::string());
             for (uint32_t i = 0; i < all.size(); ++i) {
                 const CellTask& task = all[i];
                 const TaskName name { job.spec.id, k, s, i };
@@ -371,6 +373,8 @@
             }
         }
     }
+    if (isOver)
+        gangs.emplace_back(0, 0, 0, std::vector<uint32_t>(), job.policy.queue);
     return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks, gangs, job.hasBegun);
 }
 
@@ -385,7 +389,9 @@
         return malformed("run record");
     job.phase = static_cast<JobPhase>(phase);
     job.storedPhase = job.phase;
-    for (const auto& [occurrence, step, lastFailedRun, failedRuns] : gangs) {
+    for (const auto& [occurrence, step, lastFailedRun, failedRuns, queue] : gangs) {
+        if (!queue.empty())
+            continue;
         if (!job.find({ job.spec.id, occurrence, step, 0 }))
             return malformed("run record");
         std::vector<uint32_t>& kept = job.step({ occurrence, step }).failedRuns;
@@ -430,6 +436,10 @@
     if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
         return malformed("run record");
     ended.phase = static_cast<JobPhase>(phase);
+    for (const GangFields& row : gangs) {
+        if (!std::get<4>(row).empty())
+            ended.queue = std::get<4>(row);
+    }
     for (const TaskFields& task : tasks) {
         const bool isActive = std::get<3>(task) == StoredActive;
         const auto crashes = static_cast<uint32_t>(std::get<10>(task).size() + std::get<11>(task).size());
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -240,6 +240,8 @@
     int64_t endedUnixMillis = 0;
     /** Of a failed job: how many workers crashed under the task for which it was given up; 0 if that was not why. */
     uint32_t crashes = 0;
+    /** Its queue; empty when the record is of a former build. */
+    std::string queue;
 };
 
 /** Reads a run record that has no job record, as the job has ended. */
--- a/src/CellReply.h
+++ b/src/CellReply.h
@@ -33,6 +33,8 @@
     /** It can't run while its account has this limit. Peers exchange the seconds after which other jobs may be sent
      * again in the same field, which are fewer. */
     LargerThanAccountLimit = 256,
+    /** A job of another queue has the id. */
+    IdInUse = 257,
 };
 
 struct CellReply {
--- a/src/CellTransfer.h
+++ b/src/CellTransfer.h
@@ -7,6 +7,7 @@
 #include "Clock.h"
 
 #include <cstdint>
+#include <string>
 
 namespace cicada {
 
@@ -24,6 +25,8 @@
 struct TransferMark {
     uint32_t cell = 0;
     Instant checkedAt;
+    /** The job's queue; empty while this owner has not read it. */
+    std::string queue {};
 };
 
 } // namespace cicada
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -148,6 +148,7 @@
 void Cell::finishTransfer(const std::string& id)
 {
     const uint32_t destination = m_transfers[id].destination;
+    const std::string queue = queueOf(id).value_or("");
     m_parts.log.write("job-transferred", "job", id, "from", m_term.cell, "to", destination);
     m_parts.metrics.count("cicada_jobs_transferred");
     m_transfers.erase(id);
@@ -155,7 +156,7 @@
     m_writer.forget(jobKey(id));
     m_writer.forget(runKey(id));
     if (m_term.cell == homeOf(id))
-        m_marks[id] = { destination, m_parts.timers.clock().now() };
+        m_marks[id] = { destination, m_parts.timers.clock().now(), queue };
     resumeRequests(id);
 }
 
@@ -278,6 +279,46 @@
     then(std::move(reply));
 }
 
+void Cell::acceptMovedJob(const JobAddress& address, Reply reply)
+{
+    const std::string& known = m_marks[address.id].queue;
+    if (!known.empty() && known != address.queue)
+        return replyIdInUse(address, known, std::move(reply));
+    if (!known.empty() || address.queue.empty())
+        return reply({ CellOutcome::Accepted });
+    readQueueElsewhere(
+        address.id, [this, address, reply = std::move(reply)](const std::optional<std::string>& queue) mutable {
+            if (!queue)
+                return reply({ CellOutcome::NotOwner });
+            if (const auto mark = m_marks.find(address.id); mark != m_marks.end())
+                mark->second.queue = *queue;
+            if (!queue->empty() && *queue != address.queue)
+                return replyIdInUse(address, *queue, std::move(reply));
+            reply({ CellOutcome::Accepted });
+        });
+}
+
+void Cell::readQueueElsewhere(const std::string& id, absl::AnyInvocable<void(std::optional<std::string>)> then)
+{
+    const uint32_t cell = m_marks[id].cell;
+    const auto readEnded = [this, id, cell](absl::AnyInvocable<void(std::optional<std::string>)> done) {
+        readRecord(cellKey(runKind, cell, id),
+            [done = std::move(done)](bool isRead, const std::optional<StoreEntry>& run) mutable {
+                if (!isRead)
+                    return done(std::nullopt);
+                const auto ended = endedJobOf(run ? run->value : "");
+                done(ended ? ended.value().queue : "");
+            });
+    };
+    readRecord(cellKey(jobKind, cell, id),
+        [id, readEnded, then = std::move(then)](bool isRead, const std::optional<StoreEntry>& record) mutable {
+            if (!isRead)
+                return then(std::nullopt);
+            const auto job = decodeJobRecord(id, record ? record->value : "");
+            job ? then(job.value()->policy.queue) : readEnded(std::move(then));
+        });
+}
+
 void Cell::removeHomeMarks(const std::string& id)
 {
     const uint32_t home = homeOf(id);
--- a/src/JobGateway.cpp
+++ b/src/JobGateway.cpp
@@ -73,22 +73,23 @@
 {
     m_parts.peers.handle(requestService,
         [this](absl::string_view from, absl::string_view bytes) { handleRequest(std::string(from), bytes); });
-    m_parts.peers.handle(replyService, [this](absl::string_view, absl::string_view bytes) { handleReply(bytes); });
+    m_parts.peers.handle(replyService,
+        [this](absl::string_view from, absl::string_view bytes) { handleReply(std::string(from), bytes); });
 }
 
 void JobGateway::submit(const Submission& spec, const QueuePolicy& policy, absl::Duration timeout, Callback callback)
 {
-    openRequest({ GatewayVerb::Submit, spec.id, encodeSubmission(spec, policy), std::move(callback) }, timeout);
+    openRequest({ GatewayVerb::Submit, spec.id, encodeSubmission(spec, policy), "", std::move(callback) }, timeout);
 }
 
-void JobGateway::query(const std::string& job, absl::Duration timeout, Callback callback)
+void JobGateway::query(const JobAddress& job, absl::Duration timeout, Callback callback)
 {
-    openRequest({ GatewayVerb::Query, job, job, std::move(callback) }, timeout);
+    openRequest({ GatewayVerb::Query, job.id, job.id, job.queue, std::move(callback) }, timeout);
 }
 
-void JobGateway::cancel(const std::string& job, absl::Duration timeout, Callback callback)
+void JobGateway::cancel(const JobAddress& job, absl::Duration timeout, Callback callback)
 {
-    openRequest({ GatewayVerb::Cancel, job, job, std::move(callback) }, timeout);
+    openRequest({ GatewayVerb::Cancel, job.id, job.id, job.queue, std::move(callback) }, timeout);
 }
 
 void JobGateway::pending(const std::string& queue, absl::Duration timeout, Callback callback)
@@ -110,7 +111,7 @@
             if (--sum->open == 0)
                 sum->callback(sum->reply);
         };
-        openRequest({ GatewayVerb::Pending, queue, queue, std::move(addReply), cell }, timeout);
+        openRequest({ GatewayVerb::Pending, queue, queue, "", std::move(addReply), cell }, timeout);
     }
 }
 
@@ -153,16 +154,14 @@
         request.sentAt = m_parts.timers.clock().now();
         request.wasSent = true;
         ++request.unanswered;
-        return serve(request.verb, request.cell, isRedirected, request.body,
+        return serve({ request.verb, request.cell, isRedirected, request.body, request.queue },
             [this, number](GatewayReply reply, bool isOwner) { handleAnswer(number, reply, isOwner); });
     }
     const CellRow* row = m_parts.directory.ownerOf(request.cell);
     if (!row || row->owner.name == m_parts.self || !m_parts.isLinked(row->owner.name))
         return;
-    const uint32_t verb = static_cast<uint32_t>(request.verb) | (isRedirected ? redirectedFlag : 0);
-    const bool sent = m_parts.peers.send(
-        row->owner.name, requestService, Internal::packFields(number, verb, request.cell, request.body));
-    if (!sent)
+    const std::string& owner = row->owner.name;
+    if (!m_parts.peers.send(owner, requestService, messageFor(owner, number, request, isRedirected)))
         return;
     request.sentTo = row->owner.name;
     request.sentAt = m_parts.timers.clock().now();
@@ -171,8 +170,29 @@
     resendLater(number);
 }
 
+std::string JobGateway::messageFor(const std::string& owner, uint64_t number, Request& request, bool isRedirected) const
+{
+    const uint32_t verb = static_cast<uint32_t>(request.verb) | (isRedirected ? redirectedFlag : 0);
+    const bool mayReadQueue = m_readsQueue.contains(owner) || request.queueSentTo != owner;
+    if (!request.queue.empty() && mayReadQueue) {
+        request.queueSentTo = owner;
+        return Internal::packFields(number, verb, request.cell, request.body, request.queue);
+    }
+    request.wasSentWithoutQueue = true;
+    return Internal::packFields(number, verb, request.cell, request.body);
+}
+
+void JobGateway::recordQueueRead(const std::string& owner, uint64_t number)
+{
+    const auto found = m_open.find(number);
+    if (found != m_open.end() && found->second.queueSentTo == owner && !found->second.wasSentWithoutQueue)
+        m_readsQueue.insert(owner);
+}
+
 void JobGateway::resendOpenRequests()
 {
+    // An entry that comes back may be of a former build.
+    absl::erase_if(m_readsQueue, [this](const std::string& entry) { return !m_parts.isLinked(entry); });
     std::vector<uint64_t> numbers;
     for (auto& [number, request] : m_open) {
         const CellRow* row = m_parts.directory.ownerOf(request.cell);
@@ -276,31 +296,31 @@
     trySend(number);
 }
 
-void JobGateway::serve(GatewayVerb verb, uint32_t number, bool isRedirected, const std::string& body,
-    absl::AnyInvocable<void(GatewayReply, bool)> done)
+void JobGateway::serve(const CellRequest& request, absl::AnyInvocable<void(GatewayReply, bool)> done)
 {
-    Cell* cell = m_parts.cellOf(number);
+    Cell* cell = m_parts.cellOf(request.cell);
     if (!cell)
         return done({}, false);
-    if (verb == GatewayVerb::Pending)
-        return done({ GatewayStatus::Counted, JobPhase::Queued, cell->pending(body) }, cell->isLoaded());
+    if (request.verb == GatewayVerb::Pending)
+        return done({ GatewayStatus::Counted, JobPhase::Queued, cell->pending(request.body) }, cell->isLoaded());
     auto reply = [this, done = std::move(done)](CellReply cellReply) mutable {
         // Only an entry that certainly owns the cell may report that a job does not exist, or refuse it: another owner
         // may have accepted it.
-        const bool isDecidedRefusal = cellReply.outcome == CellOutcome::Refused && cellReply.retryAfterSeconds > 0;
+        const bool isDecidedRefusal = cellReply.outcome == CellOutcome::Refused
+            && (cellReply.retryAfterSeconds > 0 || cellReply.reason == RefusalCode::IdInUse);
         const bool isUncertain = !m_parts.directory.isFresh()
             && (cellReply.outcome == CellOutcome::Gone || cellReply.outcome == CellOutcome::Moved || isDecidedRefusal);
         done(replyOf(cellReply), cellReply.outcome != CellOutcome::NotOwner && !isUncertain);
     };
-    if (verb == GatewayVerb::Query)
-        return cell->query(body, isRedirected, std::move(reply));
-    if (verb == GatewayVerb::Cancel)
-        return cell->cancel(body, isRedirected, std::move(reply));
+    if (request.verb == GatewayVerb::Query)
+        return cell->query({ request.body, request.queue }, request.isRedirected, std::move(reply));
+    if (request.verb == GatewayVerb::Cancel)
+        return cell->cancel({ request.body, request.queue }, request.isRedirected, std::move(reply));
     Submission spec;
     QueuePolicy policy;
-    auto decoded = decodeSubmission(body, spec, policy);
+    auto decoded = decodeSubmission(request.body, spec, policy);
     if (!decoded) {
-        m_parts.log.write("submission-unreadable", "cell", number, "error", decoded.error().message);
+        m_parts.log.write("submission-unreadable", "cell", request.cell, "error", decoded.error().message);
         return reply({ CellOutcome::Refused });
     }
     cell->submit(std::move(spec), std::move(policy), std::move(reply));
@@ -310,23 +330,24 @@
 {
     uint64_t number = 0;
     uint32_t verb = 0;
-    uint32_t cell = 0;
-    std::string body;
-    if (!Internal::unpackFields(bytes, "job request", number, verb, cell, body)
-        || (verb & ~redirectedFlag) > static_cast<uint32_t>(GatewayVerb::Pending)) {
+    CellRequest request;
+    const bool isRead
+        = Internal::unpackFields(bytes, "job request", number, verb, request.cell, request.body, request.queue)
+        || Internal::unpackFields(bytes, "job request", number, verb, request.cell, request.body);
+    if (!isRead || (verb & ~redirectedFlag) > static_cast<uint32_t>(GatewayVerb::Pending)) {
         m_parts.log.write("peer-message-malformed", "from", from, "service", requestService);
         return;
     }
-    const bool isRedirected = (verb & redirectedFlag) != 0;
-    serve(static_cast<GatewayVerb>(verb & ~redirectedFlag), cell, isRedirected, body,
-        [this, from, number](GatewayReply reply, bool isOwner) {
-            m_parts.peers.send(from, replyService,
-                Internal::packFields(number, isOwner, static_cast<uint32_t>(reply.status),
-                    static_cast<uint32_t>(reply.phase), reply.count));
-        });
+    request.verb = static_cast<GatewayVerb>(verb & ~redirectedFlag);
+    request.isRedirected = (verb & redirectedFlag) != 0;
+    serve(request, [this, from, number](GatewayReply reply, bool isOwner) {
+        m_parts.peers.send(from, replyService,
+            Internal::packFields(
+                number, isOwner, static_cast<uint32_t>(reply.status), static_cast<uint32_t>(reply.phase), reply.count));
+    });
 }
 
-void JobGateway::handleReply(absl::string_view bytes)
+void JobGateway::handleReply(const std::string& from, absl::string_view bytes)
 {
     uint64_t number = 0;
     bool isOwner = false;
@@ -338,6 +359,7 @@
         m_parts.log.write("peer-message-malformed", "service", replyService);
         return;
     }
+    recordQueueRead(from, number);
     handleAnswer(number, { static_cast<GatewayStatus>(status), static_cast<JobPhase>(phase), count }, isOwner);
 }
 
--- a/src/JobGateway.h
+++ b/src/JobGateway.h
@@ -12,6 +12,7 @@
 #include "RequestNumbers.h"
 
 #include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <optional>
 
@@ -75,8 +76,8 @@
 
     /** `timeout` is how long the caller waits for the reply. */
     void submit(const Submission&, const QueuePolicy&, absl::Duration timeout, Callback);
-    void query(const std::string& job, absl::Duration timeout, Callback);
-    void cancel(const std::string& job, absl::Duration timeout, Callback);
+    void query(const JobAddress& job, absl::Duration timeout, Callback);
+    void cancel(const JobAddress& job, absl::Duration timeout, Callback);
     void pending(const std::string& queue, absl::Duration timeout, Callback);
     /** Sends open requests again after the owner of a cell or a link has changed. */
     void resendOpenRequests();
@@ -92,6 +93,8 @@
         /** The job's id or the queue's name, for the log. */
         std::string subject;
         std::string body;
+        /** The queue in which the job is asked about; empty for other requests. */
+        std::string queue;
         Callback callback;
         uint32_t cell = 0;
         Instant openedAt {};
@@ -100,12 +103,27 @@
         bool wasSent = false;
         /** Sends to owners that have not been answered. */
         uint32_t unanswered = 0;
+        /** The owner to which it was last sent with its queue. */
+        std::string queueSentTo {};
+        bool wasSentWithoutQueue = false;
         /** The cell that its home cell's owner has named, if any. */
         std::optional<uint32_t> redirectedTo {};
         /** The cell in which the job was not found although its home cell's owner had named it. */
         std::optional<uint32_t> notFoundIn {};
     };
 
+    /** A request as the owner of its cell gets it. */
+    struct CellRequest {
+        GatewayVerb verb = GatewayVerb::Query;
+        uint32_t cell = 0;
+        /** Another cell's owner was asked before. */
+        bool isRedirected = false;
+        /** The encoded submission, the job's id or the queue's name. */
+        std::string body;
+        /** The queue in which the job is asked about; empty for none. */
+        std::string queue;
+    };
+
     void openRequest(Request request, absl::Duration timeout);
     void trySend(uint64_t number);
     void finish(uint64_t number, GatewayReply reply);
@@ -114,17 +132,23 @@
     void resendLater(uint64_t number);
     /** Handles a request on the owner. The callback's flag says whether this entry owns the cell; if not, the request
      * is sent again. */
-    void serve(GatewayVerb verb, uint32_t cell, bool isRedirected, const std::string& body,
-        absl::AnyInvocable<void(GatewayReply, bool)>);
+    void serve(const CellRequest& request, absl::AnyInvocable<void(GatewayReply, bool)>);
+    /** The message that passes the request on to the owner. Owners of former builds read no queue, so one that has not
+     * replied to a message with it gets the next one without. */
+    std::string messageFor(const std::string& owner, uint64_t number, Request& request, bool isRedirected) const;
+    /** Remembers an owner that has replied to a request with a queue. */
+    void recordQueueRead(const std::string& owner, uint64_t number);
     /** Handles the owner's answer, which may send the request elsewhere. */
     void handleAnswer(uint64_t number, GatewayReply reply, bool isOwner);
     void handleRedirect(uint64_t number, Request& request, uint32_t cell);
     void handleRequest(const std::string& from, absl::string_view bytes);
-    void handleReply(absl::string_view bytes);
+    void handleReply(const std::string& from, absl::string_view bytes);
 
     Parts m_parts;
     absl::btree_map<uint64_t, Request> m_open;
     RequestNumbers m_numbers;
+    /** Linked entries that are known to read the queue of a request. */
+    absl::flat_hash_set<std::string> m_readsQueue;
 };
 
 } // namespace cicada
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -93,6 +93,14 @@
     int64_t intervalMillis = 0;
 };
 
+/** What a caller asks about: the job with this id in this queue. Ids are chosen by callers, those of different queues
+ * may choose the same one. */
+struct JobAddress {
+    std::string id;
+    /** Empty where an entry of a former build passes the request on, which names no queue. */
+    std::string queue;
+};
+
 /** Bounds on what a caller may submit. */
 constexpr size_t maxPayloadBytes = 4000;
 constexpr size_t maxSteps = 64;
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -145,6 +145,27 @@
     LONGS_EQUAL(2, crashesAtEnd(*read));
 }
 
+TEST(CellRecords, theQueueOutlastsTheJobRecordAndIsUnknownInRecordsOfTheFormerBuild)
+{
+    using FormerGang = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>>;
+    auto job = sample();
+    job->phase = JobPhase::Finished;
+    const std::string record = encodeRunRecord(*job);
+    STRCMP_EQUAL("q", endedJobOf(record).value().queue.c_str());
+    auto read = sample();
+    CHECK(applyRunRecord(*read, record).has_value());
+    LONGS_EQUAL(0, read->step({ 0, 0 }).failedRuns.size());
+    const auto noTasks = std::vector<int>();
+    const std::string former = Internal::packFields(2u, int64_t { 7 }, noTasks, std::vector<FormerGang>(), true);
+    STRCMP_EQUAL("", endedJobOf(former).value().queue.c_str());
+    uint32_t phase = 0;
+    int64_t ended = 0;
+    std::vector<int> tasks;
+    std::vector<FormerGang> gangs;
+    bool hasBegun = false;
+    CHECK(Internal::unpackFields(record, "run record", phase, ended, tasks, gangs, hasBegun).has_value());
+}
+
 TEST(CellRecords, aRecordUnderAnotherIdIsNotTaken)
 {
     CHECK(!decodeJobRecord("ffffffffffffffff", encodeJobRecord(*sample())).has_value());
--- a/test/failure/CellTransfersTest.cpp
+++ b/test/failure/CellTransfersTest.cpp
@@ -164,6 +164,33 @@
     CHECK(!world->ask(0, CellWorld::jobIn(0, cells, 777)).has_value());
 }
 
+TEST(CellTransfers, theIdOfAMovedJobIsInUseForOtherQueues)
+{
+    loseCell(0);
+    submitTo(0, 1, 2, absl::Seconds(3));
+    const std::string id = jobs.front();
+    CHECK(world->runUntil([&] { return hasMark(id); }, idleBound));
+    const auto submitToAnotherQueue = [&] {
+        QueuePolicy policy = world->policy();
+        policy.queue = "reports";
+        std::optional<GatewayReply> answer;
+        world->gateway(*world->ownerOf(0))
+            .submit(
+                makeJob(id, 3), policy, absl::Milliseconds(2800), [&answer](GatewayReply reply) { answer = reply; });
+        CHECK(world->runUntil([&] { return answer.has_value(); }, absl::Seconds(3)));
+        return answer->isRefusedFor(RefusalCode::IdInUse);
+    };
+    CHECK(submitToAnotherQueue());
+    // The marks name no queue, so a new owner reads the records in the other cell.
+    for (int i = 0; i < 2; ++i) {
+        world->kill(*world->ownerOf(0));
+        CHECK(world->runUntil([&] { return world->ownerOf(0) && world->ownerOf(1); }, absl::Seconds(8)));
+        world->run(absl::Seconds(1));
+        CHECK(submitToAnotherQueue());
+        CHECK(allEnd(settleBound));
+    }
+}
+
 TEST(CellTransfers, aCancelAtAnyMomentOfATransferHolds)
 {
     for (int64_t at = 800; at <= 2600; at += 50) {
--- a/test/support/CellWorld.h
+++ b/test/support/CellWorld.h
@@ -172,6 +172,8 @@
     void drainWorker(size_t worker);
     /** The worker's capacity changes, and it lists the new one. */
     void setCapacity(size_t worker, const Resources& capacity);
+    /** The entry reads requests about jobs only as the former build writes them, which name no queue. */
+    void setReadsNoQueue(size_t entry);
     std::optional<size_t> owner() const;
     std::optional<size_t> ownerOf(uint32_t cell) const;
     /** Sets the number of cells, and puts the racks, each of four workers, into the cells in turn. To be called before
@@ -308,6 +310,8 @@
     std::vector<std::unique_ptr<WorldEntry>> m_entries;
     std::vector<std::unique_ptr<WorldEntry>> m_dead;
     absl::btree_set<size_t> m_far;
+    /** Names of entries. */
+    absl::btree_set<std::string> m_readNoQueue;
     QueuePolicy m_policy;
     /** Policies of queues that hold one job, by its id, which is also the queue's name. */
     absl::btree_map<std::string, QueuePolicy> m_policiesOfJobs;
--- a/test/support/CellWorldCallers.cpp
+++ b/test/support/CellWorldCallers.cpp
@@ -51,7 +51,8 @@
     WorldEntry* at = m_entries[entry].get();
     if (!at || !at->isAlive)
         return;
-    at->host.gateway().cancel(job, absl::Milliseconds(2800), [this, job](GatewayReply reply) {
+    const JobAddress address { job, policyOfJob(job).queue };
+    at->host.gateway().cancel(address, absl::Milliseconds(2800), [this, job](GatewayReply reply) {
         if (reply.status != GatewayStatus::Cancelled || m_jobs[job].isCancelAcked)
             return;
         m_jobs[job].isCancelAcked = true;
@@ -64,8 +65,9 @@
     WorldEntry* at = m_entries[entry].get();
     const bool wasAccepted = m_accepted.contains(job);
     auto answer = std::make_shared<std::optional<GatewayReply>>();
+    const JobAddress address { job, policyOfJob(job).queue };
     if (at && at->isAlive)
-        at->host.gateway().query(job, absl::Milliseconds(2500), [answer](GatewayReply reply) { *answer = reply; });
+        at->host.gateway().query(address, absl::Milliseconds(2500), [answer](GatewayReply reply) { *answer = reply; });
     runUntil([answer] { return answer->has_value(); }, absl::Milliseconds(2600));
     if (!*answer)
         return std::nullopt;
--- a/test/support/CellWorldEntry.h
+++ b/test/support/CellWorldEntry.h
@@ -199,12 +199,9 @@
         return found == m_lost.end() ? std::nullopt : std::optional<Instant>(found->second);
     }
     void set(const std::string& peer, bool isUp);
-    void deliver(const std::string& from, const std::string& service, const std::string& bytes)
-    {
-        const auto found = m_handlers.find(service);
-        if (found != m_handlers.end() && m_linked.contains(from))
-            (*found->second)(from, bytes);
-    }
+    /** Whether the message is a request about a job that names its queue. */
+    static bool namesQueue(const std::string& service, const std::string& bytes);
+    void deliver(const std::string& from, const std::string& service, const std::string& bytes);
 
 private:
     CellWorld& m_world;
--- a/test/support/CellWorldLinks.cpp
+++ b/test/support/CellWorldLinks.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "CellWorldEntry.h"
+#include "Pack.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -16,6 +17,28 @@
 
 } // namespace
 
+void CellWorld::setReadsNoQueue(size_t entry) { m_readNoQueue.insert(m_entries[entry]->name); }
+
+bool CellWorld::Links::namesQueue(const std::string& service, const std::string& bytes)
+{
+    uint64_t number = 0;
+    uint32_t verb = 0;
+    uint32_t cell = 0;
+    std::string body;
+    std::string queue;
+    return service == "job.ask"
+        && Internal::unpackFields(bytes, "job request", number, verb, cell, body, queue).has_value();
+}
+
+void CellWorld::Links::deliver(const std::string& from, const std::string& service, const std::string& bytes)
+{
+    if (m_world.m_readNoQueue.contains(m_entry.name) && namesQueue(service, bytes))
+        return;
+    const auto found = m_handlers.find(service);
+    if (found != m_handlers.end() && m_linked.contains(from))
+        (*found->second)(from, bytes);
+}
+
 CellWorld::NoAnswer CellWorld::noAnswerOf(const WorkerIncarnation& incarnation, absl::Duration delay)
 {
     for (const WorldWorker& worker : m_workers) {
