A run record is never longer than the store's values, and a rejected write holds up no other

Cause: the run record has a row of some 60 bytes for each active task, each with the worker's id. Beyond 1 MB the store rejects it. The writer took that for a missing reply and sent it again without end, one batch at a time, and tied what waited for the other keys of the batch to it.

The tests of records and of the writer use what is added here and were not run before.

A record of more than 900 KiB is written as a table: workers and states of tasks stand once, and ranges of tasks refer to them. Shorter records stay as they were, so former builds can read all that they could have written; both forms are read. If the table is too long as well, it goes without the checkpoints of active runs, which their workers list to a new owner. TaskRows holds the rows.

What waits for a write waits for its own key only. A transfer that is rejected is given up.

No job is refused at hand-in for its width: the widest one, with 60 workers of 36 bytes and a third of its tasks finished, is within the bound with checkpoints of any length (theRecordOfTheWidestJobIsNoLongerThanTheStoreTakes). Long lists of failed runs on most of 20,000 tasks could still exceed it; such a job stands still, and no other. What the table costs in processor time was not measured.

--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -1,6 +1,7 @@
 #include "CellJob.h"
 
 #include "Pack.h"
+#include "TaskRows.h"
 
 #include <algorithm>
 
@@ -12,11 +13,8 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, the
-     * runs that were on a worker when it crashed, and those that may have been. Records of former versions lack the
-     * last three. */
-    using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
-        std::string, std::vector<uint32_t>, std::vector<uint32_t>, std::vector<uint32_t>>;
+    using Internal::TaskFields;
+    using Internal::TaskTable;
     /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. A row
      * with a queue belongs to no gang: the record of an ended job has one that says whose the job's id is. Former
      * versions read past it. */
@@ -122,6 +120,55 @@
             "Check whether another program writes below the same prefix of the store." };
     }
 
+    /** What a run record holds. */
+    struct RunRecord {
+        uint32_t phase = 0;
+        int64_t endedUnixMillis = 0;
+        std::vector<TaskFields> tasks;
+        std::vector<GangFields> gangs;
+        bool hasBegun = false;
+    };
+
+    std::string encodeAsTable(const RunRecord& record)
+    {
+        const TaskTable table = Internal::makeTaskTable(record.tasks);
+        return Internal::packFields(record.phase, record.endedUnixMillis, table.workers, table.states, table.ranges,
+            record.gangs, record.hasBegun);
+    }
+
+    std::string encode(RunRecord record)
+    {
+        std::string rows
+            = Internal::packFields(record.phase, record.endedUnixMillis, record.tasks, record.gangs, record.hasBegun);
+        if (rows.size() <= maxRunRecordBytes)
+            return rows;
+        std::string table = encodeAsTable(record);
+        if (table.size() <= maxRunRecordBytes)
+            return table;
+        for (TaskFields& task : record.tasks) {
+            if (std::get<3>(task) == StoredActive)
+                std::get<8>(task).clear();
+        }
+        return encodeAsTable(record);
+    }
+
+    Result<RunRecord> decode(absl::string_view bytes)
+    {
+        RunRecord record;
+        const auto asRows = Internal::unpackFields(
+            bytes, "run record", record.phase, record.endedUnixMillis, record.tasks, record.gangs, record.hasBegun);
+        if (!asRows) {
+            TaskTable table;
+            BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "run record", record.phase, record.endedUnixMillis,
+                table.workers, table.states, table.ranges, record.gangs, record.hasBegun));
+            BOOST_OUTCOME_TRY(rows, Internal::rowsOf(table));
+            record.tasks = std::move(rows);
+        }
+        if (record.phase > static_cast<uint32_t>(JobPhase::Cancelled))
+            return malformed("run record");
+        return record;
+    }
+
     void restore(CellTask& task, const TaskFields& fields, std::vector<uint32_t>& failedRuns)
     {
         uint32_t form = StoredWaiting;
@@ -375,21 +422,18 @@
     }
     if (isOver)
         gangs.emplace_back(0, 0, 0, std::vector<uint32_t>(), job.policy.queue);
-    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks, gangs, job.hasBegun);
+    return encode(
+        { static_cast<uint32_t>(job.phase), job.endedUnixMillis, std::move(tasks), std::move(gangs), job.hasBegun });
 }
 
 Result<void> applyRunRecord(CellJob& job, absl::string_view bytes)
 {
-    uint32_t phase = 0;
-    std::vector<TaskFields> tasks;
-    std::vector<GangFields> gangs;
-    BOOST_OUTCOME_TRY(
-        Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks, gangs, job.hasBegun));
-    if (phase > static_cast<uint32_t>(JobPhase::Cancelled))
-        return malformed("run record");
-    job.phase = static_cast<JobPhase>(phase);
+    BOOST_OUTCOME_TRY(record, decode(bytes));
+    job.endedUnixMillis = record.endedUnixMillis;
+    job.hasBegun = record.hasBegun;
+    job.phase = static_cast<JobPhase>(record.phase);
     job.storedPhase = job.phase;
-    for (const auto& [occurrence, step, lastFailedRun, failedRuns, queue] : gangs) {
+    for (const auto& [occurrence, step, lastFailedRun, failedRuns, queue] : record.gangs) {
         if (!queue.empty())
             continue;
         if (!job.find({ job.spec.id, occurrence, step, 0 }))
@@ -399,7 +443,7 @@
         if (kept.empty())
             kept.push_back(lastFailedRun);
     }
-    for (const TaskFields& fields : tasks) {
+    for (const TaskFields& fields : record.tasks) {
         const TaskName name { job.spec.id, std::get<0>(fields), std::get<1>(fields), std::get<2>(fields) };
         CellTask* task = job.find(name);
         if (!task)
@@ -426,21 +470,17 @@
 
 Result<EndedJob> endedJobOf(absl::string_view runRecord)
 {
-    uint32_t phase = 0;
+    BOOST_OUTCOME_TRY(record, decode(runRecord));
     EndedJob ended;
-    std::vector<TaskFields> tasks;
-    std::vector<GangFields> gangs;
-    bool hasBegun = false;
-    BOOST_OUTCOME_TRY(
-        Internal::unpackFields(runRecord, "run record", phase, ended.endedUnixMillis, tasks, gangs, hasBegun));
-    if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
+    ended.endedUnixMillis = record.endedUnixMillis;
+    ended.phase = static_cast<JobPhase>(record.phase);
+    if (!isEnded(ended.phase))
         return malformed("run record");
-    ended.phase = static_cast<JobPhase>(phase);
-    for (const GangFields& row : gangs) {
+    for (const GangFields& row : record.gangs) {
         if (!std::get<4>(row).empty())
             ended.queue = std::get<4>(row);
     }
-    for (const TaskFields& task : tasks) {
+    for (const TaskFields& task : record.tasks) {
         const bool isActive = std::get<3>(task) == StoredActive;
         const auto crashes = static_cast<uint32_t>(std::get<10>(task).size() + std::get<11>(task).size());
         if (ended.phase == JobPhase::Failed && !isActive)
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -226,7 +226,11 @@
 /** Encode and decode a submission with its policy, as peers exchange it. */
 std::string encodeSubmission(const Submission&, const QueuePolicy&);
 Result<void> decodeSubmission(absl::string_view bytes, Submission&, QueuePolicy&);
-/** Encode the run record, and apply one to a job that decodeJobRecord() has just created. */
+/** A run record is at most this long, as the store takes values of up to 1 MB. */
+constexpr size_t maxRunRecordBytes = size_t { 900 } << 10;
+/** Encode the run record, and apply one to a job that decodeJobRecord() has just created. One that would be longer than
+ * `maxRunRecordBytes` is written as a table, which former builds can't read. Where that is too long as well, the
+ * checkpoints of active runs are left out: their workers list these. */
 std::string encodeRunRecord(const CellJob&);
 Result<void> applyRunRecord(CellJob&, absl::string_view bytes);
 /** Encode and decode the mark that stands in place of both records of a job that is in another cell; nothing when the
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -130,6 +130,8 @@
         return finishTransfer(id);
     if (reply.status != TransactionStatus::ConditionFailed) {
         transfer.mayApplyLate = transfer.mayApplyLate || reply.status == TransactionStatus::Unknown;
+        if (reply.status == TransactionStatus::Rejected && !transfer.mayApplyLate)
+            return cancelTransfer(id);
         return retryTransfer(id, [this, id] { sendTransfer(id); });
     }
     const StoreEntry* row = findEntry(reply.current, m_term.row);
--- a/src/DurableWriter.cpp
+++ b/src/DurableWriter.cpp
@@ -1,5 +1,9 @@
 #include "DurableWriter.h"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 namespace cicada {
 
 namespace {
@@ -10,6 +14,8 @@
     constexpr size_t maxInFlight = 32;
     constexpr absl::Duration firstRetryDelay = absl::Milliseconds(50);
     constexpr absl::Duration maxRetryDelay = absl::Milliseconds(150);
+    /** A key that the store rejects is sent again after this time, when its value may have become acceptable. */
+    constexpr absl::Duration rejectedRetryDelay = absl::Seconds(1);
     /** Bounds of the time-out for a reply. */
     constexpr absl::Duration minReplyTimeout = absl::Milliseconds(250);
     constexpr absl::Duration maxReplyTimeout = absl::Milliseconds(1500);
@@ -114,26 +120,10 @@
     size_t bytes = 0;
     std::vector<std::string> remaining;
     for (std::string& name : m_dirty) {
-        Key& key = m_keys[name];
-        if (key.isInFlight || batch.keys.size() == keysPerTransaction || bytes > maxTransactionBytes) {
+        if (mayJoin(m_keys[name], batch, bytes))
+            bytes += addToBatch(name, batch, transaction);
+        else
             remaining.push_back(std::move(name));
-            continue;
-        }
-        auto value = m_parts.valueOf(name);
-        key.isDirty = false;
-        key.isInFlight = true;
-        transaction.conditions.push_back({ name, key.revision });
-        for (Done& done : key.waiting)
-            batch.done.push_back(std::move(done));
-        key.waiting.clear();
-        if (value) {
-            bytes += value->size();
-            transaction.writes.push_back({ name, *value, 0 });
-        } else if (key.revision != 0) {
-            transaction.removals.push_back(name);
-        }
-        batch.values.push_back(std::move(value));
-        batch.keys.push_back(std::move(name));
     }
     m_dirty = std::move(remaining);
     if (batch.keys.empty())
@@ -149,6 +139,32 @@
     return true;
 }
 
+bool DurableWriter::mayJoin(const Key& key, const Batch& batch, size_t bytes) const
+{
+    const bool isFull = batch.keys.size() == keysPerTransaction || bytes > maxTransactionBytes;
+    if (key.isInFlight || isFull || key.notBefore > m_parts.timers.clock().now())
+        return false;
+    return batch.keys.empty() || (!key.isSentAlone && !m_keys.at(batch.keys.front()).isSentAlone);
+}
+
+size_t DurableWriter::addToBatch(const std::string& name, Batch& batch, Transaction& transaction)
+{
+    Key& key = m_keys[name];
+    auto value = m_parts.valueOf(name);
+    const size_t bytes = value ? value->size() : 0;
+    key.isDirty = false;
+    key.isInFlight = true;
+    transaction.conditions.push_back({ name, key.revision });
+    if (value)
+        transaction.writes.push_back({ name, *value, 0 });
+    else if (key.revision != 0)
+        transaction.removals.push_back(name);
+    batch.waiting.push_back(std::exchange(key.waiting, {}));
+    batch.values.push_back(std::move(value));
+    batch.keys.push_back(name);
+    return bytes;
+}
+
 DurableWriter::Batch DurableWriter::takeInFlight(uint64_t number)
 {
     const auto found = m_inFlight.find(number);
@@ -178,6 +194,8 @@
         }
         // An earlier attempt without a reply may have written the same values.
         isAlreadyApplied(batch, reply) ? handleApplied(batch) : requeue(batch);
+    } else if (reply.status == TransactionStatus::Rejected) {
+        handleRejected(batch);
     } else {
         if (m_failures == 1)
             m_parts.log.write("store-write-failed", "keys", batch.keys.size(), "unknown",
@@ -191,7 +209,9 @@
 
 void DurableWriter::recordOutcome(const Batch& batch, TransactionStatus status)
 {
-    if (status == TransactionStatus::Applied || status == TransactionStatus::ConditionFailed) {
+    const bool isAnswered = status == TransactionStatus::Applied || status == TransactionStatus::ConditionFailed
+        || status == TransactionStatus::Rejected;
+    if (isAnswered) {
         if (m_failures > 0)
             m_parts.log.write("store-writes-resumed", "failures", m_failures);
         m_failures = 0;
@@ -211,15 +231,18 @@
 void DurableWriter::handleApplied(Batch& batch)
 {
     for (size_t i = 0; i < batch.keys.size(); ++i) {
+        const auto key = m_keys.find(batch.keys[i]);
+        key->second.isSentAlone = false;
         if (batch.values[i])
             continue;
-        const auto key = m_keys.find(batch.keys[i]);
         key->second.revision = 0;
         if (!key->second.isDirty && key->second.waiting.empty())
             m_keys.erase(key);
     }
-    for (Done& done : batch.done)
-        done();
+    for (std::vector<Done>& waiting : batch.waiting) {
+        for (Done& done : waiting)
+            done();
+    }
 }
 
 bool DurableWriter::isAlreadyApplied(const Batch& batch, const TransactionReply& reply) const
@@ -253,29 +276,31 @@
 
 void DurableWriter::requeue(Batch& batch)
 {
-    for (const std::string& name : batch.keys) {
-        Key& key = m_keys[name];
+    for (size_t i = 0; i < batch.keys.size(); ++i) {
+        Key& key = m_keys[batch.keys[i]];
+        std::move(batch.waiting[i].begin(), batch.waiting[i].end(), std::back_inserter(key.waiting));
         if (key.isDirty)
             continue;
         key.isDirty = true;
-        m_dirty.push_back(name);
+        m_dirty.push_back(batch.keys[i]);
     }
-    // The callbacks of this batch run once the last of its keys is durable.
-    Key& last = m_keys[batch.keys.back()];
+}
+
+void DurableWriter::handleRejected(Batch& batch)
+{
+    for (const std::string& name : batch.keys)
+        m_keys[name].isSentAlone = true;
     if (batch.keys.size() == 1) {
-        for (Done& done : batch.done)
-            last.waiting.push_back(std::move(done));
-        return;
-    }
-    auto shared = std::make_shared<std::pair<size_t, std::vector<Done>>>(batch.keys.size(), std::move(batch.done));
-    for (const std::string& name : batch.keys) {
-        m_keys[name].waiting.push_back([shared] {
-            if (--shared->first > 0)
-                return;
-            for (Done& done : shared->second)
-                done();
+        m_parts.metrics.count("cicada_store_rejections");
+        m_parts.log.write("store-write-rejected", "key", batch.keys.front(), "bytes",
+            batch.values.front() ? batch.values.front()->size() : 0);
+        m_keys[batch.keys.front()].notBefore = m_parts.timers.clock().now() + rejectedRetryDelay;
+        m_parts.timers.after(rejectedRetryDelay, [this, alive = m_alive] {
+            if (*alive)
+                scheduleSend(absl::ZeroDuration());
         });
     }
+    requeue(batch);
 }
 
 } // namespace cicada
--- a/src/DurableWriter.h
+++ b/src/DurableWriter.h
@@ -4,7 +4,9 @@
  * Writes the records of one cell to the store in batches. Each transaction requires that the cell's row is unchanged,
  * so that a former owner's writes fail. It also names the revision of every key that it replaces, so that a write which
  * takes effect late can't overwrite a newer value with an older one. A write without a reply is repeated with the
- * newest value; the revisions that a failed condition returns show whether the first attempt took effect.
+ * newest value; the revisions that a failed condition returns show whether the first attempt took effect. A write that
+ * the store rejects holds up no other one: its keys are sent again one by one, and the one that is rejected alone
+ * waits.
  */
 
 #include "EventLog.h"
@@ -63,18 +65,27 @@
         uint64_t revision = 0;
         bool isDirty = false;
         bool isInFlight = false;
+        /** It was in a batch that the store rejected: it is sent without others until it is stored. */
+        bool isSentAlone = false;
+        /** Not sent before this time, which is set when it was rejected alone. */
+        Instant notBefore = absl::ZeroDuration();
         std::vector<Done> waiting;
     };
     struct Batch {
         std::vector<std::string> keys;
         /** What was sent; nothing for a key that is removed. */
         std::vector<std::optional<std::string>> values;
-        std::vector<Done> done;
+        /** For each key, what waits for it. */
+        std::vector<std::vector<Done>> waiting;
         Instant sentAt = absl::ZeroDuration();
     };
 
     void sendBatches();
     bool sendBatch();
+    /** Whether the key, which is dirty, can join the batch that is being made. */
+    bool mayJoin(const Key& key, const Batch& batch, size_t bytes) const;
+    /** Adds the key's newest value to the batch and its transaction; returns the value's size. */
+    size_t addToBatch(const std::string& name, Batch& batch, Transaction& transaction);
     void handleReply(uint64_t number, const TransactionReply& reply);
     /** Removes a batch from the ones in flight and returns it. */
     Batch takeInFlight(uint64_t number);
@@ -84,6 +95,8 @@
     bool isAlreadyApplied(const Batch& batch, const TransactionReply& reply) const;
     bool updateRevisions(const Batch& batch, const TransactionReply& reply);
     void requeue(Batch& batch);
+    /** Sends the batch's keys one by one from now on; a single one is kept from being sent for a while. */
+    void handleRejected(Batch& batch);
     void scheduleSend(absl::Duration delay);
 
     Parts m_parts;
--- a/src/TransactionalStore.h
+++ b/src/TransactionalStore.h
@@ -41,6 +41,8 @@
     LeaseEnded,
     /** The store rejected it or was not reached: it has no effect now or later. */
     NotApplied,
+    /** The store answered that it never takes this call, as when a value is too long: it has no effect. */
+    Rejected,
     /** No reply: it may have taken effect, or may still take effect. */
     Unknown,
 };
--- a/test/correctness/DurableWriterTest.cpp
+++ b/test/correctness/DurableWriterTest.cpp
@@ -4,6 +4,8 @@
 
 #include "DurableWriter.h"
 
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "absl/strings/str_cat.h"
 
 #include "CppUTest/TestHarness.h"
@@ -40,13 +42,16 @@
     Metrics metrics;
     HeldStore store;
     std::string value = "v1";
+    /** Values of single keys, instead of `value`. */
+    absl::btree_map<std::string, std::string> values {};
     int done = 0;
     bool isLost = false;
     DurableWriter writer { { store, timers, log, metrics,
-                               [this](const std::string&) { return std::optional<std::string>(value); },
+                               [this](const std::string& key) { return std::optional<std::string>(valueOf(key)); },
                                [this] { isLost = true; } },
         { "row", 5 } };
 
+    std::string valueOf(const std::string& key) { return values.contains(key) ? values[key] : value; }
     void pass(absl::Duration duration)
     {
         const Instant until = clock.now() + duration;
@@ -237,3 +242,46 @@
         write(key);
     CHECK_EQUAL(before + 3, store.sent.size());
 }
+
+TEST(DurableWriting, aValueThatTheStoreRejectsHoldsUpNoOtherKey)
+{
+    values["long"] = std::string(2000, 'x');
+    absl::btree_set<std::string> durable;
+    // Answers what has been sent; long values are rejected.
+    const auto answerAll = [&] {
+        auto callbacks = std::exchange(store.callbacks, {});
+        const size_t first = store.sent.size() - callbacks.size();
+        for (size_t i = 0; i < callbacks.size(); ++i) {
+            const std::vector<StoreWrite>& writes = store.sent[first + i].writes;
+            TransactionReply reply;
+            const bool isTooLong = std::any_of(
+                writes.begin(), writes.end(), [](const StoreWrite& write) { return write.value.size() > 1000; });
+            reply.status = isTooLong ? TransactionStatus::Rejected : TransactionStatus::Applied;
+            reply.revision = 10 + first + i;
+            callbacks[i](reply);
+        }
+        pass(absl::Milliseconds(20));
+    };
+    for (const char* key : { "a", "long", "b" })
+        writer.write(key, [&durable, key] { durable.insert(key); });
+    pass(absl::Milliseconds(30));
+    for (int i = 0; i < 4; ++i)
+        answerAll();
+    CHECK((absl::btree_set<std::string> { "a", "b" }) == durable);
+    const size_t before = store.sent.size();
+    for (int i = 0; i < 20; ++i) {
+        const std::string key = absl::StrCat("later", i);
+        writer.write(key, [&durable, key] { durable.insert(key); });
+        pass(absl::Milliseconds(100));
+        answerAll();
+        CHECK(durable.contains(key));
+    }
+    // It is not sent again with each of the others.
+    CHECK(store.sent.size() - before < 40);
+    values["long"] = "short";
+    for (int i = 0; i < 4; ++i) {
+        pass(absl::Milliseconds(600));
+        answerAll();
+    }
+    CHECK(durable.contains("long"));
+}
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -166,6 +166,72 @@
     CHECK(Internal::unpackFields(record, "run record", phase, ended, tasks, gangs, hasBegun).has_value());
 }
 
+TEST(CellRecords, theRecordOfTheWidestJobIsNoLongerThanTheStoreTakes)
+{
+    const auto widest = [] {
+        Submission spec = sample()->spec;
+        spec.steps = { spec.steps[0], spec.steps[0] };
+        for (StepSpec& step : spec.steps)
+            step.taskCount = maxTasksPerStep;
+        return makeCellJob(spec, {}, 12345);
+    };
+    constexpr size_t workers = 60;
+    constexpr size_t idBytes = 36;
+    for (const std::string& checkpoint : { std::string(), std::string(16, 'c'), std::string(300, 'c') }) {
+        auto job = widest();
+        for (uint32_t s = 0; s < 2; ++s) {
+            for (uint32_t i = 0; i < maxTasksPerStep; ++i) {
+                CellTask& task = job->step({ 0, s }).tasks[i];
+                const size_t worker = (i * 7919 + s) % workers;
+                task.stage = i % 3 == 0 ? TaskStage::Finished : TaskStage::Running;
+                task.run = 1 + i % 3;
+                task.worker = absl::StrCat(std::string(idBytes - 2, 'w'), 10 + worker);
+                task.workerStarted = 1796668287939 + static_cast<int64_t>(worker);
+                task.checkpoint = checkpoint.empty() ? "" : absl::StrCat(checkpoint, 100000 + i);
+                if (i % 5 == 0)
+                    task.failedRuns = { 1 };
+            }
+            job->step({ 0, s }).finished = (maxTasksPerStep + 2) / 3;
+        }
+        const std::string record = encodeRunRecord(*job);
+        CHECK(record.size() <= maxRunRecordBytes);
+        auto read = widest();
+        CHECK(applyRunRecord(*read, record).has_value());
+        for (uint32_t s = 0; s < 2; ++s) {
+            LONGS_EQUAL(job->step({ 0, s }).finished, read->step({ 0, s }).finished);
+            for (uint32_t i = 0; i < maxTasksPerStep; ++i) {
+                const CellTask& task = job->step({ 0, s }).tasks[i];
+                const CellTask& again = read->step({ 0, s }).tasks[i];
+                CHECK((task.stage == TaskStage::Finished) == (again.stage == TaskStage::Finished));
+                CHECK(task.run == again.run && task.failedRuns == again.failedRuns);
+                if (task.hasActiveRun())
+                    CHECK(task.worker == again.worker && task.workerStarted == again.workerStarted);
+            }
+        }
+    }
+}
+
+TEST(CellRecords, aTableThatNamesWhatItLacksIsRefused)
+{
+    using Range = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t>;
+    const std::vector<std::tuple<std::string, int64_t>> workers = { { "w", 1 } };
+    using State = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t>;
+    const std::vector<std::string> states = { Internal::packFields(State(0, 0, 0, 1, 4)) };
+    const auto apply = [&](const Range& range) {
+        auto job = sample();
+        const std::vector<Range> ranges = { range };
+        const std::vector<int> none;
+        return applyRunRecord(*job, Internal::packFields(1u, int64_t { 0 }, workers, states, ranges, none, true))
+            .has_value();
+    };
+    CHECK(apply({ 0, 1, 0, 3, 0, 0 }));
+    CHECK_FALSE(apply({ 0, 1, 0, 4, 0, 0 }));
+    CHECK_FALSE(apply({ 0, 1, 0, 0xffffffff, 0, 0 }));
+    CHECK_FALSE(apply({ 0, 1, 0xffffffff, 3, 0, 0 }));
+    CHECK_FALSE(apply({ 0, 1, 0, 3, 1, 0 }));
+    CHECK_FALSE(apply({ 0, 1, 0, 3, 0, 1 }));
+}
+
 TEST(CellRecords, aRecordUnderAnotherIdIsNotTaken)
 {
     CHECK(!decodeJobRecord("ffffffffffffffff", encodeJobRecord(*sample())).has_value());
--- a/test/support/WorldStore.cpp
+++ b/test/support/WorldStore.cpp
@@ -9,6 +9,13 @@
 TransactionReply WorldStore::transact(const Transaction& transaction)
 {
     TransactionReply reply;
+    const bool isTooLong = std::any_of(transaction.writes.begin(), transaction.writes.end(),
+        [this](const StoreWrite& write) { return write.value.size() > m_maxValueBytes; });
+    if (isTooLong) {
+        ++m_refusedValues;
+        reply.status = TransactionStatus::Rejected;
+        return reply;
+    }
     bool holds = true;
     for (const StoreCondition& condition : transaction.conditions) {
         const auto found = m_entries.find(condition.key);
--- a/test/support/WorldStore.h
+++ b/test/support/WorldStore.h
@@ -36,6 +36,10 @@
     uint64_t grant(absl::Duration ttl);
     bool keep(uint64_t lease);
     void endLease(uint64_t lease);
+    /** Transactions with a longer value are refused for good. */
+    void setMaxValueBytes(size_t bytes) { m_maxValueBytes = bytes; }
+    /** How many were. */
+    size_t refusedValues() const { return m_refusedValues; }
     void dropHistory() { m_oldest = m_revision; }
     const std::string* find(const std::string& key) const;
     /** Writes as the operator or a worker does. */
@@ -57,6 +61,8 @@
     uint64_t m_revision = 1;
     uint64_t m_oldest = 0;
     uint64_t m_lastLease = 0;
+    size_t m_maxValueBytes = 1 << 20;
+    size_t m_refusedValues = 0;
     std::vector<std::string> m_awaitedPrefixes;
     absl::AnyInvocable<void()> m_afterList;
 };
