--- a/src/TaskRows.h
+++ b/src/TaskRows.h
@@ -17,11 +17,16 @@
 
 namespace cicada::Internal {
 
+/** Run, kind, worker, source, when ordered, end of the lease, start of the next incarnation, when found, age, token
+ * and sequence number. */
+using EvidenceFields = std::tuple<uint32_t, uint32_t, std::string, std::string, int64_t, int64_t, int64_t, int64_t,
+    int64_t, uint64_t, uint64_t>;
 /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, the
- * runs that were on a worker when it crashed, and those that may have been. Records of former versions lack the
- * last three. */
-using TaskFields = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t,
-    std::string, std::vector<uint32_t>, std::vector<uint32_t>, std::vector<uint32_t>>;
+ * runs that were on a worker when it crashed, those that may have been, the evidence, and when the current run was
+ * ordered. Records of former versions lack the last five. */
+using TaskFields
+    = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t, std::string,
+        std::vector<uint32_t>, std::vector<uint32_t>, std::vector<uint32_t>, std::vector<EvidenceFields>, int64_t>;
 /** Occurrence, step, index of the first task, number of tasks, and the places of their worker and state. */
 using TaskRange = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t>;
 /** A worker's id and the start of its incarnation. */
