--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -1,6 +1,7 @@
 #include "CellJob.h"
 
 #include "Pack.h"
+#include "TaskRows.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,20 +14,15 @@
 
     using StepFields = std::tuple<uint32_t, int64_t, int64_t, int64_t, int64_t, std::vector<uint32_t>, uint32_t,
         std::string, std::string, uint32_t, std::string, int64_t, uint32_t>;
-    /** Run, kind, worker, source, when ordered, end of the lease, start of the next incarnation, when found, for how
-     * long it was known to be at work and when connections closed, token and sequence number. */
-    using EvidenceFields = std::tuple<uint32_t, uint32_t, std::string, std::string, int64_t, int64_t, int64_t, int64_t,
-        int64_t, int64_t, uint64_t, uint64_t>;
+    using Internal::EvidenceFields;
+    using Internal::TaskFields;
+    using Internal::TaskTable;
+    /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. A row
+     * with a queue belongs to no gang: the record of an ended job has one that says whose the job's id is. Former
+     * versions read past it. */
+    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>, std::string>;
     /** A record keeps the evidence of so many runs; of the others it keeps what counts. */
     constexpr size_t maxEvidencePerRecord = 500;
-    /** Occurrence, step, index, form, run, number of failed runs, worker, its start, checkpoint, the failed runs, the
-     * runs that were on a worker when it crashed, those that may have been, the evidence, and when the current run was
-     * ordered. Records of former versions lack the last five. */
-    using TaskFields
-        = std::tuple<uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, std::string, int64_t, std::string,
-            std::vector<uint32_t>, std::vector<uint32_t>, std::vector<uint32_t>, std::vector<EvidenceFields>, int64_t>;
-    /** A gang's occurrence and step, its last failed run, and all of them, which records of former versions lack. */
-    using GangFields = std::tuple<uint32_t, uint32_t, uint32_t, std::vector<uint32_t>>;
     /** Stands for a failed run of which only the number of attempts is known. */
     constexpr uint32_t unknownRun = 0;
     using PolicyFields = std::tuple<std::string, std::string, uint32_t, uint32_t, double, int64_t, int64_t, bool,
@@ -167,6 +163,55 @@
             "Check whether another program writes below the same prefix of the store." };
     }
 
+    /** What a run record holds. */
+    struct RunRecord {
+        uint32_t phase = 0;
+        int64_t endedUnixMillis = 0;
+        std::vector<TaskFields> tasks;
+        std::vector<GangFields> gangs;
+        bool hasBegun = false;
+    };
+
+    std::string encodeAsTable(const RunRecord& record)
+    {
+        const TaskTable table = Internal::makeTaskTable(record.tasks);
+        return Internal::packFields(record.phase, record.endedUnixMillis, table.workers, table.states, table.ranges,
+            record.gangs, record.hasBegun);
+    }
+
+    std::string encode(RunRecord record)
+    {
+        std::string rows
+            = Internal::packFields(record.phase, record.endedUnixMillis, record.tasks, record.gangs, record.hasBegun);
+        if (rows.size() <= maxRunRecordBytes)
+            return rows;
+        std::string table = encodeAsTable(record);
+        if (table.size() <= maxRunRecordBytes)
+            return table;
+        for (TaskFields& task : record.tasks) {
+            if (std::get<3>(task) == StoredActive)
+                std::get<8>(task).clear();
+        }
+        return encodeAsTable(record);
+    }
+
+    Result<RunRecord> decode(absl::string_view bytes)
+    {
+        RunRecord record;
+        const auto asRows = Internal::unpackFields(
+            bytes, "run record", record.phase, record.endedUnixMillis, record.tasks, record.gangs, record.hasBegun);
+        if (!asRows) {
+            TaskTable table;
+            BOOST_OUTCOME_TRY(Internal::unpackFields(bytes, "run record", record.phase, record.endedUnixMillis,
+                table.workers, table.states, table.ranges, record.gangs, record.hasBegun));
+            BOOST_OUTCOME_TRY(rows, Internal::rowsOf(table));
+            record.tasks = std::move(rows);
+        }
+        if (record.phase > static_cast<uint32_t>(JobPhase::Cancelled))
+            return malformed("run record");
+        return record;
+    }
+
     void restore(CellTask& task, const TaskFields& fields, std::vector<uint32_t>& failedRuns)
     {
         uint32_t form = StoredWaiting;
@@ -482,7 +527,7 @@
             const auto& all = job.occurrences[k][s].tasks;
             const std::vector<uint32_t>& failed = job.occurrences[k][s].failedRuns;
             if (!failed.empty() && !isOver)
-                gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed);
+                gangs.emplace_back(k, s, *std::max_element(failed.begin(), failed.end()), failed, std::string());
             for (uint32_t i = 0; i < all.size(); ++i) {
                 const CellTask& task = all[i];
                 const TaskName name { job.spec.id, k, s, i };
@@ -506,21 +551,22 @@
             }
         }
     }
-    return Internal::packFields(static_cast<uint32_t>(job.phase), job.endedUnixMillis, tasks, gangs, job.hasBegun);
+    if (isOver)
+        gangs.emplace_back(0, 0, 0, std::vector<uint32_t>(), job.policy.queue);
+    return encode(
+        { static_cast<uint32_t>(job.phase), job.endedUnixMillis, std::move(tasks), std::move(gangs), job.hasBegun });
 }
 
 Result<void> applyRunRecord(CellJob& job, absl::string_view bytes)
 {
-    uint32_t phase = 0;
-    std::vector<TaskFields> tasks;
-    std::vector<GangFields> gangs;
-    BOOST_OUTCOME_TRY(
-        Internal::unpackFields(bytes, "run record", phase, job.endedUnixMillis, tasks, gangs, job.hasBegun));
-    if (phase > static_cast<uint32_t>(JobPhase::Cancelled))
-        return malformed("run record");
-    job.phase = static_cast<JobPhase>(phase);
+    BOOST_OUTCOME_TRY(record, decode(bytes));
+    job.endedUnixMillis = record.endedUnixMillis;
+    job.hasBegun = record.hasBegun;
+    job.phase = static_cast<JobPhase>(record.phase);
     job.storedPhase = job.phase;
-    for (const auto& [occurrence, step, lastFailedRun, failedRuns] : gangs) {
+    for (const auto& [occurrence, step, lastFailedRun, failedRuns, queue] : record.gangs) {
+        if (!queue.empty())
+            continue;
         if (!job.find({ job.spec.id, occurrence, step, 0 }))
             return malformed("run record");
         std::vector<uint32_t>& kept = job.step({ occurrence, step }).failedRuns;
@@ -528,7 +574,7 @@
         if (kept.empty())
             kept.push_back(lastFailedRun);
     }
-    for (const TaskFields& fields : tasks) {
+    for (const TaskFields& fields : record.tasks) {
         const TaskName name { job.spec.id, std::get<0>(fields), std::get<1>(fields), std::get<2>(fields) };
         CellTask* task = job.find(name);
         if (!task)
@@ -560,17 +606,17 @@
 
 Result<EndedJob> endedJobOf(absl::string_view runRecord)
 {
-    uint32_t phase = 0;
+    BOOST_OUTCOME_TRY(record, decode(runRecord));
     EndedJob ended;
-    std::vector<TaskFields> tasks;
-    std::vector<GangFields> gangs;
-    bool hasBegun = false;
-    BOOST_OUTCOME_TRY(
-        Internal::unpackFields(runRecord, "run record", phase, ended.endedUnixMillis, tasks, gangs, hasBegun));
-    if (phase > static_cast<uint32_t>(JobPhase::Cancelled) || !isEnded(static_cast<JobPhase>(phase)))
+    ended.endedUnixMillis = record.endedUnixMillis;
+    ended.phase = static_cast<JobPhase>(record.phase);
+    if (!isEnded(ended.phase))
         return malformed("run record");
-    ended.phase = static_cast<JobPhase>(phase);
-    for (const TaskFields& task : tasks) {
+    for (const GangFields& row : record.gangs) {
+        if (!std::get<4>(row).empty())
+            ended.queue = std::get<4>(row);
+    }
+    for (const TaskFields& task : record.tasks) {
         const bool isActive = std::get<3>(task) == StoredActive;
         const auto crashes = static_cast<uint32_t>(std::get<10>(task).size() + std::get<11>(task).size());
         if (ended.phase != JobPhase::Failed || isActive)
--- a/src/Workload.h
+++ b/src/Workload.h
@@ -93,6 +93,14 @@
     int64_t intervalMillis = 0;
 };
 
+/** What a caller asks about: the job with this id in this queue. Ids are chosen by callers, those of different queues
+ * may choose the same one. */
+struct JobAddress {
+    std::string id;
+    /** Empty where an entry of a former build passes the request on, which names no queue. */
+    std::string queue;
+};
+
 /** Bounds on what a caller may submit. */
 constexpr size_t maxPayloadBytes = 4000;
 constexpr size_t maxSteps = 64;
@@ -100,6 +108,9 @@
 constexpr uint32_t maxTasksPerSubmission = 20000;
 constexpr uint32_t maxOccurrences = 10000;
 
+/** When the occurrence of a job with occurrences is due, in milliseconds since 1970. A time beyond the type's range
+ * becomes its largest number, which never comes. */
+int64_t dueUnixMillis(const Submission&, uint32_t occurrence);
 /** The capacity that one task of the step takes up on its worker. */
 Resources demandOf(const StepSpec&);
 /** The number of tasks of the job's widest step. */
