Losses never end a task that may run twice; a growing pause bounds them

What callers saw: a job of the project's own interface ended with a task `unknown`, although the task was sound, may run twice, and had only lost its workers eleven times in a row.

Cause: ActiveJob::noteVanished() counted every run that lapsed, was stopped, or was not known to a rack's new owner, and marked the task unknown after more than maxLosses (10). A loss is mostly inferred (a lease that ended, a take-over), and counted for more than an end that was told.

Now no number of losses is an end. The loop is bounded by a pause before the next run: none after the first loss in a row, then firstPause (1 s), doubling up to maxPause (60 s), by the runtime's clock. A run that ends by itself, stops at a checkpoint or was at work for steadyTime (60 s, more than a lease) begins a new row. The same holds for services, which had no bound. A gang waits for the pauses of all its tasks. JobController offers only tasks whose pause is over, and skips jobs without any. Tasks that must not run twice are as they were: unknown after their first loss. Callers see the row as `losses` of each task.

A deadly task of this interface, which isn't told apart from a sound one, now takes a worker about every minute instead of being given up after eleven. The count is in the owner's memory, as before; a new owner begins without a pause.

--- a/src/ActiveJob.cpp
+++ b/src/ActiveJob.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr size_t maxTasksShown = 1000;
+    /** Enough for the longest pause. */
+    constexpr int maxPauseDoublings = 16;
 
     const char* phaseName(TaskPhase phase)
     {
@@ -64,7 +66,7 @@
     return !m_record.releases.empty() && m_record.spec.tasks[task].kind == TaskKind::Batch;
 }
 
-void ActiveJob::apply(const TaskRunReport& run)
+void ActiveJob::apply(const TaskRunReport& run, Instant now)
 {
     const uint32_t index = run.status.id.task;
     if (index >= m_tasks.size())
@@ -74,6 +76,9 @@
     task.wasReported = true;
     if (run.status.id.run < task.run || task.phase == TaskPhase::Ended)
         return;
+    const bool isKnown = task.phase == TaskPhase::Active && run.status.id.run == task.run;
+    if (!isKnown)
+        task.activeSince = now;
     task.run = run.status.id.run;
     task.worker = run.status.worker;
     task.rack = run.rack;
@@ -81,14 +86,17 @@
     if (isActive(run.status.state))
         task.phase = TaskPhase::Active;
     else
-        handleRunEnd(index, run.status);
+        handleRunEnd(index, run.status, now);
 }
 
-void ActiveJob::handleRunEnd(uint32_t index, const RunStatus& status)
+void ActiveJob::handleRunEnd(uint32_t index, const RunStatus& status, Instant now)
 {
     ActiveTask& task = m_tasks[index];
     const bool isService = m_record.spec.tasks[index].kind == TaskKind::Service;
     const bool again = isService || !mustNotRunTwice(index);
+    const bool wasLost = status.state == RunState::Stopped || status.state == RunState::Lost;
+    if (!wasLost && status.state != RunState::NotStarted)
+        task.losses = 0;
     switch (status.state) {
     case RunState::Finished:
         return isService ? prepareNextRun(task) : setMark(index, TaskMark::Finished);
@@ -103,14 +111,14 @@
         return prepareNextRun(task);
     case RunState::Stopped:
     case RunState::Lost:
-        return noteVanished(index);
+        return noteVanished(index, now);
     case RunState::Starting:
     case RunState::Running:
         return;
     }
 }
 
-void ActiveJob::noteRackRecovered(const std::string& rack, const RackRecovery& recovery)
+void ActiveJob::noteRackRecovered(const std::string& rack, const RackRecovery& recovery, Instant now)
 {
     absl::erase_if(m_runs,
         [&](const auto& item) { return item.second.rack == rack && recovery.supersedes(item.second.recovery); });
@@ -118,18 +126,29 @@
         const ActiveTask& task = m_tasks[i];
         const bool hasActiveRun = task.phase == TaskPhase::Committed || task.phase == TaskPhase::Active;
         if (hasActiveRun && task.rack == rack && recovery.supersedes(task.recovery))
-            noteVanished(i);
+            noteVanished(i, now);
     }
 }
 
-void ActiveJob::noteVanished(uint32_t index)
+absl::Duration ActiveJob::pauseAfter(int losses)
+{
+    if (losses < 2)
+        return absl::ZeroDuration();
+    const int doublings = std::min(losses - 2, maxPauseDoublings);
+    return std::min(firstPause * (1 << doublings), maxPause);
+}
+
+void ActiveJob::noteVanished(uint32_t index, Instant now)
 {
     ActiveTask& task = m_tasks[index];
     if (task.phase == TaskPhase::Ended)
         return;
-    const bool isService = m_record.spec.tasks[index].kind == TaskKind::Service;
-    if (mustNotRunTwice(index) || (!isService && ++task.losses > maxLosses))
+    if (mustNotRunTwice(index))
         return setMark(index, TaskMark::Unknown);
+    if (task.phase == TaskPhase::Active && now - task.activeSince >= steadyTime)
+        task.losses = 0;
+    ++task.losses;
+    task.pausedUntil = now + pauseAfter(task.losses);
     prepareNextRun(task);
 }
 
@@ -170,6 +189,29 @@
     return waiting;
 }
 
+std::vector<uint32_t> ActiveJob::startableTasks(Instant now) const
+{
+    std::vector<uint32_t> tasks = waitingTasks();
+    const size_t waiting = tasks.size();
+    std::erase_if(tasks, [&](uint32_t task) { return now < m_tasks[task].pausedUntil; });
+    if (isGang() && tasks.size() != waiting)
+        return {};
+    return tasks;
+}
+
+Instant ActiveJob::startableFrom() const
+{
+    Instant first = absl::InfiniteDuration();
+    Instant last = -absl::InfiniteDuration();
+    for (const ActiveTask& task : m_tasks) {
+        if (task.phase != TaskPhase::Waiting)
+            continue;
+        first = std::min(first, task.pausedUntil);
+        last = std::max(last, task.pausedUntil);
+    }
+    return isGang() ? std::max(first, last) : first;
+}
+
 void ActiveJob::noteHeld(const HeldTask& held)
 {
     ActiveTask& task = m_tasks[held.task];
@@ -270,7 +312,8 @@
         const char* state = isFinal(m_record.marks[i]) ? markName(m_record.marks[i]) : phaseName(task.phase);
         counts[state] = counts.value(state, 0) + 1;
         if (i < maxTasksShown)
-            tasks.push_back({ { "task", i }, { "state", state }, { "run", task.run }, { "worker", task.worker } });
+            tasks.push_back({ { "task", i }, { "state", state }, { "run", task.run }, { "worker", task.worker },
+                { "losses", task.losses } });
     }
     return Internal::Json {
         { "id", m_record.spec.id }, { "state", std::string(jobStateName(m_record.state)) },
--- a/src/ActiveJob.h
+++ b/src/ActiveJob.h
@@ -6,6 +6,7 @@
  * the same state.
  */
 
+#include "Clock.h"
 #include "Job.h"
 #include "JobMessages.h"
 
@@ -43,7 +44,12 @@
     RackRecovery recovery;
     std::string checkpoint;
     int failures = 0;
+    /** How many runs in a row were lost or stopped. */
     int losses = 0;
+    /** When the current run was first reported to this owner, while the task is active. */
+    Instant activeSince = absl::ZeroDuration();
+    /** The next run starts no earlier. */
+    Instant pausedUntil = absl::ZeroDuration();
 };
 
 /** A job with its tasks. Not thread-safe. */
@@ -65,14 +71,17 @@
     bool mustNotRunTwice(uint32_t task) const;
 
     /** Applies one reported run. */
-    void apply(const TaskRunReport& run);
+    void apply(const TaskRunReport& run, Instant now);
     /** The current owner of a rack has recovered it and reported every run there. Runs that were reported under another
      * recovery, and not again under this one, were lost with their workers. */
-    void noteRackRecovered(const std::string& rack, const RackRecovery& recovery);
+    void noteRackRecovered(const std::string& rack, const RackRecovery& recovery, Instant now);
     /** Called after all reports of a recovery: a released task that no worker reported is marked unknown. */
     void finishRecovery();
 
-    std::vector<uint32_t> waitingTasks() const;
+    /** The waiting tasks that may start now, as they do not pause after losses. A gang waits for all of its tasks. */
+    std::vector<uint32_t> startableTasks(Instant now) const;
+    /** When startableTasks() begins to list any; infinite if no task waits. */
+    Instant startableFrom() const;
     void noteRequested(uint32_t task) { m_tasks[task].phase = TaskPhase::Requested; }
     void noteHeld(const HeldTask& held);
     /** Returns the task to waiting; nothing was started. */
@@ -103,13 +112,21 @@
     /** The job as callers see it. */
     std::string toJson() const;
 
-    /** How often a task may fail or be lost before that is its end. */
+    /** How often a task may fail before that is its end. */
     static constexpr int maxFailures = 3;
-    static constexpr int maxLosses = 10;
+    /** How long a task waits for its next run after so many losses in a row. A loss says nothing against the task, as
+     * its worker or the way to it may be at fault, so it never ends a task that may run twice. */
+    static absl::Duration pauseAfter(int losses);
+    /** The pause after the second loss in a row; each further loss doubles it. There is none after the first. */
+    static constexpr absl::Duration firstPause = absl::Seconds(1);
+    static constexpr absl::Duration maxPause = absl::Seconds(60);
+    /** A run that was at work for this long, which is more than a lease, begins a new row of losses. */
+    static constexpr absl::Duration steadyTime = absl::Seconds(60);
 
 private:
-    void handleRunEnd(uint32_t task, const RunStatus& status);
-    void noteVanished(uint32_t task);
+    void handleRunEnd(uint32_t task, const RunStatus& status, Instant now);
+    void noteVanished(uint32_t task, Instant now);
+    std::vector<uint32_t> waitingTasks() const;
     void prepareNextRun(ActiveTask& task);
     void setMark(uint32_t task, TaskMark mark);
     void endAll(TaskMark mark, JobState state, int64_t nowMicros);
--- a/src/JobController.cpp
+++ b/src/JobController.cpp
@@ -163,7 +163,8 @@
 {
     m_waiting.erase(job.order);
     job.order = job.active->order();
-    if (!job.active->hasEnded() && !job.active->waitingTasks().empty())
+    job.startableFrom = job.active->startableFrom();
+    if (!job.active->hasEnded() && job.startableFrom != absl::InfiniteDuration())
         m_waiting.insert(job.order);
 }
 
--- a/src/JobController.h
+++ b/src/JobController.h
@@ -84,6 +84,8 @@
         bool isFirstOwner = false;
         Instant addedAt;
         Instant nextAttempt;
+        /** When the pauses of its waiting tasks let the job start any; updated with m_waiting. */
+        Instant startableFrom;
         Instant nextCheck;
         int refusals = 0;
         std::vector<ReplyCallback> cancelCallbacks;
@@ -130,7 +132,7 @@
     void placeWaiting(Instant now);
     void requestNextHold(Job& job, Instant now);
     std::string chooseEntry(const Job& job) const;
-    std::vector<uint32_t> allowedTasks(const Job& job) const;
+    std::vector<uint32_t> allowedTasks(const Job& job, Instant now) const;
     void sendRequest(Job& job, const std::string& entry, const std::vector<uint32_t>& tasks, Instant now);
     void finishRound(Job& job, bool madeProgress, Instant now);
     void release(Job& job, uint64_t holdId);
--- a/src/JobPlacing.cpp
+++ b/src/JobPlacing.cpp
@@ -28,7 +28,7 @@
         if (m_pendingHolds.size() + due.size() >= maxPendingHolds)
             break;
         const Job* job = findJob(order.job);
-        if (job && job->holds.empty() && now >= job->nextAttempt)
+        if (job && job->holds.empty() && now >= std::max(job->nextAttempt, job->startableFrom))
             due.push_back(order.job);
     }
     for (const std::string& id : due) {
@@ -39,7 +39,7 @@
 
 void JobController::requestNextHold(Job& job, Instant now)
 {
-    const std::vector<uint32_t> tasks = allowedTasks(job);
+    const std::vector<uint32_t> tasks = allowedTasks(job, now);
     const std::string entry = chooseEntry(job);
     if (tasks.empty() || entry.empty() || job.active->hasEnded() || !epochOf(job.order.job))
         return finishRound(job, false, now);
@@ -66,13 +66,13 @@
     return best;
 }
 
-std::vector<uint32_t> JobController::allowedTasks(const Job& job) const
+std::vector<uint32_t> JobController::allowedTasks(const Job& job, Instant now) const
 {
     std::vector<uint32_t> allowed;
     const JobSpec& spec = job.active->record().spec;
     auto used = m_teamUse.find(spec.team);
     Resources taken = used == m_teamUse.end() ? Resources {} : used->second;
-    const std::vector<uint32_t> waiting = job.active->waitingTasks();
+    const std::vector<uint32_t> waiting = job.active->startableTasks(now);
     for (const uint32_t task : waiting) {
         if (!m_parts.quotas.allows(spec.team, taken, spec.tasks[task].demand))
             continue;
@@ -149,7 +149,7 @@
         dropHold(reply.askId);
     else
         storeAndCommit(*job, { reply.askId });
-    if (job->active->waitingTasks().empty())
+    if (job->active->startableTasks(now).empty())
         return finishRound(*job, true, now);
     requestNextHold(*job, now);
 }
--- a/src/JobReports.cpp
+++ b/src/JobReports.cpp
@@ -98,7 +98,7 @@
 {
     const RunId& id = run.status.id;
     if (Job* job = findJob(id.job)) {
-        job->active->apply(run);
+        job->active->apply(run, m_parts.clock.now());
         job->isDirty = true;
         return;
     }
@@ -131,11 +131,12 @@
         if (recovery != view->racks->end())
             current.insert(*recovery);
     }
+    const Instant now = m_parts.clock.now();
     for (auto& [id, job] : m_jobs) {
         if (jobPartition(id) != number || job.active->hasEnded())
             continue;
         for (const auto& [rack, recovery] : current)
-            job.active->noteRackRecovered(rack, recovery);
+            job.active->noteRackRecovered(rack, recovery, now);
         job.isDirty = true;
     }
 }
--- a/test/failure/JobsTest.cpp
+++ b/test/failure/JobsTest.cpp
@@ -6,6 +6,7 @@
 #include "support/JobWorld.h"
 
 #include <cstdlib>
+#include <optional>
 
 #include "CppUTest/TestHarness.h"
 
@@ -157,6 +158,69 @@
     }
 }
 
+/** The worker that runs the only task of the world's only job, or nothing after `timeout`. */
+std::optional<size_t> runningWorker(JobWorld& jobs, absl::Duration timeout)
+{
+    const Instant until = jobs.world().now() + timeout;
+    while (jobs.world().now() < until) {
+        for (size_t i = 0; i < jobs.workerCount(); ++i) {
+            if (jobs.worker(i).model->running() > 0)
+                return i;
+        }
+        jobs.world().run(absl::Milliseconds(100));
+    }
+    return std::nullopt;
+}
+
+/** Cuts the worker off its owner until the run there has lapsed and the owner has concluded it. */
+void lapseRunOn(JobWorld& jobs, size_t worker)
+{
+    const std::string owner = absl::StrCat("e", worker / 2);
+    const std::string name = absl::StrCat("w", worker);
+    jobs.world().cutBoth(owner, name, true);
+    jobs.world().run(absl::Seconds(25));
+    jobs.world().cutBoth(owner, name, false);
+}
+
+/** A job as its owner sees it, with runs that the test ends. */
+struct OwnedJob {
+    explicit OwnedJob(const Profile& profile, int count = 1, const std::string& more = "")
+        : active(
+            makeRecord(parseJob(jobIdIn(0), tasksJson(profile, count, 1000, "work-ms=1000", more)).value(), profile, 0))
+    {
+    }
+
+    void report(uint32_t task, RunState state)
+    {
+        TaskRunReport run;
+        run.status.id = { active.record().spec.id, task, active.tasks()[task].run };
+        run.status.state = state;
+        run.rack = "r0";
+        run.recovery = { 1, recoveries };
+        active.apply(run, now);
+    }
+    /** Runs the task for the time and ends it so. */
+    void runFor(absl::Duration time, RunState state, uint32_t task = 0)
+    {
+        active.noteCommitted(task);
+        report(task, RunState::Running);
+        now += time;
+        report(task, state);
+    }
+    /** The rack's owner changes, and its successor does not know the run. */
+    void takeRackOver()
+    {
+        active.noteCommitted(0);
+        report(0, RunState::Running);
+        active.noteRackRecovered("r0", { 1, ++recoveries }, now);
+    }
+    absl::Duration pause() const { return std::max(active.startableFrom() - now, absl::ZeroDuration()); }
+
+    ActiveJob active;
+    Instant now = absl::Hours(1);
+    uint64_t recoveries = 1;
+};
+
 } // namespace
 
 TEST_GROUP(Jobs) {};
@@ -316,3 +380,99 @@
         scene.check(absl::Seconds(300));
     }
 }
+
+TEST(Jobs, aSoundTaskThatLosesItsWorkersElevenTimesStillFinishes)
+{
+    constexpr int cuts = 11;
+    Scene scene(1);
+    scene.accept(twice, 0, 1, "work-ms=40000");
+    for (int i = 0; i < cuts; ++i) {
+        const std::optional<size_t> worker = runningWorker(scene.jobs, absl::Seconds(90));
+        CHECK_TEXT(worker.has_value(), absl::StrCat("not started again after ", i, " cuts").c_str());
+        lapseRunOn(scene.jobs, *worker);
+    }
+    CHECK_EQUAL(cuts, scene.jobs.startsOf(scene.ids[0], 0));
+    scene.check(absl::Seconds(200));
+}
+
+TEST(Jobs, aSoundTaskIsNeverGivenUpHoweverOftenItIsStoppedOrItsRackTakenOver)
+{
+    constexpr int losses = 100;
+    OwnedJob job(twice);
+    for (int i = 0; i < losses; ++i) {
+        job.runFor(absl::Seconds(20), RunState::Lost);
+        job.runFor(absl::Seconds(1), RunState::Stopped);
+        job.takeRackOver();
+        CHECK(job.pause() <= ActiveJob::maxPause);
+    }
+    CHECK(!job.active.isDone());
+    job.runFor(absl::Seconds(1), RunState::Finished);
+    CHECK(job.active.record().marks[0] == TaskMark::Finished);
+}
+
+TEST(Jobs, aTaskThatLosesEveryWorkerIsNotStartedAgainWithoutAPause)
+{
+    OwnedJob job(twice);
+    job.runFor(absl::Seconds(5), RunState::Lost);
+    CHECK(job.pause() == absl::ZeroDuration());
+    job.runFor(absl::Seconds(5), RunState::Lost);
+    CHECK(job.pause() == ActiveJob::firstPause);
+    CHECK(job.active.startableTasks(job.now).empty());
+    CHECK_EQUAL(1, job.active.startableTasks(job.now + ActiveJob::firstPause).size());
+    job.runFor(absl::Seconds(5), RunState::Lost);
+    CHECK(job.pause() == 2 * ActiveJob::firstPause);
+    for (int i = 0; i < 20; ++i)
+        job.runFor(absl::Seconds(5), RunState::Lost);
+    CHECK(job.pause() == ActiveJob::maxPause);
+}
+
+TEST(Jobs, lossesFromBeforeARunWithProgressDoNotDelayTheNext)
+{
+    OwnedJob job(twice);
+    const auto loseOften = [&job] {
+        for (int i = 0; i < 10; ++i)
+            job.runFor(absl::Seconds(5), RunState::Lost);
+        CHECK(job.pause() == ActiveJob::maxPause);
+    };
+    loseOften();
+    job.runFor(absl::Seconds(5), RunState::Checkpointed);
+    job.runFor(absl::Seconds(5), RunState::Lost);
+    CHECK(job.pause() == absl::ZeroDuration());
+    loseOften();
+    job.runFor(ActiveJob::steadyTime, RunState::Lost);
+    CHECK(job.pause() == absl::ZeroDuration());
+}
+
+TEST(Jobs, aGangIsNotStartedInPartWhileOneOfItsTasksPauses)
+{
+    OwnedJob job(twice, 2, R"(, "gang": true)");
+    job.runFor(absl::Seconds(5), RunState::Lost, 0);
+    job.runFor(absl::Seconds(5), RunState::Lost, 0);
+    CHECK(job.pause() == ActiveJob::firstPause);
+    CHECK(job.active.startableTasks(job.now).empty());
+    CHECK_EQUAL(2, job.active.startableTasks(job.now + ActiveJob::firstPause).size());
+}
+
+TEST(Jobs, aTaskThatMustNotRunTwiceIsUnknownAfterItsFirstLoss)
+{
+    for (const RunState state : { RunState::Lost, RunState::Stopped }) {
+        OwnedJob job(once);
+        job.runFor(absl::Seconds(5), state);
+        CHECK(job.active.record().marks[0] == TaskMark::Unknown);
+    }
+}
+
+TEST(Jobs, aTaskThatIsCutOffAgainAndAgainWaitsBeforeItsNextRun)
+{
+    Scene scene(1);
+    scene.accept(twice, 0, 1, "work-ms=40000");
+    for (int i = 0; i < 8; ++i) {
+        const std::optional<size_t> worker = runningWorker(scene.jobs, absl::Seconds(90));
+        CHECK(worker.has_value());
+        lapseRunOn(scene.jobs, *worker);
+    }
+    // The run was concluded at most 10 s before the cut ended.
+    CHECK(!runningWorker(scene.jobs, ActiveJob::maxPause - absl::Seconds(11)).has_value());
+    CHECK(runningWorker(scene.jobs, absl::Seconds(15)).has_value());
+    scene.check(absl::Seconds(200));
+}
