Cell: what needs none of its state is no longer declared in the class

No change of behaviour.

- Keys of records: CellKeys.h and .cpp, with the kind of a record as an enum instead of three string constants.
- freeOn() and roomOn() are functions of CellRoom.h; waitingTasks() and waitingWorkOf() of CellPlacement.h.
- reservationOf() and rankForAdvice() are local to CellAdvice.cpp, fillWorker() to CellIsolation.cpp, freeFor() to CellPlacing.cpp.

--- a/src/Cell.cpp
+++ b/src/Cell.cpp
@@ -1,4 +1,5 @@
 #include "Cell.h"
+#include "CellKeys.h"
 
 namespace cicada {
 
@@ -45,15 +46,8 @@
     }
 }
 
-std::string Cell::cellKey(absl::string_view kind, uint32_t cell, absl::string_view id)
-{
-    return absl::StrCat("cicada/", kind, "/", cell, "/", id);
-}
-
-std::string Cell::idOf(absl::string_view key) { return std::string(key.substr(key.rfind('/') + 1)); }
-
-std::string Cell::jobKey(const std::string& id) const { return cellKey(jobKind, m_term.cell, id); }
-std::string Cell::runKey(const std::string& id) const { return cellKey(runKind, m_term.cell, id); }
+std::string Cell::jobKey(const std::string& id) const { return cellKey(CellKeyKind::Job, m_term.cell, id); }
+std::string Cell::runKey(const std::string& id) const { return cellKey(CellKeyKind::Run, m_term.cell, id); }
 
 void Cell::start()
 {
@@ -78,7 +72,7 @@
             for (const StoreEntry& entry : page.entries) {
                 last = entry.key;
                 m_writer.setStoredRevision(entry.key, entry.index);
-                isJobs ? loadJobRecord(idOf(entry.key), entry) : loadRunRecord(idOf(entry.key), entry);
+                isJobs ? loadJobRecord(idOfCellKey(entry.key), entry) : loadRunRecord(idOfCellKey(entry.key), entry);
             }
             if (page.hasMore && !last.empty())
                 return load(prefix, last, std::move(then));
@@ -186,12 +180,12 @@
 
 std::optional<std::string> Cell::valueOf(const std::string& key) const
 {
-    const std::string id = idOf(key);
+    const std::string id = idOfCellKey(key);
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end())
         return std::nullopt;
     const CellJob& job = *found->second;
-    if (key == arrivalKey(m_term.cell, id))
+    if (key == cellKey(CellKeyKind::Arrival, m_term.cell, id))
         return std::nullopt;
     if (key != jobKey(id))
         return encodeRunRecord(job);
--- a/src/Cell.h
+++ b/src/Cell.h
@@ -87,18 +87,10 @@
     using JobTable = absl::flat_hash_map<std::string, std::unique_ptr<CellJob>>;
     using Transfer = CellTransfer;
     using Mark = TransferMark;
-    static Resources freeOn(const CellWorker& worker, RoomBasis basis);
     using Reservation = CapacityReservation;
     using StepOutcome = PlacementOutcome;
     using Choice = PlacementChoice;
 
-    static constexpr absl::string_view jobKind = "job";
-    static constexpr absl::string_view runKind = "run";
-    static constexpr absl::string_view arrivalKind = "arrival";
-    /** The key of a job's record of this kind in a cell. */
-    static std::string cellKey(absl::string_view kind, uint32_t cell, absl::string_view id);
-    static std::string idOf(absl::string_view key);
-
     // Cell.cpp: stored records and callers' requests.
     std::string jobKey(const std::string& id) const;
     std::string runKey(const std::string& id) const;
@@ -162,7 +154,6 @@
     /** Whether the step may use capacity that a gang keeps for later: a service that lost a task, or a step that ends
      * before the gang begins. */
     bool mayBackfill(CellJob& job, StepRef ref);
-    static Resources freeFor(const CellWorker& worker, bool mayBackfill);
     void clearUnmetDemands();
     /** The usable workers of the service, cached for the current placement round. */
     const std::vector<CellWorker*>& usableWorkers(const std::string& service);
@@ -173,7 +164,6 @@
         bool mustPlaceAll, const std::string& onlyRack);
     /** `isIsolated` keeps other work from the workers until the runs are over. */
     void storeIntent(CellJob& job, StepRef ref, const std::vector<Choice>& choices, bool isIsolated = false);
-    std::vector<uint32_t> waitingTasks(const CellStep& step) const;
 
     // CellAccounts.cpp: the limits of client accounts.
     /** Allocate and release a run's capacity on its worker, and count it as its account's. */
@@ -200,8 +190,6 @@
     void runPlacementRound();
     /** The ready steps in the order in which this round looks at them. */
     std::vector<StepRank> orderReadySteps();
-    /** The work of the step's waiting tasks, in thousandths of a core times milliseconds; 0 for a service. */
-    double waitingWorkOf(const CellJob& job, StepRef ref) const;
     /** Looks at steps that the pass from the front did not get to, which ended before `end`. Without this, steps in
      * front that can't start would keep those behind them from capacity that only the latter can use. */
     void continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations);
@@ -247,7 +235,6 @@
     Reservation plannedReservationOf(CellJob& job, const StepRank& rank);
     /** Ends the gang's planned reservation, if it has one, until the policy service replies. */
     void endPlannedRoom(CellJob& job, StepRef ref);
-    uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis) const;
     /** The capacity that the gang keeps while tickets are requested; empty for none. */
     Reservation ticketReservationOf(CellJob& job, const StepRank& rank);
 
@@ -282,7 +269,6 @@
     /** Keeps the capacity if the gangs together keep no more than they may. One wide gang at a time may keep all that
      * it needs, whatever the others keep. */
     bool reserveForTickets(CellJob& job, StepRef ref, TicketReservation reservation);
-    static TicketReservation reservationOf(absl::Span<const Choice> choices);
     /** Usable workers that may run the step, as far as is known. */
     std::vector<CellWorker*> allowedWorkers(CellJob& job, StepRef ref);
     /** Those of them for which a start that is decided now would carry a valid ticket. */
@@ -302,9 +288,6 @@
         CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, double neededTasks, RoomBasis basis);
     /** Asks about all of the workers, in as few requests as possible. */
     void sendAdviceRequests(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, AdvicePurpose purpose);
-    /** The workers with what they could take of the step, those first that are best asked. */
-    std::vector<AdviceCandidate> rankForAdvice(
-        CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis);
     void sendAdviceRequest(CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, AdvicePurpose purpose);
     void handleAdvice(const std::string& id, StepRef ref, AdvicePurpose purpose,
         const std::vector<std::string>& queried, Instant requestedAt, AdviceReply reply);
@@ -408,9 +391,6 @@
     void placeSuspectsOnIdleWorkers();
     /** Starts suspects of the step; returns how many of them still wait for a worker. */
     size_t placeSuspectsOf(CellJob& job, StepRef ref);
-    /** Puts as many of the suspects on the worker as it has room for. */
-    static void fillWorker(
-        CellWorker& worker, const StepSpec& spec, std::vector<uint32_t>& suspects, std::vector<Choice>& choices);
     /** Requests tickets for the workers, or else asks which ones are allowed. */
     void requestSuspectAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> withoutTicket);
     /** On how many more workers suspects of the job may run now. */
@@ -517,7 +497,6 @@
     void startTransfers();
     /** The cell to which the job's id belongs. */
     uint32_t homeOf(const std::string& id) const;
-    static std::string arrivalKey(uint32_t cell, const std::string& id);
     /** Begins to transfer a job to the cell; `ref` is the step for which it has room. */
     void startTransfer(CellJob& job, StepRef ref, uint32_t destination);
     void readMark(const std::string& id);
--- a/src/CellAdvice.cpp
+++ b/src/CellAdvice.cpp
@@ -27,6 +27,53 @@
     /** Gangs that wait for tickets may together keep capacity on this share of the workers. */
     constexpr double maxTicketReservedShare = 0.25;
 
+    TicketReservation reservationOf(absl::Span<const PlacementChoice> choices)
+    {
+        absl::btree_map<std::string, std::pair<CellWorker*, uint32_t>> tasks;
+        for (const PlacementChoice& choice : choices) {
+            auto& [worker, count] = tasks[choice.worker->listed.incarnation.id];
+            worker = choice.worker;
+            ++count;
+        }
+        TicketReservation reservation;
+        for (const auto& [id, item] : tasks)
+            reservation.tasksByWorker.push_back(item);
+        return reservation;
+    }
+
+    /** The workers with what they could take of the step, those first that are best asked. */
+    std::vector<AdviceCandidate> rankForAdvice(
+        const CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis)
+    {
+        const CellStep& step = job.step(ref);
+        const StepSpec& spec = job.stepSpec(ref);
+        const Resources demand = demandOf(spec);
+        absl::flat_hash_map<std::string, uint32_t> activeRuns;
+        if (spec.maxPerWorker > 0)
+            activeRuns = step.activeRunsByWorker();
+        std::vector<AdviceCandidate> candidates;
+        for (CellWorker* worker : workers) {
+            if (worker->isKept())
+                continue;
+            const std::string& id = worker->listed.incarnation.id;
+            const Resources free = freeOn(*worker, basis);
+            uint64_t placeable = countFittingTasks(demand, free);
+            if (spec.maxPerWorker > 0) {
+                const uint32_t used = activeRuns.contains(id) ? activeRuns[id] : 0;
+                placeable = std::min<uint64_t>(placeable, used < spec.maxPerWorker ? spec.maxPerWorker - used : 0);
+            }
+            const bool isOnDataRack = !spec.dataRack.empty() && worker->listed.rack == spec.dataRack;
+            candidates.push_back({ worker, placeable, step.advice.allowed.contains(id), isOnDataRack });
+        }
+        const auto rankOf = [](const AdviceCandidate& candidate) {
+            return std::make_tuple(candidate.placeable == 0, !candidate.isOnDataRack, !candidate.isAllowed,
+                -candidate.worker->free().cpuMillis);
+        };
+        std::stable_sort(candidates.begin(), candidates.end(),
+            [&](const AdviceCandidate& a, const AdviceCandidate& b) { return rankOf(a) < rankOf(b); });
+        return candidates;
+    }
+
 } // namespace
 
 bool Cell::placeWithAdvice(const StepRank& rank, CellJob& job, size_t waiting)
@@ -96,20 +143,6 @@
         requestStepAdvice(job, ref, unqueried, wanted - known, RoomBasis::InTime);
 }
 
-TicketReservation Cell::reservationOf(absl::Span<const Choice> choices)
-{
-    absl::btree_map<std::string, std::pair<CellWorker*, uint32_t>> tasks;
-    for (const Choice& choice : choices) {
-        auto& [worker, count] = tasks[choice.worker->listed.incarnation.id];
-        worker = choice.worker;
-        ++count;
-    }
-    TicketReservation reservation;
-    for (const auto& [id, item] : tasks)
-        reservation.tasksByWorker.push_back(item);
-    return reservation;
-}
-
 void Cell::requestTickets(CellJob& job, StepRef ref, absl::Span<const Choice> choices)
 {
     TicketReservation reservation = reservationOf(choices);
@@ -224,38 +257,6 @@
     return possible;
 }
 
-std::vector<AdviceCandidate> Cell::rankForAdvice(
-    CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, RoomBasis basis)
-{
-    const CellStep& step = job.step(ref);
-    const StepSpec& spec = job.stepSpec(ref);
-    const Resources demand = demandOf(spec);
-    absl::flat_hash_map<std::string, uint32_t> activeRuns;
-    if (spec.maxPerWorker > 0)
-        activeRuns = step.activeRunsByWorker();
-    std::vector<AdviceCandidate> candidates;
-    for (CellWorker* worker : workers) {
-        if (worker->isKept())
-            continue;
-        const std::string& id = worker->listed.incarnation.id;
-        const Resources free = freeOn(*worker, basis);
-        uint64_t placeable = countFittingTasks(demand, free);
-        if (spec.maxPerWorker > 0) {
-            const uint32_t used = activeRuns.contains(id) ? activeRuns[id] : 0;
-            placeable = std::min<uint64_t>(placeable, used < spec.maxPerWorker ? spec.maxPerWorker - used : 0);
-        }
-        const bool isOnDataRack = !spec.dataRack.empty() && worker->listed.rack == spec.dataRack;
-        candidates.push_back({ worker, placeable, step.advice.allowed.contains(id), isOnDataRack });
-    }
-    const auto rankOf = [](const AdviceCandidate& candidate) {
-        return std::make_tuple(candidate.placeable == 0, !candidate.isOnDataRack, !candidate.isAllowed,
-            -candidate.worker->free().cpuMillis);
-    };
-    std::stable_sort(candidates.begin(), candidates.end(),
-        [&](const AdviceCandidate& a, const AdviceCandidate& b) { return rankOf(a) < rankOf(b); });
-    return candidates;
-}
-
 void Cell::requestStepAdvice(
     CellJob& job, StepRef ref, absl::Span<CellWorker* const> workers, double neededTasks, RoomBasis basis)
 {
--- a/src/CellIsolation.cpp
+++ b/src/CellIsolation.cpp
@@ -36,6 +36,17 @@
             [](const auto& item) { return item.second.isOfService; });
     }
 
+    /** Puts as many of the suspects on the worker as it has room for. */
+    void fillWorker(CellWorker& worker, const StepSpec& spec, std::vector<uint32_t>& suspects,
+        std::vector<PlacementChoice>& choices)
+    {
+        const uint64_t room = countFittingTasks(demandOf(spec), worker.freeInTime(), spec.maxPerWorker);
+        for (uint64_t i = 0; i < room && !suspects.empty(); ++i) {
+            choices.push_back({ suspects.front(), &worker });
+            suspects.erase(suspects.begin());
+        }
+    }
+
 } // namespace
 
 void Cell::isolateInherited()
@@ -128,16 +139,6 @@
     return allowed > 0 ? suspects.size() : 0;
 }
 
-void Cell::fillWorker(
-    CellWorker& worker, const StepSpec& spec, std::vector<uint32_t>& suspects, std::vector<Choice>& choices)
-{
-    const uint64_t room = countFittingTasks(demandOf(spec), worker.freeInTime(), spec.maxPerWorker);
-    for (uint64_t i = 0; i < room && !suspects.empty(); ++i) {
-        choices.push_back({ suspects.front(), &worker });
-        suspects.erase(suspects.begin());
-    }
-}
-
 void Cell::requestSuspectAdvice(CellJob& job, StepRef ref, std::vector<CellWorker*> withoutTicket)
 {
     if (!policyOf(job).advice.isNeeded || !canAskForAdvice(job, ref))
--- a/src/CellPlacement.h
+++ b/src/CellPlacement.h
@@ -41,6 +41,11 @@
     CellWorker* worker = nullptr;
 };
 
+/** The indexes of the step's waiting tasks. */
+std::vector<uint32_t> waitingTasks(const CellStep& step);
+/** The work of the step's waiting tasks, in thousandths of a core times milliseconds; 0 for a service. */
+double waitingWorkOf(const CellJob& job, StepRef ref);
+
 /** A run whose start is known, with its job, and how long it had been at work when its worker went silent. */
 struct RunAge {
     const TaskRun* run = nullptr;
--- a/src/CellPlacing.cpp
+++ b/src/CellPlacing.cpp
@@ -23,8 +23,30 @@
         return std::max(cpu, memory);
     }
 
+    Resources freeFor(const CellWorker& worker, bool mayBackfill)
+    {
+        return mayBackfill ? worker.free() + worker.backfillable : worker.free();
+    }
+
 } // namespace
 
+std::vector<uint32_t> waitingTasks(const CellStep& step)
+{
+    std::vector<uint32_t> waiting;
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (step.tasks[i].stage == TaskStage::Waiting)
+            waiting.push_back(i);
+    }
+    return waiting;
+}
+
+double waitingWorkOf(const CellJob& job, StepRef ref)
+{
+    if (job.stepSpec(ref).isService)
+        return 0;
+    return job.workOfTask(ref) * static_cast<double>(waitingTasks(job.step(ref)).size());
+}
+
 void Cell::advance(CellJob& job)
 {
     const int64_t nowUnix = m_parts.timers.clock().wallMicros() / 1000;
@@ -130,16 +152,6 @@
     schedulePlacement();
 }
 
-std::vector<uint32_t> Cell::waitingTasks(const CellStep& step) const
-{
-    std::vector<uint32_t> waiting;
-    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
-        if (step.tasks[i].stage == TaskStage::Waiting)
-            waiting.push_back(i);
-    }
-    return waiting;
-}
-
 const std::vector<CellWorker*>& Cell::usableWorkers(const std::string& service)
 {
     const auto [found, isNew] = m_usableWorkers.try_emplace(service);
@@ -256,11 +268,6 @@
     return !spec.isGang && spec.estimate > absl::ZeroDuration() && now + spec.estimate <= m_backfillUntil;
 }
 
-Resources Cell::freeFor(const CellWorker& worker, bool mayBackfill)
-{
-    return mayBackfill ? worker.free() + worker.backfillable : worker.free();
-}
-
 void Cell::clearUnmetDemands()
 {
     m_unmetDemands.clear();
--- a/src/CellReservations.cpp
+++ b/src/CellReservations.cpp
@@ -64,6 +64,20 @@
         worker->backfillable = isBackfilled ? worker->backfillable - freeCapacity : worker->backfillable;
 }
 
+Resources freeOn(const CellWorker& worker, RoomBasis basis)
+{
+    return basis == RoomBasis::FreeNow ? worker.free() : worker.freeInTime();
+}
+
+uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis)
+{
+    const Resources demand = demandOf(spec);
+    uint64_t room = 0;
+    for (const CellWorker* worker : workers)
+        room += countFittingTasks(demand, freeOn(*worker, basis), spec.maxPerWorker);
+    return room;
+}
+
 std::vector<Cell::Reservation> Cell::reserveForGangs(const std::vector<StepRank>& ranks)
 {
     updateExclusive(ranks);
@@ -168,20 +182,6 @@
     return room * maxReservedShare < spec.taskCount;
 }
 
-Resources Cell::freeOn(const CellWorker& worker, RoomBasis basis)
-{
-    return basis == RoomBasis::FreeNow ? worker.free() : worker.freeInTime();
-}
-
-uint64_t Cell::roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis) const
-{
-    const Resources demand = demandOf(spec);
-    uint64_t room = 0;
-    for (const CellWorker* worker : workers)
-        room += countFittingTasks(demand, freeOn(*worker, basis), spec.maxPerWorker);
-    return room;
-}
-
 void Cell::updateExclusive(absl::Span<const StepRank> ranks)
 {
     const Instant now = m_parts.timers.clock().now();
--- a/src/CellRoom.h
+++ b/src/CellRoom.h
@@ -9,6 +9,8 @@
 #include "Clock.h"
 #include "GangReservation.h"
 
+#include "absl/types/span.h"
+
 #include <optional>
 #include <string>
 #include <utility>
@@ -36,6 +38,11 @@
     InTime,
 };
 
+/** What the worker has free for new runs. */
+Resources freeOn(const CellWorker& worker, RoomBasis basis);
+/** For how many tasks of the step the workers have room. */
+uint64_t roomOn(const StepSpec& spec, absl::Span<CellWorker* const> workers, RoomBasis basis);
+
 /** A worker on which a step may be allowed to run. */
 struct AdviceCandidate {
     CellWorker* worker = nullptr;
--- a/src/CellRounds.cpp
+++ b/src/CellRounds.cpp
@@ -99,13 +99,6 @@
     return ranks;
 }
 
-double Cell::waitingWorkOf(const CellJob& job, StepRef ref) const
-{
-    if (job.stepSpec(ref).isService)
-        return 0;
-    return job.workOfTask(ref) * static_cast<double>(waitingTasks(job.step(ref)).size());
-}
-
 void Cell::continueRound(absl::Span<const StepRank> ranks, size_t end, absl::Span<const Reservation> reservations)
 {
     m_isContinuationDue = false;
--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -11,6 +11,7 @@
 
 #include "Cell.h"
 #include "CellDirectory.h"
+#include "CellKeys.h"
 
 #include "Job.h"
 #include "Pack.h"
@@ -37,14 +38,12 @@
 
 uint32_t Cell::homeOf(const std::string& id) const { return cellOfKey(id, m_term.cells); }
 
-std::string Cell::arrivalKey(uint32_t cell, const std::string& id) { return cellKey(arrivalKind, cell, id); }
-
 void Cell::startTransfers()
 {
     if (m_term.cells <= 1)
         return;
     m_arrivals = std::make_unique<PrefixMirror>(
-        m_parts.store, m_parts.timers, m_parts.log, arrivalKey(m_term.cell, ""), arrivalWatchTimeout,
+        m_parts.store, m_parts.timers, m_parts.log, cellKey(CellKeyKind::Arrival, m_term.cell, ""), arrivalWatchTimeout,
         [this](const std::string& key, const StoreEntry* entry) {
             if (entry)
                 handleArrival(key, *entry);
@@ -76,7 +75,7 @@
 
 void Cell::readMark(const std::string& id)
 {
-    const std::string key = cellKey(runKind, homeOf(id), id);
+    const std::string key = cellKey(CellKeyKind::Run, homeOf(id), id);
     m_parts.store.listPage(key, "", guarded([this, id, key](const StorePage& page) {
         const auto transfer = m_transfers.find(id);
         if (transfer == m_transfers.end())
@@ -102,14 +101,15 @@
     if (!job || m_isSuperseded)
         return;
     const Transfer& transfer = m_transfers[id];
-    const std::string newJobKey = cellKey(jobKind, transfer.destination, id);
-    const std::string newRunKey = cellKey(runKind, transfer.destination, id);
+    const std::string newJobKey = cellKey(CellKeyKind::Job, transfer.destination, id);
+    const std::string newRunKey = cellKey(CellKeyKind::Run, transfer.destination, id);
     Transaction transaction;
     transaction.conditions = { { m_term.row, m_term.token }, { jobKey(id), m_writer.storedRevision(jobKey(id)) },
         { runKey(id), m_writer.storedRevision(runKey(id)) }, { newJobKey, transfer.markRevision },
         { newRunKey, transfer.markRevision } };
     transaction.writes = { { newJobKey, encodeJobRecord(*job) }, { newRunKey, encodeRunRecord(*job) },
-        { arrivalKey(transfer.destination, id), Internal::packFields(m_term.cell, job->transfers + 1) } };
+        { cellKey(CellKeyKind::Arrival, transfer.destination, id),
+            Internal::packFields(m_term.cell, job->transfers + 1) } };
     const bool leavesMarks = m_term.cell == homeOf(id);
     for (const std::string& key : { jobKey(id), runKey(id) }) {
         if (leavesMarks)
@@ -183,7 +183,7 @@
 
 void Cell::handleArrival(const std::string& key, const StoreEntry& entry)
 {
-    const std::string id = idOf(key);
+    const std::string id = idOfCellKey(key);
     m_writer.setStoredRevision(key, entry.index);
     uint32_t from = 0;
     uint32_t transfers = 0;
@@ -283,12 +283,12 @@
     const uint32_t home = homeOf(id);
     if (m_term.cell == home)
         return;
-    readRecord(cellKey(runKind, home, id), [this, id, home](bool, const std::optional<StoreEntry>& mark) {
+    readRecord(cellKey(CellKeyKind::Run, home, id), [this, id, home](bool, const std::optional<StoreEntry>& mark) {
         if (!mark || transferMarkOf(mark->value) != std::optional<uint32_t>(m_term.cell))
             return;
         Transaction transaction;
         transaction.conditions = { { m_term.row, m_term.token } };
-        for (const absl::string_view kind : { jobKind, runKind }) {
+        for (const CellKeyKind kind : { CellKeyKind::Job, CellKeyKind::Run }) {
             transaction.conditions.push_back({ cellKey(kind, home, id), mark->index });
             transaction.removals.push_back(cellKey(kind, home, id));
         }
