--- a/src/CellTransfers.cpp
+++ b/src/CellTransfers.cpp
@@ -304,7 +304,7 @@
 {
     const uint32_t cell = m_marks[id].cell;
     const auto readEnded = [this, id, cell](absl::AnyInvocable<void(std::optional<std::string>)> done) {
-        readRecord(cellKey(runKind, cell, id),
+        readRecord(cellKey(CellKeyKind::Run, cell, id),
             [done = std::move(done)](bool isRead, const std::optional<StoreEntry>& run) mutable {
                 if (!isRead)
                     return done(std::nullopt);
@@ -312,7 +312,7 @@
                 done(ended ? ended.value().queue : "");
             });
     };
-    readRecord(cellKey(jobKind, cell, id),
+    readRecord(cellKey(CellKeyKind::Job, cell, id),
         [id, readEnded, then = std::move(then)](bool isRead, const std::optional<StoreEntry>& record) mutable {
             if (!isRead)
                 return then(std::nullopt);
