Soak: executors that are cut off from the entries and the store for longer than a lease (fails)

No soak cut executors off from the store, so their entries stayed there, and an executor that is listed is not taken for a crashed one.

One in three restarts after its leases have ended, under its id or another one at the address. Beside them: signals, planned stops, links of entries, and stores that are silent while entries and leases lapse. Tasks work for 4 to 12 s. The message names the runs and the end that the stand-in saw of each.

--- a/test/soak/NodeProcess.cpp
+++ b/test/soak/NodeProcess.cpp
@@ -20,8 +20,8 @@
     file << absl::StrCat(R"({"name":")", p.name, R"(","region":"r","failureDomain":"z","callers":)", at(p.firstPort),
         R"(,"readiness":)", at(p.firstPort + 1), R"(,"peers":)", at(p.firstPort + 2), R"(,"peersReachedAt":)",
         at(p.peersReachedAt), R"(,"metrics":)", at(p.firstPort + 3), R"(,"store":)", at(p.storePort), R"(,"advisor":)",
-        at(p.advisorPort), R"(,"processorShare":)", p.processorShare,
-        R"(,"processorSpeed":1,"bounds":{"maxLeaseMs":6000,)", R"("endedRetentionS":120,"plannedStopS":6}})");
+        at(p.advisorPort), R"(,"processorShare":)", p.processorShare, R"(,"processorSpeed":1,"bounds":{"maxLeaseMs":)",
+        absl::ToInt64Milliseconds(p.maxLease), R"(,"endedRetentionS":120,"plannedStopS":6}})");
     if (!file)
         return Error { ErrorKind::InvalidSettings, absl::StrCat("Can't write the settings of ", p.name, "."),
             "Give a folder that can be written to." };
--- a/test/soak/NodeProcess.h
+++ b/test/soak/NodeProcess.h
@@ -8,6 +8,8 @@
 #include "Error.h"
 #include "Settings.h"
 
+#include "absl/time/time.h"
+
 #include <string>
 #include <sys/types.h>
 
@@ -26,6 +28,8 @@
     uint16_t storePort = 0;
     uint16_t advisorPort = 0;
     double processorShare = 0;
+    /** The longest lease that it gives. */
+    absl::Duration maxLease = absl::Seconds(6);
 };
 
 /** A process that can be killed, paused, asked to stop, and started again. */
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -50,6 +50,18 @@
     return absl::Milliseconds(std::uniform_int_distribution<int64_t>(minMillis, maxMillis)(m_random));
 }
 
+absl::Duration SoakCallers::between(absl::Duration min, absl::Duration max)
+{
+    return between(absl::ToInt64Milliseconds(min), absl::ToInt64Milliseconds(max));
+}
+
+void SoakCallers::setLoad(absl::Duration minWork, absl::Duration maxWork, absl::Duration minPause)
+{
+    m_minWork = minWork;
+    m_maxWork = maxWork;
+    m_minPause = minPause;
+}
+
 void SoakCallers::start() { submitNext(); }
 
 SoakJob SoakCallers::drawJob()
@@ -60,7 +72,7 @@
     if (m_random() % 4 == 0)
         job.tasksOfStep.push_back(1 + static_cast<uint32_t>(m_random() % 3));
     job.cpuMillis = 300 + static_cast<int64_t>(m_random() % 1200);
-    job.work = between(100, 900);
+    job.work = between(m_minWork, m_maxWork);
     job.isHopeless = m_random() % 25 == 0;
     job.isGang = m_random() % 6 == 0;
     job.account = m_judge.accounts().empty() ? 0 : m_random() % m_judge.accounts().size();
@@ -77,7 +89,7 @@
     m_judge.add(job);
     if (job.hasUnknownKey) {
         submitWithUnknownKey(job);
-        return later(m_io, between(40, 160), [this] { submitNext(); });
+        return later(m_io, between(m_minPause, 4 * m_minPause), [this] { submitNext(); });
     }
     auto attempts = std::make_shared<Attempts>();
     ++m_handingIn;
@@ -87,7 +99,7 @@
         submit(job.id, bodyOf(job), attempts);
     if (m_random() % 12 == 0)
         later(m_io, between(50, 2500), [this, id = job.id] { cancel(id); });
-    later(m_io, between(40, 160), [this] { submitNext(); });
+    later(m_io, between(m_minPause, 4 * m_minPause), [this] { submitNext(); });
 }
 
 void SoakCallers::submitWithUnknownKey(const SoakJob& job)
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -21,6 +21,8 @@
 
     /** Some jobs are to crash executors. */
     void addDeadlyJobs() { m_hasDeadlyJobs = true; }
+    /** How long tasks work, and the shortest pause between two jobs; the longest is four times as long. */
+    void setLoad(absl::Duration minWork, absl::Duration maxWork, absl::Duration minPause);
     /** Hands jobs in at intervals until stop(). */
     void start();
     /** Hands nothing in any more; goes on asking. */
@@ -46,6 +48,7 @@
     void call(const char* method, const std::string& id, std::string body,
         absl::AnyInvocable<void(platform::HttpResult)> callback);
     absl::Duration between(int64_t minMillis, int64_t maxMillis);
+    absl::Duration between(absl::Duration min, absl::Duration max);
 
     boost::asio::io_context& m_io;
     SoakJudge& m_judge;
@@ -53,6 +56,9 @@
     const std::vector<Endpoint> m_nodes;
     std::mt19937_64 m_random;
     bool m_hasDeadlyJobs = false;
+    absl::Duration m_minWork = absl::Milliseconds(100);
+    absl::Duration m_maxWork = absl::Milliseconds(900);
+    absl::Duration m_minPause = absl::Milliseconds(40);
     bool m_isStopped = false;
     size_t m_handingIn = 0;
 };
--- a/test/soak/SoakJudge.cpp
+++ b/test/soak/SoakJudge.cpp
@@ -87,10 +87,11 @@
 
 bool SoakJudge::mayBeGivenUp(const SoakJob& job) const
 {
+    const uint32_t least = job.isDeadly ? crashesToGiveUp : m_crashesToGiveUpSound;
     for (size_t step = 0; step < job.tasksOfStep.size(); ++step) {
         for (uint32_t i = 0; i < job.tasksOfStep[step]; ++i) {
             const auto task = m_tasks.find(taskName(job.id, step, i));
-            if (task != m_tasks.end() && task->second.crashes >= crashesToGiveUp)
+            if (task != m_tasks.end() && task->second.crashes >= least)
                 return true;
         }
     }
@@ -104,9 +105,13 @@
     for (size_t step = 0; step < job.tasksOfStep.size(); ++step) {
         for (uint32_t i = 0; i < job.tasksOfStep[step]; ++i) {
             const auto task = m_tasks.find(taskName(job.id, step, i));
-            if (task != m_tasks.end())
-                absl::StrAppend(&text, "; task ", step, ".", i, " failed ", task->second.failures, " times, crashed ",
-                    task->second.crashes, " times", task->second.wasDone ? ", was done" : "");
+            if (task == m_tasks.end())
+                continue;
+            absl::StrAppend(&text, "; task ", step, ".", i, " failed ", task->second.failures, " times, crashed ",
+                task->second.crashes, " times", task->second.wasDone ? ", was done" : "");
+            for (const SeenRun& run : task->second.runs)
+                absl::StrAppend(
+                    &text, ", run ", run.number, " ", run.end.empty() ? "at work" : run.end, " on ", run.executor);
         }
     }
     return text;
@@ -152,7 +157,7 @@
     job.ended = state;
     if (state == "completed" && !allDone(job, job.tasksOfStep.size()))
         violate(absl::StrCat("job ", id, " is shown as completed and has tasks that are not done"));
-    if (state == "failed" && !hasFailedOut(job) && !(job.isDeadly && mayBeGivenUp(job)))
+    if (state == "failed" && !hasFailedOut(job) && !mayBeGivenUp(job))
         violate(absl::StrCat("job ", id, " is shown as failed without having failed so often: ", describe(job)));
     if (state == "cancelled" && !job.isCancelSent)
         violate(absl::StrCat("job ", id, " is shown as cancelled without having been cancelled"));
@@ -197,6 +202,7 @@
     if (!violation.empty())
         violate(what + violation);
     task.runsAt = executor;
+    task.runs.push_back({ run.number, executor, "" });
     int64_t& used = m_used[executor];
     used += job->cpuMillis;
     if (used > GridLayout::cpuMillis)
@@ -227,6 +233,10 @@
     Task& task = m_tasks[run.task];
     if (task.runsAt == executor)
         task.runsAt.reset();
+    for (SeenRun& seen : task.runs) {
+        if (seen.number == run.number && seen.executor == executor && seen.end.empty())
+            seen.end = how;
+    }
     task.wasDone = task.wasDone || how == "done";
     task.failures += how == "failed" ? 1 : 0;
     task.crashes += how == "lost" ? 1 : 0;
--- a/test/soak/SoakJudge.h
+++ b/test/soak/SoakJudge.h
@@ -63,6 +63,8 @@
     void add(SoakJob job) { m_jobs.emplace(job.id, std::move(job)); }
     const absl::btree_map<std::string, SoakJob>& jobs() const { return m_jobs; }
 
+    /** Sound jobs, too, may be shown as failed once so many executors have crashed under one of their tasks. */
+    void allowCrashesUnderSoundTasks(uint32_t crashes) { m_crashesToGiveUpSound = crashes; }
     /** Called when an executor has started a task that crashes it. */
     void setOnDeadlyStart(std::function<void(const std::string& executor)> handler)
     {
@@ -91,7 +93,15 @@
     size_t starts() const { return m_starts; }
 
 private:
+    /** How the stand-in saw a run. */
+    struct SeenRun {
+        uint32_t number = 0;
+        std::string executor;
+        /** Empty while it is at work. */
+        std::string end;
+    };
     struct Task {
+        std::vector<SeenRun> runs;
         std::optional<std::string> runsAt;
         bool wasDone = false;
         bool isDoneAcknowledged = false;
@@ -104,9 +114,10 @@
     SoakJob* jobOf(const GridRun&);
     bool allDone(const SoakJob& job, size_t steps) const;
     bool hasFailedOut(const SoakJob& job) const;
-    /** Whether executors have crashed under a task of the job as often as it takes to give the job up. */
+    /** Whether executors have crashed under a task of the job, while it was at work, as often as it takes to give the
+     * job up. */
     bool mayBeGivenUp(const SoakJob& job) const;
-    /** The failures and crashes under each task of the job. */
+    /** The failures and crashes under each task of the job, and its runs. */
     std::string describe(const SoakJob& job) const;
     void checkCrashes(const SoakJob& job, const std::string& executor, const GridRun& run);
     void checkAccount(const SoakJob& job, const std::string& what);
@@ -121,6 +132,7 @@
     absl::btree_set<std::string> m_startedJobs;
     std::vector<std::string> m_violations;
     size_t m_starts = 0;
+    uint32_t m_crashesToGiveUpSound = UINT32_MAX;
     std::function<void(const std::string& executor)> m_onDeadlyStart;
 };
 
--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -35,6 +35,8 @@
   -x, --executors N     executors (default 12)
   -l, --cells N         cells; with several, whole racks are lost and restarts are listed late (default 1)
   -a, --accounts        callers have keys of client accounts, one of them with a limit; some keys are unknown
+  -u, --cuts            executors are cut off from the entries and the store for longer than a lease, in series, and some
+                        restart meanwhile; leases, reports and cuts of odd seeds take half as long
   -d, --deadly          some tasks crash each executor that starts them
   -p, --port N          the first of the loopback ports that are used (default 20000)
   -k, --keep FOLDER     where logs go and stay (default: a folder that is removed when all is well)
@@ -48,6 +50,16 @@
 /** As many workers as the daemon gives to a cell for each processor of its owner. */
 constexpr double workersPerProcessor = 800;
 constexpr double defaultShare = 0.25;
+/** Of the users' platform: the longest lease, and the interval at which executors report to the store. */
+constexpr absl::Duration maxLease = absl::Seconds(6);
+constexpr absl::Duration reportInterval = absl::Milliseconds(1500);
+/** Where executors are cut off, tasks work for long enough to be hit again, and come seldom enough to find some room.
+ */
+constexpr absl::Duration minWorkBesideCuts = absl::Seconds(4);
+constexpr absl::Duration maxWorkBesideCuts = absl::Seconds(12);
+constexpr absl::Duration minPauseBesideCuts = absl::Milliseconds(400);
+/** So many crashes under one task end its job, whatever else ran there. */
+constexpr uint32_t maxCrashesUnderSoundTasks = 3;
 /** Keeps rounding from adding a cell. */
 constexpr double shareMargin = 1.001;
 
@@ -61,6 +73,7 @@
     int cells = 1;
     bool hasAccounts = false;
     bool hasDeadlyJobs = false;
+    bool hasCuts = false;
     uint16_t port = 20000;
     std::string folder;
 };
@@ -73,6 +86,8 @@
         , m_random(seed)
         , m_judge(m_clock)
         , m_seed(seed)
+        , m_pace(options.hasCuts ? 1 + static_cast<int64_t>(seed % 2) : 1)
+        , m_cuts(static_cast<size_t>(options.executors))
     {
     }
 
@@ -82,6 +97,12 @@
     std::string summary() const;
 
 private:
+    /** Of one executor from everything. */
+    struct Cut {
+        bool isOpen = false;
+        bool hasRestarted = false;
+    };
+
     uint16_t port(int offset) const { return static_cast<uint16_t>(m_options.port + offset); }
     int nodeOffset(size_t node) const { return 3 * m_options.executors + 10 + static_cast<int>(node) * portsOfNode; }
     Result<void> addProxy(int listen, int target);
@@ -93,9 +114,22 @@
     void restart(size_t node);
     void keepAlive();
     void harmStore();
+    /** The entries of executors that can't report for so long are gone when it is over. */
+    void silenceStore();
     void harmExecutor(size_t executor);
     void loseRack(size_t rack);
+    /** Any link; beside cuts only those of entries, as the executors' are cut by nextCut(). */
+    FaultProxy& anyLink();
+    void nextCut();
+    void cutOff(size_t executor, absl::Duration length);
+    void restartBehindCut(size_t executor);
+    void reconnect(size_t executor);
     void restartExecutor(size_t number);
+    /** A time that the seed's pace shortens. */
+    absl::Duration paced(int64_t minMillis, int64_t maxMillis)
+    {
+        return between(minMillis / m_pace, maxMillis / m_pace);
+    }
     /** The executor crashes soon, and is back after some seconds. */
     void crashExecutor(const std::string& id);
     void endFaults();
@@ -120,6 +154,11 @@
     std::vector<std::unique_ptr<NodeProcess>> m_nodes;
     std::unique_ptr<SoakCallers> m_callers;
     bool m_isCalm = false;
+    /** How many times faster than the users' platform everything with a lease goes. */
+    const int64_t m_pace;
+    /** By executor. */
+    std::vector<Cut> m_cuts;
+    size_t m_newIds = 0;
 };
 
 Result<void> Soak::addProxy(int listen, int target)
@@ -155,7 +194,8 @@
         BOOST_OUTCOME_TRY(addProxy(offset + 5, 0));
         NodePlan plan { m_options.node, m_options.folder, absl::StrCat("s", m_seed, "-e", i), host, port(offset),
             port(offset + 4), port(offset + 5), port(1),
-            m_options.cells == 1 ? defaultShare : executors / workersPerProcessor / m_options.cells * shareMargin };
+            m_options.cells == 1 ? defaultShare : executors / workersPerProcessor / m_options.cells * shareMargin,
+            maxLease / m_pace };
         m_nodes.push_back(std::make_unique<NodeProcess>(std::move(plan)));
         BOOST_OUTCOME_TRY(m_nodes.back()->start());
         addresses.push_back({ host, port(offset) });
@@ -163,6 +203,11 @@
     m_callers = std::make_unique<SoakCallers>(m_io, m_clock, m_judge, std::move(addresses), m_seed + 1);
     if (m_options.hasDeadlyJobs)
         m_callers->addDeadlyJobs();
+    if (m_options.hasCuts) {
+        m_callers->setLoad(minWorkBesideCuts / m_pace, maxWorkBesideCuts / m_pace, minPauseBesideCuts / m_pace);
+        m_judge.allowCrashesUnderSoundTasks(maxCrashesUnderSoundTasks);
+        m_grid->startReports(reportInterval / m_pace);
+    }
     m_judge.setOnDeadlyStart([this](const std::string& executor) { crashExecutor(executor); });
     return success();
 }
@@ -177,6 +222,8 @@
     play(lead);
     m_callers->start();
     nextFault();
+    if (m_options.hasCuts)
+        nextCut();
     play(m_options.length);
     endFaults();
     m_callers->stop();
@@ -208,7 +255,9 @@
     if (m_isCalm)
         return;
     strike();
-    later(m_io, between(150, 1600), [this] { nextFault(); });
+    // Beside cuts entries are left alone for long enough to conclude something.
+    const int64_t pauses = m_options.hasCuts ? 3 : 1;
+    later(m_io, between(150, 1600) * pauses, [this] { nextFault(); });
 }
 
 void Soak::strike()
@@ -224,7 +273,7 @@
     case 2:
     case 3:
     case 4:
-        return harmLink(*m_proxies[m_random() % m_proxies.size()]);
+        return harmLink(anyLink());
     case 5:
         // The links of one entry: to its peers and to the store.
         harmLink(*m_proxies[m_grid->executors().size() + 2 * node]);
@@ -240,6 +289,12 @@
     }
 }
 
+FaultProxy& Soak::anyLink()
+{
+    const size_t first = m_options.hasCuts ? m_grid->executors().size() : 0;
+    return *m_proxies[first + m_random() % (m_proxies.size() - first)];
+}
+
 void Soak::harmLink(FaultProxy& proxy)
 {
     const auto kind = m_random() % 6;
@@ -313,6 +368,8 @@
     constexpr std::pair<GridStoreMood, const char*> moods[]
         = { { GridStoreMood::Refuses, "refuses" }, { GridStoreMood::LosesReplies, "loses replies" },
               { GridStoreMood::WritesLate, "writes late" }, { GridStoreMood::Slow, "is slow" } };
+    if (m_options.hasCuts && m_random() % 2 == 0)
+        return silenceStore();
     const auto kind = m_random() % 5;
     if (kind == 4) {
         note("the store drops its history");
@@ -324,6 +381,14 @@
     later(m_io, length, [this] { m_grid->store().setMood(GridStoreMood::Well); });
 }
 
+void Soak::silenceStore()
+{
+    const absl::Duration length = paced(2000, 10000);
+    note(absl::StrCat("the store is silent for ", absl::ToInt64Milliseconds(length), " ms"));
+    m_grid->store().setMood(GridStoreMood::Silent);
+    later(m_io, length, [this] { m_grid->store().setMood(GridStoreMood::Well); });
+}
+
 void Soak::harmExecutor(size_t number)
 {
     GridExecutor& executor = *m_grid->executors()[number];
@@ -348,6 +413,11 @@
 void Soak::restartExecutor(size_t number)
 {
     m_grid->executors()[number]->rebirth();
+    if (m_options.hasCuts) {
+        // It is listed when it reports. The connections of its former life are gone.
+        m_cuts[number].hasRestarted = true;
+        return m_proxies[number]->reset();
+    }
     if (m_options.cells == 1)
         return m_grid->list(number);
     later(m_io, between(0, 1500), [this, number] { m_grid->list(number); });
@@ -363,7 +433,10 @@
         note(absl::StrCat("executor ", number, " crashes under a task"));
         m_proxies[number]->cut(true, true);
         restartExecutor(number);
-        later(m_io, between(1500, 3000), [this, number] { m_proxies[number]->heal(); });
+        later(m_io, between(1500, 3000), [this, number] {
+            if (!m_cuts[number].isOpen)
+                reconnect(number);
+        });
     });
 }
 
@@ -372,16 +445,72 @@
     const absl::Duration length = between(2000, 9000);
     note(absl::StrCat("rack ", rack, " is lost for ", absl::ToInt64Milliseconds(length), " ms"));
     for (size_t i = rack; i < m_grid->executors().size(); i += GridLayout::racks) {
+        if (m_cuts[i].isOpen)
+            continue;
         // The proxies of the executors come first.
         m_proxies[i]->cut(true, true);
-        later(m_io, length, [this, i] { m_proxies[i]->heal(); });
+        later(m_io, length, [this, i] {
+            if (!m_cuts[i].isOpen)
+                m_proxies[i]->heal();
+        });
     }
 }
 
+void Soak::nextCut()
+{
+    if (m_isCalm)
+        return;
+    const absl::Duration length = paced(8000, 11000);
+    std::string cut;
+    for (size_t i = 0; i < m_cuts.size(); ++i) {
+        if (m_cuts[i].isOpen || m_random() % 8 >= 5)
+            continue;
+        absl::StrAppend(&cut, " ", i);
+        cutOff(i, length);
+    }
+    note(absl::StrCat("executors", cut, " are cut off for ", absl::ToInt64Milliseconds(length), " ms"));
+    later(m_io, length + paced(100, 1500), [this] { nextCut(); });
+}
+
+void Soak::cutOff(size_t number, absl::Duration length)
+{
+    m_cuts[number].isOpen = true;
+    m_proxies[number]->cut(true, true);
+    m_grid->setReachesStore(number, false);
+    // All leases have ended by then, so the next life is no evidence of a crash under a run.
+    if (m_random() % 3 == 0)
+        later(m_io, maxLease / m_pace + paced(200, 1800), [this, number] { restartBehindCut(number); });
+    later(m_io, length, [this, number] { reconnect(number); });
+}
+
+void Soak::restartBehindCut(size_t number)
+{
+    if (!m_cuts[number].isOpen || m_cuts[number].hasRestarted)
+        return;
+    const bool hasNewId = m_random() % 2 == 0;
+    note(absl::StrCat("executor ", number, " restarts behind the cut", hasNewId ? " under another id" : ""));
+    if (!hasNewId)
+        return restartExecutor(number);
+    m_cuts[number].hasRestarted = true;
+    m_grid->executors()[number]->rebirthAs(absl::StrCat("i-", number, "-", ++m_newIds));
+}
+
+void Soak::reconnect(size_t number)
+{
+    // Orders to a former life don't reach the next one.
+    if (m_cuts[number].hasRestarted)
+        m_proxies[number]->reset();
+    m_cuts[number] = {};
+    m_proxies[number]->heal();
+    m_grid->setReachesStore(number, true);
+}
+
 void Soak::endFaults()
 {
     m_isCalm = true;
     note("faults end");
+    for (size_t i = 0; i < m_cuts.size(); ++i)
+        reconnect(i);
     for (const auto& proxy : m_proxies)
         proxy->heal();
     for (const auto& node : m_nodes)
@@ -442,11 +571,12 @@
         { "count", required_argument, nullptr, 'c' }, { "seconds", required_argument, nullptr, 's' },
         { "entries", required_argument, nullptr, 'e' }, { "executors", required_argument, nullptr, 'x' },
         { "cells", required_argument, nullptr, 'l' }, { "accounts", no_argument, nullptr, 'a' },
-        { "deadly", no_argument, nullptr, 'd' }, { "port", required_argument, nullptr, 'p' },
-        { "keep", required_argument, nullptr, 'k' }, { "help", no_argument, nullptr, 'h' }, {} };
+        { "deadly", no_argument, nullptr, 'd' }, { "cuts", no_argument, nullptr, 'u' },
+        { "port", required_argument, nullptr, 'p' }, { "keep", required_argument, nullptr, 'k' },
+        { "help", no_argument, nullptr, 'h' }, {} };
     Options options;
     bool isWrong = false;
-    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:adp:k:h", names, nullptr)) != -1;) {
+    for (int name; (name = getopt_long(argc, argv, "n:f:c:s:e:x:l:adup:k:h", names, nullptr)) != -1;) {
         if (name == 'n')
             options.node = optarg;
         else if (name == 'k')
@@ -455,6 +585,8 @@
             options.hasAccounts = true;
         else if (name == 'd')
             options.hasDeadlyJobs = true;
+        else if (name == 'u')
+            options.hasCuts = true;
         else if (name == 'h' || name == '?')
             isWrong = true;
         else {
--- a/test/standin/Grid.cpp
+++ b/test/standin/Grid.cpp
@@ -21,6 +21,7 @@
     using platform::parseBody;
 
     constexpr const char* service = "s";
+    constexpr int maxMissedReports = 3;
 
     /** Every worker is allowed. */
     HttpResponse advise(const std::string& body)
@@ -35,8 +36,11 @@
 } // namespace
 
 Grid::Grid(boost::asio::io_context& io, GridLayout layout)
-    : m_layout(std::move(layout))
+    : m_io(io)
+    , m_layout(std::move(layout))
     , m_store(io, m_layout.seed)
+    , m_reachesStore(static_cast<size_t>(m_layout.executors), true)
+    , m_listedStart(static_cast<size_t>(m_layout.executors))
 {
 }
 
@@ -90,7 +94,10 @@
 
 void Grid::list(size_t number, bool isDraining)
 {
+    if (!m_reachesStore[number])
+        return;
     const GridExecutor& executor = *m_executors[number];
+    m_listedStart[number] = executor.born();
     const auto port = static_cast<int>(m_layout.firstExecutorPort + number) + m_layout.registeredOffset;
     const Json capacity = { { "cpu", GridLayout::cpuMillis }, { "memMb", GridLayout::memoryMiB }, { "gpu", 0 } };
     const Json entry = { { "service", service }, { "address", absl::StrCat(m_layout.host, ":", port) }, { "zone", "z" },
@@ -100,4 +107,33 @@
     m_store.put(absl::StrCat("servers/", executor.id()), entry.dump());
 }
 
+void Grid::startReports(absl::Duration interval) { report(interval); }
+
+void Grid::report(absl::Duration interval)
+{
+    for (auto& [id, missed] : m_missedReports)
+        ++missed;
+    for (size_t i = 0; i < m_executors.size(); ++i) {
+        if (m_store.isDown() || !m_reachesStore[i])
+            continue;
+        const bool isNew = m_missedReports.insert_or_assign(m_executors[i]->id(), 0).second;
+        if (isNew || m_listedStart[i] != m_executors[i]->born())
+            list(i);
+    }
+    removeSilent();
+    later(m_io, interval, [this, interval] { report(interval); });
+}
+
+void Grid::removeSilent()
+{
+    for (auto it = m_missedReports.begin(); it != m_missedReports.end();) {
+        if (it->second < maxMissedReports) {
+            ++it;
+            continue;
+        }
+        m_store.remove(absl::StrCat("servers/", it->first));
+        it = m_missedReports.erase(it);
+    }
+}
+
 } // namespace cicada::test
--- a/test/standin/Grid.h
+++ b/test/standin/Grid.h
@@ -52,6 +52,11 @@
     void configure();
     /** Writes the executor's entry anew, as after a start. */
     void list(size_t executor, bool isDraining = false);
+    /** From now on executors report at this interval as long as they reach the store, write their entries if they are
+     * missing or show another start, and lose them after three reports that were missed. */
+    void startReports(absl::Duration interval);
+    /** While an executor doesn't reach the store, nothing that it writes arrives. */
+    void setReachesStore(size_t executor, bool reaches) { m_reachesStore[executor] = reaches; }
 
     /** The queue that the configuration has. */
     static constexpr const char* queueHost = "a.example";
@@ -61,8 +66,17 @@
 private:
     Grid(boost::asio::io_context&, GridLayout);
 
+    void report(absl::Duration interval);
+    void removeSilent();
+
+    boost::asio::io_context& m_io;
     const GridLayout m_layout;
     GridStore m_store;
+    std::vector<bool> m_reachesStore;
+    /** The start that the entry of each executor shows. */
+    std::vector<int64_t> m_listedStart;
+    /** Reports missed in a row, by the id in the entry. */
+    absl::btree_map<std::string, int> m_missedReports;
     std::vector<std::unique_ptr<GridExecutor>> m_executors;
     std::vector<std::unique_ptr<platform::HttpServer>> m_servers;
     uint64_t m_version = 6;
--- a/test/standin/GridExecutor.cpp
+++ b/test/standin/GridExecutor.cpp
@@ -151,8 +151,15 @@
     }
 }
 
+void GridExecutor::rebirthAs(std::string id)
+{
+    rebirth();
+    m_id = std::move(id);
+}
+
 void GridExecutor::rebirth()
 {
+    checkLease();
     for (const auto& [run, serial] : m_runs)
         m_observer.ended(m_id, run, "lost");
     ++m_life;
--- a/test/standin/GridExecutor.h
+++ b/test/standin/GridExecutor.h
@@ -40,7 +40,7 @@
     virtual absl::Duration workOf(const GridRun&) = 0;
     virtual bool fails(const GridRun&) = 0;
     virtual void started(const std::string& executor, const GridRun&) = 0;
-    /** `how` is as on the wire; "lost" when the executor itself went down. */
+    /** `how` is as on the wire, such as "lapsed"; "lost" when the executor went down while the run was at work. */
     virtual void ended(const std::string& executor, const GridRun&, const std::string& how) = 0;
     /** The end will not be listed again. */
     virtual void acknowledged(const GridRun&, const std::string& how) = 0;
@@ -58,6 +58,8 @@
 
     /** Starts again under its id, with nothing remembered. */
     void rebirth();
+    /** Starts again at its address, under another id. */
+    void rebirthAs(std::string id);
     /** Carries out a share of the orders seconds later and does not answer them. */
     void setLateShare(double share) { m_lateShare = share; }
     /** Lets every run fail. */
@@ -81,7 +83,7 @@
     void list(SteadyTime until, uint64_t life, const std::shared_ptr<platform::HttpResponder>& respond);
 
     boost::asio::io_context& m_io;
-    const std::string m_id;
+    std::string m_id;
     GridObserver& m_observer;
     std::mt19937_64 m_random;
     double m_lateShare = 0;
--- a/test/standin/GridStore.cpp
+++ b/test/standin/GridStore.cpp
@@ -65,6 +65,8 @@
     if (m_mood == GridStoreMood::Refuses)
         return respond({ 503, "{}" });
     // A request whose responder is dropped stays without an answer.
+    if (m_mood == GridStoreMood::Silent)
+        return;
     if (m_mood == GridStoreMood::LosesReplies && isFaulty) {
         call(request);
         return;
@@ -191,6 +193,9 @@
 void GridStore::poll(
     const std::string& prefix, uint64_t after, SteadyTime until, const std::shared_ptr<HttpResponder>& respond)
 {
+    const auto pollAgain = [this, prefix, after, until, respond] { poll(prefix, after, until, respond); };
+    if (m_mood == GridStoreMood::Silent)
+        return later(m_io, pollInterval, pollAgain);
     if (after < m_oldest)
         return (*respond)({ 410, "{}" });
     Json events = Json::array();
@@ -206,7 +211,7 @@
     std::reverse(events.begin(), events.end());
     if (!events.empty() || SteadyClock::now() >= until)
         return (*respond)({ 200, Json { { "events", events }, { "storeRevision", m_revision } }.dump() });
-    later(m_io, pollInterval, [this, prefix, after, until, respond] { poll(prefix, after, until, respond); });
+    later(m_io, pollInterval, pollAgain);
 }
 
 GridStore::Answer GridStore::grant(const std::string& body)
--- a/test/standin/GridStore.h
+++ b/test/standin/GridStore.h
@@ -31,6 +31,8 @@
     WritesLate,
     /** Answers take half a second. */
     Slow,
+    /** Calls have no effect and get no answer; watches that wait get theirs when this is over. */
+    Silent,
 };
 
 /** Calls `function` once, after `delay`. */
@@ -46,6 +48,7 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     void setMood(GridStoreMood mood) { m_mood = mood; }
+    bool isDown() const { return m_mood == GridStoreMood::Refuses || m_mood == GridStoreMood::Silent; }
     /** Watches that lag behind must list again. */
     void dropHistory();
 
