Soak: the stand-in for an executor refuses what is meant for another boot

The server's request holds the id that the header names, as wire names are decoded in platform/ only.

--- a/test/standin/GridExecutor.cpp
+++ b/test/standin/GridExecutor.cpp
@@ -70,6 +70,8 @@
 {
     const Json json = parseBody(request.body).value_or(Json::object());
     Json answer = { { "clockMs", clockMillis() }, { "born", m_born } };
+    if (!request.expectedIncarnation.empty() && request.expectedIncarnation != m_id)
+        return { 421, answer.dump() };
     const uint64_t fence = json.value("fence", uint64_t(0));
     if (fence < m_fence) {
         answer["reason"] = "fence";
