--- a/test/soak/cicada-soak.cpp
+++ b/test/soak/cicada-soak.cpp
@@ -207,6 +207,8 @@
         m_callers->setLoad(minWorkBesideCuts / m_pace, maxWorkBesideCuts / m_pace, minPauseBesideCuts / m_pace);
         m_judge.allowCrashesUnderSoundTasks(maxCrashesUnderSoundTasks);
         m_grid->startReports(reportInterval / m_pace);
+        for (const auto& executor : m_grid->executors())
+            executor->setMaxLease(maxLease / m_pace);
     }
     m_judge.setOnDeadlyStart([this](const std::string& executor) { crashExecutor(executor); });
     return success();
--- a/test/standin/GridExecutor.cpp
+++ b/test/standin/GridExecutor.cpp
@@ -17,8 +17,6 @@
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr absl::Duration pollInterval = absl::Milliseconds(10);
-    /** The longest lease that is granted. */
-    constexpr int64_t maxLeaseMillis = 6000;
 
     int64_t unixMillis()
     {
@@ -133,7 +131,7 @@
 
 void GridExecutor::extendLease(int64_t endMillis)
 {
-    m_leaseEnd = std::max(m_leaseEnd, std::min(endMillis, clockMillis() + maxLeaseMillis));
+    m_leaseEnd = std::max(m_leaseEnd, std::min(endMillis, clockMillis() + m_maxLeaseMillis));
     later(m_io, absl::Milliseconds(std::max<int64_t>(0, m_leaseEnd - clockMillis()) + 1), [this] { checkLease(); });
 }
 
--- a/test/standin/GridExecutor.h
+++ b/test/standin/GridExecutor.h
@@ -62,6 +62,8 @@
     void rebirthAs(std::string id);
     /** Carries out a share of the orders seconds later and does not answer them. */
     void setLateShare(double share) { m_lateShare = share; }
+    /** Longer leases are shortened to this. */
+    void setMaxLease(absl::Duration maxLease) { m_maxLeaseMillis = absl::ToInt64Milliseconds(maxLease); }
     /** Lets every run fail. */
     void setFailing(bool failing) { m_isFailing = failing; }
 
@@ -88,6 +90,7 @@
     std::mt19937_64 m_random;
     double m_lateShare = 0;
     bool m_isFailing = false;
+    int64_t m_maxLeaseMillis = 6000;
 
     uint64_t m_life = 0;
     int64_t m_born = 0;
