--- a/test/failure/Soak.sh
+++ b/test/failure/Soak.sh
@@ -5,7 +5,7 @@
 build=$1
 here=$(cd "$(dirname "$0")/../soak" && pwd)
 work=$(mktemp -d)
-base=$((16000 + $$ % 2 * 2000))
+base=$((16000 + $$ % 2 * 2500))
 lanes=3
 lane() { # number: plays every third seed at ports of its own
     sed -n 's/^\([0-9][0-9]*\) .*/\1/p' "$here/seeds.txt" | awk -v l="$1" -v n=$lanes 'NR % n == l' | while read -r seed; do
@@ -24,10 +24,16 @@
     "$build/cicada-soak" --node "$build/cicada-node" --first $seed --deadly --cells $((seed - 4)) --seconds 10 \
         --port $((base + (lanes + 2) * 300)) --keep "$work/lane$((lanes + 2))"
 done > "$work/lane$((lanes + 2)).txt" 2>&1 &
+cuts() { # lane, seed, seconds, options: sound jobs were given up with these, as their runs lapsed on executors that were cut off
+    "$build/cicada-soak" --node "$build/cicada-node" --first "$2" --cuts --executors 24 --seconds "$3" "${@:4}" \
+        --port $((base + (lanes + $1) * 300)) --keep "$work/lane$((lanes + $1))" > "$work/lane$((lanes + $1)).txt" 2>&1
+}
+cuts 3 13 20 &
+cuts 4 101 12 --deadly &
 wait
 broken=$(grep -h 'BROKEN\|^seed [0-9]*: ' "$work"/lane*.txt | grep -v ', kept$')
 played=$(grep -ch ', kept$\|, BROKEN$' "$work"/lane*.txt | awk '{n += $1} END {print n}')
-wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 6))
+wanted=$(($(grep -c '^[0-9]' "$here/seeds.txt") + 8))
 if [ -n "$broken" ] || [ "$played" != "$wanted" ]; then
     echo "FAILED: $played of $wanted seeds were played"
     cat "$work"/lane*.txt
