--- a/test/standin/GridExecutor.cpp
+++ b/test/standin/GridExecutor.cpp
@@ -17,8 +17,6 @@
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr absl::Duration pollInterval = absl::Milliseconds(10);
-    /** The longest lease that is granted. */
-    constexpr int64_t maxLeaseMillis = 6000;
 
     int64_t unixMillis()
     {
@@ -70,6 +68,8 @@
 {
     const Json json = parseBody(request.body).value_or(Json::object());
     Json answer = { { "clockMs", clockMillis() }, { "born", m_born } };
+    if (!request.expectedIncarnation.empty() && request.expectedIncarnation != m_id)
+        return { 421, answer.dump() };
     const uint64_t fence = json.value("fence", uint64_t(0));
     if (fence < m_fence) {
         answer["reason"] = "fence";
@@ -131,7 +131,7 @@
 
 void GridExecutor::extendLease(int64_t endMillis)
 {
-    m_leaseEnd = std::max(m_leaseEnd, std::min(endMillis, clockMillis() + maxLeaseMillis));
+    m_leaseEnd = std::max(m_leaseEnd, std::min(endMillis, clockMillis() + m_maxLeaseMillis));
     later(m_io, absl::Milliseconds(std::max<int64_t>(0, m_leaseEnd - clockMillis()) + 1), [this] { checkLease(); });
 }
 
@@ -151,8 +151,15 @@
     }
 }
 
+void GridExecutor::rebirthAs(std::string id)
+{
+    rebirth();
+    m_id = std::move(id);
+}
+
 void GridExecutor::rebirth()
 {
+    checkLease();
     for (const auto& [run, serial] : m_runs)
         m_observer.ended(m_id, run, "lost");
     ++m_life;
