Crashes that show only after their task has finished don't fail its job

What callers saw: a job whose task has finished could still be shown as failed. Cause: decideUndecided() looks for the task of a run that it followed, and not whether it has finished meanwhile; three crashes that only show when their workers can be reached again gave the job up, though a later run did its work. Evidence: LapsedRuns, crashesThatShowOnlyAfterTheTaskHasFinishedDoNotFailItsJob fails on (the job is shown as failed) and passes now. What is decided of a finished task is logged as before (run-decided), and counts for nothing.

--- a/src/CellLostRuns.cpp
+++ b/src/CellLostRuns.cpp
@@ -93,7 +93,8 @@
             lost.allocation.evidence->leaseUntilUnixMillis);
         m_parts.metrics.count(absl::StrCat("cicada_runs_decided{verdict=\"", verdict, "\"}"));
         CellJob* job = findJob(lost.run.task.job);
-        if (!job || job->isMoving || !job->find(lost.run.task))
+        const CellTask* task = job ? job->find(lost.run.task) : nullptr;
+        if (!task || job->isMoving || task->stage == TaskStage::Finished)
             continue;
         RunEvidence evidence = *lost.allocation.evidence;
         evidence.kind = hasCrashed ? EvidenceKind::Crash : EvidenceKind::LateRestart;
--- a/test/failure/LapsedRunsTest.cpp
+++ b/test/failure/LapsedRunsTest.cpp
@@ -156,3 +156,27 @@
     CHECK(world.ask(other(), "service") == JobPhase::Running);
     LONGS_EQUAL(1, awaitAtWork("service", 1).size());
 }
+
+TEST(LapsedRuns, crashesThatShowOnlyAfterTheTaskHasFinishedDoNotFailItsJob)
+{
+    const TaskName first { "job", 0, 0, 0 };
+    world.setDeadly(
+        [&](const TaskName& task) { return task == first && world.crashesUnder(first) < 3; }, absl::Seconds(2));
+    Submission job = makeJob("job", 1, 4000, absl::Seconds(3));
+    job.steps.push_back(makeJob("next", 1, 4000, absl::Seconds(60)).steps[0]);
+    job.steps[1].after = { 0 };
+    world.submit(other(), job);
+    for (size_t crash = 1; crash <= 3; ++crash) {
+        CHECK(world.runUntil([&] { return world.crashesUnder(first) == crash; }, absl::Seconds(20)));
+        for (size_t i = 0; i < world.workers().size(); ++i) {
+            if (world.workers()[i].isDown)
+                world.cutOffWorker(i, true);
+        }
+    }
+    CHECK(world.runUntil([&] { return world.startsOf("job") >= 5; }, absl::Seconds(30)));
+    for (size_t i = 0; i < world.workers().size(); ++i)
+        world.cutOffWorker(i, false);
+    world.run(absl::Seconds(5));
+    CHECK(world.ask(other(), "job") == JobPhase::Running);
+    LONGS_EQUAL(3, world.counter("cicada_runs_decided{verdict=\"crashed\"}"));
+}
