--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -10,18 +10,7 @@
 using namespace cicada;
 using namespace cicada::test;
 
-TEST_GROUP_BASE(DeadlyTasks, DeadlyWorld) {
-    /** Kills the owner when the number has risen, at most five times, and starts it again `away` later. */
-    void killOwnerAfterEach(const std::function<size_t()>& number, absl::Duration away) {
-        for (size_t i = 1; i <= 5; ++i) { if (!world.runUntil([&] { return number() >= i; }, absl::Seconds(25))) return;
-const size_t killed = owner();
-world.kill(killed);
-world.run(away);
-world.start(killed);
-}
-}
-}
-;
+TEST_GROUP_BASE(DeadlyTasks, DeadlyWorld) {};
 
 TEST(DeadlyTasks, aTaskUnderWhichWorkersCrashIsGivenUpByTheThirdCrash)
 {
--- a/test/support/DeadlyWorld.h
+++ b/test/support/DeadlyWorld.h
@@ -6,6 +6,8 @@
 
 #include "CellFailureWorld.h"
 
+#include <functional>
+
 namespace cicada::test {
 
 /** The base of a test group. */
@@ -17,6 +19,18 @@
     {
         world.setDeadly([job](const TaskName& task) { return task.job == job; }, away);
     }
+    /** Kills the owner when the number has risen, at most five times, and starts it again `away` later. */
+    void killOwnerAfterEach(const std::function<size_t()>& number, absl::Duration away)
+    {
+        const auto hasRisenTo
+            = [&](size_t target) { return world.runUntil([&] { return number() >= target; }, absl::Seconds(25)); };
+        for (size_t i = 1; i <= 5 && hasRisenTo(i); ++i) {
+            const size_t killed = owner();
+            world.kill(killed);
+            world.run(away);
+            world.start(killed);
+        }
+    }
     void expectFinished(const std::string& job, absl::Duration limit = absl::Seconds(40))
     {
         size_t at = world.owner().value_or(0);
