A crash that counts is stored at once, not with the task's next start

What would have been seen: a deadly task is started again after its third crash (BUDGET) where the owner is lost between a crash and the task's next start. Cause: recordRunCrash() changed the count in memory; it reached the store with the next intent. Evidence: DeadlyTasks, crashesAreCountedWhenTheOwnerIsKilledBeforeTheTaskStartsAgain fails without the change ('started after 3 crashes: deadly.0.0.0#4') and passes with it. Cost: a write for each job of which a run newly counts; undecided and late runs aren't written for themselves.

--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -276,6 +276,9 @@
     if (isCounted && lost.agesAtCrash.own < absl::InfiniteDuration())
         forgetPossibleCrashes(task, run, lost.agesAtCrash.own);
     const bool isNew = (isCounted || isPossible) && job.recordCrash(run, lost.crash);
+    // The next owner could not tell any more whether the lease lasted.
+    if (isNew)
+        storeRuns(job, nullptr);
     if (!isCounted && !isPossible)
         removeEvidence(task.evidence, run.run);
     if (isNew && isCounted)
--- a/test/failure/DeadlyTasksTest.cpp
+++ b/test/failure/DeadlyTasksTest.cpp
@@ -42,6 +42,28 @@
     expectAllEnd();
 }
 
+TEST(DeadlyTasks, crashesAreCountedWhenTheOwnerIsKilledBeforeTheTaskStartsAgain)
+{
+    makeDeadly("deadly");
+    world.submit(other(), makeJob("deadly", 1));
+    const auto resizeAll = [&](int64_t cpuMillis) {
+        for (size_t i = 0; i < world.workers().size(); ++i)
+            world.setCapacity(i, { cpuMillis, 8000, 0 });
+    };
+    for (size_t crash = 1; crash <= 2; ++crash) {
+        CHECK(world.runUntil([&] { return world.crashesUnder(deadly) == crash; }, absl::Seconds(20)));
+        resizeAll(100);
+        world.run(absl::Seconds(5));
+        const size_t killed = owner();
+        world.kill(killed);
+        world.run(absl::Seconds(8));
+        world.start(killed);
+        resizeAll(4000);
+    }
+    expectFailed("deadly");
+    CHECK(world.crashesUnder(deadly) <= 3);
+}
+
 TEST(DeadlyTasks, aCrashThatOnlyTheNextOwnerDiscoversCounts)
 {
     makeDeadly("deadly");
