Evidence: each run that counts is named, also where its evidence is missing, and goes last

What was seen: 'counts' was told from the kind of the evidence, so a job given up for late restarts had counts=0 for the runs that counted after its record alone was left, and one given up for three crashes counts=1 for late restarts that counted for nothing. Runs without evidence (records of a former build, beyond the bounds of 16 a task and 500 a record) weren't named, and the bounds could drop a crash and keep a late restart.

--- a/src/CellJob.cpp
+++ b/src/CellJob.cpp
@@ -141,6 +141,39 @@
         return job.spec.steps[name.step].isGang || *job.exhaustedTask == name;
     }
 
+    std::vector<uint32_t> joined(std::vector<uint32_t> a, const std::vector<uint32_t>& b)
+    {
+        a.insert(a.end(), b.begin(), b.end());
+        return a;
+    }
+
+    bool mayCount(const RunEvidence& run)
+    {
+        return run.kind != EvidenceKind::Undecided && run.kind != EvidenceKind::LateRestart;
+    }
+
+    /** What a record keeps of the evidence: where a job has much of it, only what may count. */
+    std::vector<RunEvidence> keptEvidence(const CellTask& task, bool isMuch)
+    {
+        if (!isMuch)
+            return task.evidence;
+        std::vector<RunEvidence> kept;
+        std::copy_if(task.evidence.begin(), task.evidence.end(), std::back_inserter(kept), mayCount);
+        return kept;
+    }
+
+    size_t evidenceOf(const CellJob& job)
+    {
+        size_t runs = 0;
+        for (const auto& steps : job.occurrences) {
+            for (const CellStep& step : steps) {
+                for (const CellTask& task : step.tasks)
+                    runs += task.stage == TaskStage::Finished ? 0 : task.evidence.size();
+            }
+        }
+        return runs;
+    }
+
     std::vector<StepFields> packSteps(const Submission& spec)
     {
         std::vector<StepFields> steps;
@@ -311,6 +344,12 @@
     return name.index < tasks.size() ? &tasks[name.index] : nullptr;
 }
 
+const std::vector<uint32_t>& CellJob::failedRunsOf(const TaskName& name) const
+{
+    const CellStep& step = occurrences[name.occurrence][name.step];
+    return spec.steps[name.step].isGang ? step.failedRuns : step.tasks[name.index].failedRuns;
+}
+
 std::vector<uint32_t>& CellJob::failedRunsOf(const TaskName& name)
 {
     CellStep& step = occurrences[name.occurrence][name.step];
@@ -519,6 +558,7 @@
     std::vector<TaskFields> tasks;
     std::vector<GangFields> gangs;
     size_t evidenceKept = 0;
+    const bool hasMuchEvidence = evidenceOf(job) > maxEvidencePerRecord;
     // Of an ended job, the runs that may still be active count as its account's.
     const bool isOver = isEnded(job.phase);
     const bool keepsTasks = !isOver || !job.spec.account.empty() || job.givenUpFor || job.exhaustedTask;
@@ -540,13 +580,15 @@
                 // Of an ended job, the crashes under a task say that it was given up for them.
                 const bool keepsCrashes = !isOver || job.givenUpFor == name;
                 const std::vector<uint32_t> none;
-                const bool keepsEvidence = !hasFinished && evidenceKept + task.evidence.size() <= maxEvidencePerRecord;
-                evidenceKept += keepsEvidence ? task.evidence.size() : 0;
+                const std::vector<RunEvidence> evidence
+                    = hasFinished ? std::vector<RunEvidence>() : keptEvidence(task, hasMuchEvidence);
+                const bool keepsEvidence = evidenceKept + evidence.size() <= maxEvidencePerRecord;
+                evidenceKept += keepsEvidence ? evidence.size() : 0;
                 tasks.emplace_back(k, s, i, storedForm(task), task.run, job.failuresOf(name),
                     hasFinished ? std::string() : task.worker, task.workerStarted,
                     hasFinished ? std::string() : job.checkpointOf(name), task.failedRuns,
                     keepsCrashes ? task.crashedRuns : none, keepsCrashes ? task.possiblyCrashedRuns : none,
-                    keepsEvidence ? pack(task.evidence) : std::vector<EvidenceFields>(),
+                    keepsEvidence ? pack(evidence) : std::vector<EvidenceFields>(),
                     task.hasActiveRun() ? task.orderedUnixMillis : 0);
             }
         }
@@ -623,8 +665,10 @@
             continue;
         ended.crashes = std::max(ended.crashes, crashes);
         const TaskName name { "", std::get<0>(task), std::get<1>(task), std::get<2>(task) };
-        if (!std::get<12>(task).empty())
-            ended.evidence.push_back({ name, unpack(std::get<12>(task)), crashes > 0 });
+        const std::vector<uint32_t> counted
+            = crashes > 0 ? joined(std::get<10>(task), std::get<11>(task)) : std::get<9>(task);
+        if (!std::get<12>(task).empty() || !counted.empty())
+            ended.evidence.push_back({ name, unpack(std::get<12>(task)), counted });
     }
     return ended;
 }
@@ -638,8 +682,11 @@
     const std::vector<CellTask>& tasks = job.step({ cause->occurrence, cause->step }).tasks;
     for (uint32_t i = 0; i < tasks.size(); ++i) {
         const TaskName name { job.spec.id, cause->occurrence, cause->step, i };
-        if (isWhyFailed(job, name) && !tasks[i].evidence.empty())
-            all.push_back({ name, tasks[i].evidence, job.givenUpFor.has_value() });
+        const CellTask& task = tasks[i];
+        const std::vector<uint32_t> counted
+            = job.givenUpFor ? joined(task.crashedRuns, task.possiblyCrashedRuns) : job.failedRunsOf(name);
+        if (isWhyFailed(job, name) && !(task.evidence.empty() && counted.empty()))
+            all.push_back({ name, task.evidence, counted });
     }
     return all;
 }
--- a/src/CellJob.h
+++ b/src/CellJob.h
@@ -211,6 +211,7 @@
     CellTask* find(const TaskName&);
     /** The runs of the task, or of its gang, that ended as failed; each counts as one attempt. */
     std::vector<uint32_t>& failedRunsOf(const TaskName&);
+    const std::vector<uint32_t>& failedRunsOf(const TaskName&) const;
     uint32_t failuresOf(const TaskName&) const;
     /** Records that a run of the task ended as failed; false if that was known. */
     bool recordFailure(const TaskRun&);
--- a/src/FailureEvidence.h
+++ b/src/FailureEvidence.h
@@ -20,11 +20,12 @@
     /** Without the job's id where it was read from a record. */
     TaskName task;
     std::vector<RunEvidence> runs;
-    /** The job was given up as workers crashed under the task; otherwise its runs failed as often as they may. */
-    bool isForCrashes = false;
+    /** The numbers of the runs that count. Of some the evidence may be missing, as former builds kept none. */
+    std::vector<uint32_t> counted;
 };
 
-/** Writes a line for each run, which says whether it counts against its task, and why. */
+/** Writes a line for each run that counts or of which evidence is kept, which says whether it counts against its task,
+ * and why. */
 void logEvidence(EventLog& log, const std::string& job, absl::Span<const TaskEvidence> tasks);
 
 } // namespace cicada
--- a/src/RunEvidence.cpp
+++ b/src/RunEvidence.cpp
@@ -6,6 +6,15 @@
 
 namespace cicada {
 
+namespace {
+
+    std::vector<RunEvidence>::iterator oldestOf(std::vector<RunEvidence>& all, EvidenceKind kind)
+    {
+        return std::find_if(all.begin(), all.end(), [kind](const RunEvidence& run) { return run.kind == kind; });
+    }
+
+} // namespace
+
 absl::string_view evidenceKindName(EvidenceKind kind)
 {
     switch (kind) {
@@ -33,9 +42,10 @@
 {
     removeEvidence(all, added.run);
     if (all.size() >= maxEvidencePerTask) {
-        const auto isUndecided = [](const RunEvidence& evidence) { return evidence.kind == EvidenceKind::Undecided; };
-        const auto found = std::find_if(all.begin(), all.end(), isUndecided);
-        all.erase(found == all.end() ? all.begin() : found);
+        auto oldest = oldestOf(all, EvidenceKind::Undecided);
+        if (oldest == all.end())
+            oldest = oldestOf(all, EvidenceKind::LateRestart);
+        all.erase(oldest == all.end() ? all.begin() : oldest);
     }
     all.push_back(std::move(added));
 }
--- a/src/RunEvidence.h
+++ b/src/RunEvidence.h
@@ -62,7 +62,7 @@
 bool hasClosedSoon(const RunEvidence&);
 
 /** Adds evidence in place of what is there of the same run; beyond `maxEvidencePerTask` the oldest goes that
- * is undecided, or else the oldest. */
+ * is undecided, or else the oldest late restart, or else the oldest. */
 void addEvidence(std::vector<RunEvidence>& all, RunEvidence added);
 /** Removes the evidence of the run; false if there was none. */
 bool removeEvidence(std::vector<RunEvidence>& all, uint32_t run);
--- a/test/error/CellRecordTest.cpp
+++ b/test/error/CellRecordTest.cpp
@@ -180,6 +180,34 @@
     LONGS_EQUAL(1, evidenceAtEnd(*job).size());
 }
 
+TEST(CellRecords, runsThatCountAreNamedWithoutEvidenceToo)
+{
+    auto job = sample();
+    const TaskName name { job->spec.id, 0, 0, 1 };
+    CHECK(job->recordCrash({ name, 1 }, CrashedRun::Counted));
+    CHECK(job->recordCrash({ name, 3 }, CrashedRun::Possible));
+    addEvidence(job->find(name)->evidence, { 2, EvidenceKind::LateRestart, "w", "listed", 0, 0, 0, 25, -1, -1, 5, 0 });
+    job->phase = JobPhase::Failed;
+    job->givenUpFor = name;
+    for (const auto& all : { evidenceAtEnd(*job), endedJobOf(encodeRunRecord(*job)).value().evidence }) {
+        LONGS_EQUAL(1, all.size());
+        CHECK(all.front().counted == (std::vector<uint32_t> { 1, 3 }));
+        LONGS_EQUAL(2, all.front().runs.front().run);
+    }
+}
+
+TEST(CellRecords, evidenceThatCountsIsKeptBeforeWhatIsUndecided)
+{
+    auto job = sample();
+    const TaskName name { job->spec.id, 0, 0, 1 };
+    std::vector<RunEvidence>& evidence = job->find(name)->evidence;
+    addEvidence(evidence, { 1, EvidenceKind::Crash, "w", "listed", 0, 0, 0, 25, -1, -1, 5, 0 });
+    for (uint32_t run = 2; run < 20; ++run)
+        addEvidence(evidence, { run, EvidenceKind::LateRestart, "w", "listed", 0, 0, 0, 25, -1, -1, 5, 0 });
+    LONGS_EQUAL(maxEvidencePerTask, evidence.size());
+    LONGS_EQUAL(1, evidence.front().run);
+}
+
 TEST(CellRecords, whyAJobWasGivenUpOutlastsItsTasks)
 {
     auto job = sample();
