Late restarts are held against a task only where the run had begun, and are recorded as what it was given up for

What could be seen: a sound job shown as failed after five starts that may never have arrived, each on a worker that was cut off and restarted after its lease: without a reply, 'last heard' was taken for 0 ms after the order. Neither was there a limit in time, and with maxCrashes of 6 or more a mere cut (undecided) could decide. A job given up so had no crash in its record, so a later owner had nothing to say about it. Change: knownAtWorkMillis is known only of a confirmed run; late restarts count for ten minutes, decide only as the last event, at the greater of five and maxCrashes, and are then recorded as counted. A crash is not taken back from a job that has ended: what it was failed for stays in its record. run-decided says whether the run is held against its task (held). Found by the second review, by reading; no test shows the first: on the paused-clock world a hold is answered for 2 s after the cut, so no unanswered start looked fresh.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -368,6 +368,9 @@
     /** Lets the step wait if the task has lately been lost again and again and nothing is known of these workers, and
      * gives the job up if they restarted each time after the task had just begun. */
     void boundRestarts(CellJob& job, const TaskName& name);
+    /** Counts the restarts that showed too late and came after runs had just begun, if they are as many as a deadly
+     * task may cause; false if they are fewer. */
+    bool countRestarts(CellJob& job, const TaskName& name);
     /** The step starts nothing before the delay is over. */
     void delayStep(CellJob& job, const TaskName& name, absl::Duration delay);
     /** What the step may have waited for has come. */
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -242,11 +242,11 @@
     evidence.leaseUntilUnixMillis = unixMillisOf(worker.leaseUntil(allocation));
     evidence.nextStartUnixMillis = loss.nextStartUnixMillis;
     evidence.foundUnixMillis = unixMillisOf(loss.foundAt);
-    if (task && task->run == run.run && !allocation.isInherited)
+    const bool isOrderedByThisOwner = task && task->run == run.run && !allocation.isInherited;
+    if (isOrderedByThisOwner && (allocation.wasConfirmed || allocation.wasListed))
         evidence.knownAtWorkMillis
             = absl::ToInt64Milliseconds(std::max(absl::ZeroDuration(), worker.lastReplyAt - task->startedAt));
-    if (evidence.knownAtWorkMillis >= 0 && worker.closedAt >= task->startedAt
-        && worker.closedAt < absl::InfiniteDuration())
+    if (isOrderedByThisOwner && worker.closedAt >= task->startedAt && worker.closedAt < absl::InfiniteDuration())
         evidence.closedAfterMillis = absl::ToInt64Milliseconds(worker.closedAt - task->startedAt);
     evidence.token = m_term.token;
     return evidence;
--- a/src/CellLostRuns.cpp
+++ b/src/CellLostRuns.cpp
@@ -20,6 +20,15 @@
     /** How long a task waits for what became of a worker whose end closed its connections when the task had just begun:
      * most that crash are back by then. */
     constexpr absl::Duration timeToReturn = absl::Seconds(3);
+    /** For how long restarts that showed too late are held against a task. */
+    constexpr absl::Duration restartsKeptFor = absl::Minutes(10);
+
+    /** Whether the worker restarted too late to tell, and was last heard when the run had just begun. */
+    bool isRestartAfterStart(const RunEvidence& run)
+    {
+        return run.kind == EvidenceKind::LateRestart && run.knownAtWorkMillis >= 0
+            && run.knownAtWorkMillis <= absl::ToInt64Milliseconds(CrashDelays::defaultLimit);
+    }
 
 } // namespace
 
@@ -88,13 +97,14 @@
         const bool hasCrashed
             = wasConfirmed && (loss.hasEndedBy(lost.leaseUntil) || hasClosedSoon(*lost.allocation.evidence));
         const absl::string_view verdict = hasCrashed ? "crashed" : "restarted-late";
+        CellJob* job = findJob(lost.run.task.job);
+        const CellTask* task = job ? job->find(lost.run.task) : nullptr;
+        const bool isHeldAgainstTask = task && !job->isMoving && task->stage != TaskStage::Finished;
         m_parts.log.write("run-decided", "run", describeRun(lost.run), "worker", worker.listed.incarnation.id,
-            "verdict", verdict, "nextStart", loss.nextStartUnixMillis, "leaseUntil",
+            "verdict", verdict, "held", isHeldAgainstTask, "nextStart", loss.nextStartUnixMillis, "leaseUntil",
             lost.allocation.evidence->leaseUntilUnixMillis);
         m_parts.metrics.count(absl::StrCat("cicada_runs_decided{verdict=\"", verdict, "\"}"));
-        CellJob* job = findJob(lost.run.task.job);
-        const CellTask* task = job ? job->find(lost.run.task) : nullptr;
-        if (!task || job->isMoving || task->stage == TaskStage::Finished)
+        if (!isHeldAgainstTask)
             continue;
         RunEvidence evidence = *lost.allocation.evidence;
         evidence.kind = hasCrashed ? EvidenceKind::Crash : EvidenceKind::LateRestart;
@@ -125,22 +135,32 @@
     if (job.spec.steps[name.step].isService)
         return;
     const int64_t since = m_parts.timers.clock().wallMicros() / 1000 - absl::ToInt64Milliseconds(followedFor);
-    size_t unexplained = 0;
-    size_t restartsAfterStart = task.crashedRuns.size();
-    for (const RunEvidence& run : task.evidence) {
-        unexplained += run.kind != EvidenceKind::Failed && run.foundUnixMillis >= since ? 1 : 0;
-        const bool hadJustBegun = run.knownAtWorkMillis >= 0
-            && run.knownAtWorkMillis <= absl::ToInt64Milliseconds(CrashDelays::defaultLimit);
-        restartsAfterStart += run.kind == EvidenceKind::LateRestart && hadJustBegun ? 1 : 0;
-    }
+    const auto unexplained = std::count_if(task.evidence.begin(), task.evidence.end(),
+        [&](const RunEvidence& run) { return run.kind != EvidenceKind::Failed && run.foundUnixMillis >= since; });
     const RunEvidence& last = task.evidence.back();
     if (last.kind == EvidenceKind::Undecided && hasClosedSoon(last))
         delayStep(job, name, timeToReturn);
-    if (restartsAfterStart >= maxUnexplained)
-        return giveUp(job, name, static_cast<uint32_t>(restartsAfterStart));
-    if (unexplained < maxUnexplained)
-        return;
-    delayStep(job, name, holdTime);
+    if (last.kind == EvidenceKind::LateRestart && countRestarts(job, name))
+        return giveUp(job, name, task.crashes());
+    if (unexplained >= static_cast<ptrdiff_t>(maxUnexplained))
+        delayStep(job, name, holdTime);
+}
+
+bool Cell::countRestarts(CellJob& job, const TaskName& name)
+{
+    const CellTask& task = *job.find(name);
+    const int64_t since = m_parts.timers.clock().wallMicros() / 1000 - absl::ToInt64Milliseconds(restartsKeptFor);
+    std::vector<uint32_t> restarts;
+    for (const RunEvidence& run : task.evidence) {
+        if (run.foundUnixMillis >= since && isRestartAfterStart(run))
+            restarts.push_back(run.run);
+    }
+    const size_t limit = std::max<size_t>(maxUnexplained, m_parts.bounds.crashes.maxCrashes);
+    if (task.crashedRuns.size() + restarts.size() < limit)
+        return false;
+    for (const uint32_t run : restarts)
+        job.recordCrash({ name, run }, CrashedRun::Counted);
+    return true;
 }
 
 void Cell::delayStep(CellJob& job, const TaskName& name, absl::Duration delay)
@@ -160,7 +180,8 @@
 
 bool Cell::takeBackCrash(CellJob& job, const TaskRun& run, const CellWorker& worker)
 {
-    if (!job.takeBackCrash(run))
+    // An ended job can't come back, and what it was failed for stays in its record.
+    if (isEnded(job.phase) || !job.takeBackCrash(run))
         return false;
     m_parts.log.write("crash-taken-back", "run", describeRun(run), "worker", worker.listed.incarnation.id, "crashes",
         job.find(run.task)->crashes());
--- a/src/RunEvidence.h
+++ b/src/RunEvidence.h
@@ -47,7 +47,7 @@
     /** When the worker's next incarnation started. */
     int64_t nextStartUnixMillis = 0;
     int64_t foundUnixMillis = 0;
-    /** How long after the start was ordered the worker was last heard; -1 if unknown. */
+    /** How long after the start was ordered the worker, which had confirmed the run, was last heard; -1 if unknown. */
     int64_t knownAtWorkMillis = -1;
     /** How long after that the worker's end closed its connections, not to be heard again; -1 if it did not. */
     int64_t closedAfterMillis = -1;
