What was ordered after the worker's next incarnation had begun is not lost with the former one

What could be seen: a run counted against its task, or may have, although its worker's current incarnation has it: where an owner was lost between the intent and the order, the successor judged all inherited runs of a worker by one that named the former incarnation; and where a start reached the next incarnation under the same id before its begin was known.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -350,6 +350,8 @@
     WorkerCrash crashAsSeenBy(const std::string& job, const std::string& worker) const;
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
     void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
+    /** Whether the run was certainly ordered to the incarnation that follows the one that was lost. */
+    bool wasOrderedAfter(const CellWorker&, const TaskRun&, const RunAllocation&, const IncarnationLoss& loss);
     /** What is known of a run that was on the worker as its incarnation ended. */
     RunEvidence evidenceOf(EvidenceKind kind, const TaskRun& run, const CellWorker& worker,
         const RunAllocation& allocation, const IncarnationLoss& loss);
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -103,6 +103,19 @@
     return lost;
 }
 
+bool Cell::wasOrderedAfter(
+    const CellWorker& worker, const TaskRun& run, const RunAllocation& allocation, const IncarnationLoss& loss)
+{
+    CellJob* job = findJob(run.task.job);
+    const CellTask* task = job ? job->find(run.task) : nullptr;
+    if (!task || task->run != run.run)
+        return false;
+    if (allocation.isInherited)
+        return task->workerStarted != 0 && task->workerStarted == worker.startedUnixMillis
+            && loss.source == restartedBeforeHeard;
+    return loss.nextStartAt && *loss.nextStartAt + maxClockDifference < task->startedAt;
+}
+
 void Cell::recordWorkerCrash(CellWorker& worker, const IncarnationLoss& loss)
 {
     // The runs of a draining worker end with it as announced; that is no crash.
@@ -121,7 +134,7 @@
         lost.hasRestarted = loss.hasRestarted;
         RunEvidence evidence = evidenceOf(EvidenceKind::Undecided, run, worker, allocation, loss);
         lost.endedUnderLease = loss.hasEndedBy(worker.leaseUntil(allocation)) || hasClosedSoon(evidence);
-        allocation.crash = crashedRunOf(lost);
+        allocation.crash = wasOrderedAfter(worker, run, allocation, loss) ? CrashedRun::None : crashedRunOf(lost);
         if (allocation.crash == CrashedRun::None)
             continue;
         evidence.kind = kindOf(allocation.crash);
