A takeover's conclusions are stored, so the next owner doesn't wait for the same leases again

Cause: concludeRun() changed an inherited run's stage in memory only; the owner that had waited a lease for 407 such runs moved its cell 1.4 s later, and the next one loaded 413 as active and waited for a lease anew. Change: the job's runs are stored when an inherited run is concluded. What the record says then is what this owner would start from. Writes of a job coalesce; a run that this owner ordered is stored with its task's next start, as before. Evidence: LapsedRuns, theNextOwnerDoesNotWaitAgainForLeasesThatHadEndedUnderAFormerOne fails without the change and passes with it.

--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -211,6 +211,9 @@
     const StepRef ref { run.task.occurrence, run.task.step };
     stopRemainingGang(*job, ref);
     recordRunCrash(*job, run, worker, lost);
+    // Otherwise the next owner would wait for the lease once more.
+    if (lost.isInherited && !isEnded(job->phase))
+        storeRuns(*job, nullptr);
     queueStep(*job, ref);
 }
 
--- a/test/failure/LapsedRunsTest.cpp
+++ b/test/failure/LapsedRunsTest.cpp
@@ -157,6 +157,32 @@
     LONGS_EQUAL(1, awaitAtWork("service", 1).size());
 }
 
+TEST(LapsedRuns, theNextOwnerDoesNotWaitAgainForLeasesThatHadEndedUnderAFormerOne)
+{
+    const auto replaceOwner = [this] {
+        const size_t killed = owner();
+        world.kill(killed);
+        world.run(absl::Seconds(1));
+        world.start(killed);
+        CHECK(world.runUntil([&] { return world.owner().has_value(); }, absl::Seconds(10)));
+    };
+    world.submit(other(), makeJob("job", 1, 1000, absl::Seconds(20)));
+    const size_t lost = awaitAtWork("job", 1).front();
+    for (size_t i = 0; i < world.workers().size(); ++i)
+        world.setCapacity(i, { 100, 8000, 0 });
+    world.run(absl::Seconds(1));
+    world.crashWorker(lost, absl::Hours(1));
+    replaceOwner();
+    world.run(absl::Seconds(10));
+    LONGS_EQUAL(1, world.counter("cicada_runs_over{why=\"leases-ended\"}"));
+    replaceOwner();
+    for (size_t i = 0; i < world.workers().size(); ++i) {
+        if (i != lost)
+            world.setCapacity(i, { 4000, 8000, 0 });
+    }
+    CHECK(world.runUntil([&] { return world.startsOf("job") == 2; }, absl::Seconds(3)));
+}
+
 TEST(LapsedRuns, crashesThatShowOnlyAfterTheTaskHasFinishedDoNotFailItsJob)
 {
     const TaskName first { "job", 0, 0, 0 };
