Cell: what the end of an incarnation tells of a run is decided without the cell's state (LossEvidence)

lossOf(), lostRunOf(), wasOrderedAfter() and evidenceOf() were members of Cell and needed a clock and the run's task only. No change of logic.

--- a/src/Cell.h
+++ b/src/Cell.h
@@ -47,6 +47,8 @@
 
 namespace cicada {
 
+struct RunOnWorker;
+
 /** Owns one cell for one term. Used on the decision thread only; callbacks may run within the call. */
 class Cell final : public AccountDemand {
 public:
@@ -335,9 +337,8 @@
     // CellCrashes.cpp: crashes of workers under tasks.
     /** Records that the worker's incarnation has ended with its runs, if it had not announced that. */
     void recordWorkerCrash(CellWorker& worker, const IncarnationLoss& loss);
-    /** How the worker's incarnation ended, of which the next one is known. */
-    IncarnationLoss lossOf(const CellWorker& worker, absl::string_view source, const NextIncarnation& next) const;
-    LostRun lostRunOf(const CellWorker& worker, const TaskRun& run, const RunAllocation& allocation);
+    /** The run with its task; valid while the worker, the allocation and the job are. */
+    RunOnWorker runOn(const CellWorker& worker, const TaskRun& run, const RunAllocation& allocation);
     /** The start time that the platform lists for what has the worker's address now; 0 if unknown. */
     int64_t listedStartAtAddressOf(const CellWorker& worker) const;
     /** The runs on the worker whose start is known. */
@@ -350,12 +351,6 @@
     WorkerCrash crashAsSeenBy(const std::string& job, const std::string& worker) const;
     /** Counts the crash against the run's task, if it is to be counted, and gives the job up if that is due. */
     void recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost);
-    /** Whether the run was certainly ordered to the incarnation that follows the one that was lost. */
-    bool wasOrderedAfter(const CellWorker&, const TaskRun&, const RunAllocation&, const IncarnationLoss& loss);
-    /** What is known of a run that was on the worker as its incarnation ended. */
-    RunEvidence evidenceOf(EvidenceKind kind, const TaskRun& run, const CellWorker& worker,
-        const RunAllocation& allocation, const IncarnationLoss& loss);
-    int64_t unixMillisOf(Instant time) const;
 
     // CellLostRuns.cpp: runs of which it is not known whether their worker crashed.
     /** Records that the worker's runs are concluded without what became of it being known. */
--- a/src/CellCrashes.cpp
+++ b/src/CellCrashes.cpp
@@ -1,12 +1,14 @@
 /** \file
  * The part of Cell that counts the crashes of workers under each task, and gives up tasks that crash one worker after
- * another. The count is part of the job's run record: the intent to start a task again stores it, and until then the
- * record shows a run on an incarnation that has ended, from which a successor learns of the crash. So each crash
- * counts once, whoever owns the cell.
+ * another. The count is part of the job's run record, and stored as soon as it changes. Until then the record shows a
+ * run on an incarnation that has ended, from which a successor may learn of the crash. So each crash counts once,
+ * whoever owns the cell.
  */
 
 #include "Cell.h"
 
+#include "LossEvidence.h"
+
 #include "absl/strings/str_join.h"
 
 #include <algorithm>
@@ -24,9 +26,6 @@
     /** Names of jobs in one line of the log. */
     constexpr size_t maxLoggedJobs = 20;
 
-    /** A worker that lists its runs so long after a start was ordered would list this one, or has not received it. */
-    constexpr absl::Duration maxStartTransit = absl::Milliseconds(500);
-
     /** A task that has been at work for this long does not crash its worker before that replies. */
     constexpr absl::Duration maxStartTime = absl::Seconds(1);
 
@@ -64,22 +63,6 @@
 
 } // namespace
 
-IncarnationLoss Cell::lossOf(const CellWorker& worker, absl::string_view source, const NextIncarnation& next) const
-{
-    const Instant now = m_parts.timers.clock().now();
-    IncarnationLoss loss { source, true, next.startedUnixMillis, std::nullopt, now };
-    const int64_t formerStart = std::max(worker.startedUnixMillis, worker.listed.startedUnixMillis);
-    if (next.startedUnixMillis == 0 || (source != restartedBeforeHeard && next.startedUnixMillis <= formerStart))
-        return loss;
-    const Instant startedAt
-        = now - absl::Milliseconds(m_parts.timers.clock().wallMicros() / 1000 - next.startedUnixMillis);
-    // With a start before the worker's last reply, or still to come, the times of day differ too much.
-    if (startedAt <= now + maxClockDifference && startedAt + maxClockDifference >= worker.lastReplyAt)
-        loss.nextStartAt
-            = next.clockMillis ? std::max(startedAt, now - absl::Milliseconds(*next.clockMillis)) : startedAt;
-    return loss;
-}
-
 int64_t Cell::listedStartAtAddressOf(const CellWorker& worker) const
 {
     const Endpoint& address = worker.listed.incarnation.address;
@@ -91,29 +74,11 @@
     return 0;
 }
 
-LostRun Cell::lostRunOf(const CellWorker& worker, const TaskRun& run, const RunAllocation& allocation)
+RunOnWorker Cell::runOn(const CellWorker& worker, const TaskRun& run, const RunAllocation& allocation)
 {
     CellJob* job = findJob(run.task.job);
     const CellTask* task = job ? job->find(run.task) : nullptr;
-    const bool isCurrent = task && task->run == run.run;
-    LostRun lost;
-    lost.wasConfirmed = allocation.wasConfirmed || allocation.wasListed;
-    lost.mayHaveArrived = allocation.wasSent || allocation.isInherited;
-    lost.hasOutlivedStart = !allocation.isInherited && isCurrent && worker.listedAt - task->startedAt > maxStartTransit;
-    return lost;
-}
-
-bool Cell::wasOrderedAfter(
-    const CellWorker& worker, const TaskRun& run, const RunAllocation& allocation, const IncarnationLoss& loss)
-{
-    CellJob* job = findJob(run.task.job);
-    const CellTask* task = job ? job->find(run.task) : nullptr;
-    if (!task || task->run != run.run)
-        return false;
-    if (allocation.isInherited)
-        return task->workerStarted != 0 && task->workerStarted == worker.startedUnixMillis
-            && loss.source == restartedBeforeHeard;
-    return loss.nextStartAt && *loss.nextStartAt + maxClockDifference < task->startedAt;
+    return { worker, allocation, run.run, task && task->run == run.run ? task : nullptr };
 }
 
 void Cell::recordWorkerCrash(CellWorker& worker, const IncarnationLoss& loss)
@@ -130,11 +95,13 @@
         // What has been decided stays so while the list of the next incarnation is awaited.
         if (allocation.evidence)
             continue;
-        LostRun lost = lostRunOf(worker, run, allocation);
+        const RunOnWorker onWorker = runOn(worker, run, allocation);
+        LostRun lost = lostRunOf(onWorker);
         lost.hasRestarted = loss.hasRestarted;
-        RunEvidence evidence = evidenceOf(EvidenceKind::Undecided, run, worker, allocation, loss);
+        RunEvidence evidence
+            = evidenceOf(EvidenceKind::Undecided, onWorker, loss, m_parts.timers.clock(), m_term.token);
         lost.endedUnderLease = loss.hasEndedBy(worker.leaseUntil(allocation)) || hasClosedSoon(evidence);
-        allocation.crash = wasOrderedAfter(worker, run, allocation, loss) ? CrashedRun::None : crashedRunOf(lost);
+        allocation.crash = wasOrderedAfter(onWorker, loss) ? CrashedRun::None : crashedRunOf(lost);
         if (allocation.crash == CrashedRun::None)
             continue;
         evidence.kind = kindOf(allocation.crash);
@@ -211,7 +178,8 @@
             && worker.startedUnixMillis != 0 && task->workerStarted != worker.startedUnixMillis;
     });
     if (hasRestarted)
-        recordWorkerCrash(worker, lossOf(worker, restartedBeforeHeard, { worker.startedUnixMillis, std::nullopt }));
+        recordWorkerCrash(worker,
+            lossOf(worker, restartedBeforeHeard, { worker.startedUnixMillis, std::nullopt }, m_parts.timers.clock()));
 }
 
 WorkerCrash Cell::crashAsSeenBy(const std::string& job, const std::string& worker) const
@@ -233,38 +201,6 @@
     return { crash->jobs.size() == 1, isSimultaneous, false, isMassLoss };
 }
 
-int64_t Cell::unixMillisOf(Instant time) const
-{
-    if (time == absl::ZeroDuration())
-        return 0;
-    const Clock& clock = m_parts.timers.clock();
-    return clock.wallMicros() / 1000 - absl::ToInt64Milliseconds(clock.now() - time);
-}
-
-RunEvidence Cell::evidenceOf(EvidenceKind kind, const TaskRun& run, const CellWorker& worker,
-    const RunAllocation& allocation, const IncarnationLoss& loss)
-{
-    CellJob* job = findJob(run.task.job);
-    const CellTask* task = job ? job->find(run.task) : nullptr;
-    RunEvidence evidence;
-    evidence.run = run.run;
-    evidence.kind = kind;
-    evidence.worker = worker.listed.incarnation.id;
-    evidence.source = std::string(loss.source);
-    evidence.orderedUnixMillis = task && task->run == run.run ? task->orderedUnixMillis : 0;
-    evidence.leaseUntilUnixMillis = unixMillisOf(worker.leaseUntil(allocation));
-    evidence.nextStartUnixMillis = loss.nextStartUnixMillis;
-    evidence.foundUnixMillis = unixMillisOf(loss.foundAt);
-    const bool isOrderedByThisOwner = task && task->run == run.run && !allocation.isInherited;
-    if (isOrderedByThisOwner && (allocation.wasConfirmed || allocation.wasListed))
-        evidence.knownAtWorkMillis
-            = absl::ToInt64Milliseconds(std::max(absl::ZeroDuration(), worker.lastReplyAt - task->startedAt));
-    if (isOrderedByThisOwner && worker.closedAt >= task->startedAt && worker.closedAt < absl::InfiniteDuration())
-        evidence.closedAfterMillis = absl::ToInt64Milliseconds(worker.closedAt - task->startedAt);
-    evidence.token = m_term.token;
-    return evidence;
-}
-
 void Cell::recordRunCrash(CellJob& job, const TaskRun& run, const CellWorker& worker, const RunAllocation& lost)
 {
     if (lost.crash == CrashedRun::None || isEnded(job.phase))
--- a/src/CellLeases.cpp
+++ b/src/CellLeases.cpp
@@ -5,6 +5,8 @@
 
 #include "Cell.h"
 
+#include "LossEvidence.h"
+
 #include <algorithm>
 
 namespace cicada {
@@ -138,7 +140,7 @@
     const absl::string_view why = incarnationEndName(end);
     m_parts.log.write("worker-over", "worker", worker.listed.incarnation.id, "why", why, "runs",
         worker.allocations.size(), "acknowledgedThrough", worker.acknowledgedThrough);
-    const IncarnationLoss loss = lossOf(worker, why, next);
+    const IncarnationLoss loss = lossOf(worker, why, next, m_parts.timers.clock());
     recordWorkerCrash(worker, loss);
     decideUndecided(worker, loss);
     // A start can have reached the next incarnation under the same id before its begin was known here.
--- a/src/CellLostRuns.cpp
+++ b/src/CellLostRuns.cpp
@@ -6,6 +6,7 @@
 #include "Cell.h"
 
 #include "Job.h"
+#include "LossEvidence.h"
 
 #include <algorithm>
 
@@ -44,12 +45,12 @@
     for (auto& [run, allocation] : worker.allocations) {
         if (allocation.evidence)
             continue;
-        const LostRun facts = lostRunOf(worker, run, allocation);
+        const LostRun facts = lostRunOf(runOn(worker, run, allocation));
         allocation.crash = crashedRunOf(facts);
         if (allocation.crash == CrashedRun::None)
             continue;
-        allocation.evidence
-            = std::make_shared<RunEvidence>(evidenceOf(EvidenceKind::Undecided, run, worker, allocation, loss));
+        allocation.evidence = std::make_shared<RunEvidence>(evidenceOf(
+            EvidenceKind::Undecided, runOn(worker, run, allocation), loss, m_parts.timers.clock(), m_term.token));
         const CellJob* job = findJob(run.task.job);
         const CellTask* task = job ? m_jobs[run.task.job]->find(run.task) : nullptr;
         const bool isCurrent = task && task->run == run.run;
@@ -84,8 +85,8 @@
     const bool hasRestarted = std::any_of(worker.undecidedRuns.begin(), worker.undecidedRuns.end(),
         [&](const auto& lost) { return lost.workerStarted != 0 && lost.workerStarted != worker.startedUnixMillis; });
     if (hasRestarted)
-        return decideUndecided(
-            worker, lossOf(worker, restartedBeforeHeard, { worker.startedUnixMillis, std::nullopt }));
+        return decideUndecided(worker,
+            lossOf(worker, restartedBeforeHeard, { worker.startedUnixMillis, std::nullopt }, m_parts.timers.clock()));
     explainUndecided(worker);
 }
 
--- a/src/CellRuns.cpp
+++ b/src/CellRuns.cpp
@@ -1,6 +1,7 @@
 #include "Cell.h"
 
 #include "Job.h"
+#include "LossEvidence.h"
 
 #include <algorithm>
 
@@ -368,7 +369,9 @@
     IncarnationLoss listed;
     listed.source = "listed-by-worker";
     listed.foundAt = m_parts.timers.clock().now();
-    RunEvidence evidence = evidenceOf(EvidenceKind::Failed, run, worker, {}, listed);
+    const RunAllocation released;
+    RunEvidence evidence
+        = evidenceOf(EvidenceKind::Failed, runOn(worker, run, released), listed, m_parts.timers.clock(), m_term.token);
     evidence.sequence = ended.sequence;
     addEvidence(job.find(run.task)->evidence, std::move(evidence));
     const uint32_t failures = job.failuresOf(run.task);
